--- /dev/null
+++ b/wagtailrill/core/__init__.py
@@ -0,0 +1,1 @@
+"""Shared parts of the decision code: context, timers, commands, errors."""
--- /dev/null
+++ b/wagtailrill/core/refusals.py
@@ -0,0 +1,79 @@
+"""Errors that callers receive, as listed in docs/design.md."""
+
+import enum
+from typing import Final
+
+import attrs
+
+
+class Ran(enum.StrEnum):
+    """Says whether a backend server may have run the delivered request."""
+
+    NO = "no"
+    UNKNOWN = "unknown"
+
+
+class RefusalCode(enum.StrEnum):
+    """Code of an error answer."""
+
+    BAD_REQUEST = "bad_request"
+    IDEMPOTENCY_KEY_REQUIRED = "idempotency_key_required"
+    IDEMPOTENCY_KEY_INVALID = "idempotency_key_invalid"
+    IDEMPOTENCY_KEY_REUSED = "idempotency_key_reused"
+    IDEMPOTENCY_KEY_EXPIRED = "idempotency_key_expired"
+    TENANT_KEY_MISSING = "tenant_key_missing"
+    TENANT_KEY_INVALID = "tenant_key_invalid"
+    ROUTE_UNKNOWN = "route_unknown"
+    REQUEST_TOO_LARGE = "request_too_large"
+    RATE_LIMITED = "rate_limited"
+    REQUEST_IN_PROGRESS = "request_in_progress"
+    OUTCOME_UNKNOWN = "outcome_unknown"
+    REQUEST_CRASHES_SERVERS = "request_crashes_servers"
+    QUEUE_FULL = "queue_full"
+    NO_BACKEND_SERVER = "no_backend_server"
+    KEY_MOVING = "key_moving"
+    CUT_OFF = "cut_off"
+    DRAINING = "draining"
+    BACKEND_LOST = "backend_lost"
+    BACKEND_BAD_ANSWER = "backend_bad_answer"
+    DEADLINE_EXCEEDED = "deadline_exceeded"
+
+
+STATUS_BY_CODE: Final[dict[RefusalCode, int]] = {
+    RefusalCode.BAD_REQUEST: 400,
+    RefusalCode.IDEMPOTENCY_KEY_REQUIRED: 400,
+    RefusalCode.IDEMPOTENCY_KEY_INVALID: 400,
+    RefusalCode.IDEMPOTENCY_KEY_REUSED: 422,
+    RefusalCode.IDEMPOTENCY_KEY_EXPIRED: 409,
+    RefusalCode.TENANT_KEY_MISSING: 401,
+    RefusalCode.TENANT_KEY_INVALID: 401,
+    RefusalCode.ROUTE_UNKNOWN: 404,
+    RefusalCode.REQUEST_TOO_LARGE: 413,
+    RefusalCode.RATE_LIMITED: 429,
+    RefusalCode.REQUEST_IN_PROGRESS: 409,
+    RefusalCode.OUTCOME_UNKNOWN: 409,
+    RefusalCode.REQUEST_CRASHES_SERVERS: 422,
+    RefusalCode.QUEUE_FULL: 503,
+    RefusalCode.NO_BACKEND_SERVER: 503,
+    RefusalCode.KEY_MOVING: 503,
+    RefusalCode.CUT_OFF: 503,
+    RefusalCode.DRAINING: 503,
+    RefusalCode.BACKEND_LOST: 502,
+    RefusalCode.BACKEND_BAD_ANSWER: 502,
+    RefusalCode.DEADLINE_EXCEEDED: 504,
+}
+
+
+@attrs.frozen
+class Refusal:
+    """An error answer: code, plain message, whether it ran, and when to retry."""
+
+    code: RefusalCode
+    message: str
+    ran: Ran = Ran.NO
+    retry_after_s: float | None = None
+
+    @property
+    def status(self) -> int:
+        """Return the HTTP status."""
+        return STATUS_BY_CODE[self.code]
--- /dev/null
+++ b/wagtailrill/declaration/__init__.py
@@ -0,0 +1,1 @@
+"""The services declaration that operators write."""
--- /dev/null
+++ b/wagtailrill/partitions/__init__.py
@@ -0,0 +1,1 @@
+"""Partitions: which instance arbitrates for a shared resource."""
--- /dev/null
+++ b/wagtailrill/peer/__init__.py
@@ -0,0 +1,1 @@
+"""Messages between the system's own processes."""
--- /dev/null
+++ b/wagtailrill/peer/errors.py
@@ -0,0 +1,5 @@
+"""Errors of the peer protocol."""
+
+
+class PeerDecodeError(ValueError):
+    """A frame or message that is malformed, too large or not authentic."""
--- /dev/null
+++ b/wagtailrill/platform/__init__.py
@@ -0,0 +1,1 @@
+"""Interfaces of the platform: key-value store and instance list."""
