Add peer transport, backend connections and backend server stand-in

Cause: the decision code needs its I/O counterparts before the path can run. Change: TCP links with authenticated frames, acknowledgements that expose silent connections, and reconnection; a connection table per backend server in place of httpcore's pool; a stand-in with slots, grants, cold start and faults. Conclusion: the request pipeline can be built on these parts.

--- /dev/null
+++ b/tests/peer/test_tcp.py
@@ -0,0 +1,117 @@
+"""Guards the peer transport against hostile input and lost connections."""
+
+import anyio
+import attrs
+import pytest
+
+from wagtailrill.peer.const import FRAME_MAX_BYTES
+from wagtailrill.peer.errors import PeerDecodeError
+from wagtailrill.peer.frame import FrameCodec, with_length
+from wagtailrill.peer.registry import Envelope, MessageRegistry
+from wagtailrill.peer.tcp import PeerTransport
+
+SCHEMA = """@0xb7a0c6f8f7d3d1a5;
+struct Note { text @0 :Text; numbers @1 :List(UInt32); }
+"""
+
+
+@attrs.frozen
+class Note:
+    text: str
+    numbers: tuple[int, ...]
+
+
+@pytest.fixture(scope="module")
+def registry(tmp_path_factory):
+    path = tmp_path_factory.mktemp("schema") / "note.capnp"
+    path.write_text(SCHEMA)
+    registry = MessageRegistry()
+    registry.register(path, {900: Note})
+    return registry
+
+
+def envelope(sequence=1, text="hello"):
+    return Envelope("a", 1, "b", 0, sequence, Note(text, (1, 2)))
+
+
+def test_frame_survives_secret_rotation(registry):
+    """Guards against an outage while peer secrets are being rotated."""
+    old = FrameCodec(registry, (b"old", b"new"))
+    new = FrameCodec(registry, (b"new", b"old"))
+    assert new.decode(old.encode(envelope())) == envelope()
+    assert old.decode(new.encode(envelope())) == envelope()
+
+
+def test_foreign_secret_is_rejected(registry):
+    """Guards against messages of processes without the shared secret."""
+    frame = FrameCodec(registry, (b"other",)).encode(envelope())
+    with pytest.raises(PeerDecodeError):
+        FrameCodec(registry, (b"ours",)).decode(frame)
+
+
+@pytest.mark.parametrize(
+    "data",
+    [
+        b"",
+        b"GET / HTTP/1.1\r\n\r\n",
+        (FRAME_MAX_BYTES + 1).to_bytes(4, "big") + b"x",
+        with_length(b"x" * 100),
+        with_length(b""),
+    ],
+    ids=["empty", "http", "too long", "not authentic", "no frame"],
+)
+def test_hostile_bytes_do_not_stop_the_listener(registry, data):
+    """Guards against a bad peer message that ends the process."""
+    received = []
+
+    async def async_main():
+        codec = FrameCodec(registry, (b"secret",))
+        transport = PeerTransport(codec, received.append)
+        async with anyio.create_task_group() as tg:
+            listener = await anyio.create_tcp_listener(local_host="127.0.0.1")
+            port = listener.extra(anyio.abc.SocketAttribute.local_port)
+            await listener.aclose()
+            tg.start_soon(transport.async_serve, "127.0.0.1", port)
+            await anyio.sleep(0.05)
+            async with await anyio.connect_tcp("127.0.0.1", port) as stream:
+                await stream.send(data)
+            transport.set_addresses({"b": f"127.0.0.1:{port}"})
+            transport.send(envelope())
+            with anyio.fail_after(5.0):
+                while not received:
+                    await anyio.sleep(0.01)
+            tg.cancel_scope.cancel()
+
+    anyio.run(async_main)
+    assert received == [envelope()]
+
+
+def test_messages_arrive_after_the_receiver_restarts(registry):
+    """Guards against a sender that dies with its connection."""
+    received = []
+
+    async def async_serve_once(port, sender, text):
+        transport = PeerTransport(FrameCodec(registry, (b"s",)), received.append)
+        async with anyio.create_task_group() as tg:
+            tg.start_soon(transport.async_serve, "127.0.0.1", port)
+            with anyio.fail_after(10.0):
+                while not any(e.message.text == text for e in received):
+                    sender.send(envelope(len(received) + 1, text))
+                    await anyio.sleep(0.05)
+            tg.cancel_scope.cancel()
+
+    async def async_main():
+        listener = await anyio.create_tcp_listener(local_host="127.0.0.1")
+        port = listener.extra(anyio.abc.SocketAttribute.local_port)
+        await listener.aclose()
+        sender = PeerTransport(FrameCodec(registry, (b"s",)), received.append)
+        sender.set_addresses({"b": f"127.0.0.1:{port}"})
+        async with anyio.create_task_group() as tg:
+            tg.start_soon(sender.async_serve, "127.0.0.1", 0)
+            await anyio.sleep(0.05)
+            await async_serve_once(port, sender, "first")
+            await async_serve_once(port, sender, "second")
+            tg.cancel_scope.cancel()
+
+    anyio.run(async_main)
+    assert {e.message.text for e in received} == {"first", "second"}
--- a/wagtailrill/core/orders.py
+++ b/wagtailrill/core/orders.py
@@ -29,15 +29,14 @@
     attempt_id: int
     request_id: int
     backend_server: str
-    service: str
-    organisation: str | None
-    slot: int | None
-    epoch: int | None
-    fence: int | None
+    method: str
+    target: str
+    headers: Headers
+    body: bytes
     expires_unix_s: float
     timeout_s: float
-    attempt: int
     may_connect: bool
+    traceparent: str = ""
 
 
 class AttemptOutcome(enum.Enum):
--- /dev/null
+++ b/wagtailrill/gateway/__init__.py
@@ -0,0 +1,1 @@
+"""HTTP towards callers and backend servers."""
--- /dev/null
+++ b/wagtailrill/gateway/connections.py
@@ -0,0 +1,224 @@
+"""Connections to backend servers and the exchange of one order on one of them."""
+
+import time
+
+import anyio
+import attrs
+import httpcore
+
+from ..core.headers import NOT_RUN_HEADER, REQUEST_ID_HEADER, START_ID_HEADER
+from ..core.orders import AttemptOutcome, AttemptResult, Order
+from .const import (
+    CONNECT_TIMEOUT_S,
+    CONNECTION_AGE_MAX_S,
+    CONNECTION_IDLE_MAX_S,
+    HOP_BY_HOP_HEADERS,
+    RESPONSE_MAX_BYTES,
+)
+
+NOT_RUN_OUTCOMES = {
+    b"shed": AttemptOutcome.SHED,
+    b"fenced": AttemptOutcome.FENCED,
+    b"expired": AttemptOutcome.FENCED,
+}
+
+
+@attrs.define(eq=False)
+class BackendConnection:
+    """An open connection; it carries one exchange at a time."""
+
+    http: httpcore.AsyncHTTPConnection
+    opened_s: float
+    used_s: float
+
+    def usable(self, now_s: float) -> bool:
+        """Return whether the connection may carry another exchange."""
+        return (
+            now_s - self.used_s < CONNECTION_IDLE_MAX_S
+            and now_s - self.opened_s < CONNECTION_AGE_MAX_S
+            and self.http.is_idle()
+            and not self.http.has_expired()
+        )
+
+
+@attrs.define(eq=False)
+class BackendConnections:
+    """Open connections to one backend server.
+
+    The list of idle connections replaces httpcore's pool, whose work for each request
+    grows with its number of connections.
+    """
+
+    name: str
+    address: str
+    idle: list[BackendConnection] = attrs.field(factory=list)
+    busy: int = 0
+    opened: int = 0
+
+    def take_idle(self) -> BackendConnection | None:
+        """Return an idle connection that is still usable; drop those that are not."""
+        now_s = time.monotonic()
+        while self.idle:
+            conn = self.idle.pop()
+            if conn.usable(now_s):
+                return conn
+            self.idle.append(conn)
+            break
+        return None
+
+    async def async_drop_unusable(self) -> int:
+        """Close idle connections that are closed by the peer or too old."""
+        now_s = time.monotonic()
+        gone = [conn for conn in self.idle if not conn.usable(now_s)]
+        for conn in gone:
+            self.idle.remove(conn)
+            await conn.http.aclose()
+        return len(gone)
+
+    async def async_close_idle(self, count: int | None = None) -> int:
+        """Close some or all idle connections; return how many were closed."""
+        closed = 0
+        while self.idle and (count is None or closed < count):
+            await self.idle.pop().http.aclose()
+            closed += 1
+        return closed
+
+    async def async_open(self) -> BackendConnection:
+        """Open a connection; it connects when it sends its first order."""
+        host, _, port = self.address.rpartition(":")
+        origin = httpcore.Origin(b"http", host.encode(), int(port))
+        self.opened += 1
+        now_s = time.monotonic()
+        return BackendConnection(httpcore.AsyncHTTPConnection(origin), now_s, now_s)
+
+    async def async_exchange(self, order: Order) -> AttemptResult:
+        """Send an order and read its whole answer within the order's timeout."""
+        started_s = time.monotonic()
+        conn = self.take_idle()
+        if conn is None:
+            await self.async_drop_unusable()
+            if not order.may_connect:
+                return AttemptResult(
+                    order.attempt_id, AttemptOutcome.CONNECT_FAILED, 0.0
+                )
+            conn = await self.async_open()
+        self.busy += 1
+        result = None
+        try:
+            with anyio.move_on_after(order.timeout_s):
+                result = await self._async_send(conn, order, started_s)
+        finally:
+            self.busy -= 1
+            if result is None or not result.connection_open:
+                with anyio.CancelScope(shield=True):
+                    await conn.http.aclose()
+            else:
+                conn.used_s = time.monotonic()
+                self.idle.append(conn)
+        if result is not None:
+            return result
+        await self._async_drop_unproven(started_s)
+        latency_s = time.monotonic() - started_s
+        return AttemptResult(order.attempt_id, AttemptOutcome.TIMED_OUT, latency_s)
+
+    async def _async_drop_unproven(self, since_s: float) -> None:
+        """Close idle connections that carried no answer since a time.
+
+        After a timeout they may have gone silent for good, like the one that timed out.
+        """
+        for conn in [conn for conn in self.idle if conn.used_s < since_s]:
+            self.idle.remove(conn)
+            await conn.http.aclose()
+
+    async def _async_send(
+        self, conn: BackendConnection, order: Order, started_s: float
+    ) -> AttemptResult:
+        req = httpcore.Request(
+            order.method.encode(),
+            httpcore.URL(
+                scheme=b"http",
+                host=self.address.rpartition(":")[0].encode(),
+                port=int(self.address.rpartition(":")[2]),
+                target=order.target.encode(),
+            ),
+            headers=[(b"host", self.address.encode()), *order.headers],
+            content=order.body,
+            extensions={"timeout": {"connect": CONNECT_TIMEOUT_S}},
+        )
+        try:
+            res = await conn.http.handle_async_request(req)
+            body = await _async_read(res)
+        except (httpcore.ConnectError, httpcore.ConnectTimeout):
+            outcome = AttemptOutcome.CONNECT_FAILED
+        except httpcore.RemoteProtocolError as exc:
+            cut = "without sending" not in str(exc)
+            outcome = AttemptOutcome.BAD_ANSWER if cut else AttemptOutcome.LOST
+        except (httpcore.NetworkError, httpcore.ConnectionNotAvailable):
+            outcome = AttemptOutcome.LOST
+        except ResponseTooLargeError:
+            outcome = AttemptOutcome.BAD_ANSWER
+        else:
+            return self._result(order, res, body, conn, started_s)
+        latency_s = time.monotonic() - started_s
+        return AttemptResult(order.attempt_id, outcome, latency_s)
+
+    def _result(
+        self,
+        order: Order,
+        res: httpcore.Response,
+        body: bytes,
+        conn: BackendConnection,
+        started_s: float,
+    ) -> AttemptResult:
+        latency_s = time.monotonic() - started_s
+        fields = {name.lower(): value for name, value in res.headers}
+        outcome = NOT_RUN_OUTCOMES.get(
+            fields.get(NOT_RUN_HEADER, b""), AttemptOutcome.ANSWERED
+        )
+        echoed = fields.get(REQUEST_ID_HEADER)
+        if echoed is not None and echoed != _request_id(order):
+            return AttemptResult(order.attempt_id, AttemptOutcome.BAD_ANSWER, latency_s)
+        return AttemptResult(
+            attempt_id=order.attempt_id,
+            outcome=outcome,
+            latency_s=latency_s,
+            status=res.status,
+            headers=_caller_headers(res.headers),
+            body=body,
+            start_id=fields.get(START_ID_HEADER, b"").decode("latin-1"),
+            connection_open=conn.http.is_idle(),
+        )
+
+
+class ResponseTooLargeError(Exception):
+    """A backend server's answer exceeds the size limit."""
+
+
+async def _async_read(res: httpcore.Response) -> bytes:
+    parts, size = [], 0
+    async for part in res.aiter_stream():
+        size += len(part)
+        if size > RESPONSE_MAX_BYTES:
+            raise ResponseTooLargeError
+        parts.append(part)
+    await res.aclose()
+    return b"".join(parts)
+
+
+def _request_id(order: Order) -> bytes | None:
+    for name, value in order.headers:
+        if name == REQUEST_ID_HEADER:
+            return value
+    return None
+
+
+def _caller_headers(
+    headers: list[tuple[bytes, bytes]],
+) -> tuple[tuple[str, str], ...]:
+    return tuple(
+        (name.decode("latin-1"), value.decode("latin-1"))
+        for name, value in headers
+        if (lower := name.lower()) not in HOP_BY_HOP_HEADERS
+        and lower != b"content-length"
+        and not lower.startswith(b"wagtailrill-")
+    )
--- /dev/null
+++ b/wagtailrill/stand_ins/backend_server.py
@@ -0,0 +1,232 @@
+"""Backend server stand-in over HTTP: `python -m wagtailrill.stand_ins.backend_server`.
+
+Its control interface is described in docs/backend-protocol.md.
+"""
+
+import argparse
+import json
+import random
+import time
+from collections.abc import Awaitable, Callable, MutableMapping
+from typing import Any
+
+import anyio
+import uvicorn
+from expression import Result
+
+from ..core.backend import BackendError, BackendErrorKind, Grant, Health, SlotEpoch
+from ..core.headers import (
+    EPOCH_HEADER,
+    EXPIRES_HEADER,
+    NOT_RUN_HEADER,
+    ORGANISATION_HEADER,
+    REQUEST_ID_HEADER,
+    SLOT_HEADER,
+    START_ID_HEADER,
+)
+from .backend_model import BackendModel, BackendModelSettings, NotRun
+
+Scope = MutableMapping[str, Any]
+Receive = Callable[[], Awaitable[MutableMapping[str, Any]]]
+Send = Callable[[MutableMapping[str, Any]], Awaitable[None]]
+
+STATUS_BY_REASON = {NotRun.SHED: 503, NotRun.FENCED: 409, NotRun.EXPIRED: 409}
+STATUS_BY_ERROR = {BackendErrorKind.FENCED: 409, BackendErrorKind.UNKNOWN_GRANT: 404}
+CRASH_MARK = b"crash-the-server"
+
+
+class BackendApplication:
+    """ASGI application of the stand-in."""
+
+    def __init__(self, model: BackendModel) -> None:
+        self.model = model
+        self.server: uvicorn.Server | None = None
+        self.frozen = anyio.Event()
+        self.frozen.set()
+        self.frozen_since_s = 0.0
+        self.executions: dict[str, int] = {}
+        self.crash_on_mark = True
+        self.echoes_request_id = True
+
+    async def __call__(self, scope: Scope, receive: Receive, send: Send) -> None:
+        """Serve one request."""
+        if scope["type"] != "http":
+            return
+        body = await _async_body(receive)
+        handler = {
+            "/-/grant": self._async_grant,
+            "/-/health": self._async_health,
+            "/-/fault": self._async_fault,
+            "/-/counts": self._async_counts,
+        }.get(scope["path"], self._async_order)
+        if handler != self._async_fault:
+            await self.frozen.wait()
+        await handler(scope, body, send)
+
+    def crash(self) -> None:
+        """Drop all connections and come back cold."""
+        self.model.restart(time.monotonic())
+        if self.server is not None:
+            for conn in list(self.server.server_state.connections):
+                conn.transport.abort()
+
+    async def _async_grant(self, scope: Scope, body: bytes, send: Send) -> None:
+        data = json.loads(body)
+        grant = Grant(
+            service=data["service"],
+            fence=data["fence"],
+            slots=tuple(SlotEpoch(*pair) for pair in data["slots"]),
+            duration_s=data["duration_s"],
+            renew_only=data["renew_only"],
+        )
+        result: Result[Any, BackendError] = self.model.grant(grant, time.monotonic())
+        if result.is_ok():
+            await _async_json(send, 200, {"fence": result.ok.fence})
+            return
+        error = result.error
+        answer = {"kind": error.kind.value, "fence": error.fence}
+        await _async_json(send, STATUS_BY_ERROR[error.kind], answer)
+
+    async def _async_health(self, scope: Scope, body: bytes, send: Send) -> None:
+        health: Health = self.model.health(time.monotonic())
+        answer = {
+            "healthy": health.healthy,
+            "start_id": health.start_id,
+            "uptime_s": health.uptime_s,
+            "load": health.load,
+        }
+        await _async_json(send, 200, answer)
+
+    async def _async_counts(self, scope: Scope, body: bytes, send: Send) -> None:
+        answer = {
+            "ran": self.model.ran,
+            "overloads": self.model.overloads,
+            "duplicates": sum(n - 1 for n in self.executions.values() if n > 1),
+            "starts": self.model.starts,
+        }
+        await _async_json(send, 200, answer)
+
+    async def _async_fault(self, scope: Scope, body: bytes, send: Send) -> None:
+        fault = json.loads(body)
+        match fault:
+            case {"slowdown": float() | int() as factor}:
+                self.model.slowdown = float(factor)
+            case {"freeze": True}:
+                self.frozen = anyio.Event()
+            case {"freeze": False}:
+                self.frozen.set()
+            case {"restart": True}:
+                self.crash()
+                return
+        await _async_json(send, 200, {})
+
+    async def _async_order(self, scope: Scope, body: bytes, send: Send) -> None:
+        headers = dict(scope["headers"])
+        if self.crash_on_mark and CRASH_MARK in body + scope["query_string"]:
+            self.crash()
+            return
+        slot, epoch = headers.get(SLOT_HEADER), headers.get(EPOCH_HEADER)
+        reason = self.model.admit(
+            slot=int(slot) if slot else None,
+            epoch=int(epoch) if epoch else None,
+            expires_unix_s=float(headers.get(EXPIRES_HEADER, b"inf")),
+            now_s=time.monotonic(),
+            wall_s=time.time(),
+        )
+        echo = self._echo(headers)
+        if reason is not None:
+            extra = [(NOT_RUN_HEADER, reason.value.encode()), *echo]
+            await _async_json(
+                send, STATUS_BY_REASON[reason], {"not_run": reason}, extra
+            )
+            return
+        start = self.model.starts
+        self._count(headers)
+        try:
+            await anyio.sleep(self.model.service_time_s())
+            await self.frozen.wait()
+        finally:
+            if self.model.starts == start:
+                self.model.finish(time.monotonic())
+        organisation = headers.get(ORGANISATION_HEADER, b"").decode()
+        answer = {"server": self.model.cfg.name, "organisation": organisation}
+        await _async_json(send, 200, {**answer, "path": scope["path"]}, echo)
+
+    def _echo(self, headers: dict[bytes, bytes]) -> list[tuple[bytes, bytes]]:
+        echo = [(START_ID_HEADER, self.model.start_id.encode())]
+        if self.echoes_request_id and REQUEST_ID_HEADER in headers:
+            echo.append((REQUEST_ID_HEADER, headers[REQUEST_ID_HEADER]))
+        return echo
+
+    def _count(self, headers: dict[bytes, bytes]) -> None:
+        key = headers.get(b"idempotency-key", b"").decode()
+        if key:
+            self.executions[key] = self.executions.get(key, 0) + 1
+
+
+async def _async_body(receive: Receive) -> bytes:
+    parts = []
+    while True:
+        message = await receive()
+        parts.append(message.get("body", b""))
+        if not message.get("more_body", False):
+            return b"".join(parts)
+
+
+async def _async_json(
+    send: Send,
+    status: int,
+    answer: dict[str, Any],
+    headers: list[tuple[bytes, bytes]] | None = None,
+) -> None:
+    body = json.dumps(answer).encode()
+    fields = [
+        (b"content-type", b"application/json"),
+        (b"content-length", str(len(body)).encode()),
+        *(headers or []),
+    ]
+    await send({"type": "http.response.start", "status": status, "headers": fields})
+    await send({"type": "http.response.body", "body": body})
+
+
+def make_server(app: BackendApplication, host: str, port: int) -> uvicorn.Server:
+    """Return a server for the application; it runs on asyncio."""
+    cfg = uvicorn.Config(
+        app,
+        host=host,
+        port=port,
+        loop="asyncio",
+        http="httptools",
+        lifespan="off",
+        log_level="warning",
+        access_log=False,
+        timeout_keep_alive=300,
+    )
+    app.server = uvicorn.Server(cfg)
+    return app.server
+
+
+def main() -> None:
+    """Run one stand-in until it is stopped."""
+    parser = argparse.ArgumentParser(description="Backend server stand-in.")
+    parser.add_argument("--name", required=True)
+    parser.add_argument("--host", default="127.0.0.1")
+    parser.add_argument("--port", type=int, required=True)
+    parser.add_argument("--slots", type=int, default=6)
+    parser.add_argument("--checks-grants", action="store_true")
+    parser.add_argument("--service-time-s", type=float, default=0.005)
+    parser.add_argument("--seed", type=int, default=1)
+    args = parser.parse_args()
+    cfg = BackendModelSettings(
+        name=args.name,
+        slots=args.slots,
+        checks_grants=args.checks_grants,
+        service_time_s=args.service_time_s,
+    )
+    model = BackendModel(cfg, random.Random(args.seed), started_s=time.monotonic())
+    server = make_server(BackendApplication(model), args.host, args.port)
+    anyio.run(server.serve)
+
+
+if __name__ == "__main__":
+    main()
