--- /dev/null
+++ b/wagtailrill/crash_guard/__init__.py
@@ -0,0 +1,1 @@
+"""Stops requests that crash each backend server that runs them."""
--- /dev/null
+++ b/wagtailrill/idempotency/__init__.py
@@ -0,0 +1,1 @@
+"""At-most-once execution of requests that are not idempotent."""
