Add tenant keys and header checks

Cause: requests may run only for the organisation whose tenant key came with them, and a caller must not be able to forge the organisation or smuggle headers.

--- /dev/null
+++ b/tests/organisations/test_headers.py
@@ -0,0 +1,92 @@
+"""Guards the header checks against smuggling and forged identity."""
+
+import pytest
+from hypothesis import given, settings, strategies as st
+
+from wagtailrill.core.refusals import RefusalCode
+from wagtailrill.organisations.headers import check_headers, strip_headers
+
+HOST = (b"host", b"box.example")
+SMUGGLED = {
+    "CR in value": ((b"a", b"x\ry"),),
+    "LF in value": ((b"a", b"x\n"), (b"b", b"y")),
+    "NUL in value": ((b"a", b"\0"),),
+    "space in name": ((b"content-length ", b"1"),),
+    "LF in name": ((b"a\nb", b"1"),),
+    "empty name": ((b"", b"1"),),
+    "colon in name": ((b"a:", b"1"),),
+    "upper case": ((b"X-Tenant-Key", b"1"),),
+    "length and encoding": (
+        (b"content-length", b"1"),
+        (b"transfer-encoding", b"chunked"),
+    ),
+    "lengths differ": ((b"content-length", b"1"), (b"content-length", b"2")),
+    "length list": ((b"content-length", b"1, 1"),),
+    "signed length": ((b"content-length", b"+1"),),
+    "unknown encoding": ((b"transfer-encoding", b"xchunked"),),
+    "two encodings": (
+        (b"transfer-encoding", b"chunked"),
+        (b"transfer-encoding", b"chunked"),
+    ),
+}
+
+
+@pytest.mark.parametrize("headers", SMUGGLED.values(), ids=SMUGGLED)
+def test_refuses_ambiguous_headers(headers):
+    """Guards against requests that two servers read differently."""
+    for placed in ((HOST, *headers), (*headers, HOST)):
+        refusal = check_headers(placed)
+        assert refusal is not None
+        assert refusal.code is RefusalCode.BAD_REQUEST
+
+
+@pytest.mark.parametrize(
+    "headers",
+    [
+        (),
+        (HOST, (b"content-length", b"12")),
+        ((b"content-length", b"1"), (b"content-length", b"1")),
+        (HOST, (b"transfer-encoding", b"Chunked")),
+        ((b"x-empty", b""), (b"x-tab", b"a\tb")),
+    ],
+)
+def test_accepts_plain_headers(headers):
+    """Guards against refusals of well-formed requests."""
+    assert check_headers(headers) is None
+
+
+def test_strips_identity_and_hop_by_hop_headers():
+    """Guards against a forged organisation and against keys sent to servers."""
+    kept = (HOST, (b"accept", b"*/*"), (b"content-length", b"3"))
+    dropped = (
+        (b"x-tenant-key", b"wr_a_b"),
+        (b"x_tenant_key", b"wr_a_b"),
+        (b"wagtailrill-organisation", b"other"),
+        (b"wagtailrill_organisation", b"other"),
+        (b"connection", b"X-Hop , content-length"),
+        (b"connection", b"close"),
+        (b"x-hop", b"1"),
+        (b"te", b"trailers"),
+        (b"transfer-encoding", b"chunked"),
+    )
+    assert strip_headers(kept + dropped) == kept
+    assert strip_headers(dropped + kept) == kept
+
+
+NAMES = st.sampled_from(
+    [b"connection", b"x-tenant-key", b"wagtailrill-x", b"host", b"x-a", b"a b", b""]
+)
+VALUES = st.one_of(st.binary(max_size=8), st.sampled_from([b"x-a, te", b"1"]))
+
+
+@settings(derandomize=True, max_examples=300)
+@given(st.lists(st.tuples(NAMES, VALUES), max_size=6).map(tuple))
+def test_no_header_list_gets_through(headers):
+    """Guards against combinations that the fault table does not list."""
+    stripped = strip_headers(headers)
+    assert not {b"connection", b"x-tenant-key", b"wagtailrill-x"} & set(dict(stripped))
+    assert strip_headers(stripped) == stripped
+    bad = any(
+        name in (b"a b", b"") or set(value) & set(b"\r\n\0") for name, value in headers
+    )
+    assert (check_headers(headers) is not None) == bad
--- /dev/null
+++ b/wagtailrill/organisations/__init__.py
@@ -0,0 +1,1 @@
+"""Tenant keys of organisations and checks of callers' headers."""
--- /dev/null
+++ b/wagtailrill/organisations/keys.py
@@ -0,0 +1,120 @@
+"""Tenant keys: issue, authentication and withdrawal."""
+
+import hashlib
+import hmac
+import re
+from collections.abc import Callable
+from typing import Final
+
+from expression import Error, Ok, Result
+
+from ..core.orders import Headers
+from ..core.refusals import Refusal, RefusalCode
+from ..declaration.models import Configuration, TenantKeyHash
+from .const import (
+    KEY_ID_BYTES,
+    SALT_BYTES,
+    SECRET_BYTES,
+    TENANT_KEY_HEADER,
+    TENANT_KEY_MAX_BYTES,
+)
+from .models import StoredKey, Tenant
+
+_KEY_FORMAT: Final = re.compile(rb"wr_([0-9A-Za-z-]{1,64})_([0-9A-Za-z-]{16,128})")
+_MISSING: Final = Refusal(
+    RefusalCode.TENANT_KEY_MISSING, "The X-Tenant-Key header is missing."
+)
+_DUPLICATE: Final = Refusal(
+    RefusalCode.TENANT_KEY_INVALID, "The X-Tenant-Key header occurs more than once."
+)
+_TOO_LONG: Final = Refusal(
+    RefusalCode.TENANT_KEY_INVALID,
+    f"The tenant key is longer than {TENANT_KEY_MAX_BYTES} bytes.",
+)
+_MALFORMED: Final = Refusal(
+    RefusalCode.TENANT_KEY_INVALID,
+    "The tenant key does not have the form wr_<key id>_<secret>.",
+)
+# Unknown, withdrawn and wrong keys are not told apart, so that a caller cannot
+# find out which key ids exist.
+_REFUSED: Final = Refusal(
+    RefusalCode.TENANT_KEY_INVALID, "The tenant key is unknown or withdrawn."
+)
+_UNKNOWN: Final = StoredKey("", bytes(SALT_BYTES), bytes(hashlib.sha256().digest_size))
+
+
+def key_digest(salt: bytes, secret: bytes) -> bytes:
+    """Return the SHA-256 under which a secret is stored."""
+    return hashlib.sha256(salt + secret).digest()
+
+
+def issue_key(rng_bytes: Callable[[int], bytes]) -> tuple[str, TenantKeyHash]:
+    """Return a new clear key, shown once, and the hash to store.
+
+    `rng_bytes` must be a cryptographic source such as `secrets.token_bytes`.
+    """
+    key_id = rng_bytes(KEY_ID_BYTES).hex()
+    secret = rng_bytes(SECRET_BYTES).hex()
+    salt = rng_bytes(SALT_BYTES)
+    digest = key_digest(salt, secret.encode())
+    return f"wr_{key_id}_{secret}", TenantKeyHash(key_id, salt.hex(), digest.hex())
+
+
+class TenantKeys:
+    """Tenant keys of the configuration in force."""
+
+    def __init__(self) -> None:
+        self._version = -1
+        self._keys: dict[str, StoredKey] = {}
+
+    def configure(self, configuration: Configuration) -> None:
+        """Apply a configuration unless a later one is in force."""
+        if configuration.version < self._version:
+            return
+        self._version = configuration.version
+        keys: dict[str, StoredKey] = {}
+        repeated: set[str] = set()
+        for organisation in configuration.declaration.organisations:
+            for entry in organisation.tenant_keys:
+                if entry.key_id in keys:
+                    repeated.add(entry.key_id)
+                keys[entry.key_id] = StoredKey(
+                    organisation.name,
+                    bytes.fromhex(entry.salt),
+                    bytes.fromhex(entry.sha256),
+                )
+        # A key id that occurs twice does not identify an organisation.
+        self._keys = {k: v for k, v in keys.items() if k not in repeated}
+
+    def authenticate(self, headers: Headers) -> Result[Tenant, Refusal]:
+        """Return the tenant whose key came with a request, or the refusal."""
+        values = [value for name, value in headers if name == TENANT_KEY_HEADER]
+        if not values:
+            return Error(_MISSING)
+        if len(values) > 1:
+            return Error(_DUPLICATE)
+        if len(values[0]) > TENANT_KEY_MAX_BYTES:
+            return Error(_TOO_LONG)
+        match = _KEY_FORMAT.fullmatch(values[0])
+        if match is None:
+            return Error(_MALFORMED)
+        return self._verify(match[1].decode(), match[2])
+
+    def still_valid(self, tenant: Tenant) -> bool:
+        """Return whether the key of an authenticated tenant is still in force."""
+        stored = self._keys.get(tenant.key_id)
+        return (
+            stored is not None
+            and stored.organisation == tenant.organisation
+            and stored.digest == tenant.digest
+        )
+
+    def _verify(self, key_id: str, secret: bytes) -> Result[Tenant, Refusal]:
+        known = self._keys.get(key_id)
+        # An unknown key id costs the same hash and comparison as a known one.
+        stored = known or _UNKNOWN
+        digest = key_digest(stored.salt, secret)
+        matches = hmac.compare_digest(digest, stored.digest)
+        if known is None or not matches:
+            return Error(_REFUSED)
+        return Ok(Tenant(stored.organisation, key_id, stored.digest))
