--- /dev/null
+++ b/tests/declaration/test_routing.py
@@ -0,0 +1,65 @@
+"""Guards route matching: a wrong key reaches a server that does not own it."""
+
+import pytest
+from hypothesis import given, settings, strategies as st
+
+from wagtailrill.declaration.models import Declaration, Route, Service
+from wagtailrill.declaration.routing import RouteTable, decode_key
+
+PATHS = ["/a/{key}", "/{key}/b", "/a/b", "/c", "/c/{key}/d", "/"]
+TABLE = RouteTable(
+    Declaration(
+        "d", (), (Service("s", tuple(Route("GET", p, True) for p in PATHS), ()),), ()
+    )
+)
+
+
+@pytest.mark.parametrize(
+    ("path", "route", "key"),
+    [
+        ("/a/x", "/a/{key}", b"x"),
+        ("/a/b", "/a/b", None),
+        ("/x/b", "/{key}/b", b"x"),
+        ("/c/%41%2d/d", "/c/{key}/d", b"A-"),
+        ("/c", "/c", None),
+        ("/", "/", None),
+    ],
+)
+def test_request_finds_its_route(path, route, key):
+    """Guards against requests sent to the wrong service or key."""
+    match = TABLE.match("GET", path)
+    assert (match.route.path, match.key) == (route, key)
+
+
+@pytest.mark.parametrize(
+    "path", ["", "c", "/c/", "//", "/a/", "/a/x/", "/%63", "/A/x", "/a/x?y", "/a/é"]
+)
+def test_other_paths_find_no_route(path):
+    """Guards against requests that match a route by accident."""
+    assert TABLE.match("GET", path) is None
+    assert TABLE.match("POST", "/c") is None
+
+
+@pytest.mark.parametrize(
+    "segment",
+    [
+        *("", "%", "%4", "%zz", "%2F", "%5c", "%00", "%7f", "%ff", "%C0%AF"),
+        *(".", "..", "%2e%2E", "%2541", "a b", 'a"', "\ud800"),
+    ],
+)
+def test_ambiguous_key_is_refused(segment):
+    """Guards against a key that router and backend server read differently."""
+    assert decode_key(segment) is None
+
+
+@settings(derandomize=True, deadline=None)
+@given(st.text(st.characters(codec="utf-8", exclude_characters="%/\\")))
+def test_all_encodings_of_a_key_are_one_key(text):
+    """Guards against one key with two owners."""
+    escaped = "".join(f"%{byte:02x}" for byte in text.encode())
+    upper = escaped.upper()
+    assert decode_key(escaped) == decode_key(upper)
+    if decode_key(escaped) is not None:
+        assert decode_key(escaped) == text.encode()
+    if text.isalnum() and text.isascii():
+        assert decode_key(text) == decode_key(escaped)
--- a/wagtailrill/declaration/const.py
+++ b/wagtailrill/declaration/const.py
@@ -8,3 +8,22 @@
 DEFAULT_SLOW_START_SLOTS: Final = 1
 DEFAULT_SLOW_START_STEP_S: Final = 2.0
 DEFAULT_WEIGHT: Final = 1.0
+
+# The platform store takes values of up to 1 MB.
+DECLARATION_MAX_BYTES: Final = 1_000_000
+DATA_CENTRES_MAX: Final = 64
+SERVICES_MAX: Final = 256
+ROUTES_PER_SERVICE_MAX: Final = 64
+BACKEND_SERVERS_PER_SERVICE_MAX: Final = 8192
+ORGANISATIONS_MAX: Final = 4096
+TENANT_KEYS_PER_ORGANISATION_MAX: Final = 16
+SLOTS_MAX: Final = 65_536
+CONNECTIONS_MAX: Final = 65_536
+PATH_MAX_CHARACTERS: Final = 512
+# A text with more problems than this is reported up to here.
+FINDINGS_MAX: Final = 200
+
+HTTP_METHODS: Final = frozenset(
+    ("GET", "HEAD", "POST", "PUT", "PATCH", "DELETE", "OPTIONS")
+)
+KEY_SEGMENT: Final = "{key}"
