Add instance settings

Cause: a process learns its addresses, data centre and secrets from its settings. Change: the settings are parsed with the checks of the declaration, and all findings are reported together; secrets are neither printed nor quoted. Conclusion: a bad setting stops the start with its JSON path.

--- a/wagtailrill/declaration/check.py
+++ b/wagtailrill/declaration/check.py
@@ -130,6 +130,10 @@
         """Return whether a field is given and a text."""
         return isinstance(self._data.get(name), str)
 
+    def is_array(self, name: str) -> bool:
+        """Return whether a field is given and an array."""
+        return isinstance(self._data.get(name), list)
+
     def finish(self) -> None:
         """Report unknown fields."""
         for name in self._data:
--- /dev/null
+++ b/wagtailrill/settings/__init__.py
@@ -0,0 +1,1 @@
+"""Settings of one instance."""
--- /dev/null
+++ b/wagtailrill/settings/const.py
@@ -0,0 +1,31 @@
+"""Defaults and bounds of the instance settings."""
+
+from typing import Final
+
+SETTINGS_MAX_BYTES: Final = 65_536
+STORE_ADDRESSES_MAX: Final = 8
+# Two secrets are in use while they are rotated; more are an oversight.
+PEER_SECRETS_MAX: Final = 4
+PEER_SECRET_MIN_CHARACTERS: Final = 32
+
+DEFAULT_CELL: Final = "cell-1"
+DEFAULT_TRACE_SAMPLE_RATIO: Final = 0.01
+DEFAULT_DRAIN_S: Final = 30.0
+DRAIN_MAX_S: Final = 600.0
+# The load balancer goes on sending new connections for this long.
+DEFAULT_LOAD_BALANCER_LAG_S: Final = 5.0
+LOAD_BALANCER_LAG_MAX_S: Final = 120.0
+DEFAULT_STORE_TIMEOUT_S: Final = 0.5
+STORE_TIMEOUT_MAX_S: Final = 10.0
+
+DEFAULT_BODY_MAX_BYTES: Final = 1_048_576
+DEFAULT_RESPONSE_MAX_BYTES: Final = 8_388_608
+DEFAULT_HEADER_MAX_BYTES: Final = 32_768
+DEFAULT_QUEUE_MAX_REQUESTS: Final = 2_000
+DEFAULT_DEFERRABLE_QUEUE_MAX_REQUESTS: Final = 10_000
+DEFAULT_CALLER_CONNECTIONS_MAX: Final = 4_096
+BODY_MAX_BYTES_BOUND: Final = 67_108_864
+HEADER_MAX_BYTES_BOUND: Final = 262_144
+HEADER_MIN_BYTES_BOUND: Final = 1_024
+QUEUE_MAX_REQUESTS_BOUND: Final = 1_000_000
+CALLER_CONNECTIONS_BOUND: Final = 65_536
--- /dev/null
+++ b/wagtailrill/settings/parse.py
@@ -0,0 +1,165 @@
+"""Parser of the instance settings."""
+
+import ipaddress
+from typing import Any, Final
+
+from expression import Error, Ok, Result
+
+from ..core.findings import Finding, Findings
+from ..declaration.check import (
+    ObjectReader,
+    UniqueNames,
+    child_path,
+    is_address,
+    load_json,
+    report_of,
+)
+from . import const
+from .models import InstanceSettings, Limits, LogLevel
+
+# Each limit with its bounds.
+_LIMITS: Final[dict[str, tuple[int, int, int]]] = {
+    "body_max_bytes": (const.DEFAULT_BODY_MAX_BYTES, 0, const.BODY_MAX_BYTES_BOUND),
+    "response_max_bytes": (
+        const.DEFAULT_RESPONSE_MAX_BYTES,
+        1,
+        const.BODY_MAX_BYTES_BOUND,
+    ),
+    "header_max_bytes": (
+        const.DEFAULT_HEADER_MAX_BYTES,
+        const.HEADER_MIN_BYTES_BOUND,
+        const.HEADER_MAX_BYTES_BOUND,
+    ),
+    "queue_max_requests": (
+        const.DEFAULT_QUEUE_MAX_REQUESTS,
+        1,
+        const.QUEUE_MAX_REQUESTS_BOUND,
+    ),
+    "deferrable_queue_max_requests": (
+        const.DEFAULT_DEFERRABLE_QUEUE_MAX_REQUESTS,
+        1,
+        const.QUEUE_MAX_REQUESTS_BOUND,
+    ),
+    "caller_connections_max": (
+        const.DEFAULT_CALLER_CONNECTIONS_MAX,
+        1,
+        const.CALLER_CONNECTIONS_BOUND,
+    ),
+}
+
+
+def parse(text: str | bytes) -> Result[InstanceSettings, tuple[Finding, ...]]:
+    """Return the settings of a JSON text, or all findings together."""
+    match load_json(text, const.SETTINGS_MAX_BYTES):
+        case Result(tag="ok", ok=value):
+            return _parse_value(value)
+        case Result(error=finding):
+            return Error((finding,))
+
+
+def _parse_value(value: Any) -> Result[InstanceSettings, tuple[Finding, ...]]:
+    findings = Findings()
+    settings = _settings(ObjectReader(value, "$", findings))
+    if findings:
+        return Error(report_of(findings))
+    return Ok(settings)
+
+
+def _settings(reader: ObjectReader) -> InstanceSettings:
+    settings = InstanceSettings(
+        instance=reader.name("instance"),
+        deployment=reader.name("deployment"),
+        cell=reader.name("cell", const.DEFAULT_CELL),
+        data_centre=reader.name("data_centre"),
+        caller_address=reader.address("caller_address"),
+        peer_address=reader.address("peer_address"),
+        admin_address=reader.address("admin_address"),
+        store_addresses=_store_addresses(reader),
+        peer_secrets=_peer_secrets(reader),
+        trace_sample_ratio=reader.fraction(
+            "trace_sample_ratio", const.DEFAULT_TRACE_SAMPLE_RATIO
+        ),
+        drain_s=reader.positive("drain_s", const.DEFAULT_DRAIN_S, const.DRAIN_MAX_S),
+        load_balancer_lag_s=reader.positive(
+            "load_balancer_lag_s",
+            const.DEFAULT_LOAD_BALANCER_LAG_S,
+            const.LOAD_BALANCER_LAG_MAX_S,
+        ),
+        store_timeout_s=reader.positive(
+            "store_timeout_s", const.DEFAULT_STORE_TIMEOUT_S, const.STORE_TIMEOUT_MAX_S
+        ),
+        log_level=reader.choice("log_level", LogLevel, LogLevel.INFO),
+        limits=_limits(reader.nested("limits")),
+    )
+    _check_listeners(reader, settings)
+    if settings.load_balancer_lag_s > settings.drain_s:
+        reader.add("load_balancer_lag_s", "The lag must not exceed drain_s.")
+    reader.finish()
+    return settings
+
+
+def _store_addresses(reader: ObjectReader) -> tuple[str, ...]:
+    unique = UniqueNames("address", reader.findings)
+    addresses: list[str] = []
+    for value, path in reader.texts("store_addresses", const.STORE_ADDRESSES_MAX):
+        if value:
+            reader.check_address(value, path)
+            unique.add(value, path)
+        addresses.append(value)
+    _check_not_empty(reader, "store_addresses", addresses)
+    return tuple(addresses)
+
+
+def _peer_secrets(reader: ObjectReader) -> tuple[bytes, ...]:
+    """Return the secrets; findings never quote them."""
+    secrets: list[bytes] = []
+    for value, path in reader.texts("peer_secrets", const.PEER_SECRETS_MAX):
+        secret = value.encode(errors="replace")
+        if value and len(value) < const.PEER_SECRET_MIN_CHARACTERS:
+            least = const.PEER_SECRET_MIN_CHARACTERS
+            reader.findings.add(path, f"A secret needs at least {least} characters.")
+        if value and not value.isascii():
+            reader.findings.add(path, "A secret must consist of ASCII characters.")
+        if value and secret in secrets:
+            reader.findings.add(path, "The secret is given more than once.")
+        secrets.append(secret)
+    _check_not_empty(reader, "peer_secrets", secrets)
+    return tuple(secrets)
+
+
+def _check_not_empty(reader: ObjectReader, name: str, values: list[Any]) -> None:
+    if not values and reader.is_array(name):
+        reader.add(name, "At least one entry is needed.")
+
+
+def _check_listeners(reader: ObjectReader, settings: InstanceSettings) -> None:
+    unique = UniqueNames("address", reader.findings)
+    for name in ("caller_address", "peer_address", "admin_address"):
+        unique.add(getattr(settings, name), child_path(reader.path, name))
+    peer = _ip_of(settings.peer_address)
+    if peer is not None and peer.is_unspecified:
+        reader.add("peer_address", "Other instances need a specific address.")
+    admin = _ip_of(settings.admin_address)
+    if admin is None:
+        return
+    if admin.is_unspecified or not (admin.is_loopback or admin.is_private):
+        reader.add("admin_address", "This must be a loopback or private address.")
+
+
+def _ip_of(address: str) -> ipaddress.IPv4Address | ipaddress.IPv6Address | None:
+    if not is_address(address):
+        return None
+    return ipaddress.ip_address(address.rpartition(":")[0].strip("[]"))
+
+
+def _limits(reader: ObjectReader | None) -> Limits:
+    if reader is None:
+        return Limits()
+    limits = Limits(
+        **{
+            name: reader.integer(name, minimum, maximum, default)
+            for name, (default, minimum, maximum) in _LIMITS.items()
+        }
+    )
+    reader.finish()
+    return limits
