Run hooks of components before each event

Cause: a process that was paused has to notice that its member lease lapsed before it handles anything that waited for it. Change: the component host runs hooks after the clock is set and before the event. Conclusion: components can void holdings before they act.

--- a/wagtailrill/engine/host.py
+++ b/wagtailrill/engine/host.py
@@ -31,6 +31,7 @@
             ),
         }
         self._messages: dict[type, MessageHandler] = {}
+        self._step_hooks: list[Callable[[], None]] = []
         self._sequences = SequenceFilter()
 
     def on_event(self, cls: type, handler: EventHandler) -> None:
@@ -42,9 +43,15 @@
         for cls in classes:
             self._messages[cls] = handler
 
+    def before_step(self, hook: Callable[[], None]) -> None:
+        """Run a hook in each step, after the clock is set and before the event."""
+        self._step_hooks.append(hook)
+
     def step(self, event: Event | None, now_s: float, wall_s: float) -> list[Command]:
         """Handle an event and due timers; return the commands to carry out."""
         self.ctx.set_time(now_s, wall_s)
+        for hook in self._step_hooks:
+            hook()
         if event is not None:
             handler = self._events.get(type(event))
             if handler is not None:
