--- a/wagtailrill/membership/table.py
+++ b/wagtailrill/membership/table.py
@@ -49,7 +49,10 @@
 
     `homes` has one entry per partition; a home with an empty instance is none.
     `write_id` is random for each write, so that a writer whose answer was lost can
-    tell by reading back whether its write took effect.
+    tell by reading back whether its write took effect. `joins` has one number per
+    member; it rises when the member joins anew after its lease lapsed, so that its
+    peers learn of it even if they skip versions. `resigned` says that the store lease
+    was given up early, while granted leases still have their full length.
     """
 
     term: int
@@ -59,6 +62,12 @@
     homes: tuple[Home, ...] = ()
     key_slots: tuple[ServiceSlots, ...] = ()
     hot_keys: tuple[HotKey, ...] = ()
+    joins: tuple[int, ...] = ()
+    resigned: bool = False
+
+    def join_of(self, member: Member) -> int:
+        """Return the join number of a member, 0 if it is none."""
+        return dict(zip(self.members, self.joins, strict=False)).get(member, 0)
 
     def to_bytes(self) -> bytes:
         """Return the document as it is stored."""
@@ -78,6 +87,8 @@
             "coordinator": attrs.astuple(self.coordinator),
             "write_id": self.write_id,
             "members": [attrs.astuple(m) for m in self.members],
+            "joins": self.joins,
+            "resigned": self.resigned,
             "homes": [[number(h.instance), h.epoch] for h in self.homes],
             "key_slots": {
                 s.service: list(map(owner, s.owners)) for s in self.key_slots
@@ -120,4 +131,6 @@
                 HotKey(service, key_hash, owner(compact))
                 for service, key_hash, compact in data["hot_keys"]
             ),
+            joins=tuple(data["joins"]),
+            resigned=data["resigned"],
         )
