--- /dev/null
+++ b/wagtailrill/daemon/__init__.py
@@ -0,0 +1,1 @@
+"""The daemon: runs the decision code of one instance with its I/O."""
--- a/wagtailrill/engine/attempts.py
+++ b/wagtailrill/engine/attempts.py
@@ -141,7 +141,10 @@
         self._record(row, attempt, result)
         if result.outcome not in NOT_RUN_OUTCOMES:
             row.may_have_run = True
-        if self._pipeline.current(row) and result.outcome is not AttemptOutcome.CANCELLED:
+        if (
+            self._pipeline.current(row)
+            and result.outcome is not AttemptOutcome.CANCELLED
+        ):
             row.last_outcome = result.outcome
             handler = self._handlers().get(result.outcome, self._failed)
             handler(row, attempt, result)
@@ -150,7 +153,10 @@
     def _handlers(
         self,
     ) -> dict[AttemptOutcome, Callable[[RequestRow, Attempt, AttemptResult], None]]:
-        return {AttemptOutcome.ANSWERED: self._answered, AttemptOutcome.LOST: self._lost}
+        return {
+            AttemptOutcome.ANSWERED: self._answered,
+            AttemptOutcome.LOST: self._lost,
+        }
 
     def _route(self, row: RequestRow, permit: Permit) -> SlotRoute | None:
         if not row.service.keyed:
@@ -228,9 +234,7 @@
         if probed.is_ok() and isinstance(probed.ok, Health):
             health = probed.ok
             self._start_ids[server] = health.start_id
-            self._parts.permits.start_id_seen(
-                server, health.start_id, health.uptime_s
-            )
+            self._parts.permits.start_id_seen(server, health.start_id, health.uptime_s)
         if not self._crashed(attempt, probed):
             self._after_loss(row)
             return
@@ -259,11 +263,17 @@
         time_left = self._ctx.now_s < row.deadline_s
         # A request that is not idempotent goes to a backend server at most once, so
         # only an attempt that sent nothing may be repeated.
-        repeatable = (
-            row.route.idempotent or outcome is AttemptOutcome.CONNECT_FAILED
-        )
-        if time_left and repeatable and self._parts.retries.may_retry(
-            row.service.name, row.route, row.attempt_header, outcome, row.attempts_made
+        repeatable = row.route.idempotent or outcome is AttemptOutcome.CONNECT_FAILED
+        if (
+            time_left
+            and repeatable
+            and self._parts.retries.may_retry(
+                row.service.name,
+                row.route,
+                row.attempt_header,
+                outcome,
+                row.attempts_made,
+            )
         ):
             self._counters.retries += 1
             self._pipeline.requeue(row)
--- a/wagtailrill/engine/interfaces.py
+++ b/wagtailrill/engine/interfaces.py
@@ -14,9 +14,7 @@
 class RateLimits(Protocol):
     """Fleet-wide limits of organisations."""
 
-    def take(
-        self, organisation: str, on_result: Callable[[TakeResult], None]
-    ) -> None:
+    def take(self, organisation: str, on_result: Callable[[TakeResult], None]) -> None:
         """Take a token, at once or after asking the organisation's home."""
         ...
 
--- a/wagtailrill/engine/pipeline.py
+++ b/wagtailrill/engine/pipeline.py
@@ -274,9 +274,7 @@
             self.refuse(row, Refusal(RefusalCode.DEADLINE_EXCEEDED, message))
             return
         message = "No backend server could take the request within its deadline."
-        self.refuse(
-            row, Refusal(row.wait_reason, message, retry_after_s=RETRY_AFTER_S)
-        )
+        self.refuse(row, Refusal(row.wait_reason, message, retry_after_s=RETRY_AFTER_S))
 
     def _stop_waiting(self, row: RequestRow) -> None:
         self._placement.queue_of(row).queue.remove(row.req.request_id)
--- /dev/null
+++ b/wagtailrill/observability/__init__.py
@@ -0,0 +1,1 @@
+"""Logs, metrics and traces."""
