Give grants an absolute expiry

Cause: a grant that waits in the connection of a frozen backend server counts its duration from a receipt that can be arbitrarily late, after the key slots moved. Change: `Grant.expires_unix_s` bounds every grant by the Unix time of its sender, and the docstring says that an expired grant cannot be renewed. Conclusion: the longest life of a grant counts from sending.

--- a/wagtailrill/core/backend.py
+++ b/wagtailrill/core/backend.py
@@ -1,6 +1,7 @@
 """Interface of a backend server's control side."""
 
 import enum
+import math
 from typing import Protocol
 
 import attrs
@@ -21,7 +22,9 @@
 
     The fence is the table version that assigned the slots. A checking backend
     server refuses a grant whose fence is lower than the highest it has seen. An
-    empty `slots` with `renew_only` extends the slots of the same fence.
+    empty `slots` with `renew_only` extends the slots of the same fence. A grant that
+    has expired cannot be renewed, only granted anew. No grant lasts beyond
+    `expires_unix_s`, however late it is received.
     """
 
     service: str
@@ -29,6 +32,7 @@
     slots: tuple[SlotEpoch, ...]
     duration_s: float
     renew_only: bool = False
+    expires_unix_s: float = math.inf
 
 
 @attrs.frozen
