--- /dev/null
+++ b/wagtailrill/ownership/__init__.py
@@ -0,0 +1,1 @@
+"""Ownership of key slots: placement, moves, grants and routing of keys."""
