--- /dev/null
+++ b/wagtailrill/stand_ins/faults.py
@@ -0,0 +1,59 @@
+"""Faults that the store stand-in injects on request."""
+
+import enum
+import random
+from typing import Any
+
+import attrs
+from expression import Error, Ok, Result
+
+from ..core.findings import Finding, Findings
+from ..declaration.check import ObjectReader, load_json, report_of
+
+FAULTS_MAX_BYTES = 4096
+
+
+class Outage(enum.StrEnum):
+    """What callers see of an outage."""
+
+    NONE = "none"
+    SILENT = "silent"  # connections open, no answer comes
+    ERROR = "error"  # status 503
+
+
+@attrs.frozen
+class StoreFaults:
+    """Faults in force; a lost answer is lost after its effect."""
+
+    outage: Outage = Outage.NONE
+    latency_s: float = 0.0
+    lost_answer_probability: float = 0.0
+    instance_list_lag_s: float | None = None
+
+
+def parse_faults(text: bytes) -> Result[StoreFaults, tuple[Finding, ...]]:
+    """Return the faults of a JSON text, or its findings."""
+    match load_json(text, FAULTS_MAX_BYTES):
+        case Result(tag="ok", ok=value):
+            return _faults(value)
+        case Result(error=finding):
+            return Error((finding,))
+
+
+def _faults(value: Any) -> Result[StoreFaults, tuple[Finding, ...]]:
+    findings = Findings()
+    reader = ObjectReader(value, "$", findings)
+    lag = "instance_list_lag_s"
+    faults = StoreFaults(
+        outage=reader.choice("outage", Outage, Outage.NONE),
+        latency_s=reader.positive("latency_s") if reader.has("latency_s") else 0.0,
+        lost_answer_probability=reader.fraction("lost_answer_probability", 0.0),
+        instance_list_lag_s=reader.positive(lag) if reader.has(lag) else None,
+    )
+    reader.finish()
+    return Error(report_of(findings)) if findings else Ok(faults)
+
+
+def loses_answer(faults: StoreFaults, rng: random.Random) -> bool:
+    """Decide whether the next answer is lost."""
+    return rng.random() < faults.lost_answer_probability
--- /dev/null
+++ b/wagtailrill/stand_ins/http.py
@@ -0,0 +1,108 @@
+"""Small parts of ASGI that the stand-ins share."""
+
+import contextlib
+import json
+import socket
+from collections.abc import AsyncIterator, Awaitable, Callable, MutableMapping
+from typing import Any
+
+import anyio
+import attrs
+import uvicorn
+
+Message = MutableMapping[str, Any]
+Scope = MutableMapping[str, Any]
+Receive = Callable[[], Awaitable[Message]]
+Send = Callable[[Message], Awaitable[None]]
+Application = Callable[[Scope, Receive, Send], Awaitable[None]]
+
+
+class DisconnectedError(Exception):
+    """The client closed its connection before its request was complete."""
+
+
+class TooLargeError(Exception):
+    """The request's body exceeds its bound."""
+
+
+@attrs.frozen
+class HttpAnswer:
+    """A JSON answer."""
+
+    status: int
+    body: dict[str, Any]
+
+
+async def async_read_body(receive: Receive, max_bytes: int) -> bytes:
+    """Return the request's body."""
+    body = bytearray()
+    more = True
+    while more:
+        message = await receive()
+        if message["type"] == "http.disconnect":
+            raise DisconnectedError
+        body += message.get("body", b"")
+        if len(body) > max_bytes:
+            raise TooLargeError
+        more = message.get("more_body", False)
+    return bytes(body)
+
+
+async def async_wait_for_disconnect(receive: Receive) -> None:
+    """Return when the client closes its connection."""
+    while (await receive())["type"] != "http.disconnect":
+        pass
+
+
+async def async_send_answer(send: Send, answer: HttpAnswer) -> None:
+    """Send a JSON answer."""
+    content = json.dumps(answer.body).encode()
+    headers = [
+        (b"content-type", b"application/json"),
+        (b"content-length", str(len(content)).encode()),
+    ]
+    await send(
+        {"type": "http.response.start", "status": answer.status, "headers": headers}
+    )
+    await send({"type": "http.response.body", "body": content})
+
+
+def make_server(app: Application) -> uvicorn.Server:
+    """Return a uvicorn server on asyncio and httptools for an application."""
+    cfg = uvicorn.Config(
+        app,
+        loop="asyncio",
+        http="httptools",
+        ws="none",
+        lifespan="off",
+        log_level="warning",
+        access_log=False,
+        timeout_graceful_shutdown=1,
+    )
+    return uvicorn.Server(cfg)
+
+
+def bind(host: str, port: int) -> socket.socket:
+    """Return a socket bound to an address; port 0 takes a free port."""
+    family = socket.AF_INET6 if ":" in host else socket.AF_INET
+    # asyncio turns Nagle's algorithm off only for sockets with this protocol number;
+    # without it each answer waits 40 ms for a delayed acknowledgement.
+    sock = socket.socket(family, socket.SOCK_STREAM, socket.IPPROTO_TCP)
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+    sock.bind((host, port))
+    return sock
+
+
+@contextlib.asynccontextmanager
+async def async_serve(app: Application) -> AsyncIterator[str]:
+    """Serve an application on a free loopback port; yield its address."""
+    sock = bind("127.0.0.1", 0)
+    sock.listen(128)
+    server = make_server(app)
+    async with anyio.create_task_group() as tasks:
+        tasks.start_soon(server.serve, [sock])
+        try:
+            yield f"127.0.0.1:{sock.getsockname()[1]}"
+        finally:
+            server.should_exit = True
+    sock.close()
