--- /dev/null
+++ b/script/demo.py
@@ -0,0 +1,92 @@
+"""Runs an example deployment on loopback under load and prints a table."""
+
+import argparse
+import collections
+import json
+import sys
+import time
+
+import anyio
+from fleet import Fleet, fetch
+
+from wagtailrill.load_tool.models import LoadResult, LoadSettings
+from wagtailrill.load_tool.report import latency_ms, summarise, table
+from wagtailrill.load_tool.runner import LoadRunner
+
+
+def run_load(
+    fleet: Fleet, rate_per_s: float, duration_s: float, seed: int
+) -> list[LoadResult]:
+    """Send requests to all instances and return the results."""
+    keys = json.loads(fleet.keys_file.read_bytes())["tenant_keys"]
+    cfg = LoadSettings(
+        targets=tuple(fleet.callers),
+        rate_per_s=rate_per_s,
+        duration_s=duration_s,
+        seed=seed,
+        tenant_keys=keys,
+    )
+    return anyio.run(LoadRunner(cfg, fleet.declaration).async_run)
+
+
+def backend_counts(fleet: Fleet) -> collections.Counter[str]:
+    """Return the sums of the backend servers' counts."""
+    total = collections.Counter()
+    for service in fleet.declaration.services:
+        for server in service.backend_servers:
+            _, counts = fetch(server.address, "/-/counts")
+            total.update(counts or {})
+    return total
+
+
+def owners(fleet: Fleet) -> list[str]:
+    """Return the number of sampled keys by owner for each keyed service."""
+    lines = []
+    admin = fleet.settings[0].admin_address
+    for service in fleet.declaration.services:
+        if not service.keyed:
+            continue
+        by_owner = collections.Counter()
+        for number in range(200):
+            path = f"/explain-key?service={service.name}&key=k{number}"
+            by_owner[fetch(admin, path)[1]["owner"]] += 1
+        spread = ", ".join(f"{name} {n}" for name, n in sorted(by_owner.items()))
+        lines.append(f"owners of 200 keys of {service.name}: {spread}")
+    return lines
+
+
+def main() -> int:
+    """Run the demo; return 0 when every check of its result holds."""
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument("deployment", nargs="?", default="piraeus")
+    parser.add_argument("--rate", type=float, default=150.0)
+    parser.add_argument("--seconds", type=float, default=10.0)
+    parser.add_argument("--instances", type=int, default=12)
+    parser.add_argument("--seed", type=int, default=1)
+    args = parser.parse_args()
+    fleet = Fleet(args.deployment, args.instances)
+    started_s = time.monotonic()
+    try:
+        fleet.start()
+        print(f"{args.deployment}: {args.instances} instances ready after ", end="")
+        print(f"{time.monotonic() - started_s:.1f} s")
+        results = run_load(fleet, args.rate, args.seconds, args.seed)
+        counts = backend_counts(fleet)
+        print(table(summarise(results)))
+        print("\n".join(owners(fleet)))
+    finally:
+        fleet.stop()
+    refused = [r for r in results if r.code != "answered"]
+    crossed = sum(r.crossed for r in results)
+    share = 1.0 - len(refused) / max(len(results), 1)
+    print(f"answered {share:.2%}, crossed answers {crossed}")
+    print(f"requests run twice {counts['duplicates']}, ", end="")
+    print(f"requests beyond what a server bears {counts['overloads']}")
+    whole = latency_ms([r for r in results if r.code == "answered"])
+    print(f"latency p50 {whole['p50']:.1f} ms, p99 {whole['p99']:.1f} ms")
+    sound = crossed == 0 and counts["duplicates"] == 0 and share >= 0.95
+    return 0 if sound else 1
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- a/wagtailrill/daemon/driver.py
+++ b/wagtailrill/daemon/driver.py
@@ -99,7 +99,8 @@
         self._pending: dict[int, PendingRequest] = {}
         self._running: dict[int, RunningAttempt] = {}
         self._results: dict[int, AttemptResult] = {}
-        self._inline: list[Order] | None = None
+        self._inline_request = 0
+        self._inline_order: Order | None = None
         self._wake = anyio.Event()
         self._wake_s = 0.0
         self._handlers: dict[type, Callable[[Any], None]] = {
@@ -148,13 +149,14 @@
         span = self._parts.tracing.start_request(req)
         pending = PendingRequest(req, span, time.monotonic())
         self._pending[req.request_id] = pending
-        self._inline = orders = []
+        self._inline_request = req.request_id
         try:
             self.dispatch(RequestArrived(req))
         finally:
-            self._inline = None
+            self._inline_request = 0
+        order, self._inline_order = self._inline_order, None
         try:
-            for order in orders:
+            if order is not None:
                 await self._async_attempt(order)
             await pending.answered.wait()
         finally:
@@ -200,8 +202,9 @@
         self.dispatch(BackendReplied(command.call_id, result))
 
     def _send_order(self, command: SendOrder) -> None:
-        if self._inline is not None and not self._inline:
-            self._inline.append(command.order)
+        if command.order.request_id == self._inline_request:
+            self._inline_order = command.order
+            self._inline_request = 0
         else:
             self._spawn(self._async_attempt, command.order)
 
--- a/wagtailrill/engine/attempts.py
+++ b/wagtailrill/engine/attempts.py
@@ -24,6 +24,8 @@
 if TYPE_CHECKING:
     from .pipeline import Pipeline, PipelineParts
 
+OutcomeHandler = Callable[[RequestRow, Attempt, AttemptResult], None]
+
 # A backend server stops a cancelled request soon after its connection closes; one
 # that did not answer in time may go on with it.
 CANCELLED_RUNS_ON_S = 0.1
@@ -89,6 +91,10 @@
         self._attempt_ids = itertools.count(1)
         self._by_id: dict[int, tuple[RequestRow, Attempt]] = {}
         self._suspects_running: dict[str, int] = {}
+        self._handlers: dict[AttemptOutcome, OutcomeHandler] = {
+            AttemptOutcome.ANSWERED: self._answered,
+            AttemptOutcome.LOST: self._lost,
+        }
         self._start_ids: dict[str, str] = {}
         identity = parts.ctx.identity
         self._name = f"{identity.instance}-{identity.incarnation:x}"
@@ -106,7 +112,7 @@
             self._pipeline.requeue(row)
             return
         self._ctx.invariants.check(
-            row.route.idempotent or not row.may_have_run,
+            row.route.idempotent or not (row.may_have_run or row.attempts),
             "non_idempotent_sent_once",
             f"request {row.req.request_id}",
         )
@@ -114,20 +120,28 @@
             attempt_id=next(self._attempt_ids),
             permit=permit,
             route=route,
-            order_number=self._parts.router.order_started(route) if route else None,
             started_s=self._ctx.now_s,
             start_id=self._start_ids.get(permit.backend_server, ""),
             hedge=hedge,
+            suspect=row.suspect,
         )
+        if row.suspect:
+            self._count_suspect(permit.backend_server, 1)
         row.state = RequestState.RUNNING
         row.attempts_made += 1
         row.attempts[attempt.attempt_id] = attempt
+        if route is not None:
+            self._parts.router.order_started(attempt.attempt_id, route)
         row.tried |= {permit.backend_server}
         self._by_id[attempt.attempt_id] = (row, attempt)
         self._ctx.emit(SendOrder(self._order(row, attempt)))
         if not hedge:
             self._arm_hedge(row)
 
+    def suspect_on(self, backend_server: str) -> bool:
+        """Return whether a suspected request runs on a backend server."""
+        return self._suspects_running.get(backend_server, 0) > 0
+
     def cancel_all(self, row: RequestRow) -> None:
         """Abandon the attempts that are still running."""
         for attempt_id in row.attempts:
@@ -146,17 +160,13 @@
             and result.outcome is not AttemptOutcome.CANCELLED
         ):
             row.last_outcome = result.outcome
-            handler = self._handlers().get(result.outcome, self._failed)
+            handler = self._handlers.get(result.outcome, self._failed)
             handler(row, attempt, result)
         self._pipeline.pump(row.service.name)
 
-    def _handlers(
-        self,
-    ) -> dict[AttemptOutcome, Callable[[RequestRow, Attempt, AttemptResult], None]]:
-        return {
-            AttemptOutcome.ANSWERED: self._answered,
-            AttemptOutcome.LOST: self._lost,
-        }
+    def _count_suspect(self, backend_server: str, change: int) -> None:
+        running = self._suspects_running.get(backend_server, 0) + change
+        self._suspects_running[backend_server] = running
 
     def _route(self, row: RequestRow, permit: Permit) -> SlotRoute | None:
         if not row.service.keyed:
@@ -189,8 +199,10 @@
     def _record(self, row: RequestRow, attempt: Attempt, result: AttemptResult) -> None:
         server = attempt.permit.backend_server
         count(self._counters.attempts, result.outcome.value)
-        if attempt.order_number is not None:
-            self._parts.router.order_ended(attempt.order_number)
+        if attempt.suspect:
+            self._count_suspect(server, -1)
+        if attempt.route is not None:
+            self._parts.router.order_ended(attempt.attempt_id)
         if result.start_id:
             self._start_ids[server] = result.start_id
         self._parts.permits.release(
--- /dev/null
+++ b/wagtailrill/engine/draining.py
@@ -0,0 +1,83 @@
+"""Planned stop of an instance."""
+
+import enum
+
+from ..core.context import Context
+from ..membership.membership import Membership
+from .const import DRAIN_CHECK_INTERVAL_S, LEAVE_TIMEOUT_S
+from .models import DrainSettings
+from .pipeline import Pipeline
+
+
+class DrainState(enum.StrEnum):
+    """Stage of a planned stop."""
+
+    SERVING = "serving"
+    NOT_READY = "not_ready"  # still serves what the load balancer sends
+    FINISHING = "finishing"  # refuses new requests, finishes open ones
+    LEAVING = "leaving"  # hands over its homes
+    STOPPED = "stopped"
+
+
+class Drain:
+    """Stops an instance without cutting a request.
+
+    Each state has a system that runs on a tick and moves to the next state.
+    """
+
+    def __init__(
+        self,
+        ctx: Context,
+        membership: Membership,
+        pipeline: Pipeline,
+        cfg: DrainSettings,
+    ) -> None:
+        self.state = DrainState.SERVING
+        self._ctx = ctx
+        self._membership = membership
+        self._pipeline = pipeline
+        self._cfg = cfg
+        self._since_s = 0.0
+        self._left = False
+        self._systems = {
+            DrainState.NOT_READY: self._run_not_ready,
+            DrainState.FINISHING: self._run_finishing,
+            DrainState.LEAVING: self._run_leaving,
+        }
+        ctx.timers.subscribe(DRAIN_CHECK_INTERVAL_S, self._tick)
+
+    def start(self) -> None:
+        """Start the planned stop; a second call changes nothing."""
+        if self.state is DrainState.SERVING:
+            self._enter(DrainState.NOT_READY)
+
+    def _tick(self) -> None:
+        system = self._systems.get(self.state)
+        if system is not None:
+            system()
+
+    def _enter(self, state: DrainState) -> None:
+        self.state = state
+        self._since_s = self._ctx.now_s
+        self._ctx.log("drain_state", state=state.value)
+
+    def _elapsed_s(self) -> float:
+        return self._ctx.now_s - self._since_s
+
+    def _run_not_ready(self) -> None:
+        if self._elapsed_s() >= self._cfg.load_balancer_lag_s:
+            self._pipeline.refuses_new = True
+            self._enter(DrainState.FINISHING)
+
+    def _run_finishing(self) -> None:
+        finished = self._pipeline.open_requests() == 0
+        if finished or self._elapsed_s() >= self._cfg.drain_s:
+            self._enter(DrainState.LEAVING)
+            self._membership.leave(self._mark_left)
+
+    def _mark_left(self) -> None:
+        self._left = True
+
+    def _run_leaving(self) -> None:
+        if self._left or self._elapsed_s() >= LEAVE_TIMEOUT_S:
+            self._enter(DrainState.STOPPED)
--- a/wagtailrill/engine/interfaces.py
+++ b/wagtailrill/engine/interfaces.py
@@ -26,11 +26,11 @@
         """Return the owner of a key, or why there is none now."""
         ...
 
-    def order_started(self, route: SlotRoute) -> int:
-        """Track an order that is about to be sent; return its number."""
+    def order_started(self, order_id: int, route: SlotRoute) -> None:
+        """Track an order that is about to be sent."""
         ...
 
-    def order_ended(self, number: int) -> None:
+    def order_ended(self, order_id: int) -> None:
         """Stop tracking an order."""
         ...
 
--- a/wagtailrill/engine/models.py
+++ b/wagtailrill/engine/models.py
@@ -31,10 +31,10 @@
     attempt_id: int
     permit: Permit
     route: SlotRoute | None
-    order_number: int | None
     started_s: float
     start_id: str
     hedge: bool = False
+    suspect: bool = False
 
 
 @attrs.define(eq=False, slots=True)
@@ -85,3 +85,11 @@
 def count(table: dict[str, int], name: str) -> None:
     """Add one to a named count."""
     table[name] = table.get(name, 0) + 1
+
+
+@attrs.frozen
+class DrainSettings:
+    """Durations of a planned stop in seconds."""
+
+    load_balancer_lag_s: float = 5.0
+    drain_s: float = 30.0
--- a/wagtailrill/engine/pipeline.py
+++ b/wagtailrill/engine/pipeline.py
@@ -33,6 +33,7 @@
 
 QUEUE_TICK_S = 0.02
 RETRY_AFTER_S = 0.5
+ACQUIRE_TIMEOUT_S = 0.05
 
 
 @attrs.frozen
@@ -60,8 +61,10 @@
         self._parts = parts
         self._ctx = parts.ctx
         self._rows: dict[int, RequestRow] = {}
-        self._placement = Placement(parts.router, parts.balancer)
         self._attempts = AttemptRunner(parts, self.counters, self)
+        self._placement = Placement(
+            parts.router, parts.balancer, self._attempts.suspect_on
+        )
         parts.ctx.timers.subscribe(QUEUE_TICK_S, self._tick, QUEUE_TICK_S)
 
     def attach(self, host: ComponentHost) -> None:
@@ -109,6 +112,10 @@
         queue = self._placement.queue_of(row).queue
         if len(queue) == 0 and self._place(row):
             return
+        self._wait(row)
+
+    def _wait(self, row: RequestRow) -> None:
+        row.state = RequestState.QUEUED
         refusal = self._placement.push(row)
         if refusal is not None:
             self.refuse(row, refusal)
@@ -240,7 +247,7 @@
             server,
             row.req.request_id,
             row.organisation,
-            row.deadline_s,
+            self._acquire_deadline_s(row),
             lambda result: self._permitted(row, server, result),
         )
         return True
@@ -257,11 +264,24 @@
             return
         if result.reason is DeniedReason.NO_LEASE:
             self.refuse(row, CUT_OFF)
-        elif result.reason is DeniedReason.DEADLINE:
+        elif self._ctx.now_s >= row.deadline_s:
             self._deadline(row)
-        else:
+        elif result.reason is DeniedReason.DEADLINE:
             row.tried |= {server}
             self.requeue(row)
+        else:
+            # The next tick finds another backend server; asking again at once could
+            # be denied again without end.
+            self._wait(row)
+
+    def _acquire_deadline_s(self, row: RequestRow) -> float:
+        """Return until when a request waits for one backend server's permit.
+
+        A request without a key may find another backend server free by then.
+        """
+        if row.service.keyed:
+            return row.deadline_s
+        return min(row.deadline_s, self._ctx.now_s + ACQUIRE_TIMEOUT_S)
 
     def _deadline(self, row: RequestRow) -> None:
         if not self.current(row):
--- a/wagtailrill/engine/placement.py
+++ b/wagtailrill/engine/placement.py
@@ -1,5 +1,7 @@
 """Queues of requests that wait for a backend server, and the choice of one."""
 
+from collections.abc import Callable
+
 import attrs
 
 from ..admission.fair_queue import FairQueue
@@ -53,6 +55,7 @@
 
     router: KeyRouter
     balancer: ServerChoice
+    suspect_on: Callable[[str], bool]
     queues: dict[str, ServiceQueue] = attrs.field(factory=dict)
 
     def configure(self, configuration: Configuration) -> None:
@@ -91,6 +94,8 @@
                 row.wait_reason = RefusalCode.NO_BACKEND_SERVER
         if server is None or queue.full(server):
             return None
+        if row.suspect and self.suspect_on(server):
+            return None
         return server
 
     def _owner(self, row: RequestRow) -> str | None:
--- a/wagtailrill/gateway/control.py
+++ b/wagtailrill/gateway/control.py
@@ -20,8 +20,6 @@
 )
 from .const import CONTROL_TIMEOUT_S
 
-JSON_HEADERS = {"content-type": "application/json"}
-
 
 class BackendControl:
     """Grants and probes, over connections of their own."""
@@ -71,7 +69,7 @@
         address: str,
         operation: BackendOperation,
     ) -> httpcore.Response:
-        headers = {"host": address, **JSON_HEADERS}
+        headers = [("host", address), ("content-type", "application/json")]
         if isinstance(operation, Probe):
             url = f"http://{address}/-/health"
             return await conn.request("GET", url, headers=headers)
--- /dev/null
+++ b/wagtailrill/load_tool/__init__.py
@@ -0,0 +1,1 @@
+"""A small load tool with an open-loop arrival process."""
--- /dev/null
+++ b/wagtailrill/load_tool/__main__.py
@@ -0,0 +1,59 @@
+"""Command `wagtailrill-load`."""
+
+import argparse
+import json
+import sys
+from pathlib import Path
+
+import anyio
+
+from ..declaration.parse import parse
+from .models import LoadSettings
+from .report import summarise, table
+from .runner import LoadRunner
+
+EXIT_FINDINGS = 1
+
+
+def main() -> int:
+    """Run a load and print its summary; return the exit status."""
+    args = _parser().parse_args()
+    declaration = parse(args.declaration.read_bytes())
+    if declaration.is_error():
+        for finding in declaration.error:
+            print(finding, file=sys.stderr)
+        return EXIT_FINDINGS
+    keys = json.loads(args.tenant_keys.read_bytes())["tenant_keys"]
+    cfg = LoadSettings(
+        targets=tuple(args.target),
+        rate_per_s=args.rate,
+        duration_s=args.seconds,
+        seed=args.seed,
+        tenant_keys=keys,
+        services=frozenset(args.service),
+    )
+    runner = LoadRunner(cfg, declaration.ok)
+    summary = summarise(anyio.run(runner.async_run))
+    print(json.dumps(summary) if args.json else table(summary))
+    return 0
+
+
+def _parser() -> argparse.ArgumentParser:
+    parser = argparse.ArgumentParser(
+        prog="wagtailrill-load",
+        description="Send requests to instances with an open-loop arrival process.",
+    )
+    add = parser.add_argument
+    add("--declaration", type=Path, required=True, help="services declaration")
+    add("--tenant-keys", type=Path, required=True, help="clear tenant keys (JSON)")
+    add("--target", action="append", required=True, help="caller address, repeatable")
+    add("--service", action="append", default=[], help="only this service, repeatable")
+    add("--rate", type=float, default=100.0, help="requests per second")
+    add("--seconds", type=float, default=10.0, help="duration in seconds")
+    add("--seed", type=int, default=1, help="seed of the plan")
+    add("--json", action="store_true", help="print JSON")
+    return parser
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- /dev/null
+++ b/wagtailrill/load_tool/report.py
@@ -0,0 +1,68 @@
+"""Summary of a load run."""
+
+from collections.abc import Sequence
+from typing import Any
+
+from .models import LoadResult
+
+MS_PER_S = 1000.0
+
+
+def percentile(values: Sequence[float], fraction: float) -> float:
+    """Return a percentile of sorted values, 0 for none."""
+    if not values:
+        return 0.0
+    return values[min(int(len(values) * fraction), len(values) - 1)]
+
+
+def latency_ms(results: Sequence[LoadResult]) -> dict[str, float]:
+    """Return percentiles of the latency in milliseconds."""
+    values = sorted(result.latency_s * MS_PER_S for result in results)
+    return {
+        "p50": percentile(values, 0.50),
+        "p99": percentile(values, 0.99),
+        "p99.9": percentile(values, 0.999),
+    }
+
+
+def summarise(results: Sequence[LoadResult]) -> dict[str, Any]:
+    """Return counts by service and code and the latency of answered requests."""
+    services: dict[str, Any] = {}
+    for name in sorted({result.service for result in results}):
+        rows = [result for result in results if result.service == name]
+        answered = [row for row in rows if row.code == "answered"]
+        codes: dict[str, int] = {}
+        for row in rows:
+            codes[row.code] = codes.get(row.code, 0) + 1
+        services[name] = {
+            "requests": len(rows),
+            "answered": len(answered),
+            "codes": dict(sorted(codes.items())),
+            "latency_ms": latency_ms(answered),
+        }
+    return {
+        "requests": len(results),
+        "crossed": sum(result.crossed for result in results),
+        "services": services,
+    }
+
+
+def table(summary: dict[str, Any]) -> str:
+    """Return the summary as a table."""
+    lines = [
+        f"{'service':<14}{'requests':>9}{'answered':>9}"
+        f"{'p50 ms':>9}{'p99 ms':>9}{'p99.9 ms':>9}  other codes"
+    ]
+    for name, row in summary["services"].items():
+        latency = row["latency_ms"]
+        codes = ", ".join(
+            f"{code} {number}"
+            for code, number in row["codes"].items()
+            if code != "answered"
+        )
+        lines.append(
+            f"{name:<14}{row['requests']:>9}{row['answered']:>9}"
+            f"{latency['p50']:>9.1f}{latency['p99']:>9.1f}{latency['p99.9']:>9.1f}"
+            f"  {codes}"
+        )
+    return "\n".join(lines)
--- a/wagtailrill/stand_ins/backend_model.py
+++ b/wagtailrill/stand_ins/backend_model.py
@@ -78,7 +78,7 @@
         warm = 1 + int((now_s - self.started_s) / self.cfg.warm_step_s)
         return min(self.cfg.slots, warm)
 
-    def grant(self, grant: Grant, now_s: float) -> BackendResult:
+    def grant(self, grant: Grant, now_s: float, wall_s: float) -> BackendResult:
         """Accept a grant unless a higher fence was seen."""
         if grant.fence < self.fence:
             return Error(BackendError(BackendErrorKind.FENCED, self.fence))
@@ -88,7 +88,8 @@
         else:
             self.epochs = {s.slot: s.epoch for s in grant.slots}
         self.fence = grant.fence
-        self.grant_expires_s = now_s + grant.duration_s
+        left_s = min(grant.duration_s, grant.expires_unix_s - wall_s)
+        self.grant_expires_s = now_s + left_s
         return Ok(Granted(grant.fence))
 
     def admit(
--- a/wagtailrill/stand_ins/backend_server.py
+++ b/wagtailrill/stand_ins/backend_server.py
@@ -5,9 +5,11 @@
 
 import argparse
 import json
+import math
 import random
 import time
 from collections.abc import Awaitable, Callable, MutableMapping
+from pathlib import Path
 from typing import Any
 
 import anyio
@@ -24,6 +26,8 @@
     SLOT_HEADER,
     START_ID_HEADER,
 )
+from ..declaration.models import Service
+from ..declaration.parse import parse
 from .backend_model import BackendModel, BackendModelSettings, NotRun
 
 Scope = MutableMapping[str, Any]
@@ -78,8 +82,11 @@
             slots=tuple(SlotEpoch(*pair) for pair in data["slots"]),
             duration_s=data["duration_s"],
             renew_only=data["renew_only"],
+            expires_unix_s=data["expires_unix_s"] or math.inf,
+        )
+        result: Result[Any, BackendError] = self.model.grant(
+            grant, time.monotonic(), time.time()
         )
-        result: Result[Any, BackendError] = self.model.grant(grant, time.monotonic())
         if result.is_ok():
             await _async_json(send, 200, {"fence": result.ok.fence})
             return
@@ -206,26 +213,43 @@
     return app.server
 
 
+def servers_of(service: Service, args: argparse.Namespace) -> list[uvicorn.Server]:
+    """Return a server for each backend server of a service."""
+    servers = []
+    for number, entry in enumerate(service.backend_servers):
+        cfg = BackendModelSettings(
+            name=entry.name,
+            slots=entry.slots,
+            checks_grants=service.checks_grants,
+            service_time_s=args.service_time_s,
+        )
+        rng = random.Random(args.seed + number)
+        warm_s = cfg.slots * cfg.warm_step_s if args.warm else 0.0
+        model = BackendModel(cfg, rng, started_s=time.monotonic() - warm_s)
+        host, _, port = entry.address.rpartition(":")
+        servers.append(make_server(BackendApplication(model), host, int(port)))
+    return servers
+
+
+async def async_serve(servers: list[uvicorn.Server]) -> None:
+    """Run all servers until the process is stopped."""
+    async with anyio.create_task_group() as tg:
+        for server in servers:
+            tg.start_soon(server.serve)
+
+
 def main() -> None:
-    """Run one stand-in until it is stopped."""
-    parser = argparse.ArgumentParser(description="Backend server stand-in.")
-    parser.add_argument("--name", required=True)
-    parser.add_argument("--host", default="127.0.0.1")
-    parser.add_argument("--port", type=int, required=True)
-    parser.add_argument("--slots", type=int, default=6)
-    parser.add_argument("--checks-grants", action="store_true")
+    """Run the stand-ins of a service until they are stopped."""
+    parser = argparse.ArgumentParser(description="Backend server stand-ins.")
+    parser.add_argument("--declaration", type=Path, required=True)
+    parser.add_argument("--service", required=True)
     parser.add_argument("--service-time-s", type=float, default=0.005)
+    parser.add_argument("--warm", action="store_true", help="start warm")
     parser.add_argument("--seed", type=int, default=1)
     args = parser.parse_args()
-    cfg = BackendModelSettings(
-        name=args.name,
-        slots=args.slots,
-        checks_grants=args.checks_grants,
-        service_time_s=args.service_time_s,
-    )
-    model = BackendModel(cfg, random.Random(args.seed), started_s=time.monotonic())
-    server = make_server(BackendApplication(model), args.host, args.port)
-    anyio.run(server.serve)
+    declaration = parse(args.declaration.read_bytes()).ok
+    service = next(s for s in declaration.services if s.name == args.service)
+    anyio.run(async_serve, servers_of(service, args))
 
 
 if __name__ == "__main__":
