Contain failed steps and send the body length of orders

Cause: a trial run showed that an order with a body had no Content-Length, which raised in the exchange and ended the whole process. Change: orders carry Content-Length; an exception in a step or an exchange is logged, counted and contained, since one request must not end all instances.

--- a/script/bench_forwarding.py
+++ b/script/bench_forwarding.py
@@ -192,14 +192,15 @@
     """Start backend server, bare forwarder, store and instance."""
     declaration_file = folder / "services.json"
     declaration_file.write_text(json.dumps(declaration()))
-    settings_file = folder / "settings.json"
+    settings_file = folder / "instances" / "bench-1.json"
+    settings_file.parent.mkdir()
     settings_file.write_text(json.dumps(settings()))
     simple = str(Path(__file__).with_name("bench_servers.py"))
     store = ["-m", "wagtailrill.stand_ins.store", "--port", str(STORE)]
     processes = [
         start(BACKEND_CORE, simple, "backend", str(BACKEND)),
         start(FORWARDER_CORE, simple, "bare", str(BARE), str(BACKEND)),
-        start(BACKEND_CORE, *store, "--settings", str(settings_file)),
+        start(BACKEND_CORE, *store, "--instances", str(folder / "instances")),
     ]
     wait_for(STORE, "/v1/instances")
     apply = ["-m", "wagtailrill.cli", "apply", str(declaration_file)]
--- a/script/demo.py
+++ b/script/demo.py
@@ -13,6 +13,9 @@
 from wagtailrill.load_tool.report import latency_ms, summarise, table
 from wagtailrill.load_tool.runner import LoadRunner
 
+# A new home refuses idempotency keys that were issued before it could know them.
+SETTLE_S = 3.0
+
 
 def run_load(
     fleet: Fleet, rate_per_s: float, duration_s: float, seed: int
@@ -70,6 +73,7 @@
         fleet.start()
         print(f"{args.deployment}: {args.instances} instances ready after ", end="")
         print(f"{time.monotonic() - started_s:.1f} s")
+        time.sleep(SETTLE_S)
         results = run_load(fleet, args.rate, args.seconds, args.seed)
         counts = backend_counts(fleet)
         print(table(summarise(results)))
--- a/script/fleet.py
+++ b/script/fleet.py
@@ -70,8 +70,7 @@
         """Start the store stand-in and put the declaration into it."""
         port = self.store.rpartition(":")[2]
         arguments = ["wagtailrill.stand_ins.store", "--port", port]
-        for file in self.settings_files:
-            arguments += ["--settings", str(file)]
+        arguments += ["--instances", str(self.settings_files[0].parent)]
         self._start("store", arguments)
         self._wait(lambda: fetch(self.store, "/v1/instances")[0] == 200, "store")
         self.control("apply", str(self.declaration_file), "--store", self.store)
--- a/wagtailrill/crash_guard/messages.py
+++ b/wagtailrill/crash_guard/messages.py
@@ -5,6 +5,8 @@
 
 import attrs
 
+from ..peer.registry import MessageRegistry
+
 
 @attrs.frozen
 class CrashReport:
@@ -57,3 +59,8 @@
     93: SuspectAcknowledged,
     94: CrashRecorded,
 }
+
+
+def register_messages(registry: MessageRegistry) -> None:
+    """Register the messages of this package."""
+    registry.register(SCHEMA_FILE, MESSAGES)
--- a/wagtailrill/daemon/driver.py
+++ b/wagtailrill/daemon/driver.py
@@ -6,6 +6,7 @@
 
 import anyio
 import attrs
+import structlog
 from anyio.abc import TaskGroup
 
 from ..core.commands import (
@@ -40,6 +41,7 @@
 from ..platform.models import PlatformStore
 
 TIMER_RESOLUTION_S = 0.002
+_LOG = structlog.get_logger()
 
 
 class Engine(Protocol):
@@ -123,7 +125,15 @@
     def dispatch(self, event: Event | None) -> None:
         """Hand an event to the engine and carry out its commands."""
         engine = self._parts.engine
-        for command in engine.step(event, time.monotonic(), time.time()):
+        try:
+            commands = engine.step(event, time.monotonic(), time.time())
+        except Exception:
+            # One request or peer message must not end the process, since the same
+            # one would then end all others too.
+            self._parts.metrics.count_failed_step(type(event).__name__)
+            _LOG.exception("step_failed", event_type=type(event).__name__)
+            return
+        for command in commands:
             self._handlers[type(command)](command)
         due_s = engine.next_due_s()
         if due_s is not None and due_s < self._wake_s - TIMER_RESOLUTION_S:
@@ -217,7 +227,15 @@
         )
         with running.scope:
             connections = self._connections_to(order.backend_server)
-            running.result = await connections.async_exchange(span.propagate(order))
+            try:
+                running.result = await connections.async_exchange(
+                    span.propagate(order)
+                )
+            except Exception:
+                _LOG.exception("exchange_failed", attempt_id=order.attempt_id)
+                running.result = AttemptResult(
+                    order.attempt_id, AttemptOutcome.LOST, 0.0
+                )
         del self._running[order.attempt_id]
         result = running.result or AttemptResult(
             order.attempt_id, AttemptOutcome.CANCELLED, 0.0
--- a/wagtailrill/engine/attempts.py
+++ b/wagtailrill/engine/attempts.py
@@ -40,6 +40,9 @@
 NOT_RUN_OUTCOMES = frozenset(
     {AttemptOutcome.SHED, AttemptOutcome.FENCED, AttemptOutcome.CONNECT_FAILED}
 )
+MAY_STILL_RUN_OUTCOMES = frozenset(
+    {AttemptOutcome.LOST, AttemptOutcome.TIMED_OUT, AttemptOutcome.CANCELLED}
+)
 UNREACHABLE_OUTCOMES = frozenset(
     {AttemptOutcome.CONNECT_FAILED, AttemptOutcome.LOST, AttemptOutcome.TIMED_OUT}
 )
@@ -202,7 +205,8 @@
         if attempt.suspect:
             self._count_suspect(server, -1)
         if attempt.route is not None:
-            self._parts.router.order_ended(attempt.attempt_id)
+            may_run = result.outcome in MAY_STILL_RUN_OUTCOMES
+            self._parts.router.order_ended(attempt.attempt_id, may_run)
         if result.start_id:
             self._start_ids[server] = result.start_id
         self._parts.permits.release(
--- a/wagtailrill/engine/engine.py
+++ b/wagtailrill/engine/engine.py
@@ -173,4 +173,3 @@
             self.pipeline,
         ):
             part.configure(configuration)
-        self.ctx.log("configuration_applied", version=configuration.version)
--- a/wagtailrill/engine/interfaces.py
+++ b/wagtailrill/engine/interfaces.py
@@ -30,8 +30,8 @@
         """Track an order that is about to be sent."""
         ...
 
-    def order_ended(self, order_id: int) -> None:
-        """Stop tracking an order."""
+    def order_ended(self, order_id: int, may_run: bool = False) -> None:
+        """Stop tracking an order; with `may_run` it may still run for a while."""
         ...
 
     def report_unreachable(self, backend_server: str) -> None:
--- a/wagtailrill/engine/registry.py
+++ b/wagtailrill/engine/registry.py
@@ -1,28 +1,30 @@
 """Registry of all peer messages."""
 
-from ..configuration import messages as configuration
-from ..crash_guard import messages as crash_guard
-from ..idempotency import messages as idempotency
-from ..limits import messages as limits
-from ..membership import messages as membership
-from ..ownership import messages as ownership
+from typing import Final
+
+from ..configuration.messages import register_messages as register_configuration
+from ..crash_guard.messages import register_messages as register_crash_guard
+from ..idempotency.messages import register_messages as register_idempotency
+from ..limits.messages import register_messages as register_limits
+from ..membership.messages import register_messages as register_membership
+from ..ownership.messages import register as register_ownership
 from ..peer.registry import MessageRegistry
-from ..permits import messages as permits
+from ..permits.messages import register as register_permits
 
-PACKAGES = (
-    membership,
-    ownership,
-    configuration,
-    limits,
-    permits,
-    idempotency,
-    crash_guard,
+REGISTRARS: Final = (
+    register_membership,
+    register_ownership,
+    register_configuration,
+    register_limits,
+    register_permits,
+    register_idempotency,
+    register_crash_guard,
 )
 
 
 def make_registry() -> MessageRegistry:
     """Return a registry with the messages of every component."""
     registry = MessageRegistry()
-    for package in PACKAGES:
-        registry.register(package.SCHEMA_FILE, package.MESSAGES)
+    for register in REGISTRARS:
+        register(registry)
     return registry
--- a/wagtailrill/gateway/connections.py
+++ b/wagtailrill/gateway/connections.py
@@ -141,7 +141,11 @@
                 port=int(self.address.rpartition(":")[2]),
                 target=order.target.encode(),
             ),
-            headers=[(b"host", self.address.encode()), *order.headers],
+            headers=[
+                (b"host", self.address.encode()),
+                (b"content-length", str(len(order.body)).encode()),
+                *order.headers,
+            ],
             content=order.body,
             extensions={"timeout": {"connect": CONNECT_TIMEOUT_S}},
         )
@@ -153,6 +157,8 @@
         except httpcore.RemoteProtocolError as exc:
             cut = "without sending" not in str(exc)
             outcome = AttemptOutcome.BAD_ANSWER if cut else AttemptOutcome.LOST
+        except httpcore.LocalProtocolError:
+            outcome = AttemptOutcome.BAD_ANSWER
         except (httpcore.NetworkError, httpcore.ConnectionNotAvailable):
             outcome = AttemptOutcome.LOST
         except ResponseTooLargeError:
--- a/wagtailrill/idempotency/messages.py
+++ b/wagtailrill/idempotency/messages.py
@@ -5,6 +5,8 @@
 
 import attrs
 
+from ..peer.registry import MessageRegistry
+
 
 @attrs.frozen
 class HeaderField:
@@ -104,3 +106,8 @@
     83: CompletionReply,
     84: Handover,
 }
+
+
+def register_messages(registry: MessageRegistry) -> None:
+    """Register the messages of this package."""
+    registry.register(SCHEMA_FILE, MESSAGES)
--- a/wagtailrill/observability/metrics.py
+++ b/wagtailrill/observability/metrics.py
@@ -22,6 +22,9 @@
         self._store_calls = self._counter(
             "wagtailrill_store_calls_total", "Calls to the platform store."
         )
+        self._failed_steps = self._counter(
+            "wagtailrill_failed_steps_total", "Events whose handling failed."
+        )
         self._gauge = Gauge(
             "wagtailrill_state", "State of this instance.", registry=self.registry
         )
@@ -35,6 +38,10 @@
         """Count a call to the store."""
         self._store_calls.inc({"operation": operation})
 
+    def count_failed_step(self, event: str) -> None:
+        """Count an event whose handling failed."""
+        self._failed_steps.inc({"event": event})
+
     def set_state(self, values: dict[str, float]) -> None:
         """Set gauges of the instance's state by name."""
         for name, value in values.items():
