Add permits for backend server slots and connections

Cause: twelve instances that choose independently run more than six requests at once on a backend server, and all at once after it restarts.

--- /dev/null
+++ b/wagtailrill/permits/__init__.py
@@ -0,0 +1,1 @@
+"""Permits that bound the concurrency and connections of backend servers."""
