--- /dev/null
+++ b/wagtailrill/balancing/__init__.py
@@ -0,0 +1,1 @@
+"""Choice of a backend server and ejection of outliers."""
