--- /dev/null
+++ b/wagtailrill/retries/__init__.py
@@ -0,0 +1,1 @@
+"""Retry and hedge budgets."""
