Keep unconfirmed table writes in mind until they are settled

Change: the writer remembers sent tables until a later revision settles them; no lease is granted to a member that one of them drops, and outage mode needs a majority of each. Random runs with overlapping faults are added.

--- /dev/null
+++ b/tests/membership/random_run.py
@@ -0,0 +1,205 @@
+"""Seeded random runs of a cell under overlapping faults, and recovery times.
+
+Repeat a seed with `python -m tests.membership.random_run --seed N --schedules 1`.
+"""
+
+import argparse
+import random
+import sys
+
+from tests.membership.fleet import MemberFleet
+
+FAULTS_S = 16.0
+SETTLE_LIMIT_S = 12.0
+MEMBERS = 12
+
+
+class Schedule:
+    """Faults of one run, chosen by its seed; they overlap and repeat."""
+
+    def __init__(self, seed):
+        self.rng = random.Random(seed)
+        names = [f"i-{n:02}" for n in range(MEMBERS)]
+        self.rates = {n: self.rng.uniform(0.99, 1.01) for n in names}
+        self.cell = MemberFleet(MEMBERS, seed, self.rates)
+        self.fleet = self.cell.fleet
+        self.store = self.cell.store
+        self.outages = 0
+
+    def some(self):
+        """Return random instances, often with the coordinator, in a fixed order."""
+        count = self.rng.choice([1, 1, 2, 4, 6])
+        names = self.rng.sample(self.cell.names, count)
+        leads = self.cell.coordinators()
+        if leads and self.rng.random() < 0.5:
+            names = [*names[1:], *leads]
+        return sorted(set(names))
+
+    def later(self, callback, low_s, high_s):
+        self.fleet.call_later(self.rng.uniform(low_s, high_s), callback)
+
+    def partition(self):
+        side = self.some()
+        self.fleet.partition(set(side))
+        if self.rng.random() < 0.5:
+            self.cut_store(side)
+        self.later(self.fleet.heal, 0.5, 6.0)
+
+    def pause(self):
+        for name in self.some():
+            if name in self.fleet.nodes:
+                self.fleet.pause(name)
+                self.later(lambda n=name: self.fleet.resume(n), 0.1, 5.0)
+
+    def lose(self):
+        for name in self.some():
+            self.cell.kill(name)
+            self.later(lambda n=name: self.restart(n), 0.05, 6.0)
+
+    def restart(self, name):
+        if name not in self.fleet.nodes:
+            self.cell.start(name, self.rates[name])
+
+    def store_outage(self):
+        self.outages += 1
+        self.store.down = True
+        self.later(self.end_outage, 0.2, 7.0)
+
+    def end_outage(self):
+        self.outages -= 1
+        self.store.down = self.outages > 0
+
+    def cut_store(self, names=None):
+        cut = self.some() if names is None else names
+        self.store.unreachable.update(cut)
+        self.later(lambda: self.store.unreachable.difference_update(cut), 0.3, 6.0)
+
+    def lose_answers(self):
+        self.store.lost_answer_probability = self.rng.uniform(0.1, 0.6)
+        self.later(self.answer, 0.5, 5.0)
+
+    def answer(self):
+        self.store.lost_answer_probability = 0.0
+
+    def lose_messages(self):
+        self.fleet.lost_message_probability = self.rng.uniform(0.05, 0.5)
+        self.later(self.deliver, 0.5, 4.0)
+
+    def deliver(self):
+        self.fleet.lost_message_probability = 0.0
+
+    def slow_store(self):
+        self.store.latency_s = self.rng.uniform(0.05, 1.0)
+        self.later(self.speed_up, 0.5, 5.0)
+
+    def speed_up(self):
+        self.store.latency_s = 0.002
+
+    def leave(self):
+        name = self.rng.choice(self.cell.names)
+        if name in self.fleet.nodes and not self.fleet.nodes[name].paused:
+            member = self.cell.members[name]
+
+            def stop():
+                if self.cell.members.get(name) is member:
+                    self.cell.kill(name)
+                    self.later(lambda: self.restart(name), 0.05, 2.0)
+
+            self.fleet.call_later(
+                0.0, lambda: member.leave(lambda: self.fleet.call_later(0.0, stop))
+            )
+
+    def run(self):
+        """Run the faults, heal everything and wait until the cell has settled."""
+        kinds = [
+            self.partition,
+            self.pause,
+            self.lose,
+            self.store_outage,
+            self.cut_store,
+            self.lose_answers,
+            self.lose_messages,
+            self.slow_store,
+            self.leave,
+        ]
+        self.cell.run(2.5)
+        end_s = self.fleet.now_s + FAULTS_S
+        while self.fleet.now_s < end_s:
+            for fault in self.rng.choices(kinds, k=self.rng.choice([1, 1, 2, 3])):
+                fault()
+            self.cell.run(self.rng.expovariate(1.0) + 0.02)
+        self.heal()
+        return self.cell.run_until(self.cell.settled, SETTLE_LIMIT_S, 0.1)
+
+    def heal(self):
+        self.fleet.heal()
+        self.outages = 0
+        self.store.down = False
+        self.store.unreachable.clear()
+        self.answer()
+        self.deliver()
+        self.speed_up()
+        for name in self.cell.names:
+            self.restart(name)
+            self.fleet.resume(name)
+        # Faults that were scheduled to end later may not begin again.
+        self.cell.run(0.5)
+
+
+def run_schedule(seed):
+    """Run one schedule; return the time in seconds that the cell took to settle."""
+    return Schedule(seed).run()
+
+
+def command(seed):
+    """Return the command that repeats a seed."""
+    return f"python -m tests.membership.random_run --seed {seed} --schedules 1"
+
+
+def recovery_s(seed, kind):
+    """Return the seconds until all homes act again after a loss in a healthy cell."""
+    rng = random.Random(seed)
+    names = [f"i-{n:02}" for n in range(MEMBERS)]
+    cell = MemberFleet(MEMBERS, seed, {n: rng.uniform(0.99, 1.01) for n in names})
+    cell.run_until(cell.settled, 10.0)
+    cell.run(rng.uniform(1.0, 3.0))
+    lead = cell.coordinators()[0]
+    other = rng.choice([n for n in cell.names if n != lead])
+    lost = {"member": [other], "coordinator": [lead], "both": [lead, other]}[kind]
+    for name in lost:
+        cell.kill(name)
+    return cell.run_until(cell.homed, 20.0, 0.02)
+
+
+def percentile(values, share):
+    """Return the value below which a share of the values lies."""
+    return sorted(values)[min(int(len(values) * share), len(values) - 1)]
+
+
+def main():
+    """Run schedules and print the failing seeds and the recovery times."""
+    parser = argparse.ArgumentParser()
+    parser.add_argument("--seed", type=int, default=1)
+    parser.add_argument("--schedules", type=int, default=1000)
+    args = parser.parse_args()
+    seeds = range(args.seed, args.seed + args.schedules)
+    failed = 0
+    for seed in seeds:
+        try:
+            run_schedule(seed)
+        except Exception as exc:
+            failed += 1
+            print(f"seed {seed}: {exc!r}; repeat: {command(seed)}", flush=True)
+            if args.schedules == 1:
+                raise
+    print(f"{args.schedules} schedules, {failed} failed")
+    if args.schedules >= 100:
+        for kind in ("member", "coordinator", "both"):
+            times = [recovery_s(seed, kind) for seed in seeds]
+            p50, p99 = percentile(times, 0.5), percentile(times, 0.99)
+            print(f"{kind} lost: p50 {p50:.2f} p99 {p99:.2f} max {max(times):.2f} s")
+    return 1 if failed else 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- a/wagtailrill/membership/coordinator.py
+++ b/wagtailrill/membership/coordinator.py
@@ -126,8 +126,10 @@
     def _outage_end_s(self) -> float:
         # An unconfirmed write may have changed the members whose majority a new
         # coordinator asks, so both sets need a majority.
-        tables = [t for t in (self.view.table, self.writer.proposed) if t is not None]
-        return min((self._confirmed_end_s(t) for t in tables), default=float("-inf"))
+        if self.view.table is None:
+            return float("-inf")
+        tables = [self.view.table, *self.writer.unresolved]
+        return min(map(self._confirmed_end_s, tables))
 
     def _confirmed_end_s(self, table: CellTable) -> float:
         now_s = self.ctx.now_s
@@ -253,6 +255,9 @@
         join = table.join_of(row.member) if table else 0
         if join == 0 or reply.join != join or row.lapsed_join >= join:
             return 0.0
+        # A write that drops the member may take effect before the lease would end.
+        if any(t.join_of(row.member) != join for t in self.writer.unresolved):
+            return 0.0
         now_s = self.ctx.now_s
         authority_s = self.authority_end_s() - now_s
         lease_s = min(self.cfg.member_lease_s, authority_s + self.cfg.lease_cap_s)
--- a/wagtailrill/membership/planner.py
+++ b/wagtailrill/membership/planner.py
@@ -76,7 +76,7 @@
         kept: dict[Member, int] = {}
         for member, old_join in zip(table.members, table.joins, strict=True):
             if self._lapsed_join(member) >= old_join:
-                if not self._is_leaving(member):
+                if not (self._is_leaving(member) or self.suspected(member)):
                     kept[member] = join
             elif not self._droppable(member):
                 kept[member] = old_join
--- a/wagtailrill/membership/writer.py
+++ b/wagtailrill/membership/writer.py
@@ -26,19 +26,24 @@
 
 
 class TableWriter:
-    """Runs one write of the cell table at a time."""
+    """Runs one write of the cell table at a time.
+
+    `unresolved` holds the tables that were sent and may be in the store, or come to
+    be, without a confirmation: later writes make sure that they cannot any more.
+    """
 
     def __init__(self, cfg: MembershipSettings, store: StoreCalls) -> None:
         self.cfg = cfg
         self.store = store
         self.job: WriteJob | None = None
         self.proposed: CellTable | None = None
+        self.unresolved: list[CellTable] = []
         self._version = 0
 
     def start(self, job: WriteJob, base: CellTable | None, version: int) -> None:
         """Write a change of the table that has the given version; 0 means unread."""
         self.job = job
-        if version == 0:
+        if version == 0 or self.unresolved:
             self._read()
         else:
             self._propose(base, version)
@@ -46,6 +51,8 @@
     def _propose(self, base: CellTable | None, version: int) -> None:
         job = self.job
         self.proposed = None
+        if version > self._version:
+            self.unresolved.clear()
         table = job.change(base, version) if job is not None else None
         if table is None:
             self._finish(None, 0)
@@ -59,6 +66,8 @@
         if self.proposed is None or self.job is None or not self.job.may_write():
             self._finish(None, 0)
             return
+        if self.proposed not in self.unresolved:
+            self.unresolved.append(self.proposed)
         document = self.proposed.to_bytes()
         write = Write(self.cfg.table_key, document, self._version)
         self.store.call(write, self._written)
@@ -103,6 +112,8 @@
         return stored.write_id == self.proposed.write_id
 
     def _finish(self, table: CellTable | None, version: int) -> None:
+        if version > self._version:
+            self.unresolved.clear()
         job, self.job, self.proposed = self.job, None, None
         if job is not None:
             job.on_done(table, version)
