--- a/wagtailrill/membership/const.py
+++ b/wagtailrill/membership/const.py
@@ -14,8 +14,8 @@
 # A coordinator that hears no majority for this long stops renewing its store lease,
 # so that the larger side of a partition can take over within the 4 s budget.
 MAJORITY_CONTACT_S: Final = 0.6
-# Time that a new coordinator without a majority keeps its store lease before it
-# gives the other members a chance to take over.
+# Time that a new coordinator that never heard a majority keeps its store lease
+# before it gives the other members a chance to take over.
 MINORITY_TERM_S: Final = 6.0
 # Members take turns by rank, so that usually one of them calls the store.
 RANK_DELAY_S: Final = 0.12
--- a/wagtailrill/membership/coordinator.py
+++ b/wagtailrill/membership/coordinator.py
@@ -2,7 +2,7 @@
 
 import itertools
 from collections import deque
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 
 import attrs
 
@@ -77,10 +77,11 @@
         self.writer = TableWriter(self.cfg, store)
         self.stopped = False
         self._taken_over_s = takeover.taken_over_s
+        self._heard_majority = False
         self._lease_listener = LeaseListener(self.broadcast, on_refused)
         self._numbers = itertools.count(1)
         self._updates: deque[tuple[TableChange, Done]] = deque()
-        for member in self.view.table.members if self.view.table else ():
+        for member in self._members():
             self._row(member)
 
     def _grace(self, takeover: Takeover) -> GraceWait:
@@ -104,6 +105,9 @@
             row = self.rows[member] = PeerRow(member)
         return row
 
+    def _members(self) -> tuple[Member, ...]:
+        return self.view.table.members if self.view.table is not None else ()
+
     # Authority
 
     def in_store_mode(self) -> bool:
@@ -148,13 +152,16 @@
 
     def _hears_majority(self) -> bool:
         now_s = self.ctx.now_s
-        members = self.view.table.members if self.view.table else ()
+        members = self._members()
         heard = sum(
             m == self.view.me or now_s - self._row(m).heard_s < MAJORITY_CONTACT_S
             for m in members
         )
+        if not members or heard >= majority(len(members)):
+            self._heard_majority = True
+            return True
         recent = now_s - self._taken_over_s < MINORITY_TERM_S
-        return recent or not members or heard >= majority(len(members))
+        return recent and not self._heard_majority
 
     # Ticks
 
@@ -183,7 +190,7 @@
             self.cfg.heartbeat_interval_s if self.lease.down else UNASKED_AFTER_S
         )
         due_s = self.ctx.now_s - interval_s
-        for member in self.view.table.members if self.view.table else ():
+        for member in self._members():
             if member != self.view.me and self._row(member).sent_s <= due_s:
                 self._send(self._row(member), 0, 0.0)
 
@@ -191,7 +198,7 @@
         """Send a heartbeat that asks for a reply to every member."""
         if not self.has_authority():
             return
-        for member in self.view.table.members if self.view.table else ():
+        for member in self._members():
             if member != self.view.me:
                 self._send(self._row(member), 0, 0.0)
 
@@ -265,20 +272,21 @@
         row.granted_until_s = max(row.granted_until_s, until_s)
         return lease_s
 
-    def send_table(self, receiver: str) -> None:
-        """Send the confirmed table to an instance."""
+    def send_table(self, receivers: Iterable[str]) -> None:
+        """Send the confirmed table to instances."""
         table = self.view.table
-        if table is not None:
-            document = TableDocument(self.term, self.view.version, table.to_bytes())
+        if table is None:
+            return
+        document = TableDocument(self.term, self.view.version, table.to_bytes())
+        for receiver in receivers:
             self.ctx.send(receiver, document)
 
     # Table
 
     def distribute(self) -> None:
         """Send the confirmed table to all other members."""
-        for member in self.view.table.members if self.view.table else ():
-            if member != self.view.me:
-                self.send_table(member.instance)
+        others = [m for m in self._members() if m != self.view.me]
+        self.send_table([member.instance for member in others])
 
     def update(self, change: TableChange, on_done: Done) -> None:
         """Queue a change of the table."""
--- a/wagtailrill/membership/election.py
+++ b/wagtailrill/membership/election.py
@@ -97,9 +97,14 @@
     def _wanted(self) -> bool:
         if self.stopped or self.follower.leaving:
             return False
-        silent_s = self.ctx.now_s - self.view.heard_s
-        cut_off = self.view.store_down and self.follower.store_reachable is True
-        return self._forced or cut_off or silent_s > self.view.cfg.suspicion_timeout_s
+        view = self.view
+        silent_s = self.ctx.now_s - view.heard_s
+        return (
+            self._forced
+            or silent_s > view.cfg.suspicion_timeout_s
+            or (view.store_down and self.follower.store_reachable is True)
+            or (view.table is not None and view.table.resigned)
+        )
 
     def _turn_s(self) -> float:
         rank = self._rank()
--- a/wagtailrill/membership/membership.py
+++ b/wagtailrill/membership/membership.py
@@ -196,7 +196,7 @@
             return
         if self._lead is not None:
             self._tick_lead(self._lead)
-        else:
+        elif self._takeover_writer.job is None:
             self._election.check()
         if self._leaving.tick(self._lead is not None):
             self._stop()
@@ -267,7 +267,7 @@
 
     def _on_table_request(self, envelope: Envelope) -> None:
         if self._lead is not None and self._lead.has_authority():
-            self._lead.send_table(envelope.sender)
+            self._lead.send_table([envelope.sender])
 
     def _on_table(self, envelope: Envelope) -> None:
         document: TableDocument = envelope.message
--- a/wagtailrill/membership/table.py
+++ b/wagtailrill/membership/table.py
@@ -64,10 +64,15 @@
     hot_keys: tuple[HotKey, ...] = ()
     joins: tuple[int, ...] = ()
     resigned: bool = False
+    _join_by_member: dict[Member, int] = attrs.field(init=False, repr=False, eq=False)
+
+    def __attrs_post_init__(self) -> None:
+        joins = dict(zip(self.members, self.joins, strict=False))
+        object.__setattr__(self, "_join_by_member", joins)
 
     def join_of(self, member: Member) -> int:
         """Return the join number of a member, 0 if it is none."""
-        return dict(zip(self.members, self.joins, strict=False)).get(member, 0)
+        return self._join_by_member.get(member, 0)
 
     def to_bytes(self) -> bytes:
         """Return the document as it is stored."""
--- a/wagtailrill/membership/view.py
+++ b/wagtailrill/membership/view.py
@@ -113,9 +113,12 @@
             return
         check = self.ctx.invariants.check
         check(new.term >= old.term, "table_term_never_falls", f"{new.term}")
-        for before, after in zip(old.homes, new.homes, strict=True):
-            rises = after.epoch > before.epoch or after == before
-            check(rises, "home_epoch_rises", f"{before} to {after}")
+        fallen = [
+            (before, after)
+            for before, after in zip(old.homes, new.homes, strict=True)
+            if after.epoch <= before.epoch and after != before
+        ]
+        check(not fallen, "home_epoch_rises", str(fallen[:1]))
 
     def _notify_homes(self, table: CellTable) -> None:
         mine: dict[int, int] = {}
