--- a/tests/membership/fleet.py
+++ b/tests/membership/fleet.py
@@ -67,9 +67,13 @@
         return result
 
     def check(self):
-        """Raise if two members act as home of one partition."""
+        """Raise if a partition has two homes, or the store lease two holders."""
         holders = {}
+        leads = []
         for name, membership in self.awake().items():
+            lead = membership._lead
+            if lead is not None and lead.in_store_mode():
+                leads.append(name)
             if not membership.has_lease():
                 continue
             for partition in membership._view.held:
@@ -81,6 +85,8 @@
                         f"{other} and {name}"
                     )
         self.holders = holders
+        if len(leads) > 1:
+            raise InvariantError(f"two holders of the store lease: {leads}")
 
     def coordinators(self):
         return [n for n, m in self.awake().items() if m.coordinates()]
--- a/tests/membership/random_run.py
+++ b/tests/membership/random_run.py
@@ -4,10 +4,14 @@
 """
 
 import argparse
+import itertools
 import random
 import sys
 
+import attrs
+
 from tests.membership.fleet import MemberFleet
+from wagtailrill.membership.table import HotKey, SlotOwner
 
 FAULTS_S = 16.0
 SETTLE_LIMIT_S = 12.0
@@ -25,6 +29,8 @@
         self.fleet = self.cell.fleet
         self.store = self.cell.store
         self.outages = 0
+        self.updates = itertools.count(1)
+        self.written = set()
 
     def some(self):
         """Return random instances, often with the coordinator, in a fixed order."""
@@ -95,6 +101,13 @@
     def speed_up(self):
         self.store.latency_s = 0.002
 
+    def slow_network(self):
+        self.fleet.latency_s = self.rng.uniform(0.02, 0.8)
+        self.later(self.speed_up_network, 0.5, 4.0)
+
+    def speed_up_network(self):
+        self.fleet.latency_s = 0.001
+
     def leave(self):
         name = self.rng.choice(self.cell.names)
         if name in self.fleet.nodes and not self.fleet.nodes[name].paused:
@@ -109,6 +122,29 @@
                 0.0, lambda: member.leave(lambda: self.fleet.call_later(0.0, stop))
             )
 
+    def update(self):
+        """Let the coordinator add a numbered hot key to the table."""
+        number = next(self.updates)
+        hot_key = HotKey("s", number, SlotOwner("b", 1))
+
+        def change(table):
+            return attrs.evolve(table, hot_keys=(*table.hot_keys, hot_key))
+
+        def done(written):
+            if written:
+                self.written.add(number)
+
+        for name in self.cell.coordinators()[:1]:
+            self.cell.members[name].update_table(change, done)
+            self.fleet.deliver(name, None, 0.0)
+
+    def check_updates(self):
+        """Raise if a confirmed update is lost, or any update was applied twice."""
+        (lead,) = self.cell.coordinators()
+        stored = [k.key_hash for k in self.cell.members[lead].table.hot_keys]
+        assert len(stored) == len(set(stored)), f"applied twice: {stored}"
+        assert self.written <= set(stored), f"lost: {self.written - set(stored)}"
+
     def run(self):
         """Run the faults, heal everything and wait until the cell has settled."""
         kinds = [
@@ -120,6 +156,7 @@
             self.lose_answers,
             self.lose_messages,
             self.slow_store,
+            self.slow_network,
             self.leave,
         ]
         self.cell.run(2.5)
@@ -127,9 +164,12 @@
         while self.fleet.now_s < end_s:
             for fault in self.rng.choices(kinds, k=self.rng.choice([1, 1, 2, 3])):
                 fault()
+            self.update()
             self.cell.run(self.rng.expovariate(1.0) + 0.02)
         self.heal()
-        return self.cell.run_until(self.cell.settled, SETTLE_LIMIT_S, 0.1)
+        settled_s = self.cell.run_until(self.cell.settled, SETTLE_LIMIT_S, 0.1)
+        self.check_updates()
+        return settled_s
 
     def heal(self):
         self.fleet.heal()
@@ -139,11 +179,10 @@
         self.answer()
         self.deliver()
         self.speed_up()
+        self.speed_up_network()
         for name in self.cell.names:
             self.restart(name)
             self.fleet.resume(name)
-        # Faults that were scheduled to end later may not begin again.
-        self.cell.run(0.5)
 
 
 def run_schedule(seed):
--- a/wagtailrill/membership/coordinator.py
+++ b/wagtailrill/membership/coordinator.py
@@ -323,6 +323,7 @@
         done: list[tuple[Done, bool]],
     ) -> CellTable | None:
         if base is None or base.term != self.term:
+            self.stopped = True
             return None
         if version > self.view.version:
             self._apply(base, version)
--- a/wagtailrill/membership/follower.py
+++ b/wagtailrill/membership/follower.py
@@ -80,7 +80,11 @@
         """Apply a table that the coordinator distributes."""
         if document.term < self.view.term:
             return
-        table = CellTable.from_bytes(document.document)
+        try:
+            table = CellTable.from_bytes(document.document)
+        except ValueError:
+            self.ctx.log("cell_table_malformed", version=document.version)
+            return
         if self.view.apply(table, document.version):
             self.reply()
 
--- a/wagtailrill/membership/membership.py
+++ b/wagtailrill/membership/membership.py
@@ -203,7 +203,8 @@
 
     def _tick_lead(self, lead: Coordinator) -> None:
         lead.tick()
-        if not lead.has_authority() and not lead.lease.down and not lead.stopped:
+        waits = lead.lease.down and not lead.stopped
+        if not lead.has_authority() and not waits:
             self._step_down()
             self._election.defer()
 
@@ -338,6 +339,8 @@
     def _step_down(self) -> None:
         lead, self._lead = self._lead, None
         if lead is not None:
+            if lead.lease.down:
+                self._follower.outage_confirmed_s = self.ctx.now_s
             lead.stop()
             self._view.coordinator = None
             self.ctx.log("coordinator_stopped", term=lead.term)
--- a/wagtailrill/membership/writer.py
+++ b/wagtailrill/membership/writer.py
@@ -95,7 +95,12 @@
             return
         assert isinstance(result.ok, Stored)
         stored = result.ok
-        table = CellTable.from_bytes(stored.value) if stored.revision else None
+        try:
+            table = CellTable.from_bytes(stored.value) if stored.revision else None
+        except ValueError:
+            self.store.ctx.log("cell_table_malformed", revision=stored.revision)
+            self._finish(None, 0)
+            return
         if self.confirms(table):
             self._finish(table, stored.revision)
         elif self.proposed is not None and stored.revision == self._version:
