Decide on trace sampling before the SDK and trim the exchange

Cause: two spans, a propagation and a timeout scope per request weigh on the forwarding path, also for requests that are not sampled. Change: requests that are not sampled create no span; one cancel scope per attempt carries the order's timeout; idle connections are polled only when not fresh.

--- a/wagtailrill/daemon/driver.py
+++ b/wagtailrill/daemon/driver.py
@@ -36,7 +36,7 @@
 from ..gateway.connections import BackendConnections
 from ..gateway.control import BackendControl
 from ..observability.metrics import Metrics
-from ..observability.tracing import RequestSpan, Tracing
+from ..observability.tracing import NOT_SAMPLED, RequestSpan, Tracing
 from ..peer.tcp import PeerTransport
 from ..platform.models import PlatformStore
 
@@ -74,6 +74,8 @@
 
     order: Order
     scope: anyio.CancelScope = attrs.field(factory=anyio.CancelScope)
+    started_s: float = attrs.field(factory=anyio.current_time)
+    cancelled: bool = False
     result: AttemptResult | None = None
 
 
@@ -222,29 +224,35 @@
         running = RunningAttempt(order)
         self._running[order.attempt_id] = running
         pending = self._pending.get(order.request_id)
-        span = self._parts.tracing.start_attempt(
-            pending.span if pending else None, order
-        )
+        request_span = pending.span if pending else NOT_SAMPLED
+        span = self._parts.tracing.start_attempt(request_span, order)
+        connections = self._connections_to(order.backend_server)
+        running.scope.deadline = anyio.current_time() + order.timeout_s
         with running.scope:
-            connections = self._connections_to(order.backend_server)
             try:
-                running.result = await connections.async_exchange(
-                    span.propagate(order)
-                )
+                running.result = await connections.async_exchange(order, span.headers)
             except Exception:
                 _LOG.exception("exchange_failed", attempt_id=order.attempt_id)
                 running.result = AttemptResult(
                     order.attempt_id, AttemptOutcome.LOST, 0.0
                 )
         del self._running[order.attempt_id]
-        result = running.result or AttemptResult(
-            order.attempt_id, AttemptOutcome.CANCELLED, 0.0
-        )
+        result = running.result or await self._async_abandon(running, connections)
         span.end(result)
         self._results[order.attempt_id] = result
         self.dispatch(AttemptEnded(result))
         self._results.pop(order.attempt_id, None)
 
+    async def _async_abandon(
+        self, running: RunningAttempt, connections: BackendConnections
+    ) -> AttemptResult:
+        order = running.order
+        if running.cancelled:
+            return AttemptResult(order.attempt_id, AttemptOutcome.CANCELLED, 0.0)
+        latency_s = anyio.current_time() - running.started_s
+        await connections.async_drop_unproven(order.timeout_s)
+        return AttemptResult(order.attempt_id, AttemptOutcome.TIMED_OUT, latency_s)
+
     def _connections_to(self, backend_server: str) -> BackendConnections:
         address = self._parts.address_of(backend_server) or "127.0.0.1:0"
         connections = self.connections.get(backend_server)
@@ -256,6 +264,7 @@
     def _cancel_attempt(self, command: CancelAttempt) -> None:
         running = self._running.get(command.attempt_id)
         if running is not None:
+            running.cancelled = True
             running.scope.cancel()
 
     def _close_connections(self, command: CloseConnections) -> None:
--- a/wagtailrill/gateway/connections.py
+++ b/wagtailrill/gateway/connections.py
@@ -7,11 +7,12 @@
 import httpcore
 
 from ..core.headers import NOT_RUN_HEADER, REQUEST_ID_HEADER, START_ID_HEADER
-from ..core.orders import AttemptOutcome, AttemptResult, Order
+from ..core.orders import AttemptOutcome, AttemptResult, Headers, Order
 from .const import (
     CONNECT_TIMEOUT_S,
     CONNECTION_AGE_MAX_S,
     CONNECTION_IDLE_MAX_S,
+    FRESH_S,
     HOP_BY_HOP_HEADERS,
     RESPONSE_MAX_BYTES,
 )
@@ -37,7 +38,7 @@
             now_s - self.used_s < CONNECTION_IDLE_MAX_S
             and now_s - self.opened_s < CONNECTION_AGE_MAX_S
             and self.http.is_idle()
-            and not self.http.has_expired()
+            and (now_s - self.used_s < FRESH_S or not self.http.has_expired())
         )
 
 
@@ -54,6 +55,13 @@
     idle: list[BackendConnection] = attrs.field(factory=list)
     busy: int = 0
     opened: int = 0
+    _origin: httpcore.Origin = attrs.field(init=False)
+    _host_header: tuple[bytes, bytes] = attrs.field(init=False)
+
+    def __attrs_post_init__(self) -> None:
+        host, _, port = self.address.rpartition(":")
+        self._origin = httpcore.Origin(b"http", host.encode(), int(port))
+        self._host_header = (b"host", self.address.encode())
 
     def take_idle(self) -> BackendConnection | None:
         """Return an idle connection that is still usable; drop those that are not."""
@@ -83,16 +91,22 @@
             closed += 1
         return closed
 
-    async def async_open(self) -> BackendConnection:
-        """Open a connection; it connects when it sends its first order."""
-        host, _, port = self.address.rpartition(":")
-        origin = httpcore.Origin(b"http", host.encode(), int(port))
+    def _open(self) -> BackendConnection:
+        """Return a connection that connects when it sends its first order."""
         self.opened += 1
         now_s = time.monotonic()
-        return BackendConnection(httpcore.AsyncHTTPConnection(origin), now_s, now_s)
+        return BackendConnection(
+            httpcore.AsyncHTTPConnection(self._origin), now_s, now_s
+        )
+
+    async def async_exchange(
+        self, order: Order, extra_headers: Headers = ()
+    ) -> AttemptResult:
+        """Send an order and read its whole answer.
 
-    async def async_exchange(self, order: Order) -> AttemptResult:
-        """Send an order and read its whole answer within the order's timeout."""
+        The caller cancels the exchange at the order's timeout; whatever ends it early
+        closes the connection.
+        """
         started_s = time.monotonic()
         conn = self.take_idle()
         if conn is None:
@@ -101,12 +115,11 @@
                 return AttemptResult(
                     order.attempt_id, AttemptOutcome.CONNECT_FAILED, 0.0
                 )
-            conn = await self.async_open()
+            conn = self._open()
         self.busy += 1
         result = None
         try:
-            with anyio.move_on_after(order.timeout_s):
-                result = await self._async_send(conn, order, started_s)
+            result = await self._async_send(conn, order, extra_headers, started_s)
         finally:
             self.busy -= 1
             if result is None or not result.connection_open:
@@ -115,36 +128,38 @@
             else:
                 conn.used_s = time.monotonic()
                 self.idle.append(conn)
-        if result is not None:
-            return result
-        await self._async_drop_unproven(started_s)
-        latency_s = time.monotonic() - started_s
-        return AttemptResult(order.attempt_id, AttemptOutcome.TIMED_OUT, latency_s)
+        return result
 
-    async def _async_drop_unproven(self, since_s: float) -> None:
-        """Close idle connections that carried no answer since a time.
+    async def async_drop_unproven(self, timeout_s: float) -> None:
+        """Close idle connections that carried no answer in the last seconds.
 
         After a timeout they may have gone silent for good, like the one that timed out.
         """
+        since_s = time.monotonic() - timeout_s
         for conn in [conn for conn in self.idle if conn.used_s < since_s]:
             self.idle.remove(conn)
             await conn.http.aclose()
 
     async def _async_send(
-        self, conn: BackendConnection, order: Order, started_s: float
+        self,
+        conn: BackendConnection,
+        order: Order,
+        extra_headers: Headers,
+        started_s: float,
     ) -> AttemptResult:
         req = httpcore.Request(
             order.method.encode(),
             httpcore.URL(
                 scheme=b"http",
-                host=self.address.rpartition(":")[0].encode(),
-                port=int(self.address.rpartition(":")[2]),
+                host=self._origin.host,
+                port=self._origin.port,
                 target=order.target.encode(),
             ),
             headers=[
-                (b"host", self.address.encode()),
+                self._host_header,
                 (b"content-length", str(len(order.body)).encode()),
                 *order.headers,
+                *extra_headers,
             ],
             content=order.body,
             extensions={"timeout": {"connect": CONNECT_TIMEOUT_S}},
--- a/wagtailrill/observability/tracing.py
+++ b/wagtailrill/observability/tracing.py
@@ -1,9 +1,10 @@
 """Traces with a span per hop, carried by W3C trace context."""
 
 import json
+import random
 import sys
 from collections.abc import Sequence
-from typing import Any, TextIO
+from typing import Any, Final, TextIO
 
 import attrs
 from opentelemetry import trace
@@ -14,15 +15,17 @@
     SpanExporter,
     SpanExportResult,
 )
-from opentelemetry.sdk.trace.sampling import ParentBased, TraceIdRatioBased
+from opentelemetry.sdk.trace.sampling import ALWAYS_ON
 from opentelemetry.trace import Span, SpanKind
 from opentelemetry.trace.propagation.tracecontext import TraceContextTextMapPropagator
 
 from ..core.headers import TRACE_HEADER
-from ..core.orders import AttemptResult, CallerRequest, Order
+from ..core.orders import AttemptResult, CallerRequest, Headers, Order
 
-HEX_TRACE_ID_DIGITS = 32
-HEX_SPAN_ID_DIGITS = 16
+HEX_TRACE_ID_DIGITS: Final = 32
+HEX_SPAN_ID_DIGITS: Final = 16
+SAMPLED_SUFFIX: Final = b"-01"
+NO_HEADERS: Final[Headers] = ()
 
 
 class JsonSpanExporter(SpanExporter):
@@ -58,73 +61,89 @@
 
 @attrs.frozen
 class RequestSpan:
-    """Span of a caller's request; the tenant key is in none of its attributes."""
+    """Span of a caller's request; the tenant key is in none of its attributes.
 
-    span: Span
-    context: Context
+    A request that is not sampled has no span and passes on the caller's header.
+    """
+
+    span: Span | None = None
+    context: Context | None = None
+    passed_on: Headers = NO_HEADERS
 
     def end(self, status: int, code: str) -> None:
         """End the span with the answer."""
-        if self.span.is_recording():
-            self.span.set_attribute("http.response.status_code", status)
-            self.span.set_attribute("wagtailrill.code", code)
+        if self.span is None:
+            return
+        self.span.set_attribute("http.response.status_code", status)
+        self.span.set_attribute("wagtailrill.code", code)
         self.span.end()
 
 
+NOT_SAMPLED: Final = RequestSpan()
+
+
 @attrs.frozen
 class AttemptSpan:
-    """Span of the hop to a backend server."""
+    """Span of the hop to a backend server and the headers that carry it."""
 
-    span: Span
-    context: Context
-
-    def propagate(self, order: Order) -> Order:
-        """Return the order with the trace context of this hop."""
-        carrier: dict[str, str] = {}
-        TraceContextTextMapPropagator().inject(carrier, self.context)
-        value = carrier.get("traceparent")
-        if value is None:
-            return order
-        headers = (*order.headers, (TRACE_HEADER, value.encode()))
-        return attrs.evolve(order, headers=headers)
+    span: Span | None = None
+    headers: Headers = NO_HEADERS
 
     def end(self, result: AttemptResult) -> None:
         """End the span with the outcome."""
-        if self.span.is_recording():
+        if self.span is not None:
             self.span.set_attribute("wagtailrill.outcome", result.outcome.value)
-        self.span.end()
+            self.span.end()
+
+
+NO_ATTEMPT_SPAN: Final = AttemptSpan()
 
 
 class Tracing:
-    """Creates spans; a fraction of the traces without a sampled parent is kept."""
+    """Creates spans for sampled requests.
+
+    A caller's sampling decision holds; of the requests without one, a fraction is
+    sampled. The decision is made here, since a span that the SDK drops costs nearly
+    half as much as one that it keeps.
+    """
 
     def __init__(self, sample_ratio: float, exporter: SpanExporter) -> None:
-        sampler = ParentBased(TraceIdRatioBased(sample_ratio))
-        self._provider = TracerProvider(sampler=sampler, shutdown_on_exit=False)
+        self._sample_ratio = sample_ratio
+        self._rng = random.Random()
+        self._provider = TracerProvider(sampler=ALWAYS_ON, shutdown_on_exit=False)
         self._provider.add_span_processor(BatchSpanProcessor(exporter))
         self._tracer = self._provider.get_tracer("wagtailrill")
         self._propagator = TraceContextTextMapPropagator()
 
     def start_request(self, req: CallerRequest) -> RequestSpan:
-        """Start the span of a caller's request."""
-        parent = None
-        for name, value in req.headers:
-            if name == TRACE_HEADER:
-                carrier = {"traceparent": value.decode("latin-1")}
-                parent = self._propagator.extract(carrier)
+        """Start the span of a caller's request, if it is sampled."""
+        header = next((value for n, value in req.headers if n == TRACE_HEADER), None)
+        if header is None:
+            if self._rng.random() >= self._sample_ratio:
+                return NOT_SAMPLED
+            parent = None
+        elif not header.endswith(SAMPLED_SUFFIX):
+            return RequestSpan(passed_on=((TRACE_HEADER, header),))
+        else:
+            carrier = {"traceparent": header.decode("latin-1")}
+            parent = self._propagator.extract(carrier)
         span = self._tracer.start_span("request", parent, SpanKind.SERVER)
-        if span.is_recording():
-            span.set_attribute("http.request.method", req.method)
-            span.set_attribute("url.path", req.path)
+        span.set_attribute("http.request.method", req.method)
+        span.set_attribute("url.path", req.path)
         return RequestSpan(span, trace.set_span_in_context(span, parent))
 
-    def start_attempt(self, request: RequestSpan | None, order: Order) -> AttemptSpan:
-        """Start the span of the hop to a backend server."""
-        parent = request.context if request else None
-        span = self._tracer.start_span("attempt", parent, SpanKind.CLIENT)
-        if span.is_recording():
-            span.set_attribute("wagtailrill.backend_server", order.backend_server)
-        return AttemptSpan(span, trace.set_span_in_context(span, parent))
+    def start_attempt(self, request: RequestSpan, order: Order) -> AttemptSpan:
+        """Start the span of the hop to a backend server, if it is sampled."""
+        if request.span is None:
+            if not request.passed_on:
+                return NO_ATTEMPT_SPAN
+            return AttemptSpan(headers=request.passed_on)
+        span = self._tracer.start_span("attempt", request.context, SpanKind.CLIENT)
+        span.set_attribute("wagtailrill.backend_server", order.backend_server)
+        carrier: dict[str, str] = {}
+        self._propagator.inject(carrier, trace.set_span_in_context(span))
+        headers = ((TRACE_HEADER, carrier["traceparent"].encode()),)
+        return AttemptSpan(span, headers)
 
     def shutdown(self) -> None:
         """Write the spans that are still held."""
