Drop silent members only with contact to a majority

Cause: a coordinator in a cut-off data centre dropped members of the larger side in the rest of its authority, so that the larger side had no majority left to take over with.

--- a/tests/membership/test_faults.py
+++ b/tests/membership/test_faults.py
@@ -171,6 +171,15 @@
     cell.run_until(cell.homed, RECOVERY_S)
 
 
+def test_survivor_of_two_members_takes_all_homes():
+    """Guards against a small cell that waits for a majority for ever."""
+    cell = MemberFleet(2)
+    cell.run_until(cell.settled, 10.0)
+    cell.run(1.0)
+    cell.kill(next(n for n in cell.names if n != lead_of(cell)))
+    cell.run_until(cell.homed, 8.0)
+
+
 def test_restarted_process_takes_over_nothing_of_its_predecessor(cell):
     """Guards against a new process that acts as home before it is assigned."""
     name = next(n for n in cell.names if n != lead_of(cell))
--- a/wagtailrill/membership/coordinator.py
+++ b/wagtailrill/membership/coordinator.py
@@ -74,6 +74,7 @@
         outage_age_s = self.ctx.now_s - follower.outage_confirmed_s
         self.grace.acknowledge(self.view.me.instance, self.ctx.now_s, outage_age_s)
         self.planner = Planner(self.view, self.rows, self.grace)
+        self.planner.may_drop = self._hears_majority
         self.writer = TableWriter(self.cfg, store)
         self.stopped = False
         self._taken_over_s = takeover.taken_over_s
--- a/wagtailrill/membership/planner.py
+++ b/wagtailrill/membership/planner.py
@@ -38,6 +38,8 @@
         self.grace = grace
         self.taken_over_version = view.version
         self.leaving: Callable[[], bool] = lambda: False
+        # A coordinator without contact to a majority may itself be the one cut off.
+        self.may_drop: Callable[[], bool] = lambda: True
         self.released: dict[int, Released] = {}
 
     def plan(self, table: CellTable) -> CellTable | None:
@@ -103,6 +105,8 @@
     def _droppable(self, member: Member) -> bool:
         if member == self.view.me or not self.suspected(member):
             return False
+        if not self.may_drop():
+            return False
         now_s = self.view.ctx.now_s
         row = self.rows.get(member)
         expired = row is None or now_s >= row.granted_until_s
--- a/wagtailrill/membership/store_lease.py
+++ b/wagtailrill/membership/store_lease.py
@@ -6,7 +6,7 @@
 
 from ..core.const import holder_duration_s
 from ..platform.models import LeaseRenew, LeaseRevoke, StoreResult
-from .const import STORE_ANSWER_TIMEOUT_S
+from .const import CONTROL_TICK_S, STORE_ANSWER_TIMEOUT_S
 from .models import MembershipSettings
 from .store_calls import StoreCalls, unavailable
 
@@ -42,7 +42,9 @@
         """Start a renewal when the last one is old enough, sooner in an outage."""
         now_s = self.store.ctx.now_s
         interval_s = STORE_ANSWER_TIMEOUT_S if self.down else self.cfg.renew_interval_s
-        if self.ended or self._in_flight or now_s - self._start_s < interval_s:
+        # Half a tick early rather than late: two failed renewals must fit in.
+        due_s = self._start_s + interval_s - CONTROL_TICK_S / 2
+        if self.ended or self._in_flight or now_s < due_s:
             return
         self._in_flight = True
         self._start_s = now_s
