--- a/wagtailrill/stand_ins/virtual_fleet.py
+++ b/wagtailrill/stand_ins/virtual_fleet.py
@@ -165,7 +165,11 @@
         """Hand an event to an instance after a delay."""
         row = self.nodes.get(name)
         if row is not None:
-            self.call_later(delay_s, lambda: self._step(row, event))
+            self.deliver_to(row, event, delay_s)
+
+    def deliver_to(self, row: NodeRow, event: Event | None, delay_s: float) -> None:
+        """Hand an event to one process after a delay, unless it is lost by then."""
+        self.call_later(delay_s, lambda: self._step(row, event))
 
     def _step(self, row: NodeRow, event: Event | None) -> None:
         if self.nodes.get(row.name) is not row:
