Add fleet-wide limits by conserved shares

Cause: no organisation may exceed its rate and burst over all instances, and a static split refuses callers that are spread unevenly. Change: an organisation's home divides fractions of rate and burst between the members; all amounts on the wire are totals since (epoch, session), so that lost messages only ever make a share smaller and any later message repairs it. Shares end with the member lease and come back without tokens when the member is dropped.

--- /dev/null
+++ b/wagtailrill/limits/__init__.py
@@ -0,0 +1,1 @@
+"""Fleet-wide rate limits of organisations by conserved shares."""
--- /dev/null
+++ b/wagtailrill/limits/limits.py
@@ -0,0 +1,63 @@
+"""Fleet-wide rate limits of one instance: its shares and the homes it is."""
+
+from ..core.context import Context
+from ..declaration.models import Configuration
+from ..engine.host import ComponentHost
+from ..partitions.directory import Member, PartitionDirectory
+from .holder import Holder
+from .home import Home
+from .messages import CollectHoldings, HolderReport, HomeGrant
+from .models import Limit, LimitSettings, OnResult
+
+
+class Limits:
+    """Admits requests so that no organisation exceeds its rate and burst.
+
+    It listens to changes of homes and members (`PartitionListener`).
+    """
+
+    def __init__(
+        self, ctx: Context, directory: PartitionDirectory, cfg: LimitSettings
+    ) -> None:
+        self._version = -1
+        self.holder = Holder(ctx, directory, cfg)
+        self.home = Home(ctx, directory, cfg)
+
+    def attach(self, host: ComponentHost) -> None:
+        """Receive the messages of this package."""
+        host.on_messages([CollectHoldings], self.holder.receive_collect)
+        host.on_messages([HomeGrant], self.holder.receive_grant)
+        host.on_messages([HolderReport], self.home.receive_report)
+
+    def configure(self, configuration: Configuration) -> None:
+        """Apply the limits of a configuration unless a later one is in force."""
+        if configuration.version < self._version:
+            return
+        self._version = configuration.version
+        limits = {
+            name: Limit(o.rate_per_s, o.burst, configuration.version)
+            for name, o in configuration.organisations.items()
+        }
+        self.holder.configure(configuration.version, limits)
+        self.home.configure(configuration.version, limits)
+
+    def take(self, organisation: str, on_result: OnResult) -> None:
+        """Take a token; `on_result` runs at once or within the maximum wait."""
+        self.holder.take(organisation, on_result)
+
+    def home_gained(self, partition: int, epoch: int) -> None:
+        """Collect what the members hold before lending anything."""
+        self.home.gained(partition, epoch)
+
+    def home_lost(self, partition: int) -> None:
+        """Stop lending for a partition."""
+        self.home.lost(partition)
+
+    def member_dropped(self, member: Member) -> None:
+        """Take back the shares of a member whose lease has lapsed."""
+        self.home.dropped(member)
+
+    def lease_lost(self) -> None:
+        """Drop all shares and ledgers."""
+        self.home.lost_all()
+        self.holder.lease_lost()
