--- /dev/null
+++ b/wagtailrill/configuration/__init__.py
@@ -0,0 +1,1 @@
+"""The configuration in force and how it reaches every instance."""
