--- a/wagtailrill/engine/interfaces.py
+++ b/wagtailrill/engine/interfaces.py
@@ -14,9 +14,7 @@
 class RateLimits(Protocol):
     """Fleet-wide limits of organisations."""
 
-    def take(
-        self, organisation: str, on_result: Callable[[TakeResult], None]
-    ) -> None:
+    def take(self, organisation: str, on_result: Callable[[TakeResult], None]) -> None:
         """Take a token, at once or after asking the organisation's home."""
         ...
 
@@ -28,12 +26,12 @@
         """Return the owner of a key, or why there is none now."""
         ...
 
-    def order_started(self, route: SlotRoute) -> int:
-        """Track an order that is about to be sent; return its number."""
+    def order_started(self, order_id: int, route: SlotRoute) -> None:
+        """Track an order that is about to be sent."""
         ...
 
-    def order_ended(self, number: int) -> None:
-        """Stop tracking an order."""
+    def order_ended(self, order_id: int, may_run: bool = False) -> None:
+        """Stop tracking an order; with `may_run` it may still run for a while."""
         ...
 
     def report_unreachable(self, backend_server: str) -> None:
