Let recalled permits serve two waiters before they go back

Cause: while requests wait everywhere, each permit went back to the home after every request, and its slot was empty on the way.

Change: a holder with requests of its own returns one permit after two that serve them, unless more permits are out than the server bears.

Conclusion: saturation costs less, and a flood of one organisation still does not starve another (new test; it fails without the limit on reuse).

--- a/tests/permits/test_faults.py
+++ b/tests/permits/test_faults.py
@@ -205,6 +205,21 @@
     assert fleet.overconnected == 0
 
 
+def test_flood_of_one_organisation_does_not_starve_another():
+    """Guards against a holder that keeps recalled permits for its own queue."""
+    fleet = warm_fleet()
+    flooding = other_than_home(fleet)
+    name = next(n for n in fleet.nodes if n != flooding)
+    for n in range(400):
+        fleet.request(flooding, SERVER, "large", 0.02, 5.0)
+        if n % 40 == 0:
+            fleet.request(name, SERVER, "small", 0.02, 0.2)
+            fleet.run_until(fleet.now_s + 0.1)
+    fleet.run_until(8.0)
+    assert fleet.served_to[name, "small"] == 10
+    assert fleet.overload == 0
+
+
 def test_cancelled_request_gets_no_permit():
     """Guards against a permit for a caller that has left."""
     fleet = settled_fleet()
--- a/wagtailrill/permits/fair_order.py
+++ b/wagtailrill/permits/fair_order.py
@@ -4,6 +4,8 @@
 
 import attrs
 
+from ..declaration.models import Configuration
+
 
 @attrs.define
 class FairOrder:
@@ -26,3 +28,8 @@
 
     def _tag(self, organisation: str) -> float:
         return max(self.tags.get(organisation, 0.0), self.floor)
+
+
+def weights_of(configuration: Configuration) -> dict[str, float]:
+    """Return the weight of each organisation."""
+    return {o.name: o.weight for o in configuration.declaration.organisations}
--- a/wagtailrill/permits/holder.py
+++ b/wagtailrill/permits/holder.py
@@ -14,6 +14,7 @@
     TICK_INTERVAL_S,
     UPTIME_NEWS_S,
 )
+from .fair_order import weights_of
 from .holder_rows import HolderRow, HomeAddress, Waiter
 from .messages import (
     CollectHoldings,
@@ -37,6 +38,7 @@
         self.configuration: Configuration | None = None
         self.rows: dict[str, HolderRow] = {}
         self.session = 1
+        self._weights: dict[str, float] = {}
         self._homes: dict[int, HomeAddress] = {}
         self._row_of_request: dict[int, HolderRow] = {}
         self._permit_ids = itertools.count(1)
@@ -45,6 +47,7 @@
     def configure(self, configuration: Configuration) -> None:
         """Apply a configuration; requests for servers that take no work are denied."""
         self.configuration = configuration
+        self._weights = weights_of(configuration)
         for row in self.rows.values():
             if not configuration.accepts_work(row.backend_server):
                 row.return_idle(len(row.idle))
@@ -199,7 +202,7 @@
             if known:
                 self._drop_holdings(row)
         self._take_grants(row, message)
-        row.recall = message.recall
+        row.recall, row.shrinks = message.recall, message.shrinks
         row.return_idle(message.recall)
         self._close(row, row.close_spare(message.close))
         if message.recall or message.close or row.changed:
@@ -274,9 +277,7 @@
         waiter = row.next_waiter(request_id)
         if waiter is None or not self._may_use(row.backend_server):
             return None
-        organisations = self.configuration.organisations if self.configuration else {}
-        weights = {o.name: o.weight for o in organisations.values()}
-        row.order.served(waiter.organisation, weights)
+        row.order.served(waiter.organisation, self._weights)
         self.cancel(waiter.request_id)
         return waiter
 
@@ -308,7 +309,8 @@
             row.closed += 1
             self._give_back(row)
             return
-        if restarted or row.recall or not self._may_use(row.backend_server):
+        may_use = not restarted and self._may_use(row.backend_server)
+        if not may_use or not row.may_reuse(self.cfg.reuses):
             row.spare += 1
             self._give_back(row)
             return
--- a/wagtailrill/permits/holder_rows.py
+++ b/wagtailrill/permits/holder_rows.py
@@ -72,6 +72,8 @@
     spare: int = 0
     restarts: int = 0
     recall: int = 0
+    shrinks: bool = False
+    reused: int = 0
     idle: deque[float] = attrs.field(factory=deque)
     in_use: dict[int, Permit] = attrs.field(factory=dict)
     waiters: dict[int, Waiter] = attrs.field(factory=dict)
@@ -94,6 +96,21 @@
         """Return whether the totals agree with the permits themselves."""
         return self.held == len(self.idle) + len(self.in_use) and self.spare >= 0
 
+    def may_reuse(self, reuses: int) -> bool:
+        """Return whether a released permit may serve a waiter here.
+
+        While permits are recalled, one goes back after every `reuses` that serve
+        waiters here: the slot is empty while a permit travels over the home.
+        """
+        if not self.recall:
+            self.reused = 0
+            return True
+        if self.shrinks or not self.waiters or self.reused >= reuses:
+            self.reused = 0
+            return False
+        self.reused += 1
+        return True
+
     def next_waiter(self, request_id: int = 0) -> Waiter | None:
         """Return the named waiter, or the next one in fair order."""
         named = self.waiters.get(request_id)
--- a/wagtailrill/permits/home.py
+++ b/wagtailrill/permits/home.py
@@ -8,6 +8,7 @@
 from ..partitions.directory import Member, PartitionDirectory, partition_of
 from ..peer.registry import Envelope
 from .const import RESOURCE_KIND, RESTART_REPORTS_SPREAD_S, TICK_INTERVAL_S
+from .fair_order import weights_of
 from .home_rows import HomePartition, HomeServer, Limits, limits_of
 from .ledger import Ledger, Waiting
 from .messages import (
@@ -32,12 +33,14 @@
         self.cfg = cfg
         self.configuration: Configuration | None = None
         self.partitions: dict[int, HomePartition] = {}
+        self._weights: dict[str, float] = {}
         self._last_drop_s = float("-inf")
         ctx.timers.subscribe(TICK_INTERVAL_S, self._tick)
 
     def configure(self, configuration: Configuration) -> None:
         """Apply a configuration; what exceeds it is recalled."""
         self.configuration = configuration
+        self._weights = weights_of(configuration)
         for row in self._rows():
             self._serve(row)
 
@@ -163,6 +166,7 @@
 
     def _recall_all(self, row: HomeServer) -> None:
         self.ctx.log("backend_server_restarted", backend_server=row.name)
+        row.shrinks = True
         for ledger in row.ledgers.values():
             ledger.recall = ledger.outstanding
             self._send(row, ledger)
@@ -188,6 +192,7 @@
             if not self._grant_next(row, limits):
                 break
             waiting, free = waiting - 1, free - 1
+        row.shrinks = free < 0
         self._recall(row, waiting, -free)
 
     def _grant_next(self, row: HomeServer, limits: Limits) -> bool:
@@ -207,10 +212,7 @@
     def _grant(
         self, row: HomeServer, ledger: Ledger, waiting: Waiting, connect: bool
     ) -> None:
-        configuration = self.configuration
-        organisations = configuration.organisations if configuration else {}
-        weights = {o.name: o.weight for o in organisations.values()}
-        row.order.served(waiting.organisation, weights)
+        row.order.served(waiting.organisation, self._weights)
         ledger.grant(waiting.request_id, connect, self.ctx.now_s)
         self._send(row, ledger, waiting.request_id)
 
@@ -271,6 +273,7 @@
             close=ledger.close,
             queue_length=row.queue_length,
             start_id=row.ramp.start_id,
+            shrinks=row.shrinks,
         )
         self.ctx.send(ledger.member.instance, message, ledger.member.incarnation)
 
--- a/wagtailrill/permits/home_rows.py
+++ b/wagtailrill/permits/home_rows.py
@@ -22,6 +22,7 @@
     ledgers: dict[Member, Ledger] = attrs.field(factory=dict)
     reserves: list[Reserve] = attrs.field(factory=list)
     order: FairOrder = attrs.field(factory=FairOrder)
+    shrinks: bool = False
 
     @property
     def outstanding(self) -> int:
--- a/wagtailrill/permits/messages.py
+++ b/wagtailrill/permits/messages.py
@@ -59,7 +59,8 @@
 
     `granted` and `connects` are totals; `recall` and `close` say how many permits
     and idle connections the home wants back now. `request_id` names the request for
-    which the last permit was granted, or is 0.
+    which the last permit was granted, or is 0. With `shrinks` more permits are
+    outstanding than the server bears.
     """
 
     backend_server: str
@@ -73,6 +74,7 @@
     close: int
     queue_length: int
     start_id: str
+    shrinks: bool
 
 
 @attrs.frozen
--- a/wagtailrill/permits/models.py
+++ b/wagtailrill/permits/models.py
@@ -43,16 +43,19 @@
 
 @attrs.frozen
 class PermitSettings:
-    """Durations in seconds of holder and home.
-
-    `keep_s`: how long an idle permit stays with its holder. `resend_s`: after which
-    an unanswered request or grant is sent again. `reconcile_s`: after which a change
-    that the home has not confirmed is reported again. `unknown_holdings_wait_s`: how
-    long a new home holds back what a member dropped before its report may still use;
-    it fits the 4 s within which a key is served again after a loss.
+    """Settings of holder and home; durations in seconds.
+
+    `keep_s`: how long an idle permit stays with its holder. `reuses`: how many
+    released permits serve waiters of their holder for each one that goes back on a
+    recall. `resend_s`: after which an unanswered request or grant is sent again.
+    `reconcile_s`: after which a change that the home has not confirmed is reported
+    again. `unknown_holdings_wait_s`: how long a new home holds back what a member
+    dropped before its report may still use; it fits the 4 s within which a key is
+    served again after a loss.
     """
 
     keep_s: float = 0.5
+    reuses: int = 2
     resend_s: float = 0.1
     reconcile_s: float = 1.0
     unknown_holdings_wait_s: float = 1.0
--- a/wagtailrill/permits/permits.capnp
+++ b/wagtailrill/permits/permits.capnp
@@ -39,6 +39,7 @@
   close @8 :UInt32;
   queueLength @9 :UInt32;
   startId @10 :Text;
+  shrinks @11 :Bool;
 }
 
 struct PartitionEpoch {
