Count the hedge budget in work instead of attempts

Cause: requests that are hedged are the long ones.

Change: the hedge budget is 5% of the answered requests' duration; a hedge is charged its expected duration and corrected when it ends (`hedge_ended`).

--- a/wagtailrill/retries/policy.py
+++ b/wagtailrill/retries/policy.py
@@ -8,6 +8,7 @@
 from ..core.orders import AttemptOutcome
 from ..declaration.models import Configuration, Route
 from .budget import Budget
+from .const import HEDGE_WEIGHT
 from .histogram import LatencyHistogram
 from .models import RetrySettings
 
@@ -29,6 +30,12 @@
     hedges: Budget
     depends_on: tuple[str, ...] = ()
     histogram: LatencyHistogram = attrs.field(factory=LatencyHistogram)
+    hedge_s: float = 0.0
+
+    @property
+    def hedge_cost_s(self) -> float:
+        """Return the duration expected of a hedge in seconds."""
+        return max(self.hedge_s, self.histogram.mean_s())
 
 
 class RetryPolicy:
@@ -52,7 +59,6 @@
         row = self._rows.get(service)
         if row is not None:
             row.retries.deposit(self.ctx.now_s)
-            row.hedges.deposit(self.ctx.now_s)
 
     def may_retry(
         self,
@@ -82,20 +88,35 @@
         row = self._rows.get(service)
         if row is None or row.histogram.total < self.cfg.hedge_samples_min:
             return None
-        if row.hedges.exhausted(self.ctx.now_s) or self._dependency_exhausted(row):
+        if row.hedges.exhausted(self.ctx.now_s, row.hedge_cost_s):
+            return None
+        if self._dependency_exhausted(row):
             return None
         return row.histogram.quantile_s(self.cfg.hedge_quantile)
 
     def take_hedge(self, service: str) -> bool:
-        """Take one hedge from the budget when its delay is over."""
+        """Take one hedge from the budget when its delay is over.
+
+        Its work is estimated from earlier hedges until `hedge_ended`.
+        """
         row = self._rows.get(service)
-        return row is not None and row.hedges.withdraw(self.ctx.now_s)
+        if row is None:
+            return False
+        return row.hedges.withdraw(self.ctx.now_s, row.hedge_cost_s)
+
+    def hedge_ended(self, service: str, latency_s: float) -> None:
+        """Charge the work of a hedge: requests that take long have long hedges."""
+        row = self._rows.get(service)
+        if row is not None:
+            row.hedges.correct(self.ctx.now_s, latency_s - row.hedge_cost_s)
+            row.hedge_s += HEDGE_WEIGHT * (latency_s - row.hedge_s)
 
     def record(self, service: str, outcome: AttemptOutcome, latency_s: float) -> None:
-        """Take in the latency of an answer."""
+        """Take in the latency of an answer to a request's first attempt."""
         row = self._rows.get(service)
         if row is not None and outcome is AttemptOutcome.ANSWERED:
             row.histogram.record(latency_s)
+            row.hedges.deposit(self.ctx.now_s, latency_s)
 
     def backoff_s(self, attempts_made: int) -> float:
         """Return how many seconds to wait before the next attempt."""
@@ -106,7 +127,7 @@
         cfg, now_s = self.cfg, self.ctx.now_s
         return ServiceRow(
             Budget(cfg.retry_share, cfg.retry_minimum, cfg.window_s, updated_s=now_s),
-            Budget(cfg.hedge_share, cfg.hedge_minimum, cfg.window_s, updated_s=now_s),
+            Budget(cfg.hedge_share, 0.0, cfg.window_s, updated_s=now_s),
         )
 
     def _dependency_exhausted(self, row: ServiceRow) -> bool:
