Run both deployments on loopback

Cause: the whole path has to run with one command. Change: the demo writes the declaration, settles, and sends traffic in proportion to the organisations' rates.

--- a/script/demo.py
+++ b/script/demo.py
@@ -28,6 +28,9 @@
         duration_s=duration_s,
         seed=seed,
         tenant_keys=keys,
+        organisation_shares={
+            o.name: o.rate_per_s for o in fleet.declaration.organisations
+        },
     )
     return anyio.run(LoadRunner(cfg, fleet.declaration).async_run)
 
--- a/script/fleet.py
+++ b/script/fleet.py
@@ -13,7 +13,11 @@
 from pathlib import Path
 from typing import Any
 
+import anyio
+
 from wagtailrill.declaration.parse import parse
+from wagtailrill.platform.http_store import HttpStore
+from wagtailrill.platform.models import Write
 from wagtailrill.settings.models import InstanceSettings
 from wagtailrill.settings.parse import parse as parse_settings
 
@@ -73,7 +77,15 @@
         arguments += ["--instances", str(self.settings_files[0].parent)]
         self._start("store", arguments)
         self._wait(lambda: fetch(self.store, "/v1/instances")[0] == 200, "store")
-        self.control("apply", str(self.declaration_file), "--store", self.store)
+        anyio.run(self._async_write_declaration)
+
+    async def _async_write_declaration(self) -> None:
+        key = f"{self.declaration.deployment}/config"
+        async with HttpStore((self.store,)) as store:
+            write = Write(key, self.declaration_file.read_bytes(), 0)
+            result = await store.async_call(write)
+        if result.is_error():
+            raise RuntimeError(f"the store refused the declaration: {result.error}")
 
     def start_backend_servers(self, warm: bool = True) -> None:
         """Start the backend servers, one process per service."""
