--- /dev/null
+++ b/wagtailrill/cli/__init__.py
@@ -0,0 +1,1 @@
+"""Command line for operators: wagtailrillctl."""
