Tell the exported version and whose changes are shown

Change: export notes the version on standard error, a closed pipe is no error, and conflicts carry a heading. Conclusion: the output of export can be piped and applied again with its version.

--- a/tests/cli/test_main.py
+++ b/tests/cli/test_main.py
@@ -102,6 +102,8 @@
             capsys, *common, "organisation", "grant", "night-survey", "--json"
         )
         assert json.loads(out)["tenant_key"].startswith("wr_")
+        code, out, err = invoke(capsys, *common, "export")
+        assert (json.loads(out)["deployment"], "version 4" in err) == ("piraeus", True)
         assert invoke(capsys, *common, "data-centre", "out", "x")[0] == 1
 
 
--- a/wagtailrill/cli/__main__.py
+++ b/wagtailrill/cli/__main__.py
@@ -220,6 +220,8 @@
     stream = sys.stdout if answers else sys.stderr
     for line in result.lines:
         print(line, file=stream)
+    for note in result.notes:
+        print(note, file=sys.stderr)
 
 
 def _findings_result(findings: tuple[Finding, ...]) -> CommandResult:
@@ -252,7 +254,12 @@
     """Run the command line and exit."""
     options = make_parser().parse_args(arguments)
     result = run(options)
-    write_result(result, options.json)
+    try:
+        write_result(result, options.json)
+        sys.stdout.flush()
+    except BrokenPipeError:
+        # The reader of the output has left; the interpreter must not flush it again.
+        os.dup2(os.open(os.devnull, os.O_WRONLY), sys.stdout.fileno())
     sys.exit(int(result.exit_code))
 
 
--- a/wagtailrill/cli/models.py
+++ b/wagtailrill/cli/models.py
@@ -57,12 +57,14 @@
     """What a command prints: `lines` for a person, `fields` for `--json`.
 
     `partial` says that the lines are an answer although the command failed in part.
+    `notes` go to standard error, so that the lines can be piped.
     """
 
     exit_code: ExitCode
     lines: tuple[str, ...]
     fields: dict[str, Any] = attrs.field(factory=dict)
     partial: bool = False
+    notes: tuple[str, ...] = ()
 
 
 @attrs.frozen
--- a/wagtailrill/cli/store_commands.py
+++ b/wagtailrill/cli/store_commands.py
@@ -100,8 +100,9 @@
     match await store.async_load():
         case Result(tag="ok", ok=now) if now.declaration is not None:
             if base.declaration is None:
-                return _changed(now, now.declaration, uncertain)
+                return _changed_result(now.revision, (), uncertain)
             lines = difference(base.declaration, now.declaration)
+            lines = ("changes of the other operator:", *lines)
             return _changed_result(now.revision, lines, uncertain)
         case Result(tag="ok", ok=now):
             return _changed_result(now.revision, (), uncertain)
@@ -110,7 +111,7 @@
 
 
 def _changed(stored: Loaded, wanted: Declaration, uncertain: bool) -> CommandResult:
-    lines = describe(stored, wanted)
+    lines = ("from the stored declaration to yours:", *describe(stored, wanted))
     return _changed_result(stored.revision, lines, uncertain)
 
 
@@ -233,6 +234,7 @@
                 return refused(NOTHING_STORED)
             text = to_json(declaration, indent=2)
             fields = {"version": revision, "declaration": text}
-            return CommandResult(ExitCode.OK, (text,), fields)
+            note = f"version {revision}; give it to apply as --base-version"
+            return CommandResult(ExitCode.OK, (text,), fields, notes=(note,))
         case Result(error=failure):
             return failed(failure)
