Move the constants of the election to the constants module

Cause: two tuning constants stood outside the constants module. Change: moved, with the reason. Conclusion: no change of behaviour.

--- a/wagtailrill/membership/const.py
+++ b/wagtailrill/membership/const.py
@@ -20,6 +20,10 @@
 # Members take turns by rank, so that usually one of them calls the store.
 RANK_DELAY_S: Final = 0.06
 RANK_DELAYS_MAX: Final = 12
+# Members of the first ranks wait for the store lease to expire; the others follow
+# only if none of these takes over.
+WATCHING_RANKS: Final = 3
+LATE_RANKS_WAIT_S: Final = 2.0
 ELECTION_RETRY_S: Final = 0.5
 WATCH_TIMEOUT_S: Final = 2.5
 CONTROL_TICK_S: Final = 0.1
--- a/wagtailrill/membership/election.py
+++ b/wagtailrill/membership/election.py
@@ -20,20 +20,17 @@
 )
 from .const import (
     ELECTION_RETRY_S,
+    LATE_RANKS_WAIT_S,
     RANK_DELAY_S,
     RANK_DELAYS_MAX,
     WATCH_TIMEOUT_S,
+    WATCHING_RANKS,
 )
 from .follower import Follower
 from .store_calls import StoreCalls
 from .store_lease import StoreLease
 from .view import CellView
 
-# Members of the first ranks wait for the store lease to expire; the others follow
-# only if none of these takes over.
-WATCHING_RANKS = 3
-LATE_RANKS_WAIT_S = 2.0
-
 
 def rendezvous_order(cell: str, members: list[Member]) -> list[Member]:
     """Return members in the order in which they take over."""
