--- a/tests/ownership/test_component.py
+++ b/tests/ownership/test_component.py
@@ -179,3 +179,33 @@
     assert 0 < len(before) < 13
     single.membership.suspects = {"b", "c"}
     assert {n for n in names if backends.has_duty(n)} == set(names)
+
+
+def test_hot_keys_follow_the_load_within_minutes():
+    """Guards against hot keys that are not promoted, or stay when they are cold."""
+    single, _ = assigned()
+    ownership = single.ownership
+    others = [b"cold-%d" % n for n in range(400)]
+
+    def serve(hot, duration_s):
+        end_s = single.ctx.now_s + duration_s
+        while single.ctx.now_s < end_s:
+            single.run(0.05, reply_to)
+            for key in [*hot, *single.ctx.rng.sample(others, 10)]:
+                route = ownership.route("roll", key)
+                if isinstance(route, SlotRoute):
+                    ownership.order_started(1, route)
+                    ownership.order_ended(1)
+
+    def hot_keys():
+        return {k.key_hash for k in single.membership.table.hot_keys}
+
+    first = [b"hot-%d" % n for n in range(3)]
+    serve(first, 60.0)
+    assert {key_hash(k) for k in first} <= hot_keys()
+    assert all(isinstance(ownership.route("roll", k), SlotRoute) for k in first)
+    second = [b"new-%d" % n for n in range(3)]
+    serve(second, 180.0)
+    assert {key_hash(k) for k in second} <= hot_keys()
+    assert not {key_hash(k) for k in first} & hot_keys()
+    assert ownership.churn.demoted >= 3
--- a/wagtailrill/ownership/backends.py
+++ b/wagtailrill/ownership/backends.py
@@ -34,6 +34,7 @@
     checks_grants: bool
     failures: int = 0
     lost: bool = False
+    announcements: int = 0
     announce_due_s: float = -math.inf
     lost_until_s: float = -math.inf
     last_lost_s: float = -math.inf
@@ -217,7 +218,8 @@
     def _operation(
         self, row: BackendRow, desired: tuple[int, tuple[SlotEpoch, ...]]
     ) -> BackendOperation:
-        if not row.checks_grants or row.failures or row.lost:
+        # A grant sent to a lost server would only lengthen the wait for its expiry.
+        if not row.checks_grants or row.failures or self.is_lost(row.name):
             return Probe()
         return self._grant(row, full=row.granted != desired) or Probe()
 
@@ -279,7 +281,7 @@
         row.granted = None
         row.next_due_s = row.call_started_s + const.PROBE_TIMEOUT_S
         if row.failures >= const.PROBE_FAILURES and not row.lost:
-            row.lost = True
+            row.lost, row.announcements = True, 0
             self._announce(row)
 
     def _expire_call(self, row: BackendRow) -> None:
@@ -288,7 +290,14 @@
             self._failed(row)
 
     def _announce(self, row: BackendRow) -> None:
-        row.announce_due_s = self._ctx.now_s + const.LOST_ANNOUNCE_INTERVAL_S
+        row.announcements += 1
+        first = row.announcements <= const.LOST_FIRST_ANNOUNCEMENTS
+        interval_s = (
+            const.LOST_FIRST_ANNOUNCE_INTERVAL_S
+            if first
+            else const.LOST_ANNOUNCE_INTERVAL_S
+        )
+        row.announce_due_s = self._ctx.now_s + interval_s
         self._broadcast(row, reachable=False)
 
     def _broadcast(self, row: BackendRow, reachable: bool) -> None:
--- a/wagtailrill/ownership/changes.py
+++ b/wagtailrill/ownership/changes.py
@@ -91,7 +91,11 @@
 def promote(
     table: CellTable, service: str, targets: Mapping[int, str], hot_keys_max: int
 ) -> CellTable:
-    """Give hot keys, by hash, owners of their own; keys of a moving slot wait."""
+    """Give hot keys, by hash, owners of their own; keys of a moving slot wait.
+
+    Their slots stay where they are but get the new epoch, so that the previous owner
+    refuses a late order for the key that was sent for its slot.
+    """
     owners = _owners(table, service)
     epoch = next_epoch(table, service)
     known = {k.key_hash for k in table.hot_keys if k.service == service}
@@ -102,8 +106,11 @@
         and slot_of(hashed) in owners
         and owners[slot_of(hashed)].state is SlotState.SERVING
     ]
-    room = hot_keys_max - len(table.hot_keys)
-    return attrs.evolve(table, hot_keys=(*table.hot_keys, *added[: max(room, 0)]))
+    added = added[: max(hot_keys_max - len(table.hot_keys), 0)]
+    slots = {slot_of(key.key_hash) for key in added}
+    raised = {slot: attrs.evolve(owners[slot], epoch=epoch) for slot in slots}
+    promoted = attrs.evolve(table, hot_keys=(*table.hot_keys, *added))
+    return replace_owners(promoted, service, raised) if added else table
 
 
 def demote(table: CellTable, service: str, hashes: Iterable[int]) -> CellTable:
--- a/wagtailrill/ownership/component.py
+++ b/wagtailrill/ownership/component.py
@@ -130,6 +130,10 @@
         if not may_run:
             self._orders.end(order_id)
 
+    def orders_in_flight(self) -> int:
+        """Return how many orders may still run; a drain ends at 0, before the lease."""
+        return len(self._orders)
+
     def report_unreachable(self, backend_server: str) -> None:
         """Have a backend server probed at once after a failed attempt."""
         self.backends.report_unreachable(backend_server)
@@ -183,14 +187,14 @@
     def _tick(self) -> None:
         self.backends.tick()
         self._orders.prune(self._ctx.now_s)
-        if self._membership.coordinates():
-            identity = self._ctx.identity
-            own = Member(identity.instance, identity.incarnation)
-            self.coordinator.moves.report(own, self._report(), self._ctx.now_s)
-        self.coordinator.tick(self._view)
+        self.coordinator.tick(self._view, self._report)
 
     def _report(self) -> MemberReport:
-        return MemberReport(self._view.version, self.backends.grant_ages_s())
+        return MemberReport(
+            self._view.version,
+            self.backends.grant_ages_s(),
+            self._membership.has_lease(),
+        )
 
     def _on_report(self, member: Member, payload: bytes) -> None:
         try:
--- a/wagtailrill/ownership/coordinator.py
+++ b/wagtailrill/ownership/coordinator.py
@@ -7,7 +7,8 @@
 from ..core.context import Context
 from ..declaration.const import KEY_SLOT_COUNT
 from ..declaration.models import Configuration, Service
-from ..membership.table import CellTable, SlotState
+from ..membership.table import CellTable
+from ..partitions.directory import Member
 from . import changes, const
 from .backends import BackendWatcher
 from .hot_keys import plan_hot_keys
@@ -27,6 +28,7 @@
     plan_orphans,
     planning_loads,
 )
+from .reports import MemberReport
 from .view import ServiceView, TableView
 
 Step = Callable[[CellTable], CellTable]
@@ -70,7 +72,7 @@
         """Plan by a new configuration from now on."""
         self._configuration = configuration
 
-    def tick(self, view: TableView) -> None:
+    def tick(self, view: TableView, own_report: Callable[[], MemberReport]) -> None:
         """Start at most one change of the cell table."""
         if self._configuration is None or not self._in_charge():
             self._stand_down()
@@ -78,6 +80,10 @@
         if self._membership.table_version != view.version:
             return
         self.moves.observe(view)
+        # Before any revocation, which would count as this member's last grant.
+        identity = self._ctx.identity
+        own = Member(identity.instance, identity.incarnation)
+        self.moves.report(own, own_report(), self._ctx.now_s)
         keyed = [s for s in self._configuration.services.values() if s.keyed]
         checking = {s.name for s in keyed if s.checks_grants}
         self._revoke(checking)
@@ -152,10 +158,7 @@
                 continue
             urgent = self._orphans(service_view, fleet)
             steps += urgent
-            moving = any(
-                o.state is SlotState.MOVING for _, o in service_view.numbered()
-            )
-            if balance and not urgent and not moving:
+            if balance and not urgent and not service_view.moving:
                 steps += self._periodic(service_view, fleet)
         return steps
 
@@ -186,8 +189,7 @@
 
     def _orphans(self, view: ServiceView, fleet: _Fleet) -> list[Step]:
         names = {s.name for s in fleet.receivers} | fleet.staying
-        owners = {owner.backend_server for _, owner in view.numbered()}
-        if owners <= names:
+        if view.owner_names() <= names:
             return []
         items = self._items(view, self._rates(view), fleet)
         moves = plan_orphans(items, fleet.receivers, fleet.staying)
--- a/wagtailrill/ownership/moves.py
+++ b/wagtailrill/ownership/moves.py
@@ -5,7 +5,7 @@
 import attrs
 
 from ..core.const import granter_duration_s
-from ..membership.table import SlotOwner, SlotState
+from ..membership.table import SlotOwner
 from ..partitions.directory import Member
 from .const import GRANT_S, WALL_CLOCK_ERROR_S
 from .models import MembershipView
@@ -43,11 +43,13 @@
         self._moves: dict[tuple[str, int], _Move] = {}
         self._versions: dict[int, _Version] = {}
         self._revoked: dict[str, int] = {}
+        self._departing: dict[Member, dict[str, float]] = {}
         self._seen_version = -1
 
     def reset(self) -> None:
         """Forget everything at the end of a term."""
         self._moves, self._versions, self._revoked = {}, {}, {}
+        self._departing = {}
         self._seen_version = -1
 
     def observe(self, view: TableView) -> None:
@@ -57,13 +59,12 @@
         self._seen_version = view.version
         moves: dict[tuple[str, int], _Move] = {}
         for service in view.services.values():
-            for number, owner in service.numbered():
-                if owner.state is SlotState.MOVING:
-                    key = service.service, number
-                    known = self._moves.get(key)
-                    same = known is not None and known.owner == owner
-                    version = known.version if known and same else view.version
-                    moves[key] = _Move(service.service, number, owner, version)
+            for number, owner in service.moving.items():
+                key = service.service, number
+                known = self._moves.get(key)
+                if known is None or known.owner != owner:
+                    known = _Move(service.service, number, owner, view.version)
+                moves[key] = known
         self._moves = moves
         used = {move.version for move in moves.values()}
         self._versions = {v: self._versions.get(v, _Version()) for v in used}
@@ -71,6 +72,10 @@
     def report(self, member: Member, report: MemberReport, now_s: float) -> None:
         """Note when a member that applied a version last granted before it did."""
         last = {name: now_s - age for name, age in report.grant_ages_s.items()}
+        self._departing.pop(member, None)
+        if not report.leased:
+            # A lease that was given up is not waited for, but its last grants are.
+            self._departing[member] = last
         for version, known in self._versions.items():
             if report.version >= version:
                 known.last_grants_s.setdefault(member, last)
@@ -132,5 +137,7 @@
         members = self._membership.members()
         if any(member not in known for member in members):
             return math.inf
-        times = (known[m].get(backend_server, -math.inf) for m in members)
-        return max(times, default=-math.inf)
+        grants = [*(known[m] for m in members), *self._departing.values()]
+        return max(
+            (last.get(backend_server, -math.inf) for last in grants), default=-math.inf
+        )
--- a/wagtailrill/ownership/view.py
+++ b/wagtailrill/ownership/view.py
@@ -3,8 +3,8 @@
 import attrs
 
 from ..core.backend import SlotEpoch
-from ..membership.table import CellTable, ServiceSlots, SlotOwner, SlotState
-from .keys import hot_slot, slot_of
+from ..membership.table import CellTable, SlotOwner, SlotState
+from .keys import hash_of_hot_slot, hot_slot, slot_of
 
 
 @attrs.define
@@ -18,8 +18,19 @@
     service: str
     owners: tuple[SlotOwner, ...]
     hot: dict[int, SlotOwner]
-    fence: int
-    grants: dict[str, tuple[SlotEpoch, ...]]
+    fence: int = 0
+    moving: dict[int, SlotOwner] = attrs.field(factory=dict)
+    _serving: dict[str, list[int]] = attrs.field(factory=dict)
+    _grants: dict[str, tuple[SlotEpoch, ...]] = attrs.field(factory=dict)
+
+    def __attrs_post_init__(self) -> None:
+        for number, owner in self.numbered():
+            if owner.epoch > self.fence:
+                self.fence = owner.epoch
+            if owner.state is SlotState.MOVING:
+                self.moving[number] = owner
+            else:
+                self._serving.setdefault(owner.backend_server, []).append(number)
 
     def owner_of(self, hashed: int) -> tuple[int, SlotOwner]:
         """Return the slot number and the owner that apply to a key hash."""
@@ -34,21 +45,24 @@
         hot = [(hot_slot(h), owner) for h, owner in self.hot.items()]
         return [*enumerate(self.owners), *hot]
 
+    def owner_names(self) -> set[str]:
+        """Return the names of all owners, new ones where slots are moving."""
+        moving = {owner.backend_server for owner in self.moving.values()}
+        return self._serving.keys() | moving
+
     def granted_to(self, backend_server: str) -> tuple[SlotEpoch, ...]:
         """Return the slots that a backend server may serve."""
-        return self.grants.get(backend_server, ())
-
-
-def _service_view(slots: ServiceSlots, hot: dict[int, SlotOwner]) -> ServiceView:
-    view = ServiceView(slots.service, slots.owners, hot, 0, {})
-    grants: dict[str, list[SlotEpoch]] = {}
-    for number, owner in view.numbered():
-        view.fence = max(view.fence, owner.epoch)
-        if owner.state is SlotState.SERVING and owner.backend_server:
-            grant = SlotEpoch(number, owner.epoch)
-            grants.setdefault(owner.backend_server, []).append(grant)
-    view.grants = {name: tuple(slots) for name, slots in grants.items()}
-    return view
+        granted = self._grants.get(backend_server)
+        if granted is None:
+            owners = self.owners
+            granted = tuple(
+                SlotEpoch(n, owners[n].epoch)
+                if n < len(owners)
+                else SlotEpoch(n, self.hot[hash_of_hot_slot(n)].epoch)
+                for n in self._serving.get(backend_server, ())
+            )
+            self._grants[backend_server] = granted
+        return granted
 
 
 @attrs.frozen
@@ -67,7 +81,7 @@
         return cls(
             version,
             {
-                s.service: _service_view(s, hot.get(s.service, {}))
+                s.service: ServiceView(s.service, s.owners, hot.get(s.service, {}))
                 for s in table.key_slots
             },
         )
