--- a/wagtailrill/membership/coordinator.py
+++ b/wagtailrill/membership/coordinator.py
@@ -2,7 +2,7 @@
 
 import itertools
 from collections import deque
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 
 import attrs
 
@@ -74,13 +74,15 @@
         outage_age_s = self.ctx.now_s - follower.outage_confirmed_s
         self.grace.acknowledge(self.view.me.instance, self.ctx.now_s, outage_age_s)
         self.planner = Planner(self.view, self.rows, self.grace)
+        self.planner.may_drop = self._hears_majority
         self.writer = TableWriter(self.cfg, store)
         self.stopped = False
         self._taken_over_s = takeover.taken_over_s
+        self._heard_majority = False
         self._lease_listener = LeaseListener(self.broadcast, on_refused)
         self._numbers = itertools.count(1)
         self._updates: deque[tuple[TableChange, Done]] = deque()
-        for member in self.view.table.members if self.view.table else ():
+        for member in self._members():
             self._row(member)
 
     def _grace(self, takeover: Takeover) -> GraceWait:
@@ -104,6 +106,9 @@
             row = self.rows[member] = PeerRow(member)
         return row
 
+    def _members(self) -> tuple[Member, ...]:
+        return self.view.table.members if self.view.table is not None else ()
+
     # Authority
 
     def in_store_mode(self) -> bool:
@@ -126,8 +131,10 @@
     def _outage_end_s(self) -> float:
         # An unconfirmed write may have changed the members whose majority a new
         # coordinator asks, so both sets need a majority.
-        tables = [t for t in (self.view.table, self.writer.proposed) if t is not None]
-        return min((self._confirmed_end_s(t) for t in tables), default=float("-inf"))
+        if self.view.table is None:
+            return float("-inf")
+        tables = [self.view.table, *self.writer.unresolved]
+        return min(map(self._confirmed_end_s, tables))
 
     def _confirmed_end_s(self, table: CellTable) -> float:
         now_s = self.ctx.now_s
@@ -146,13 +153,16 @@
 
     def _hears_majority(self) -> bool:
         now_s = self.ctx.now_s
-        members = self.view.table.members if self.view.table else ()
+        members = self._members()
         heard = sum(
             m == self.view.me or now_s - self._row(m).heard_s < MAJORITY_CONTACT_S
             for m in members
         )
+        if not members or heard >= majority(len(members)):
+            self._heard_majority = True
+            return True
         recent = now_s - self._taken_over_s < MINORITY_TERM_S
-        return recent or not members or heard >= majority(len(members))
+        return recent and not self._heard_majority
 
     # Ticks
 
@@ -181,7 +191,7 @@
             self.cfg.heartbeat_interval_s if self.lease.down else UNASKED_AFTER_S
         )
         due_s = self.ctx.now_s - interval_s
-        for member in self.view.table.members if self.view.table else ():
+        for member in self._members():
             if member != self.view.me and self._row(member).sent_s <= due_s:
                 self._send(self._row(member), 0, 0.0)
 
@@ -189,7 +199,7 @@
         """Send a heartbeat that asks for a reply to every member."""
         if not self.has_authority():
             return
-        for member in self.view.table.members if self.view.table else ():
+        for member in self._members():
             if member != self.view.me:
                 self._send(self._row(member), 0, 0.0)
 
@@ -253,6 +263,9 @@
         join = table.join_of(row.member) if table else 0
         if join == 0 or reply.join != join or row.lapsed_join >= join:
             return 0.0
+        # A write that drops the member may take effect before the lease would end.
+        if any(t.join_of(row.member) != join for t in self.writer.unresolved):
+            return 0.0
         now_s = self.ctx.now_s
         authority_s = self.authority_end_s() - now_s
         lease_s = min(self.cfg.member_lease_s, authority_s + self.cfg.lease_cap_s)
@@ -260,20 +273,21 @@
         row.granted_until_s = max(row.granted_until_s, until_s)
         return lease_s
 
-    def send_table(self, receiver: str) -> None:
-        """Send the confirmed table to an instance."""
+    def send_table(self, receivers: Iterable[str]) -> None:
+        """Send the confirmed table to instances."""
         table = self.view.table
-        if table is not None:
-            document = TableDocument(self.term, self.view.version, table.to_bytes())
+        if table is None:
+            return
+        document = TableDocument(self.term, self.view.version, table.to_bytes())
+        for receiver in receivers:
             self.ctx.send(receiver, document)
 
     # Table
 
     def distribute(self) -> None:
         """Send the confirmed table to all other members."""
-        for member in self.view.table.members if self.view.table else ():
-            if member != self.view.me:
-                self.send_table(member.instance)
+        others = [m for m in self._members() if m != self.view.me]
+        self.send_table([member.instance for member in others])
 
     def update(self, change: TableChange, on_done: Done) -> None:
         """Queue a change of the table."""
@@ -310,6 +324,7 @@
         done: list[tuple[Done, bool]],
     ) -> CellTable | None:
         if base is None or base.term != self.term:
+            self.stopped = True
             return None
         if version > self.view.version:
             self._apply(base, version)
--- a/wagtailrill/membership/membership.py
+++ b/wagtailrill/membership/membership.py
@@ -196,14 +196,15 @@
             return
         if self._lead is not None:
             self._tick_lead(self._lead)
-        else:
+        elif self._takeover_writer.job is None:
             self._election.check()
         if self._leaving.tick(self._lead is not None):
             self._stop()
 
     def _tick_lead(self, lead: Coordinator) -> None:
         lead.tick()
-        if not lead.has_authority() and not lead.lease.down and not lead.stopped:
+        waits = lead.lease.down and not lead.stopped
+        if not lead.has_authority() and not waits:
             self._step_down()
             self._election.defer()
 
@@ -267,7 +268,7 @@
 
     def _on_table_request(self, envelope: Envelope) -> None:
         if self._lead is not None and self._lead.has_authority():
-            self._lead.send_table(envelope.sender)
+            self._lead.send_table([envelope.sender])
 
     def _on_table(self, envelope: Envelope) -> None:
         document: TableDocument = envelope.message
@@ -338,6 +339,8 @@
     def _step_down(self) -> None:
         lead, self._lead = self._lead, None
         if lead is not None:
+            if lead.lease.down:
+                self._follower.outage_confirmed_s = self.ctx.now_s
             lead.stop()
             self._view.coordinator = None
             self.ctx.log("coordinator_stopped", term=lead.term)
