Stop the commands of a process that is lost within its step

Cause: ownership runs lose a process between two of its commands, and the next store call then had no row. Change: the driver stops there. Conclusion: a loss between two commands is now a case of the driver.

--- a/wagtailrill/stand_ins/virtual_fleet.py
+++ b/wagtailrill/stand_ins/virtual_fleet.py
@@ -182,6 +182,8 @@
         now_s = row.offset_s + self.now_s * row.rate
         commands = row.node.step(event, now_s, WALL_EPOCH_S + self.now_s)
         for command in commands:
+            if self.nodes.get(row.name) is not row:
+                return  # a handler lost the process between two of its commands
             handler = self._handlers.get(type(command))
             if handler is not None:
                 handler(row.name, command)
