Schedule wake-ups of the virtual fleet without rounding

Change: wake-ups are queued at their exact time. Figures: the new test fails before the change and passes after. Conclusion: instances in virtual runs no longer stop by themselves.

--- a/tests/stand_ins/test_virtual_fleet.py
+++ b/tests/stand_ins/test_virtual_fleet.py
@@ -66,3 +66,27 @@
     fleet.nodes["a"].node.ctx.call_store(Read("k"), results.append)
     fleet.run_until(3.0)
     assert results[0].error.kind is StoreErrorKind.UNAVAILABLE
+
+
+class Alarm:
+    """An instance that only waits for three times."""
+
+    def __init__(self, rng):
+        self.due = [rng.uniform(0.001, 0.03), rng.uniform(0.1, 0.2), 0.25]
+
+    def step(self, event, now_s, wall_s):
+        self.due = [due_s for due_s in self.due if due_s > now_s]
+        return []
+
+    def next_due_s(self):
+        return self.due[0] if self.due else None
+
+
+def test_no_instance_misses_its_wake_up_through_rounding():
+    """Guards against an instance that stops because a wake-up came an ulp early."""
+    for seed in range(1000):
+        fleet = VirtualFleet(lambda name, incarnation, rng: Alarm(rng), seed)
+        row = fleet.start("a")
+        row.offset_s = 0.0
+        fleet.run_until(0.3)
+        assert len(row.node.due) == 0
--- a/wagtailrill/stand_ins/virtual_fleet.py
+++ b/wagtailrill/stand_ins/virtual_fleet.py
@@ -190,7 +190,9 @@
         if row.wake_s > self.now_s and row.wake_s <= wake_s:
             return
         row.wake_s = wake_s
-        self.call_later(wake_s - self.now_s, lambda: self._step(row, None))
+        # At exactly `wake_s`: a wake-up that rounding puts earlier would look pending.
+        entry = (wake_s, next(self._order), lambda: self._step(row, None))
+        heapq.heappush(self._queue, entry)
 
     def _send_peer(self, sender: str, command: Command) -> None:
         assert isinstance(command, SendPeer)
