--- a/wagtailrill/settings/parse.py
+++ b/wagtailrill/settings/parse.py
@@ -92,8 +92,6 @@
         limits=_limits(reader.nested("limits")),
     )
     _check_listeners(reader, settings)
-    if settings.load_balancer_lag_s > settings.drain_s:
-        reader.add("load_balancer_lag_s", "The lag must not exceed drain_s.")
     reader.finish()
     return settings
 
