Read the waiting requests by service from the status

Cause: instances report waiting requests by service, and the command line refused such an answer. Change: the status model takes the counts by service and shows their sum; without a configuration the summary says nothing about one.

--- a/tests/cli/test_main.py
+++ b/tests/cli/test_main.py
@@ -25,7 +25,7 @@
     "configuration_version": 3,
     "members": ["instance-01"],
     "open_requests": 0,
-    "queued": 0,
+    "queued": {"ledgerroll": 2, "boxfinder": 1},
     "outage_mode": False,
     "later_field": 1,
 }
@@ -123,6 +123,7 @@
         code, out, _ = invoke(capsys, "status", *common)
         assert code == 3
         assert "instance-01: ready, coordinator, configuration 3" in out
+        assert "0 open, 3 queued" in out
         assert "instance-02: unreachable" in out
         code, out, _ = invoke(capsys, "status", "--json", *common)
         assert [i["reached"] for i in json.loads(out)["instances"]] == [True, False]
--- a/wagtailrill/cli/instance_commands.py
+++ b/wagtailrill/cli/instance_commands.py
@@ -73,7 +73,7 @@
     latest = max((s.configuration_version for s in reached), default=0)
     in_force = sum(s.configuration_version == latest for s in reached)
     summary = f"{len(reached)} of {len(addresses)} instances answer"
-    if reached:
+    if latest:
         count = f"{in_force} of {len(addresses)}"
         summary += f"; configuration {latest} is in force on {count}"
     fields = {
@@ -109,12 +109,16 @@
             return (
                 f"{name}: {state}{leads}{mode}, configuration "
                 f"{status.configuration_version}, table {status.table_version}, "
-                f"{status.open_requests} open, {status.queued} queued"
+                f"{status.open_requests} open, {_total(status.queued)} queued"
             )
         case Result(error=message):
             return f"{name}: unreachable, {message}"
 
 
+def _total(counts: dict[str, Any]) -> int:
+    return sum(n for n in counts.values() if isinstance(n, int))
+
+
 def _status_fields(name: str, answer: Result[InstanceStatus, str]) -> dict[str, Any]:
     match answer:
         case Result(tag="ok", ok=status):
--- a/wagtailrill/cli/models.py
+++ b/wagtailrill/cli/models.py
@@ -25,7 +25,7 @@
     configuration_version: int
     members: list[Any]
     open_requests: int
-    queued: int
+    queued: dict[str, Any]  # waiting requests by service
     outage_mode: bool
 
 
