Count connections in use as closed when their server is told to close

Cause: after a lapsed lease or a restart the holder asks for all connections to be closed, also busy ones when they finish.

Change: permits in use at that moment end with a closed connection. The test fleet closes busy connections as the command says, at the event that ends them.

Conclusion: holder and connection table agree after a lapsed lease.

--- a/tests/permits/fleet.py
+++ b/tests/permits/fleet.py
@@ -129,7 +129,7 @@
             s: Server(s, -100.0 if self.rng.random() < 0.5 else 0.0, f"{s}/0")
             for s in servers
         }
-        self.pools = {}
+        self.pools, self.closes = {}, {}
         self.overload, self.excused, self.overconnected = 0, 0, 0
         self.messages, self.served = 0, 0
         self.served_to, self.denied = {}, []
@@ -214,8 +214,10 @@
 
     def _close(self, name, command):
         pool = self.pools.setdefault((self.nodes[name], command.backend_server), [])
-        count = len(pool) if command.count is None else command.count
-        del pool[:count]
+        del pool[: len(pool) if command.count is None else command.count]
+        if command.count is None:
+            key = (self.nodes[name], command.backend_server)
+            self.closes[key] = self.closes.get(key, 0) + 1
 
     def _send_order(self, row, permit, organisation, service_s):
         name = permit.backend_server
@@ -227,6 +229,7 @@
         else:
             delay_s = 0.0005
             conn = pool.pop() if pool else Conn("none")
+        closes = self.closes.get((row, name))
         until_s = (row.node.directory.lease_until_s - row.offset_s) / row.rate
 
         def arrive():
@@ -247,15 +250,19 @@
             self.served += 1
             key = (row.name, organisation)
             self.served_to[key] = self.served_to.get(key, 0) + 1
-            self._end(row, permit, used, server.start_id)
+            self._end(row, permit, used, server.start_id, closes)
 
         self.call_later(delay_s, arrive)
 
-    def _end(self, row, permit, conn, start_id):
+    def _end(self, row, permit, conn, start_id, closes=None):
+        """Report the end; connections told to close meanwhile are not kept."""
+        key = (row, permit.backend_server)
+
         def run(node):
-            if conn is not None:
-                self.pools[row, permit.backend_server].append(conn)
-            node.permits.release(permit, conn is not None, start_id)
+            kept = conn is not None and self.closes.get(key) == closes
+            if kept:
+                self.pools[key].append(conn)
+            node.permits.release(permit, kept, start_id)
 
         self.call_later(0.0005, lambda: self._step(row, Action(run)))
 
--- a/wagtailrill/permits/holder.py
+++ b/wagtailrill/permits/holder.py
@@ -290,6 +290,9 @@
         row = self.rows[permit.backend_server]
         if row.in_use.pop(permit.permit_id, None) is None:
             return
+        if permit.permit_id in row.closing:
+            row.closing.remove(permit.permit_id)
+            connection_open = False
         reported = row.returned + row.settled
         row.settled += permit.may_connect
         known = row.sighting.start_id
@@ -333,6 +336,7 @@
     def _drop_holdings(self, row: HolderRow) -> None:
         """Return idle permits and close connections; those in use end later."""
         row.return_idle(len(row.idle))
+        row.closing.update(row.in_use)
         if row.close_spare(row.spare) or row.in_use:
             self.ctx.emit(CloseConnections(row.backend_server))
 
--- a/wagtailrill/permits/holder_rows.py
+++ b/wagtailrill/permits/holder_rows.py
@@ -76,6 +76,8 @@
     reused: int = 0
     idle: deque[float] = attrs.field(factory=deque)
     in_use: dict[int, Permit] = attrs.field(factory=dict)
+    # Permits in use whose connection closes when they end.
+    closing: set[int] = attrs.field(factory=set)
     waiters: dict[int, Waiter] = attrs.field(factory=dict)
     order: FairOrder = attrs.field(factory=FairOrder)
     sighting: Sighting = attrs.field(factory=Sighting)
