Grant to new owners at once and shorten renewals near the end of a lease

Cause: a member without a confirmed grant waited for its next renewal after a move had ended; a grant cut short by the lease ended before its renewal; with every server of a service lost, each tick planned in vain. Change: a new table makes every grant that differs due; renewals come after half of a short grant; nothing is planned without receivers.

--- a/wagtailrill/ownership/backends.py
+++ b/wagtailrill/ownership/backends.py
@@ -86,7 +86,7 @@
         """Grant by a new table from now on."""
         self._view = view
         for row in self._rows.values():
-            if row.granted is not None and row.granted != self._desired(row):
+            if row.granted != self._desired(row):
                 row.next_due_s = self._ctx.now_s
         self.tick()
 
@@ -229,8 +229,12 @@
         self._calls += 1
         call = self._calls
         row.call, row.call_started_s = call, self._ctx.now_s
-        row.next_due_s = self._ctx.now_s + const.RENEW_INTERVAL_S
+        interval_s = const.RENEW_INTERVAL_S
         is_grant = isinstance(operation, Grant)
+        if isinstance(operation, Grant):
+            # Near the end of a lease grants are short.
+            interval_s = min(interval_s, operation.duration_s / 2.0)
+        row.next_due_s = self._ctx.now_s + interval_s
 
         def done(result: BackendResult) -> None:
             if row.call == call:
--- a/wagtailrill/ownership/coordinator.py
+++ b/wagtailrill/ownership/coordinator.py
@@ -189,7 +189,7 @@
 
     def _orphans(self, view: ServiceView, fleet: _Fleet) -> list[Step]:
         names = {s.name for s in fleet.receivers} | fleet.staying
-        if view.owner_names() <= names:
+        if not fleet.receivers or view.owner_names() <= names:
             return []
         items = self._items(view, self._rates(view), fleet)
         moves = plan_orphans(items, fleet.receivers, fleet.staying)
