Make the runs of late orders independent of election times

Change: the late order is delivered right after the new owner has served the key; the process ends after its step.

--- a/tests/ownership/fleet.py
+++ b/tests/ownership/fleet.py
@@ -244,12 +244,13 @@
         if ownership is None or ownership.orders_in_flight():
             self.fleet.call_later(0.1, lambda: self.leave(name, row))
             return
-        self.memberships[name].leave(lambda: self.fleet.kill(name))
+        kill = functools.partial(self.fleet.kill, name)
+        self.memberships[name].leave(lambda: self.fleet.call_later(0.0, kill))
 
-    def order(self, name, service, key, delay_s=None):
-        """Send an order for a key through an instance; return its route.
+    def order(self, name, service, key, held=False):
+        """Send an order for a key through an instance; return it if it is routed.
 
-        An order with a given delay is in transit already and not affected by cuts.
+        A held order stays in transit until the test calls its `begin`.
         """
         ownership = self.awake(name)
         if ownership and self.fleet.nodes[name].incarnation in self.draining:
@@ -259,13 +260,10 @@
             return None
         exchange = _Exchange(self, name, ownership, route)
         ownership.order_started(exchange.order_id, route)
-        if delay_s is None:
+        if not held:
             self.fleet.call_later(self.delay_s(), exchange.arrive)
-        else:
-            arrive = functools.partial(self.at_backend, "", exchange.backend)
-            self.fleet.call_later(delay_s, lambda: arrive(exchange.begin))
         self.fleet.call_later(ORDER_TIMEOUT_S, lambda: exchange.end(True))
-        return route
+        return exchange
 
     def run(self, duration_s):
         """Advance time."""
--- a/tests/ownership/test_random_run.py
+++ b/tests/ownership/test_random_run.py
@@ -37,14 +37,15 @@
         assert max(measure_loss(seed, kind, also, 4, 5)) <= 4.0
 
 
-def move_with_late_order(checking, coordinator_reaches_server):
+def move_with_late_order(checking, coordinator_reaches_server, seed=3):
     """Move a key while an order for it is late and a member learns of it late.
 
     The member that grants to the previous owner hears of the move 0.9 s late. Then
-    the previous owner is cut off from all but the late order.
+    the previous owner is cut off from all; the late order reaches it right after the
+    new owner has served the key.
     """
     conf = configuration(3, 0) if checking else configuration(0, 3)
-    fleet = OwnershipFleet(3, conf, 3, callers_per_s=0.001)
+    fleet = OwnershipFleet(3, conf, seed, callers_per_s=0.001)
     fleet.delayed_share = 0.0
     fleet.run(3.0)
     (leader,) = fleet.coordinators()
@@ -58,7 +59,8 @@
         )
     )
     (sender,) = set(fleet.names) - {leader, granter}
-    old = fleet.order(sender, service, key, delay_s=1.9 if checking else 1.2)
+    late = fleet.order(sender, service, key, held=True)
+    old = late.route
     fleet.fleet.cut(leader, granter)
     if not coordinator_reaches_server:
         fleet.cut_backends.add((leader, old.backend_server))
@@ -71,10 +73,14 @@
     fleet.run(0.89)
     fleet.cut_backends |= {(name, old.backend_server) for name in fleet.names}
     fleet.fleet.heal()
-    for _ in range(60):
+    for _ in range(200):
+        if fleet.ledger.effects:
+            break
         fleet.order(leader, service, key)
-        fleet.run(0.05)
-    assert fleet.ledger.effects > 0
+        fleet.run(0.02)
+    assert fleet.ledger.effects
+    late.begin()
+    fleet.run(0.1)
 
 
 LATE_ORDERS = [(True, True), (True, False), (False, True)]
