--- a/wagtailrill/gateway/connections.py
+++ b/wagtailrill/gateway/connections.py
@@ -164,18 +164,19 @@
             content=order.body,
             extensions={"timeout": {"connect": CONNECT_TIMEOUT_S}},
         )
+        res = None
         try:
             res = await conn.http.handle_async_request(req)
             body = await _async_read(res)
         except (httpcore.ConnectError, httpcore.ConnectTimeout):
             outcome = AttemptOutcome.CONNECT_FAILED
         except httpcore.RemoteProtocolError as exc:
-            cut = "without sending" not in str(exc)
-            outcome = AttemptOutcome.BAD_ANSWER if cut else AttemptOutcome.LOST
+            silent = "without sending" in str(exc)
+            outcome = AttemptOutcome.LOST if silent else AttemptOutcome.BAD_ANSWER
         except httpcore.LocalProtocolError:
             outcome = AttemptOutcome.BAD_ANSWER
         except (httpcore.NetworkError, httpcore.ConnectionNotAvailable):
-            outcome = AttemptOutcome.LOST
+            outcome = AttemptOutcome.BAD_ANSWER if res else AttemptOutcome.LOST
         except ResponseTooLargeError:
             outcome = AttemptOutcome.BAD_ANSWER
         else:
