Let the cut answer of a test arrive before its connection ends

The test's server closed with unread data, so the kernel reset the connection and dropped the answer: nothing arrived, which is a lost request. Change: the server shuts down its sending side and stays. Conclusion: the outcome of a cut answer is now tested, and the reset case is lost.

--- a/tests/gateway/test_connections.py
+++ b/tests/gateway/test_connections.py
@@ -103,6 +103,8 @@
             async with stream:
                 await stream.receive()
                 await stream.send(HEAD + b"content-length: 9\r\n\r\nok")
+                await stream.send_eof()
+                await anyio.sleep_forever()
 
         listener = await anyio.create_tcp_listener(local_host="127.0.0.1")
         port = listener.extra(anyio.abc.SocketAttribute.local_port)
