--- a/tests/permits/test_faults.py
+++ b/tests/permits/test_faults.py
@@ -1,14 +1,16 @@
 """Guards the permit protocol against single faults, one per case."""
 
+import attrs
 import pytest
 
 from wagtailrill.declaration.models import BackendServerState
 from wagtailrill.partitions.directory import partition_of
-from wagtailrill.peer.registry import MessageRegistry
+from wagtailrill.peer.registry import Envelope, MessageRegistry
 from wagtailrill.permits.const import RESOURCE_KIND
 from wagtailrill.permits.messages import (
     HoldingsReport,
     PartitionEpoch,
+    PermitGrant,
     PermitReport,
     WaitingRequest,
     register,
@@ -205,6 +207,35 @@
     assert fleet.overconnected == 0
 
 
+@pytest.mark.parametrize(("epochs", "sessions"), [(1, 0), (-1, 0), (0, -1)])
+def test_grant_of_another_home_or_lease_is_void(epochs, sessions):
+    """Guards against permits of a replaced home or from before a lapsed lease."""
+    fleet = warm_fleet()
+    name = other_than_home(fleet)
+    holder = fleet.nodes[name].node.permits.holder
+    row = holder.rows[SERVER]
+    home = fleet.coordinator.table.homes[row.partition]
+    grant = PermitGrant(
+        backend_server=SERVER,
+        epoch=home.epoch + epochs,
+        session=holder.session + sessions,
+        report_number=0,
+        granted=row.granted + 1,
+        connects=row.connects,
+        request_id=0,
+        recall=0,
+        close=0,
+        queue_length=0,
+        start_id=row.sighting.start_id,
+        shrinks=False,
+    )
+    holder.granted(Envelope(home.instance, 1, name, 0, 1, grant))
+    assert holder.idle(SERVER) == 0
+    current = attrs.evolve(grant, epoch=home.epoch, session=holder.session)
+    holder.granted(Envelope(home.instance, 1, name, 0, 2, current))
+    assert holder.idle(SERVER) == 1
+
+
 def test_flood_of_one_organisation_does_not_starve_another():
     """Guards against a holder that keeps recalled permits for its own queue."""
     fleet = warm_fleet()
