Charge hedges by their work and tell cut answers from lost requests

Hedges were not charged to their budget. Change: an answer counts as missing only before its head; connections of an earlier generation are closed after their exchange; hedges take from and correct the budget, retries wait for their backoff.

--- a/wagtailrill/engine/attempts.py
+++ b/wagtailrill/engine/attempts.py
@@ -216,7 +216,11 @@
             still_runs_s=RUNS_ON_S.get(result.outcome, 0.0),
         )
         self._parts.balancer.record(server, result.outcome, result.latency_s)
-        self._parts.retries.record(row.service.name, result.outcome, result.latency_s)
+        retries = self._parts.retries
+        if attempt.hedge:
+            retries.hedge_ended(row.service.name, result.latency_s)
+        elif row.attempts_made == 1 or row.hedged:
+            retries.record(row.service.name, result.outcome, result.latency_s)
         if result.outcome in UNREACHABLE_OUTCOMES:
             self._parts.router.report_unreachable(server)
 
@@ -292,13 +296,19 @@
             )
         ):
             self._counters.retries += 1
-            self._pipeline.requeue(row)
+            row.state = RequestState.QUEUED
+            delay_s = self._parts.retries.backoff_s(row.attempts_made)
+            self._ctx.timers.call_later(delay_s, lambda: self._repeat(row))
             return
         refusal = REFUSAL_BY_OUTCOME[outcome]
         if refusal.ran is Ran.NO and row.may_have_run:
             refusal = attrs.evolve(refusal, ran=Ran.UNKNOWN)
         self._pipeline.refuse(row, refusal)
 
+    def _repeat(self, row: RequestRow) -> None:
+        if self._pipeline.current(row):
+            self._pipeline.requeue(row)
+
     def _arm_hedge(self, row: RequestRow) -> None:
         if not row.route.idempotent or row.service.keyed or row.attempt_header:
             return
@@ -315,6 +325,9 @@
         server = self._parts.balancer.choose(row.service.name, row.tried)
         if server is None or self._parts.permits.idle(server) == 0:
             return
+        if not self._parts.retries.take_hedge(row.service.name):
+            return
+        row.hedged = True
         self._parts.permits.acquire(
             server,
             row.req.request_id,
@@ -327,3 +340,5 @@
         if isinstance(result, Permit):
             self._counters.hedges += 1
             self.start(row, result, hedge=True)
+        else:
+            self._parts.retries.hedge_ended(row.service.name, 0.0)
--- a/wagtailrill/engine/interfaces.py
+++ b/wagtailrill/engine/interfaces.py
@@ -3,7 +3,6 @@
 from collections.abc import Callable
 from typing import Protocol
 
-from ..core.backend import BackendResult
 from ..core.orders import AttemptOutcome
 from ..declaration.models import Route
 from ..limits.models import TakeResult
@@ -114,9 +113,18 @@
         """Return after how long a hedge may be sent, None without budget."""
         ...
 
-    def record(self, service: str, outcome: AttemptOutcome, latency_s: float) -> None:
-        """Learn how an attempt ended."""
+    def take_hedge(self, service: str) -> bool:
+        """Take a hedge from the budget, if there is one."""
+        ...
+
+    def hedge_ended(self, service: str, latency_s: float) -> None:
+        """Charge the work of a hedge to the budget."""
         ...
 
+    def backoff_s(self, attempts_made: int) -> float:
+        """Return how long to wait before the next attempt."""
+        ...
 
-ProbeCallback = Callable[[BackendResult], None]
+    def record(self, service: str, outcome: AttemptOutcome, latency_s: float) -> None:
+        """Learn how an attempt ended."""
+        ...
--- a/wagtailrill/engine/models.py
+++ b/wagtailrill/engine/models.py
@@ -53,6 +53,7 @@
     state: RequestState = RequestState.LIMITING
     fingerprint: int | None = None
     suspect: bool = False
+    hedged: bool = False
     claim_id: int | None = None
     target: str = ""
     # The backend server for whose permit the request waits.
--- a/wagtailrill/gateway/connections.py
+++ b/wagtailrill/gateway/connections.py
@@ -22,6 +22,8 @@
     b"fenced": AttemptOutcome.FENCED,
     b"expired": AttemptOutcome.FENCED,
 }
+# httpcore has no type of its own for a connection that ends before any answer.
+NO_ANSWER_TEXT = "without sending a response"
 
 
 @attrs.define(eq=False)
@@ -31,6 +33,7 @@
     http: httpcore.AsyncHTTPConnection
     opened_s: float
     used_s: float
+    generation: int = 0
 
     def usable(self, now_s: float) -> bool:
         """Return whether the connection may carry another exchange."""
@@ -55,6 +58,8 @@
     idle: list[BackendConnection] = attrs.field(factory=list)
     busy: int = 0
     opened: int = 0
+    # Connections of earlier generations are closed after their exchange.
+    generation: int = 0
     _origin: httpcore.Origin = attrs.field(init=False)
     _host_header: tuple[bytes, bytes] = attrs.field(init=False)
 
@@ -84,7 +89,12 @@
         return len(gone)
 
     async def async_close_idle(self, count: int | None = None) -> int:
-        """Close some or all idle connections; return how many were closed."""
+        """Close some idle connections; return how many were closed.
+
+        Without a count all are closed, and busy ones after their exchange.
+        """
+        if count is None:
+            self.generation += 1
         closed = 0
         while self.idle and (count is None or closed < count):
             await self.idle.pop().http.aclose()
@@ -170,13 +180,13 @@
             body = await _async_read(res)
         except (httpcore.ConnectError, httpcore.ConnectTimeout):
             outcome = AttemptOutcome.CONNECT_FAILED
-        except httpcore.RemoteProtocolError as exc:
-            silent = "without sending" in str(exc)
-            outcome = AttemptOutcome.LOST if silent else AttemptOutcome.BAD_ANSWER
         except httpcore.LocalProtocolError:
             outcome = AttemptOutcome.BAD_ANSWER
+        except httpcore.RemoteProtocolError as exc:
+            closed = res is None and NO_ANSWER_TEXT in str(exc)
+            outcome = AttemptOutcome.LOST if closed else AttemptOutcome.BAD_ANSWER
         except (httpcore.NetworkError, httpcore.ConnectionNotAvailable):
-            outcome = AttemptOutcome.BAD_ANSWER if res else AttemptOutcome.LOST
+            outcome = AttemptOutcome.LOST if res is None else AttemptOutcome.BAD_ANSWER
         except ResponseTooLargeError:
             outcome = AttemptOutcome.BAD_ANSWER
         else:
@@ -208,7 +218,9 @@
             headers=_caller_headers(res.headers),
             body=body,
             start_id=fields.get(START_ID_HEADER, b"").decode("latin-1"),
-            connection_open=conn.http.is_idle(),
+            connection_open=(
+                conn.http.is_idle() and conn.generation == self.generation
+            ),
         )
 
 
