Apply the declaration of the demo with wagtailrillctl

Cause: the demo wrote the store directly while the command line did not exist. Change: it runs wagtailrillctl apply with the deployment's instance settings.

--- a/script/fleet.py
+++ b/script/fleet.py
@@ -13,11 +13,7 @@
 from pathlib import Path
 from typing import Any
 
-import anyio
-
 from wagtailrill.declaration.parse import parse
-from wagtailrill.platform.http_store import HttpStore
-from wagtailrill.platform.models import Write
 from wagtailrill.settings.models import InstanceSettings
 from wagtailrill.settings.parse import parse as parse_settings
 
@@ -77,15 +73,7 @@
         arguments += ["--instances", str(self.settings_files[0].parent)]
         self._start("store", arguments)
         self._wait(lambda: fetch(self.store, "/v1/instances")[0] == 200, "store")
-        anyio.run(self._async_write_declaration)
-
-    async def _async_write_declaration(self) -> None:
-        key = f"{self.declaration.deployment}/config"
-        async with HttpStore((self.store,)) as store:
-            write = Write(key, self.declaration_file.read_bytes(), 0)
-            result = await store.async_call(write)
-        if result.is_error():
-            raise RuntimeError(f"the store refused the declaration: {result.error}")
+        self.control("apply", str(self.declaration_file))
 
     def start_backend_servers(self, warm: bool = True) -> None:
         """Start the backend servers, one process per service."""
@@ -137,11 +125,14 @@
         return True
 
     def control(self, *arguments: str) -> str:
-        """Run wagtailrillctl."""
-        command = [sys.executable, "-m", "wagtailrill.cli", *arguments]
-        return subprocess.run(
-            command, cwd=ROOT, check=True, capture_output=True, text=True
-        ).stdout
+        """Run wagtailrillctl on this deployment and return what it prints."""
+        instances = str(self.settings_files[0].parent)
+        options = ["--instances", instances, *arguments]
+        command = [sys.executable, "-m", "wagtailrill.cli", *options]
+        done = subprocess.run(command, cwd=ROOT, capture_output=True, text=True)
+        if done.returncode != 0:
+            raise RuntimeError(f"{' '.join(arguments)}: {done.stdout}{done.stderr}")
+        return done.stdout
 
     def kill(self, name: str) -> None:
         """Lose a process."""
