--- a/tests/membership/random_run.py
+++ b/tests/membership/random_run.py
@@ -16,6 +16,13 @@
 FAULTS_S = 16.0
 SETTLE_LIMIT_S = 12.0
 MEMBERS = 12
+# Part, attribute, range of values while it is disturbed, and healthy value.
+DISTURBANCES = [
+    ("store", "lost_answer_probability", 0.1, 0.6, 0.0),
+    ("store", "latency_s", 0.05, 1.0, 0.002),
+    ("fleet", "lost_message_probability", 0.05, 0.5, 0.0),
+    ("fleet", "latency_s", 0.02, 0.8, 0.001),
+]
 # Instances that are lost, or in the last case cut off, by kind of loss.
 LOSSES = {
     "member": lambda lead, others: {others[0]},
@@ -87,33 +94,11 @@
         self.store.unreachable.update(cut)
         self.later(lambda: self.store.unreachable.difference_update(cut), 0.3, 6.0)
 
-    def lose_answers(self):
-        self.store.lost_answer_probability = self.rng.uniform(0.1, 0.6)
-        self.later(self.answer, 0.5, 5.0)
-
-    def answer(self):
-        self.store.lost_answer_probability = 0.0
-
-    def lose_messages(self):
-        self.fleet.lost_message_probability = self.rng.uniform(0.05, 0.5)
-        self.later(self.deliver, 0.5, 4.0)
-
-    def deliver(self):
-        self.fleet.lost_message_probability = 0.0
-
-    def slow_store(self):
-        self.store.latency_s = self.rng.uniform(0.05, 1.0)
-        self.later(self.speed_up, 0.5, 5.0)
-
-    def speed_up(self):
-        self.store.latency_s = 0.002
-
-    def slow_network(self):
-        self.fleet.latency_s = self.rng.uniform(0.02, 0.8)
-        self.later(self.speed_up_network, 0.5, 4.0)
-
-    def speed_up_network(self):
-        self.fleet.latency_s = 0.001
+    def disturb(self):
+        """Let the store or the network lose or delay what it carries for a while."""
+        part, name, low, high, normal = self.rng.choice(DISTURBANCES)
+        setattr(getattr(self, part), name, self.rng.uniform(low, high))
+        self.later(lambda: setattr(getattr(self, part), name, normal), 0.5, 5.0)
 
     def leave(self):
         name = self.rng.choice(self.cell.names)
@@ -154,18 +139,9 @@
 
     def run(self):
         """Run the faults, heal everything and wait until the cell has settled."""
-        kinds = [
-            self.partition,
-            self.pause,
-            self.lose,
-            self.store_outage,
-            self.cut_store,
-            self.lose_answers,
-            self.lose_messages,
-            self.slow_store,
-            self.slow_network,
-            self.leave,
-        ]
+        kinds = [self.partition, self.pause, self.lose, self.leave]
+        kinds += [self.store_outage, self.cut_store]
+        kinds += [self.disturb] * len(DISTURBANCES)
         self.cell.run(2.5)
         end_s = self.fleet.now_s + FAULTS_S
         while self.fleet.now_s < end_s:
@@ -183,10 +159,8 @@
         self.outages = 0
         self.store.down = False
         self.store.unreachable.clear()
-        self.answer()
-        self.deliver()
-        self.speed_up()
-        self.speed_up_network()
+        for part, name, _, _, normal in DISTURBANCES:
+            setattr(getattr(self, part), name, normal)
         for name in self.cell.names:
             self.restart(name)
             self.fleet.resume(name)
