Describe the fence of a grant as the highest epoch of the service

Cause: the description said that the fence is a table version, which members that skip versions cannot compute from the table alone. Change: docstring of `Grant`. Conclusion: the interface says what ownership sends.

--- a/wagtailrill/core/backend.py
+++ b/wagtailrill/core/backend.py
@@ -20,9 +20,10 @@
 class Grant:
     """Grants slots of a service to a backend server for a duration.
 
-    The fence is the table version that assigned the slots. A checking backend
-    server refuses a grant whose fence is lower than the highest it has seen. An
-    empty `slots` with `renew_only` extends the slots of the same fence. A grant that
+    The fence is the highest epoch of the service in the cell table that the grant was
+    made from. A checking backend server refuses a grant whose fence is lower than the
+    highest it has seen, and otherwise replaces all slots of the service. An empty
+    `slots` with `renew_only` extends the slots of the same fence. A grant that
     has expired cannot be renewed, only granted anew. No grant lasts beyond
     `expires_unix_s`, however late it is received.
     """
