--- a/tests/configuration/test_keeper.py
+++ b/tests/configuration/test_keeper.py
@@ -5,6 +5,7 @@
 
 from tests.configuration.fleet import CFG, KeeperFleet
 from tests.configuration.random_run import run_schedule
+from wagtailrill.configuration.keeper import ConfigurationKeeper
 from wagtailrill.configuration.messages import (
     ConfigurationPush,
     ConfigurationRequest,
@@ -135,3 +136,45 @@
         assert registry.decode(*registry.encode(message)) == message
     notice = Notice(2**40, True, "i-01")
     assert Notice.from_bytes(notice.to_bytes()) == notice
+
+
+REMOVED = {
+    "repair of members that are behind": ("_may_push", lambda keeper, instance: False),
+    "version check": ("_seen_version", 0),
+}
+
+
+def run_schedules(count):
+    for seed in range(count):
+        run_schedule(seed)
+
+
+@pytest.mark.parametrize("mechanism", REMOVED)
+def test_random_schedules_notice_a_removed_mechanism(monkeypatch, mechanism):
+    """Guards against schedules that pass whatever the keeper does."""
+    monkeypatch.setattr(ConfigurationKeeper, *REMOVED[mechanism])
+    with pytest.raises(AssertionError):
+        run_schedules(60)
+
+
+def test_member_that_misses_every_push_stops_serving(run, monkeypatch):
+    """Guards against members that serve on although they know of a newer version."""
+    monkeypatch.setattr(ConfigurationKeeper, "_push", lambda *_: None)
+    run.write()
+    run.run(5.0)
+    assert len(run.serving()) == 2  # the watchers
+
+
+def test_members_stop_serving_under_a_coordinator_that_cannot_read(run):
+    """Guards against a new coordinator that vouches for an old version."""
+    watchers = [name for name in run.names if run.keepers[name].watches()]
+    for name in watchers:
+        run.fleet.pause(name)
+    run.store.lost_answer_probability = 1.0
+    run.write()
+    run.run(8.0)
+    assert run.coordinator() is not None
+    assert run.serving() == []
+    run.store.lost_answer_probability = 0.0
+    run.run(2.0)
+    assert len(run.serving()) == len(run.names) - len(watchers)
