--- a/wagtailrill/ownership/backends.py
+++ b/wagtailrill/ownership/backends.py
@@ -34,6 +34,7 @@
     checks_grants: bool
     failures: int = 0
     lost: bool = False
+    announcements: int = 0
     announce_due_s: float = -math.inf
     lost_until_s: float = -math.inf
     last_lost_s: float = -math.inf
@@ -85,7 +86,7 @@
         """Grant by a new table from now on."""
         self._view = view
         for row in self._rows.values():
-            if row.granted is not None and row.granted != self._desired(row):
+            if row.granted != self._desired(row):
                 row.next_due_s = self._ctx.now_s
         self.tick()
 
@@ -217,7 +218,8 @@
     def _operation(
         self, row: BackendRow, desired: tuple[int, tuple[SlotEpoch, ...]]
     ) -> BackendOperation:
-        if not row.checks_grants or row.failures or row.lost:
+        # A grant sent to a lost server would only lengthen the wait for its expiry.
+        if not row.checks_grants or row.failures or self.is_lost(row.name):
             return Probe()
         return self._grant(row, full=row.granted != desired) or Probe()
 
@@ -227,8 +229,12 @@
         self._calls += 1
         call = self._calls
         row.call, row.call_started_s = call, self._ctx.now_s
-        row.next_due_s = self._ctx.now_s + const.RENEW_INTERVAL_S
+        interval_s = const.RENEW_INTERVAL_S
         is_grant = isinstance(operation, Grant)
+        if isinstance(operation, Grant):
+            # Near the end of a lease grants are short.
+            interval_s = min(interval_s, operation.duration_s / 2.0)
+        row.next_due_s = self._ctx.now_s + interval_s
 
         def done(result: BackendResult) -> None:
             if row.call == call:
@@ -279,7 +285,7 @@
         row.granted = None
         row.next_due_s = row.call_started_s + const.PROBE_TIMEOUT_S
         if row.failures >= const.PROBE_FAILURES and not row.lost:
-            row.lost = True
+            row.lost, row.announcements = True, 0
             self._announce(row)
 
     def _expire_call(self, row: BackendRow) -> None:
@@ -288,7 +294,14 @@
             self._failed(row)
 
     def _announce(self, row: BackendRow) -> None:
-        row.announce_due_s = self._ctx.now_s + const.LOST_ANNOUNCE_INTERVAL_S
+        row.announcements += 1
+        first = row.announcements <= const.LOST_FIRST_ANNOUNCEMENTS
+        interval_s = (
+            const.LOST_FIRST_ANNOUNCE_INTERVAL_S
+            if first
+            else const.LOST_ANNOUNCE_INTERVAL_S
+        )
+        row.announce_due_s = self._ctx.now_s + interval_s
         self._broadcast(row, reachable=False)
 
     def _broadcast(self, row: BackendRow, reachable: bool) -> None:
--- a/wagtailrill/stand_ins/virtual_fleet.py
+++ b/wagtailrill/stand_ins/virtual_fleet.py
@@ -182,6 +182,8 @@
         now_s = row.offset_s + self.now_s * row.rate
         commands = row.node.step(event, now_s, WALL_EPOCH_S + self.now_s)
         for command in commands:
+            if self.nodes.get(row.name) is not row:
+                return  # a handler lost the process between two of its commands
             handler = self._handlers.get(type(command))
             if handler is not None:
                 handler(row.name, command)
@@ -195,7 +197,9 @@
         if row.wake_s > self.now_s and row.wake_s <= wake_s:
             return
         row.wake_s = wake_s
-        self.call_later(wake_s - self.now_s, lambda: self._step(row, None))
+        # At exactly `wake_s`: a wake-up that rounding puts earlier would look pending.
+        entry = (wake_s, next(self._order), lambda: self._step(row, None))
+        heapq.heappush(self._queue, entry)
 
     def _send_peer(self, sender: str, command: Command) -> None:
         assert isinstance(command, SendPeer)
