Serve only with a confirmed configuration and apply all declared limits

Cause: an instance that regained its lease could serve by an old configuration, and four limits of the settings had no effect. Change: readiness and arrival checks ask the configuration keeper; header, response and queue limits are applied; a planned stop waits until no order is in flight.

--- a/tests/gateway/test_application.py
+++ b/tests/gateway/test_application.py
@@ -11,6 +11,7 @@
     CallerApplication,
     refusal_answer,
 )
+from wagtailrill.settings.models import Limits
 
 SCOPE = {
     "type": "http",
@@ -42,11 +43,12 @@
         self.released.set()
 
 
-def serve(handler, messages, body_max_bytes=10):
+def serve(handler, messages, body_max_bytes=10, **changes):
     """Run one request and return the messages sent to the caller."""
 
     async def async_main():
-        app = CallerApplication(handler, body_max_bytes)
+        limits = Limits(body_max_bytes=body_max_bytes, header_max_bytes=100)
+        app = CallerApplication(handler, limits)
         queue = list(messages)
         sent = []
 
@@ -60,7 +62,7 @@
 
         async with anyio.create_task_group() as tg:
             tg.start_soon(app.async_watch_callers)
-            await app(dict(SCOPE), receive, send)
+            await app({**SCOPE, **changes}, receive, send)
             tg.cancel_scope.cancel()
         return sent
 
@@ -91,6 +93,14 @@
     assert json.loads(sent[1]["body"])["ran"] == "no"
 
 
+def test_large_headers_are_refused():
+    """Guards against memory exhaustion by request headers."""
+    handler = Handler()
+    sent = serve(handler, [body(b"")], headers=[(b"x", b"y" * 200)])
+    assert handler.requests == []
+    assert sent[0]["status"] == 413
+
+
 def test_caller_that_leaves_during_a_slow_request_is_noticed():
     """Guards against work for callers that are gone."""
     handler = Handler(delay_s=5.0)
--- a/tests/gateway/test_connections.py
+++ b/tests/gateway/test_connections.py
@@ -7,7 +7,6 @@
 import pytest
 
 from wagtailrill.core.orders import AttemptOutcome, Order
-from wagtailrill.gateway import connections as module
 from wagtailrill.gateway.connections import BackendConnections
 
 ORDER = Order(
@@ -44,7 +43,7 @@
     port = listener.extra(anyio.abc.SocketAttribute.local_port)
     async with listener, anyio.create_task_group() as tg:
         tg.start_soon(listener.serve, handle)
-        yield BackendConnections("b", f"127.0.0.1:{port}")
+        yield BackendConnections("b", f"127.0.0.1:{port}", response_max_bytes=32)
         tg.cancel_scope.cancel()
 
 
@@ -82,9 +81,8 @@
     ],
     ids=["whole", "silent", "crossed", "garbage", "large", "closed", "shed", "fenced"],
 )
-def test_outcome_of_an_answer(answer, outcome, monkeypatch):
+def test_outcome_of_an_answer(answer, outcome):
     """Guards against cut, crossed or oversized answers that reach a caller."""
-    monkeypatch.setattr(module, "RESPONSE_MAX_BYTES", 32)
     results, connections = exchange([answer])
     assert [r.outcome for r in results] == ([outcome] if outcome else [])
     reusable = outcome in (
--- a/wagtailrill/daemon/driver.py
+++ b/wagtailrill/daemon/driver.py
@@ -39,6 +39,7 @@
 from ..observability.tracing import NOT_SAMPLED, RequestSpan, Tracing
 from ..peer.tcp import PeerTransport
 from ..platform.models import PlatformStore
+from ..settings.models import Limits
 
 TIMER_RESOLUTION_S = 0.002
 _LOG = structlog.get_logger()
@@ -90,6 +91,7 @@
     tracing: Tracing
     log: Callable[[LogEvent], None]
     address_of: Callable[[str], str | None]
+    limits: Limits
 
 
 class Driver:
@@ -257,7 +259,9 @@
         address = self._parts.address_of(backend_server) or "127.0.0.1:0"
         connections = self.connections.get(backend_server)
         if connections is None or connections.address != address:
-            connections = BackendConnections(backend_server, address)
+            connections = BackendConnections(
+                backend_server, address, self._parts.limits.response_max_bytes
+            )
             self.connections[backend_server] = connections
         return connections
 
--- a/wagtailrill/daemon/process.py
+++ b/wagtailrill/daemon/process.py
@@ -11,6 +11,7 @@
 import uvicorn
 from anyio.abc import TaskGroup
 
+from ..admission.models import QueueSettings
 from ..core.context import Identity
 from ..core.events import DrainRequested, InstancesListed, PeerReceived
 from ..core.invariants import Invariants
@@ -50,7 +51,9 @@
         invariants = Invariants(raise_errors=False, on_violation=_log_violation)
         self.cfg = cfg
         self.engine = Engine(
-            EngineSettings(identity, cfg.deployment, drain),
+            EngineSettings(
+                identity, cfg.deployment, drain, queues=_queue_settings(cfg)
+            ),
             random.Random(secrets.randbits(INCARNATION_BITS)),
             invariants,
         )
@@ -70,9 +73,10 @@
                 tracing=self.tracing,
                 log=write_event,
                 address_of=self.address_of,
+                limits=cfg.limits,
             )
         )
-        self.callers = CallerApplication(self.driver, cfg.limits.body_max_bytes)
+        self.callers = CallerApplication(self.driver, cfg.limits)
         admin = AdminApplication(self.engine, self.metrics, self.driver.dispatch)
         self.caller_server = _server(self.callers, cfg.caller_address, cfg)
         self.admin_server = _server(admin, cfg.admin_address, cfg)
@@ -165,6 +169,13 @@
     )
 
 
+def _queue_settings(cfg: InstanceSettings) -> QueueSettings:
+    return QueueSettings(
+        total=cfg.limits.queue_max_requests,
+        deferrable=cfg.limits.deferrable_queue_max_requests,
+    )
+
+
 def _log_violation(name: str, detail: str) -> None:
     structlog.get_logger().error("invariant_violated", name=name, detail=detail)
 
--- a/wagtailrill/engine/attempts.py
+++ b/wagtailrill/engine/attempts.py
@@ -41,7 +41,12 @@
     {AttemptOutcome.SHED, AttemptOutcome.FENCED, AttemptOutcome.CONNECT_FAILED}
 )
 MAY_STILL_RUN_OUTCOMES = frozenset(
-    {AttemptOutcome.LOST, AttemptOutcome.TIMED_OUT, AttemptOutcome.CANCELLED}
+    {
+        AttemptOutcome.LOST,
+        AttemptOutcome.BAD_ANSWER,
+        AttemptOutcome.TIMED_OUT,
+        AttemptOutcome.CANCELLED,
+    }
 )
 UNREACHABLE_OUTCOMES = frozenset(
     {AttemptOutcome.CONNECT_FAILED, AttemptOutcome.LOST, AttemptOutcome.TIMED_OUT}
--- a/wagtailrill/engine/checks.py
+++ b/wagtailrill/engine/checks.py
@@ -1,5 +1,7 @@
 """Checks of a request at its arrival, before anything is spent on it."""
 
+from collections.abc import Callable
+
 import attrs
 from expression import Error, Ok, Result
 
@@ -27,6 +29,8 @@
 
     ctx: Context
     directory: PartitionDirectory
+    # An instance that was cut off may have missed the withdrawal of a key.
+    configuration_ready: Callable[[], bool]
     keys: TenantKeys
     routes: RouteTable | None = None
 
@@ -37,7 +41,7 @@
 
     def check(self, req: CallerRequest) -> Result[RequestRow, Refusal]:
         """Return the row of a request that may go on."""
-        if self.routes is None:
+        if self.routes is None or not self.configuration_ready():
             return Error(NOT_READY)
         refusal = check_headers(req.headers)
         if refusal is not None:
--- a/wagtailrill/engine/draining.py
+++ b/wagtailrill/engine/draining.py
@@ -2,9 +2,12 @@
 
 import enum
 
+import attrs
+
 from ..core.context import Context
 from ..idempotency.claims import Idempotency
 from ..membership.membership import Membership
+from ..ownership.component import Ownership
 from .const import DRAIN_CHECK_INTERVAL_S, LEAVE_TIMEOUT_S
 from .models import DrainSettings
 from .pipeline import Pipeline
@@ -20,25 +23,27 @@
     STOPPED = "stopped"
 
 
+@attrs.frozen
+class DrainParts:
+    """The components that take part in a planned stop."""
+
+    ctx: Context
+    membership: Membership
+    ownership: Ownership
+    claims: Idempotency
+    pipeline: Pipeline
+
+
 class Drain:
     """Stops an instance without cutting a request.
 
     Each state has a system that runs on a tick and moves to the next state.
     """
 
-    def __init__(
-        self,
-        ctx: Context,
-        membership: Membership,
-        claims: Idempotency,
-        pipeline: Pipeline,
-        cfg: DrainSettings,
-    ) -> None:
+    def __init__(self, parts: DrainParts, cfg: DrainSettings) -> None:
         self.state = DrainState.SERVING
-        self._ctx = ctx
-        self._membership = membership
-        self._claims = claims
-        self._pipeline = pipeline
+        self._ctx = parts.ctx
+        self._parts = parts
         self._cfg = cfg
         self._since_s = 0.0
         self._left = False
@@ -47,7 +52,7 @@
             DrainState.FINISHING: self._run_finishing,
             DrainState.LEAVING: self._run_leaving,
         }
-        ctx.timers.subscribe(DRAIN_CHECK_INTERVAL_S, self._tick)
+        parts.ctx.timers.subscribe(DRAIN_CHECK_INTERVAL_S, self._tick)
 
     def start(self) -> None:
         """Start the planned stop; a second call changes nothing."""
@@ -69,19 +74,22 @@
 
     def _run_not_ready(self) -> None:
         if self._elapsed_s() >= self._cfg.load_balancer_lag_s:
-            self._pipeline.refuses_new = True
+            self._parts.pipeline.refuses_new = True
             self._enter(DrainState.FINISHING)
 
     def _run_finishing(self) -> None:
-        finished = self._pipeline.open_requests() == 0
+        finished = (
+            self._parts.pipeline.open_requests() == 0
+            and self._parts.ownership.orders_in_flight() == 0
+        )
         if finished or self._elapsed_s() >= self._cfg.drain_s:
             self._enter(DrainState.LEAVING)
-            self._membership.leave(self._mark_left)
+            self._parts.membership.leave(self._mark_left)
 
     def _mark_left(self) -> None:
         self._left = True
 
     def _run_leaving(self) -> None:
-        done = self._left and not self._claims.handing_over()
+        done = self._left and not self._parts.claims.handing_over()
         if done or self._elapsed_s() >= LEAVE_TIMEOUT_S:
             self._enter(DrainState.STOPPED)
--- a/wagtailrill/engine/engine.py
+++ b/wagtailrill/engine/engine.py
@@ -5,6 +5,7 @@
 
 import attrs
 
+from ..admission.models import QueueSettings
 from ..balancing.balancer import Balancer
 from ..balancing.models import BalancerSettings
 from ..configuration.keeper import ConfigurationKeeper
@@ -30,7 +31,7 @@
 from ..retries.models import RetrySettings
 from ..retries.policy import RetryPolicy
 from .checks import ArrivalChecks
-from .draining import Drain, DrainState
+from .draining import Drain, DrainParts, DrainState
 from .host import ComponentHost
 from .models import DrainSettings
 from .pipeline import Pipeline, PipelineParts
@@ -49,6 +50,7 @@
     retries: RetrySettings = attrs.field(factory=RetrySettings)
     ownership: OwnershipSettings = attrs.field(factory=OwnershipSettings)
     idempotency: IdempotencySettings = attrs.field(factory=IdempotencySettings)
+    queues: QueueSettings = attrs.field(factory=QueueSettings)
     crash_guard: CrashGuardSettings = attrs.field(factory=CrashGuardSettings)
 
 
@@ -79,7 +81,12 @@
         self.claims = Idempotency(ctx, self.membership, cfg.idempotency)
         self.guard = CrashGuard(ctx, self.membership, cfg.crash_guard)
         self.pipeline = Pipeline(self._pipeline_parts())
-        self.drain = Drain(ctx, self.membership, self.claims, self.pipeline, cfg.drain)
+        self.drain = Drain(
+            DrainParts(
+                ctx, self.membership, self.ownership, self.claims, self.pipeline
+            ),
+            cfg.drain,
+        )
         self._attach()
 
     def step(self, event: Event | None, now_s: float, wall_s: float) -> list[Command]:
@@ -97,7 +104,7 @@
         """Return whether the load balancer should send requests here."""
         return (
             self.drain.state is DrainState.SERVING
-            and self.configuration.current is not None
+            and self.configuration.ready()
             and self.membership.has_lease()
         )
 
@@ -131,7 +138,9 @@
         return PipelineParts(
             ctx=self.ctx,
             directory=self.membership,
-            checks=ArrivalChecks(self.ctx, self.membership, TenantKeys()),
+            checks=ArrivalChecks(
+                self.ctx, self.membership, self.configuration.ready, TenantKeys()
+            ),
             limits=self.limits,
             guard=self.guard,
             claims=self.claims,
@@ -139,6 +148,7 @@
             permits=self.permits,
             balancer=self.balancer,
             retries=self.retries,
+            queues=self.cfg.queues,
         )
 
     def _attach(self) -> None:
--- a/wagtailrill/engine/pipeline.py
+++ b/wagtailrill/engine/pipeline.py
@@ -2,7 +2,7 @@
 
 import attrs
 
-from ..admission.models import Item
+from ..admission.models import Item, QueueSettings
 from ..core.commands import RefuseRequest, ReplayAnswer
 from ..core.context import Context
 from ..core.events import AttemptEnded, CallerLeft, RequestArrived
@@ -50,6 +50,7 @@
     permits: PermitPool
     balancer: ServerChoice
     retries: Retries
+    queues: QueueSettings
 
 
 class Pipeline:
@@ -63,7 +64,7 @@
         self._rows: dict[int, RequestRow] = {}
         self._attempts = AttemptRunner(parts, self.counters, self)
         self._placement = Placement(
-            parts.router, parts.balancer, self._attempts.suspect_on
+            parts.router, parts.balancer, self._attempts.suspect_on, parts.queues
         )
         parts.ctx.timers.subscribe(QUEUE_TICK_S, self._tick, QUEUE_TICK_S)
 
--- a/wagtailrill/engine/placement.py
+++ b/wagtailrill/engine/placement.py
@@ -5,7 +5,7 @@
 import attrs
 
 from ..admission.fair_queue import FairQueue
-from ..admission.models import Item
+from ..admission.models import Item, QueueSettings
 from ..core.refusals import Refusal, RefusalCode
 from ..declaration.models import Configuration
 from ..ownership.models import RouteRefusal
@@ -30,7 +30,7 @@
 class ServiceQueue:
     """Waiting requests of a service and the number of permits asked for."""
 
-    queue: FairQueue = attrs.field(factory=FairQueue)
+    queue: FairQueue
     acquiring: int = 0
     by_server: dict[str, int] = attrs.field(factory=dict)
 
@@ -56,13 +56,14 @@
     router: KeyRouter
     balancer: ServerChoice
     suspect_on: Callable[[str], bool]
+    cfg: QueueSettings
     queues: dict[str, ServiceQueue] = attrs.field(factory=dict)
 
     def configure(self, configuration: Configuration) -> None:
         """Apply a configuration."""
         weights = {o.name: o.weight for o in configuration.declaration.organisations}
         for name in configuration.services:
-            queue = self.queues.setdefault(name, ServiceQueue())
+            queue = self.queues.setdefault(name, ServiceQueue(FairQueue(self.cfg)))
             queue.queue.configure(weights)
 
     def queue_of(self, row: RequestRow) -> ServiceQueue:
--- a/wagtailrill/gateway/application.py
+++ b/wagtailrill/gateway/application.py
@@ -10,6 +10,7 @@
 
 from ..core.orders import CallerRequest
 from ..core.refusals import Refusal, RefusalCode
+from ..settings.models import Limits
 from .const import DISCONNECT_WATCH_DELAY_S
 
 Scope = MutableMapping[str, Any]
@@ -17,6 +18,9 @@
 Receive = Callable[[], Awaitable[Message]]
 Send = Callable[[Message], Awaitable[None]]
 
+HEADERS_TOO_LARGE = Refusal(
+    RefusalCode.REQUEST_TOO_LARGE, "The request headers are too large."
+)
 TOO_LARGE = Refusal(RefusalCode.REQUEST_TOO_LARGE, "The request body is too large.")
 
 
@@ -61,9 +65,9 @@
 class CallerApplication:
     """Receives requests, hands them to the decision code and sends the answers."""
 
-    def __init__(self, handler: RequestHandler, body_max_bytes: int) -> None:
+    def __init__(self, handler: RequestHandler, cfg: Limits) -> None:
         self._handler = handler
-        self._body_max_bytes = body_max_bytes
+        self._cfg = cfg
         self._request_ids = itertools.count(1)
         self._waiting: dict[int, _WaitingCaller] = {}
 
@@ -71,6 +75,9 @@
         """Serve one request."""
         if scope["type"] != "http":
             return
+        if _header_bytes(scope["headers"]) > self._cfg.header_max_bytes:
+            await async_send_answer(send, refusal_answer(HEADERS_TOO_LARGE))
+            return
         try:
             body = await self._async_body(receive)
         except CallerLeftError:
@@ -136,13 +143,17 @@
                 raise CallerLeftError
             part = message.get("body", b"")
             size += len(part)
-            if size > self._body_max_bytes:
+            if size > self._cfg.body_max_bytes:
                 raise BodyTooLargeError
             parts.append(part)
             if not message.get("more_body", False):
                 return b"".join(parts)
 
 
+def _header_bytes(headers: list[tuple[bytes, bytes]]) -> int:
+    return sum(len(name) + len(value) for name, value in headers)
+
+
 def refusal_answer(refusal: Refusal) -> CallerAnswer:
     """Return the answer that tells a caller of a refusal."""
     fields: dict[str, Any] = {
--- a/wagtailrill/gateway/connections.py
+++ b/wagtailrill/gateway/connections.py
@@ -55,6 +55,7 @@
 
     name: str
     address: str
+    response_max_bytes: int = RESPONSE_MAX_BYTES
     idle: list[BackendConnection] = attrs.field(factory=list)
     busy: int = 0
     opened: int = 0
@@ -177,7 +178,7 @@
         res = None
         try:
             res = await conn.http.handle_async_request(req)
-            body = await _async_read(res)
+            body = await _async_read(res, self.response_max_bytes)
         except (httpcore.ConnectError, httpcore.ConnectTimeout):
             outcome = AttemptOutcome.CONNECT_FAILED
         except httpcore.LocalProtocolError:
@@ -228,11 +229,11 @@
     """A backend server's answer exceeds the size limit."""
 
 
-async def _async_read(res: httpcore.Response) -> bytes:
+async def _async_read(res: httpcore.Response, max_bytes: int) -> bytes:
     parts, size = [], 0
     async for part in res.aiter_stream():
         size += len(part)
-        if size > RESPONSE_MAX_BYTES:
+        if size > max_bytes:
             raise ResponseTooLargeError
         parts.append(part)
     await res.aclose()
