Exchange with backend servers without a timeout scope per read and write

Cause: a profile of the daemon showed eight cancel scopes per request, most of them from httpcore's network stream, and a turn of the event loop for an event that was already set. Change: a stream of our own under httpcore's HTTP/1.1 connection leaves timeouts to the scope around the exchange; connecting is a step of its own.

--- a/wagtailrill/daemon/driver.py
+++ b/wagtailrill/daemon/driver.py
@@ -172,7 +172,9 @@
         try:
             if order is not None:
                 await self._async_attempt(order)
-            await pending.answered.wait()
+            # Waiting for an event that is set would cost a turn of the event loop.
+            if pending.answer is None:
+                await pending.answered.wait()
         finally:
             self._pending.pop(req.request_id, None)
         answer = pending.answer
--- a/wagtailrill/gateway/connections.py
+++ b/wagtailrill/gateway/connections.py
@@ -9,13 +9,13 @@
 from ..core.headers import NOT_RUN_HEADER, REQUEST_ID_HEADER, START_ID_HEADER
 from ..core.orders import AttemptOutcome, AttemptResult, Headers, Order
 from .const import (
-    CONNECT_TIMEOUT_S,
     CONNECTION_AGE_MAX_S,
     CONNECTION_IDLE_MAX_S,
     FRESH_S,
     HOP_BY_HOP_HEADERS,
     RESPONSE_MAX_BYTES,
 )
+from .stream import async_connect
 
 NOT_RUN_OUTCOMES = {
     b"shed": AttemptOutcome.SHED,
@@ -30,7 +30,7 @@
 class BackendConnection:
     """An open connection; it carries one exchange at a time."""
 
-    http: httpcore.AsyncHTTPConnection
+    http: httpcore.AsyncHTTP11Connection
     opened_s: float
     used_s: float
     generation: int = 0
@@ -102,13 +102,15 @@
             closed += 1
         return closed
 
-    def _open(self) -> BackendConnection:
-        """Return a connection that connects when it sends its first order."""
+    async def _async_open(self) -> BackendConnection | None:
+        """Return a new connection, or None when none can be opened."""
+        try:
+            http = await async_connect(self._origin)
+        except OSError:  # includes TimeoutError
+            return None
         self.opened += 1
         now_s = time.monotonic()
-        return BackendConnection(
-            httpcore.AsyncHTTPConnection(self._origin), now_s, now_s
-        )
+        return BackendConnection(http, now_s, now_s, self.generation)
 
     async def async_exchange(
         self, order: Order, extra_headers: Headers = ()
@@ -122,11 +124,12 @@
         conn = self.take_idle()
         if conn is None:
             await self.async_drop_unusable()
-            if not order.may_connect:
-                return AttemptResult(
-                    order.attempt_id, AttemptOutcome.CONNECT_FAILED, 0.0
-                )
-            conn = self._open()
+            conn = await self._async_open() if order.may_connect else None
+        if conn is None:
+            latency_s = time.monotonic() - started_s
+            return AttemptResult(
+                order.attempt_id, AttemptOutcome.CONNECT_FAILED, latency_s
+            )
         self.busy += 1
         result = None
         try:
@@ -173,14 +176,11 @@
                 *extra_headers,
             ],
             content=order.body,
-            extensions={"timeout": {"connect": CONNECT_TIMEOUT_S}},
         )
         res = None
         try:
             res = await conn.http.handle_async_request(req)
             body = await _async_read(res, self.response_max_bytes)
-        except (httpcore.ConnectError, httpcore.ConnectTimeout):
-            outcome = AttemptOutcome.CONNECT_FAILED
         except httpcore.LocalProtocolError:
             outcome = AttemptOutcome.BAD_ANSWER
         except httpcore.RemoteProtocolError as exc:
