Count only refused connections and new starts as crashes

Cause: a probe that timed out after a lost connection blamed the request, although the server may only be cut off or stalled. Change: only an unreachable server or another start id is a crash. Figures: four cases of a probe; the silent one failed before and passes after.

--- a/tests/engine/test_faults.py
+++ b/tests/engine/test_faults.py
@@ -2,13 +2,17 @@
 
 import attrs
 import pytest
+from expression import Error, Ok
 
 from tests.engine.support import Deployment, make_declaration
+from wagtailrill.core.backend import BackendError, BackendErrorKind, Health
 from wagtailrill.core.commands import SendOrder
 from wagtailrill.core.events import CallerLeft, DrainRequested
 from wagtailrill.core.refusals import Ran
 from wagtailrill.declaration.models import BackendServerState, DataCentreState
 from wagtailrill.engine.draining import DrainState
+from wagtailrill.engine.models import Attempt
+from wagtailrill.permits.models import Permit
 
 
 @pytest.fixture
@@ -113,6 +117,24 @@
     assert after.answered
 
 
+@pytest.mark.parametrize(
+    ("probed", "crashed"),
+    [
+        (Error(BackendError(BackendErrorKind.UNREACHABLE)), True),
+        (Error(BackendError(BackendErrorKind.TIMEOUT)), False),
+        (Ok(Health(True, "s-2", 0.1, 0.0)), True),
+        (Ok(Health(True, "s-1", 900.0, 0.0)), False),
+    ],
+    ids=["refused", "silent", "other start", "same start"],
+)
+def test_only_a_crash_counts_against_a_request(deployment, probed, crashed):
+    """Guards against blocking requests whose server was only cut off or stalled."""
+    permit = Permit(1, "lookup-0", 1, may_connect=False)
+    attempt = Attempt(1, permit, None, 0.0, "s-1")
+    runner = deployment.engine("i-0").pipeline._attempts
+    assert runner._crashed(attempt, probed) is crashed
+
+
 @pytest.mark.parametrize("state", ["data_centre", "backend_server"])
 def test_no_new_work_after_an_operator_takes_servers_out(deployment, state):
     """Guards against work for a data centre or server that operators took out."""
--- a/wagtailrill/engine/attempts.py
+++ b/wagtailrill/engine/attempts.py
@@ -6,7 +6,7 @@
 
 import attrs
 
-from ..core.backend import BackendResult, Health, Probe
+from ..core.backend import BackendErrorKind, BackendResult, Health, Probe
 from ..core.commands import AnswerRequest, CancelAttempt, SendOrder
 from ..core.events import AttemptEnded
 from ..core.orders import AttemptOutcome, AttemptResult, Order
@@ -270,8 +270,11 @@
         )
 
     def _crashed(self, attempt: Attempt, probed: BackendResult) -> bool:
-        if not probed.is_ok() or not isinstance(probed.ok, Health):
-            return True
+        if not probed.is_ok():
+            # A server that does not answer may be cut off or stalled.
+            return probed.error.kind is BackendErrorKind.UNREACHABLE
+        if not isinstance(probed.ok, Health):
+            return False
         if attempt.start_id:
             return probed.ok.start_id != attempt.start_id
         return probed.ok.uptime_s < self._ctx.now_s - attempt.started_s
