Let random runs stall servers past deadlines and prove what they notice

Cause: two of three removed mechanisms went unnoticed, since orders hardly ever ran on after their sender had given up or was lost.

--- a/tests/engine/random_run.py
+++ b/tests/engine/random_run.py
@@ -31,6 +31,7 @@
             self.lose_messages,
             self.cut_backend,
             self.slow_backend,
+            self.slow_releases,
         )
 
     def run(self):
@@ -123,8 +124,16 @@
         self.fleet.call_later(delay_s, lambda: self.deployment.backends.unfreeze(name))
 
     def slow_backend(self):
-        """Stall a backend server."""
-        self.deployment.backends.by_name[self.any_backend()].model.slowdown = 20.0
+        """Stall a backend server, also so that orders run on past their deadline."""
+        model = self.deployment.backends.by_name[self.any_backend()].model
+        model.slowdown = self.rng.choice((20.0, 600.0))
+
+    def slow_releases(self):
+        """Stall the servers of requests that must run once, and lose an instance."""
+        for name, backend in self.deployment.backends.by_name.items():
+            if name.startswith("release"):
+                backend.model.slowdown = 200.0
+        self.fleet.call_later(0.5, self.kill_instance)
 
     def cut_backend(self):
         """Cut one instance off from one backend server."""
