--- a/wagtailrill/measure/traffic.py
+++ b/wagtailrill/measure/traffic.py
@@ -4,6 +4,7 @@
 import math
 import random
 from collections.abc import Iterable
+from typing import Final
 
 from ..core.refusals import Ran
 from ..declaration.const import KEY_SEGMENT
@@ -15,6 +16,8 @@
 from .fleet import MeasuredFleet
 from .models import Flow, SafetyCounts, Sent, TrafficSettings
 
+RAMP_START: Final = 0.02
+
 
 def even_spread(now_s: float) -> tuple[float, ...]:
     """Return equal weights of all instances."""
@@ -62,11 +65,19 @@
         self._plan(cfg.start_s)
 
     def _plan(self, after_s: float) -> None:
-        at_s = after_s + self._rng.expovariate(self._rate_per_s)
+        rate_per_s = self._rate_per_s * self._ramp(after_s)
+        at_s = after_s + self._rng.expovariate(rate_per_s)
         if at_s < self.cfg.end_s:
             delay_s = at_s - self.fleet.fleet.now_s
             self.fleet.fleet.call_later(delay_s, lambda: self._send(at_s))
 
+    def _ramp(self, now_s: float) -> float:
+        """Return the share of the rate at a time; it starts above 0 to end at all."""
+        elapsed_s = now_s - self.cfg.start_s
+        if elapsed_s >= self.cfg.ramp_s:
+            return 1.0
+        return max(elapsed_s / self.cfg.ramp_s, RAMP_START)
+
     def _send(self, at_s: float) -> None:
         self._plan(at_s)
         rng = self._rng
