Begin the ramp of a backend server at its reported uptime

Cause: only the judging of a lost attempt passed an uptime to the permits, and answers carry none. A home therefore ramped every server from its first use there, however long it had been running: one slot, and one more every 2 s. After a start of the fleet or a change of home this held back servers that were warm.

Change: the home probes a server when it first hears of it and after each change of start, at most once a second until it knows the uptime. The reply counts as seen when the probe was sent, so that a late reply does not undo a newer sighting.

Conclusion: a warm server is used in full as soon as its home knows its uptime; a cold one still ramps.

--- a/wagtailrill/permits/home.py
+++ b/wagtailrill/permits/home.py
@@ -1,5 +1,6 @@
 """Home side: lends a backend server's permits and connections to members."""
 
+from ..core.backend import BackendResult, Health, Probe
 from ..core.const import granter_duration_s
 from ..core.context import Context
 from ..declaration.const import DEFAULT_TIMEOUT_S
@@ -162,11 +163,41 @@
             for other in row.ledgers.values():
                 other.close = other.connections
             self._recall_all(row)
+        self._ask_uptime(row)
         return row, ledger
 
+    def _ask_uptime(self, row: HomeServer) -> None:
+        """Probe a server whose uptime is unknown, so that its ramp begins there.
+
+        Without it every server ramps from its first use at this home, however long it
+        has been running.
+        """
+        asked_s = self.ctx.now_s
+        if row.uptime_known or asked_s - row.uptime_asked_s < self.cfg.reconcile_s:
+            return
+        row.uptime_asked_s = asked_s
+
+        def probed(result: BackendResult) -> None:
+            home = self._home_of(row.name)
+            if home is None or home.rows.get(row.name) is not row:
+                return
+            if result.is_ok() and isinstance(result.ok, Health):
+                self._take_health(row, result.ok, asked_s)
+
+        self.ctx.call_backend(row.name, Probe(), probed)
+
+    def _take_health(self, row: HomeServer, health: Health, asked_s: float) -> None:
+        """Take in a probe; the server may have answered as early as `asked_s`."""
+        now_s = self.ctx.now_s
+        if row.ramp.sighted(health.start_id, asked_s, now_s, health.uptime_s):
+            self._recall_all(row)
+        row.uptime_known = row.ramp.start_id == health.start_id
+        self._serve(row)
+
     def _recall_all(self, row: HomeServer) -> None:
         self.ctx.log("backend_server_restarted", backend_server=row.name)
         row.shrinks = True
+        row.uptime_known = False
         for ledger in row.ledgers.values():
             ledger.recall = ledger.outstanding
             self._send(row, ledger)
--- a/wagtailrill/permits/home_rows.py
+++ b/wagtailrill/permits/home_rows.py
@@ -23,6 +23,9 @@
     reserves: list[Reserve] = attrs.field(factory=list)
     order: FairOrder = attrs.field(factory=FairOrder)
     shrinks: bool = False
+    # Answers carry no uptime, so the home asks for it after every change of start.
+    uptime_known: bool = False
+    uptime_asked_s: float = float("-inf")
 
     @property
     def outstanding(self) -> int:
