Keep requests of a withdrawn owner from looping in the pipeline

Cause: when a data centre is taken out, the router goes on to name a key's old owner until the key has moved, while the permits of that owner are denied at once. A waiting request was then popped, denied and queued again without end within one step, and the instance hung.

Change: a request whose key's owner takes no new work waits until the key has moved. One pass over the queue also tries no request again that was denied at once.

--- a/wagtailrill/engine/pipeline.py
+++ b/wagtailrill/engine/pipeline.py
@@ -136,10 +136,21 @@
     def pump(self, service: str) -> None:
         """Start waiting requests of a service for which there is room."""
         queue = self._placement.queues[service].queue
-        while len(queue):
-            item = queue.pop(self._ctx.now_s, self._eligible)
-            if item is None or not self._place(self._rows[item.request_id]):
+        denied: set[int] = set()
+
+        def eligible(item: Item) -> bool:
+            return item.request_id not in denied and self._eligible(item)
+
+        while len(queue) > len(denied):
+            item = queue.pop(self._ctx.now_s, eligible)
+            if item is None:
+                return
+            row = self._rows[item.request_id]
+            if not self._place(row):
                 return
+            if row.state is RequestState.QUEUED and self.current(row):
+                # Denied at once and waiting again; trying it again now would not end.
+                denied.add(item.request_id)
 
     def _arrived(self, event: RequestArrived) -> None:
         req = event.request
--- a/wagtailrill/engine/placement.py
+++ b/wagtailrill/engine/placement.py
@@ -57,9 +57,11 @@
     balancer: ServerChoice
     suspect_on: Callable[[str], bool]
     queues: dict[str, ServiceQueue] = attrs.field(factory=dict)
+    configuration: Configuration | None = None
 
     def configure(self, configuration: Configuration) -> None:
         """Apply a configuration."""
+        self.configuration = configuration
         weights = {o.name: o.weight for o in configuration.declaration.organisations}
         for name in configuration.services:
             queue = self.queues.setdefault(name, ServiceQueue())
@@ -103,5 +105,11 @@
         if isinstance(route, RouteRefusal):
             row.wait_reason = REFUSAL_BY_ROUTE_REFUSAL[route]
             return None
+        if self.configuration is None or not self.configuration.accepts_work(
+            route.backend_server
+        ):
+            # Its permits are denied at once; the request waits until the key has moved.
+            row.wait_reason = RefusalCode.KEY_MOVING
+            return None
         row.wait_reason = RefusalCode.NO_BACKEND_SERVER
         return route.backend_server
