Let the forwarding benchmark start again and end all its processes

Cause: `wagtailrillctl apply` needs the deployment, which the benchmark did not give, so it ended with status 2 and left three processes running on its ports. Change: it passes the directory of instance settings; the list of processes is filled as they start, so that the caller ends them after a failed start; their output no longer mixes with the figures.

--- a/script/bench_forwarding.py
+++ b/script/bench_forwarding.py
@@ -79,6 +79,7 @@
     return subprocess.Popen(
         [sys.executable, *arguments],
         cwd=ROOT,
+        stdout=subprocess.DEVNULL,
         preexec_fn=lambda: os.sched_setaffinity(0, {core}),
     )
 
@@ -188,8 +189,12 @@
         time.sleep(0.05)
 
 
-def start_all(folder: Path) -> list[subprocess.Popen[bytes]]:
-    """Start backend server, bare forwarder, store and instance."""
+def start_all(folder: Path, processes: list[subprocess.Popen[bytes]]) -> None:
+    """Start backend server, bare forwarder, store and instance.
+
+    Each is appended to `processes` at once, so that the caller can end those that
+    run when a later one does not start.
+    """
     declaration_file = folder / "services.json"
     declaration_file.write_text(json.dumps(declaration()))
     settings_file = folder / "instances" / "bench-1.json"
@@ -197,15 +202,17 @@
     settings_file.write_text(json.dumps(settings()))
     simple = str(Path(__file__).with_name("bench_servers.py"))
     store = ["-m", "wagtailrill.stand_ins.store", "--port", str(STORE)]
-    processes = [
-        start(BACKEND_CORE, simple, "backend", str(BACKEND)),
-        start(FORWARDER_CORE, simple, "bare", str(BARE), str(BACKEND)),
-        start(BACKEND_CORE, *store, "--instances", str(folder / "instances")),
-    ]
+    instances = ("--instances", str(folder / "instances"))
+    for core, *arguments in (
+        (BACKEND_CORE, simple, "backend", str(BACKEND)),
+        (FORWARDER_CORE, simple, "bare", str(BARE), str(BACKEND)),
+        (BACKEND_CORE, *store, *instances),
+    ):
+        processes.append(start(core, *arguments))
     wait_for(STORE, "/v1/instances")
     apply = ["-m", "wagtailrill.cli", "apply", str(declaration_file)]
     subprocess.run(
-        [sys.executable, *apply, "--store", f"{HOST}:{STORE}"],
+        [sys.executable, *apply, *instances, "--store", f"{HOST}:{STORE}"],
         check=True,
         stdout=subprocess.DEVNULL,
     )
@@ -213,7 +220,6 @@
     processes.append(start(FORWARDER_CORE, *daemon))
     wait_for(ADMIN, "/health")
     wait_for(BARE, "/bench/k1")
-    return processes
 
 
 def measure(connections: int, seconds: float) -> dict[str, Any]:
@@ -252,7 +258,7 @@
     with tempfile.TemporaryDirectory() as folder:
         processes: list[subprocess.Popen[bytes]] = []
         try:
-            processes = start_all(Path(folder))
+            start_all(Path(folder), processes)
             result = measure(args.connections, args.seconds)
         finally:
             for process in processes:
