Measure events in a full cell, steps and answered requests

Cause: events were measured in cells of 12 only, the loaded runs did not say how many requests were answered, and the rounding of equal values gave some flat series an r2 of 0. Change: events run in a cell of 24; steps per second and the share of answered requests are series; values that are equal within rounding count as constant.

--- a/script/capacity_cells.py
+++ b/script/capacity_cells.py
@@ -21,6 +21,7 @@
 DRAIN_POLL_S: Final = 0.25
 IN_FORCE_POLL_S: Final = 0.005
 CHANGES: Final = 10
+EVENT_MEMBERS: Final = (TARGET.cell_members_max,)
 # The cost per further request is the slope of the cost over these rates.
 RATES_PER_S: Final = (5.0, 20.0, 50.0, 100.0)
 
@@ -34,6 +35,7 @@
     coordinator_sent_bytes_per_s: float
     coordinator_both_ways_bytes_per_s: float
     member_messages_per_s: float
+    member_steps_per_s: float
     member_core: float
     coordinator_core: float
     grant_calls_per_s: float
@@ -43,6 +45,7 @@
     control_us_per_request: float
     bytes_per_request: float
     messages_per_request: float
+    answered_share: float
 
 
 UNITS: Final = {
@@ -51,6 +54,7 @@
     "coordinator_sent_bytes_per_s": "B/s",
     "coordinator_both_ways_bytes_per_s": "B/s",
     "member_messages_per_s": "1/s",
+    "member_steps_per_s": "1/s",
     "member_core": "core",
     "coordinator_core": "core",
     "grant_calls_per_s": "1/s per cell",
@@ -60,10 +64,11 @@
     "control_us_per_request": "us",
     "bytes_per_request": "B",
     "messages_per_request": "1",
+    "answered_share": "1",
 }
-TRAFFIC: Final = tuple(UNITS)[:7]
+TRAFFIC: Final = tuple(UNITS)[:8]
 STORE: Final = ("store_reads_per_s", "store_writes_per_s")
-PER_REQUEST: Final = tuple(UNITS)[10:]
+PER_REQUEST: Final = tuple(UNITS)[11:]
 
 
 @attrs.frozen
@@ -168,6 +173,7 @@
         coordinator_sent_bytes_per_s=rate(meter.sent_bytes, leading),
         coordinator_both_ways_bytes_per_s=rate(both, leading),
         member_messages_per_s=rate(meter.messages, others),
+        member_steps_per_s=rate(meter.steps, others),
         member_core=rate(meter.control_cpu_s, others),
         coordinator_core=rate(meter.control_cpu_s, leading),
         grant_calls_per_s=sum(meter.backend_calls.values()) / seconds,
@@ -177,9 +183,15 @@
         control_us_per_request=1e6 * per_request(meter.control_cpu_s),
         bytes_per_request=per_request(meter.sent_bytes),
         messages_per_request=per_request(meter.messages),
+        answered_share=_answered_share(capacity),
     )
 
 
+def _answered_share(capacity: CapacityFleet) -> float:
+    ended = [d for d in capacity.callers.deliveries if d.code]
+    return sum(d.answered for d in ended) / len(ended) if ended else 0.0
+
+
 def store_calls(capacity: CapacityFleet) -> tuple[int, int]:
     """Return reads and watches, and writes and lease calls."""
     calls = capacity.fleet.store.calls
@@ -207,9 +219,10 @@
 
 @attrs.frozen
 class EventCost:
-    """What one event in a cell of 12 adds to an idle run of the same seed."""
+    """What one event in a cell adds to an idle run of the same seed."""
 
     event: str
+    members: int
     store_reads: float
     store_writes: float
     cell_bytes: float
@@ -257,9 +270,9 @@
 
 
 def _event_run(
-    seed: int, event: Callable[[CapacityFleet], None] | None
+    seed: int, members: int, event: Callable[[CapacityFleet], None] | None
 ) -> CapacityFleet:
-    capacity = CapacityFleet(seed, CellSize())
+    capacity = CapacityFleet(seed, CellSize(members))
     capacity.settle()
     capacity.meter.running = True
     capacity.fleet.store.calls.clear()
@@ -269,18 +282,19 @@
     return capacity
 
 
-def event_costs(seed: int) -> list[EventCost]:
+def event_costs(seed: int, members: int) -> list[EventCost]:
     """Measure what each event adds to an idle cell."""
-    idle = _event_run(seed, None)
+    idle = _event_run(seed, members, None)
     costs = []
     for name, event in EVENTS.items():
-        run = _event_run(seed, event)
+        run = _event_run(seed, members, event)
         reads, writes = store_calls(run)
         idle_reads, idle_writes = store_calls(idle)
         sent, idle_sent = run.meter.sent_bytes, idle.meter.sent_bytes
         costs.append(
             EventCost(
                 name,
+                members,
                 reads - idle_reads,
                 writes - idle_writes,
                 sum(sent.values()) - sum(idle_sent.values()),
--- a/script/measure_capacity.py
+++ b/script/measure_capacity.py
@@ -15,6 +15,7 @@
 
 import attrs
 from capacity_cells import (
+    EVENT_MEMBERS,
     EventCost,
     cell_series,
     configuration_in_force_s,
@@ -50,7 +51,8 @@
 def measure_events(results: Results, args: argparse.Namespace) -> None:
     """Measure single events."""
     for seed in args.seeds:
-        results.events += event_costs(seed)
+        for members in EVENT_MEMBERS:
+            results.events += event_costs(seed, members)
         results.in_force_s.append(configuration_in_force_s(seed))
 
 
--- a/tests/stand_ins/test_capacity_fit.py
+++ b/tests/stand_ins/test_capacity_fit.py
@@ -36,6 +36,15 @@
     assert (fit.slope, fit.intercept, fit.r2) == (0.0, 7.0, 1.0)
 
 
+def test_rounding_does_not_spoil_a_constant_series():
+    """Guards against r2 of 0 for equal values whose mean is rounded."""
+    value = 10462.3 + 1e-9 / 3
+    points = [Point(8, value), Point(100, value + 2e-12), Point(1000, value)]
+    fit = fit_line(points)
+    assert fit.r2 == 1.0
+    assert fit.at(5_900) == pytest.approx(value)
+
+
 @pytest.mark.parametrize("points", [[], [Point(1, 2)], [Point(1, 2), Point(1, 3)]])
 def test_one_size_has_no_line(points):
     """Guards against an extrapolation from a single size."""
--- a/wagtailrill/stand_ins/capacity_cell.py
+++ b/wagtailrill/stand_ins/capacity_cell.py
@@ -71,6 +71,7 @@
     messages: Counter[str] = attrs.field(factory=Counter)
     type_bytes: Counter[str] = attrs.field(factory=Counter)
     backend_calls: Counter[str] = attrs.field(factory=Counter)
+    steps: Counter[str] = attrs.field(factory=Counter)
     control_cpu_s: Counter[str] = attrs.field(factory=Counter)
     request_cpu_s: Counter[str] = attrs.field(factory=Counter)
 
@@ -98,6 +99,7 @@
     def step(self, name: str, event: Event | None, spent_s: float) -> None:
         """Count the processor time of a step in seconds."""
         if self.running:
+            self.steps[name] += 1
             is_request = isinstance(event, REQUEST_EVENTS)
             counter = self.request_cpu_s if is_request else self.control_cpu_s
             _add(counter, name, spent_s)
--- a/wagtailrill/stand_ins/capacity_fit.py
+++ b/wagtailrill/stand_ins/capacity_fit.py
@@ -8,6 +8,8 @@
 SECONDS_PER_DAY: Final = 86_400
 BYTES_PER_KB: Final = 1_000
 BYTES_PER_MB: Final = 1_000_000
+# Rounding leaves equal values this far from their mean, relative to it.
+ROUNDING: Final = 1e-12
 
 
 @attrs.frozen
@@ -43,7 +45,8 @@
     intercept = mean_value - slope * mean_size
     total = sum((p.value - mean_value) ** 2 for p in points)
     residual = sum((p.value - intercept - slope * p.size) ** 2 for p in points)
-    return Fit(slope, intercept, 1.0 if total == 0.0 else 1.0 - residual / total)
+    constant = total <= count * (ROUNDING * mean_value) ** 2
+    return Fit(slope, intercept, 1.0 if constant else 1.0 - residual / total)
 
 
 @attrs.frozen
