--- a/script/bench_forwarding.py
+++ b/script/bench_forwarding.py
@@ -79,6 +79,7 @@
     return subprocess.Popen(
         [sys.executable, *arguments],
         cwd=ROOT,
+        stdout=subprocess.DEVNULL,
         preexec_fn=lambda: os.sched_setaffinity(0, {core}),
     )
 
@@ -189,7 +190,11 @@
 
 
 def start_all(folder: Path, processes: list[subprocess.Popen[bytes]]) -> None:
-    """Start backend server, bare forwarder, store and instance into a list."""
+    """Start backend server, bare forwarder, store and instance.
+
+    Each is appended to `processes` at once, so that the caller can end those that
+    run when a later one does not start.
+    """
     declaration_file = folder / "services.json"
     declaration_file.write_text(json.dumps(declaration()))
     settings_file = folder / "instances" / "bench-1.json"
@@ -197,16 +202,17 @@
     settings_file.write_text(json.dumps(settings()))
     simple = str(Path(__file__).with_name("bench_servers.py"))
     store = ["-m", "wagtailrill.stand_ins.store", "--port", str(STORE)]
-    instances = str(folder / "instances")
-    processes += [
-        start(BACKEND_CORE, simple, "backend", str(BACKEND)),
-        start(FORWARDER_CORE, simple, "bare", str(BARE), str(BACKEND)),
-        start(BACKEND_CORE, *store, "--instances", instances),
-    ]
+    instances = ("--instances", str(folder / "instances"))
+    for core, *arguments in (
+        (BACKEND_CORE, simple, "backend", str(BACKEND)),
+        (FORWARDER_CORE, simple, "bare", str(BARE), str(BACKEND)),
+        (BACKEND_CORE, *store, *instances),
+    ):
+        processes.append(start(core, *arguments))
     wait_for(STORE, "/v1/instances")
-    control = [sys.executable, "-m", "wagtailrill.cli", "--instances", instances]
+    apply = ["-m", "wagtailrill.cli", "apply", str(declaration_file)]
     subprocess.run(
-        [*control, "apply", str(declaration_file)],
+        [sys.executable, *apply, *instances, "--store", f"{HOST}:{STORE}"],
         check=True,
         stdout=subprocess.DEVNULL,
     )
