Wake up idle instances only for what they have to do

Change: the queue and the planned stop tick only while they are needed, the watch for leaving callers sleeps without callers, and the instance list is read every 10 s, or at once when a peer is unknown or unreachable.

--- a/wagtailrill/daemon/process.py
+++ b/wagtailrill/daemon/process.py
@@ -31,8 +31,11 @@
 from .admin import AdminApplication
 from .driver import Driver, DriverParts
 
-INSTANCE_LIST_INTERVAL_S = 2.0
-STOP_CHECK_INTERVAL_S = 0.1
+# The list is read seldom, since its calls count, and at once when a peer is not
+# known by it or cannot be reached at its address.
+INSTANCE_LIST_INTERVAL_S = 10.0
+INSTANCE_LIST_SOONEST_S = 1.0
+STOP_CHECK_INTERVAL_S = 0.25
 INCARNATION_BITS = 62
 CALLER_KEEP_ALIVE_S = 75
 
@@ -113,7 +116,11 @@
             if entries:
                 self.transport.set_addresses({e.instance: e.address for e in entries})
                 self.driver.dispatch(InstancesListed(entries))
-            await anyio.sleep(INSTANCE_LIST_INTERVAL_S)
+            await anyio.sleep(INSTANCE_LIST_SOONEST_S)
+            settled = self.engine.membership.has_lease()
+            wait_s = INSTANCE_LIST_INTERVAL_S if settled else 0.0
+            with anyio.move_on_after(wait_s):
+                await self.transport.async_wait_for_stale_address()
 
     async def _async_handle_signals(self) -> None:
         with anyio.open_signal_receiver(signal.SIGTERM, signal.SIGINT) as signals:
--- a/wagtailrill/engine/draining.py
+++ b/wagtailrill/engine/draining.py
@@ -52,12 +52,12 @@
             DrainState.FINISHING: self._run_finishing,
             DrainState.LEAVING: self._run_leaving,
         }
-        parts.ctx.timers.subscribe(DRAIN_CHECK_INTERVAL_S, self._tick)
 
     def start(self) -> None:
         """Start the planned stop; a second call changes nothing."""
         if self.state is DrainState.SERVING:
             self._enter(DrainState.NOT_READY)
+            self._ctx.timers.subscribe(DRAIN_CHECK_INTERVAL_S, self._tick)
 
     def _tick(self) -> None:
         system = self._systems.get(self.state)
--- a/wagtailrill/engine/pipeline.py
+++ b/wagtailrill/engine/pipeline.py
@@ -68,7 +68,7 @@
         self._placement = Placement(
             parts.router, parts.balancer, self._attempts.suspect_on, parts.queues
         )
-        parts.ctx.timers.subscribe(QUEUE_TICK_S, self._tick, QUEUE_TICK_S)
+        self._ticking = False
 
     def attach(self, host: ComponentHost) -> None:
         """Register the handlers of events."""
@@ -119,6 +119,7 @@
 
     def _wait(self, row: RequestRow) -> None:
         row.state = RequestState.QUEUED
+        self._start_ticking()
         refusal = self._placement.push(row)
         if refusal is not None:
             self.refuse(row, refusal)
@@ -342,7 +343,14 @@
         outcome = Outcome.UNKNOWN if row.may_have_run else Outcome.NOT_RUN
         self.finish(row, outcome, None)
 
+    def _start_ticking(self) -> None:
+        """Tick while requests wait; an idle instance does not wake up for it."""
+        if not self._ticking:
+            self._ticking = True
+            self._ctx.timers.call_later(QUEUE_TICK_S, self._tick)
+
     def _tick(self) -> None:
+        self._ticking = False
         for name, service in self._placement.queues.items():
             if len(service.queue) == 0:
                 continue
@@ -351,6 +359,8 @@
                 if row is not None:
                     self._deadline(row)
             self.pump(name)
+            if len(service.queue):
+                self._start_ticking()
 
     def _emit_refusal(self, request_id: int, refusal: Refusal) -> None:
         count(self.counters.refusals, refusal.code.value)
--- a/wagtailrill/gateway/application.py
+++ b/wagtailrill/gateway/application.py
@@ -70,6 +70,7 @@
         self._cfg = cfg
         self._request_ids = itertools.count(1)
         self._waiting: dict[int, _WaitingCaller] = {}
+        self._arrived: anyio.Event | None = None
 
     async def __call__(self, scope: Scope, receive: Receive, send: Send) -> None:
         """Serve one request."""
@@ -103,6 +104,9 @@
         """
         async with anyio.create_task_group() as tg:
             while True:
+                if not self._waiting:
+                    self._arrived = anyio.Event()
+                    await self._arrived.wait()
                 await anyio.sleep(DISCONNECT_WATCH_DELAY_S)
                 due_s = anyio.current_time() - DISCONNECT_WATCH_DELAY_S
                 for waiting in list(self._waiting.values()):
@@ -114,6 +118,8 @@
         self, req: CallerRequest, receive: Receive, send: Send
     ) -> None:
         waiting = _WaitingCaller(req.request_id, receive, anyio.current_time())
+        if not self._waiting and self._arrived is not None:
+            self._arrived.set()
         self._waiting[req.request_id] = waiting
         try:
             answer = await self._handler.async_handle(req)
--- a/wagtailrill/peer/tcp.py
+++ b/wagtailrill/peer/tcp.py
@@ -44,8 +44,11 @@
 class PeerSender:
     """Sends frames to one instance; drops them while it cannot be reached."""
 
-    def __init__(self, address: str, counters: PeerCounters) -> None:
+    def __init__(
+        self, address: str, counters: PeerCounters, on_unreachable: Callable[[], None]
+    ) -> None:
         self.address = address
+        self._on_unreachable = on_unreachable
         self._counters = counters
         self._send, self._receive = anyio.create_memory_object_stream[bytes](
             SEND_QUEUE_LENGTH
@@ -73,6 +76,7 @@
                 except* CONNECTION_ERRORS:
                     pass
                 self._counters.dropped_frames += 1
+                self._on_unreachable()
                 await anyio.sleep(RECONNECT_DELAY_S)
 
     async def _async_serve_connection(self, frame: bytes) -> None:
@@ -135,6 +139,7 @@
         self._senders: dict[str, PeerSender] = {}
         self._addresses: dict[str, str] = {}
         self._tasks: TaskGroup | None = None
+        self._stale = anyio.Event()
 
     def set_addresses(self, addresses: dict[str, str]) -> None:
         """Set the peer address of each instance."""
@@ -153,6 +158,15 @@
             return
         sender.offer(self._codec.encode(envelope))
 
+    async def async_wait_for_stale_address(self) -> None:
+        """Wait until a peer is unknown or cannot be reached at its address."""
+        await self._stale.wait()
+        self._stale = anyio.Event()
+
+    def note_stale_address(self) -> None:
+        """Tell that the addresses of peers may have changed."""
+        self._stale.set()
+
     async def async_serve(self, host: str, port: int) -> None:
         """Accept connections and hand on their messages until cancelled."""
         listener = await anyio.create_tcp_listener(local_host=host, local_port=port)
@@ -164,7 +178,7 @@
         sender = self._senders.get(instance)
         address = self._addresses.get(instance)
         if sender is None and address is not None and self._tasks is not None:
-            sender = PeerSender(address, self.counters)
+            sender = PeerSender(address, self.counters, self.note_stale_address)
             self._senders[instance] = sender
             self._tasks.start_soon(sender.async_run)
         return sender
@@ -197,6 +211,8 @@
             self.counters.rejected_frames += 1
             return
         self.counters.received_frames += 1
+        if envelope.sender not in self._addresses:
+            self.note_stale_address()
         self._receive(envelope)
 
 
