Ignore a probed uptime of another start than the last answer's

Cause: health reports may lag. A report about the start before a crash, asked for after the first answer of the new start, would have counted as a newer sighting and ended the ramp of a cold server.

Change: the home takes a probed uptime only for the start id that it knows, or when it knows none, and asks again otherwise.

Conclusion: a lagging health report cannot lift the ramp of a server whose restart has been seen.

--- a/wagtailrill/permits/home.py
+++ b/wagtailrill/permits/home.py
@@ -187,11 +187,16 @@
         self.ctx.call_backend(row.name, Probe(), probed)
 
     def _take_health(self, row: HomeServer, health: Health, asked_s: float) -> None:
-        """Take in a probe; the server may have answered as early as `asked_s`."""
+        """Take in a probe; the server may have answered as early as `asked_s`.
+
+        Health reports may lag, so one about another start than that of the last answer
+        counts for nothing and the home asks again.
+        """
+        if row.ramp.start_id not in ("", health.start_id):
+            return
         now_s = self.ctx.now_s
-        if row.ramp.sighted(health.start_id, asked_s, now_s, health.uptime_s):
-            self._recall_all(row)
-        row.uptime_known = row.ramp.start_id == health.start_id
+        row.ramp.sighted(health.start_id, asked_s, now_s, health.uptime_s)
+        row.uptime_known = True
         self._serve(row)
 
     def _recall_all(self, row: HomeServer) -> None:
