--- a/wagtailrill/engine/attempts.py
+++ b/wagtailrill/engine/attempts.py
@@ -259,6 +259,7 @@
         if probed.is_ok() and isinstance(probed.ok, Health):
             health = probed.ok
             self._start_ids[server] = health.start_id
+            self._parts.balancer.report_load(server, health.load)
             self._parts.permits.start_id_seen(server, health.start_id, health.uptime_s)
         if not self._crashed(attempt, probed):
             self._after_loss(row)
--- a/wagtailrill/engine/interfaces.py
+++ b/wagtailrill/engine/interfaces.py
@@ -84,6 +84,10 @@
         """Return a backend server for the next request."""
         ...
 
+    def report_load(self, backend_server: str, load: float) -> None:
+        """Learn a load report, which lags."""
+        ...
+
     def record(
         self, backend_server: str, outcome: AttemptOutcome, latency_s: float
     ) -> None:
