Name the message registration of ownership and permits as elsewhere

Cause: two packages called it `register`, the others `register_messages`. Change: both are `register_messages`; the registry of all messages and two tests follow.

--- a/tests/ownership/test_load.py
+++ b/tests/ownership/test_load.py
@@ -22,7 +22,7 @@
 def test_loads_reach_the_coordinator_and_hot_keys_leave_their_slot():
     """Guards against load that is lost on the wire or counted twice."""
     registry = MessageRegistry()
-    messages.register(registry)
+    messages.register_messages(registry)
     tracker, book = LoadTracker(), LoadBook()
     hot, cold = key_hash(b"hot"), key_hash(b"cold")
     for _ in range(1000):
--- a/tests/permits/test_faults.py
+++ b/tests/permits/test_faults.py
@@ -13,7 +13,7 @@
     PermitGrant,
     PermitReport,
     WaitingRequest,
-    register,
+    register_messages,
 )
 from wagtailrill.permits.models import DeniedReason, Permit
 
@@ -65,7 +65,7 @@
 def test_messages_survive_the_wire():
     """Guards against totals that change by being sent."""
     registry = MessageRegistry()
-    register(registry)
+    register_messages(registry)
     waiting = (WaitingRequest(7, "mid", 0.5),)
     totals = (2**40, 5, 4, 3, 2, 1, 6, 9)
     report = PermitReport(
--- a/wagtailrill/engine/registry.py
+++ b/wagtailrill/engine/registry.py
@@ -7,9 +7,9 @@
 from ..idempotency.messages import register_messages as register_idempotency
 from ..limits.messages import register_messages as register_limits
 from ..membership.messages import register_messages as register_membership
-from ..ownership.messages import register as register_ownership
+from ..ownership.messages import register_messages as register_ownership
 from ..peer.registry import MessageRegistry
-from ..permits.messages import register as register_permits
+from ..permits.messages import register_messages as register_permits
 
 REGISTRARS: Final = (
     register_membership,
--- a/wagtailrill/ownership/messages.py
+++ b/wagtailrill/ownership/messages.py
@@ -48,6 +48,6 @@
 }
 
 
-def register(registry: MessageRegistry) -> None:
+def register_messages(registry: MessageRegistry) -> None:
     """Register the messages with the peer protocol."""
     registry.register(SCHEMA_FILE, MESSAGES)
--- a/wagtailrill/permits/messages.py
+++ b/wagtailrill/permits/messages.py
@@ -108,6 +108,6 @@
 )
 
 
-def register(registry: MessageRegistry) -> None:
+def register_messages(registry: MessageRegistry) -> None:
     """Register the messages of this package."""
     registry.register(Path(__file__).with_name("permits.capnp"), MESSAGES)
