Let the backend server stand-in use the shared HTTP parts

Cause: the stand-in had its own ASGI types, body reader, JSON answer and server construction, and no test of its protocol. Change: it uses stand_ins/http.py, whose answers may carry headers and whose servers take a keep-alive and a stop timeout; the stand-in keeps its 300 s and its unbounded stop. Sockets are bound before the servers start. An order whose caller closes before its body is complete is no longer run.

--- a/wagtailrill/stand_ins/backend_server.py
+++ b/wagtailrill/stand_ins/backend_server.py
@@ -7,10 +7,10 @@
 import json
 import math
 import random
+import socket
 import time
-from collections.abc import Awaitable, Callable, MutableMapping
 from pathlib import Path
-from typing import Any
+from typing import Any, Final
 
 import anyio
 import uvicorn
@@ -29,15 +29,25 @@
 from ..declaration.models import Service
 from ..declaration.parse import parse
 from .backend_model import BackendModel, BackendModelSettings, NotRun
+from .http import (
+    DisconnectedError,
+    HttpAnswer,
+    Receive,
+    Scope,
+    Send,
+    async_read_body,
+    async_send_answer,
+    bind,
+    make_server,
+)
 
-Scope = MutableMapping[str, Any]
-Receive = Callable[[], Awaitable[MutableMapping[str, Any]]]
-Send = Callable[[MutableMapping[str, Any]], Awaitable[None]]
-
+BACKEND_KEEP_ALIVE_S: Final = 300
 STATUS_BY_REASON = {NotRun.SHED: 503, NotRun.FENCED: 409, NotRun.EXPIRED: 409}
 STATUS_BY_ERROR = {BackendErrorKind.FENCED: 409, BackendErrorKind.UNKNOWN_GRANT: 404}
 CRASH_MARK = b"crash-the-server"
 
+BoundServer = tuple[uvicorn.Server, socket.socket]
+
 
 class BackendApplication:
     """ASGI application of the stand-in."""
@@ -56,7 +66,10 @@
         """Serve one request."""
         if scope["type"] != "http":
             return
-        body = await _async_body(receive)
+        try:
+            body = await async_read_body(receive)
+        except DisconnectedError:
+            return
         handler = {
             "/-/grant": self._async_grant,
             "/-/health": self._async_health,
@@ -88,11 +101,11 @@
             grant, time.monotonic(), time.time()
         )
         if result.is_ok():
-            await _async_json(send, 200, {"fence": result.ok.fence})
+            await async_send_answer(send, HttpAnswer(200, {"fence": result.ok.fence}))
             return
         error = result.error
         answer = {"kind": error.kind.value, "fence": error.fence}
-        await _async_json(send, STATUS_BY_ERROR[error.kind], answer)
+        await async_send_answer(send, HttpAnswer(STATUS_BY_ERROR[error.kind], answer))
 
     async def _async_health(self, scope: Scope, body: bytes, send: Send) -> None:
         health: Health = self.model.health(time.monotonic())
@@ -102,7 +115,7 @@
             "uptime_s": health.uptime_s,
             "load": health.load,
         }
-        await _async_json(send, 200, answer)
+        await async_send_answer(send, HttpAnswer(200, answer))
 
     async def _async_counts(self, scope: Scope, body: bytes, send: Send) -> None:
         answer = {
@@ -111,7 +124,7 @@
             "duplicates": sum(n - 1 for n in self.executions.values() if n > 1),
             "starts": self.model.starts,
         }
-        await _async_json(send, 200, answer)
+        await async_send_answer(send, HttpAnswer(200, answer))
 
     async def _async_fault(self, scope: Scope, body: bytes, send: Send) -> None:
         fault = json.loads(body)
@@ -125,7 +138,7 @@
             case {"restart": True}:
                 self.crash()
                 return
-        await _async_json(send, 200, {})
+        await async_send_answer(send, HttpAnswer(200, {}))
 
     async def _async_order(self, scope: Scope, body: bytes, send: Send) -> None:
         headers = dict(scope["headers"])
@@ -142,10 +155,9 @@
         )
         echo = self._echo(headers)
         if reason is not None:
-            extra = [(NOT_RUN_HEADER, reason.value.encode()), *echo]
-            await _async_json(
-                send, STATUS_BY_REASON[reason], {"not_run": reason}, extra
-            )
+            extra = ((NOT_RUN_HEADER, reason.value.encode()), *echo)
+            answer = HttpAnswer(STATUS_BY_REASON[reason], {"not_run": reason}, extra)
+            await async_send_answer(send, answer)
             return
         start = self.model.starts
         self._count(headers)
@@ -156,14 +168,18 @@
             if self.model.starts == start:
                 self.model.finish(time.monotonic())
         organisation = headers.get(ORGANISATION_HEADER, b"").decode()
-        answer = {"server": self.model.cfg.name, "organisation": organisation}
-        await _async_json(send, 200, {**answer, "path": scope["path"]}, echo)
+        content = {
+            "server": self.model.cfg.name,
+            "organisation": organisation,
+            "path": scope["path"],
+        }
+        await async_send_answer(send, HttpAnswer(200, content, echo))
 
-    def _echo(self, headers: dict[bytes, bytes]) -> list[tuple[bytes, bytes]]:
+    def _echo(self, headers: dict[bytes, bytes]) -> tuple[tuple[bytes, bytes], ...]:
         echo = [(START_ID_HEADER, self.model.start_id.encode())]
         if self.echoes_request_id and REQUEST_ID_HEADER in headers:
             echo.append((REQUEST_ID_HEADER, headers[REQUEST_ID_HEADER]))
-        return echo
+        return tuple(echo)
 
     def _count(self, headers: dict[bytes, bytes]) -> None:
         key = headers.get(b"idempotency-key", b"").decode()
@@ -171,50 +187,14 @@
             self.executions[key] = self.executions.get(key, 0) + 1
 
 
-async def _async_body(receive: Receive) -> bytes:
-    parts = []
-    while True:
-        message = await receive()
-        parts.append(message.get("body", b""))
-        if not message.get("more_body", False):
-            return b"".join(parts)
-
-
-async def _async_json(
-    send: Send,
-    status: int,
-    answer: dict[str, Any],
-    headers: list[tuple[bytes, bytes]] | None = None,
-) -> None:
-    body = json.dumps(answer).encode()
-    fields = [
-        (b"content-type", b"application/json"),
-        (b"content-length", str(len(body)).encode()),
-        *(headers or []),
-    ]
-    await send({"type": "http.response.start", "status": status, "headers": fields})
-    await send({"type": "http.response.body", "body": body})
-
-
-def make_server(app: BackendApplication, host: str, port: int) -> uvicorn.Server:
-    """Return a server for the application; it runs on asyncio."""
-    cfg = uvicorn.Config(
-        app,
-        host=host,
-        port=port,
-        loop="asyncio",
-        http="httptools",
-        lifespan="off",
-        log_level="warning",
-        access_log=False,
-        timeout_keep_alive=300,
-    )
-    app.server = uvicorn.Server(cfg)
+def make_backend_server(app: BackendApplication) -> uvicorn.Server:
+    """Return a server for the application, whose crashes close its connections."""
+    app.server = make_server(app, BACKEND_KEEP_ALIVE_S, stop_timeout_s=None)
     return app.server
 
 
-def servers_of(service: Service, args: argparse.Namespace) -> list[uvicorn.Server]:
-    """Return a server for each backend server of a service."""
+def servers_of(service: Service, args: argparse.Namespace) -> list[BoundServer]:
+    """Return a server with its socket for each backend server of a service."""
     servers = []
     for number, entry in enumerate(service.backend_servers):
         cfg = BackendModelSettings(
@@ -227,15 +207,16 @@
         warm_s = cfg.slots * cfg.warm_step_s if args.warm else 0.0
         model = BackendModel(cfg, rng, started_s=time.monotonic() - warm_s)
         host, _, port = entry.address.rpartition(":")
-        servers.append(make_server(BackendApplication(model), host, int(port)))
+        server = make_backend_server(BackendApplication(model))
+        servers.append((server, bind(host, int(port))))
     return servers
 
 
-async def async_serve(servers: list[uvicorn.Server]) -> None:
+async def async_serve_all(servers: list[BoundServer]) -> None:
     """Run all servers until the process is stopped."""
     async with anyio.create_task_group() as tg:
-        for server in servers:
-            tg.start_soon(server.serve)
+        for server, sock in servers:
+            tg.start_soon(server.serve, [sock])
 
 
 def main() -> None:
@@ -249,7 +230,7 @@
     args = parser.parse_args()
     declaration = parse(args.declaration.read_bytes()).ok
     service = next(s for s in declaration.services if s.name == args.service)
-    anyio.run(async_serve, servers_of(service, args))
+    anyio.run(async_serve_all, servers_of(service, args))
 
 
 if __name__ == "__main__":
--- a/wagtailrill/stand_ins/http.py
+++ b/wagtailrill/stand_ins/http.py
@@ -2,9 +2,10 @@
 
 import contextlib
 import json
+import math
 import socket
 from collections.abc import AsyncIterator, Awaitable, Callable, MutableMapping
-from typing import Any
+from typing import Any, Final
 
 import anyio
 import attrs
@@ -16,6 +17,9 @@
 Send = Callable[[Message], Awaitable[None]]
 Application = Callable[[Scope, Receive, Send], Awaitable[None]]
 
+KEEP_ALIVE_S: Final = 5
+STOP_TIMEOUT_S: Final = 1
+
 
 class DisconnectedError(Exception):
     """The client closed its connection before its request was complete."""
@@ -31,9 +35,10 @@
 
     status: int
     body: dict[str, Any]
+    headers: tuple[tuple[bytes, bytes], ...] = ()
 
 
-async def async_read_body(receive: Receive, max_bytes: int) -> bytes:
+async def async_read_body(receive: Receive, max_bytes: float = math.inf) -> bytes:
     """Return the request's body."""
     body = bytearray()
     more = True
@@ -60,6 +65,7 @@
     headers = [
         (b"content-type", b"application/json"),
         (b"content-length", str(len(content)).encode()),
+        *answer.headers,
     ]
     await send(
         {"type": "http.response.start", "status": answer.status, "headers": headers}
@@ -67,8 +73,16 @@
     await send({"type": "http.response.body", "body": content})
 
 
-def make_server(app: Application) -> uvicorn.Server:
-    """Return a uvicorn server on asyncio and httptools for an application."""
+def make_server(
+    app: Application,
+    keep_alive_s: int = KEEP_ALIVE_S,
+    stop_timeout_s: int | None = STOP_TIMEOUT_S,
+) -> uvicorn.Server:
+    """Return a uvicorn server on asyncio and httptools for an application.
+
+    Idle connections close after `keep_alive_s`. Requests that still run
+    `stop_timeout_s` after a stop are cancelled; None waits for them.
+    """
     cfg = uvicorn.Config(
         app,
         loop="asyncio",
@@ -77,7 +91,8 @@
         lifespan="off",
         log_level="warning",
         access_log=False,
-        timeout_graceful_shutdown=1,
+        timeout_keep_alive=keep_alive_s,
+        timeout_graceful_shutdown=stop_timeout_s,
     )
     return uvicorn.Server(cfg)
 
@@ -94,11 +109,13 @@
 
 
 @contextlib.asynccontextmanager
-async def async_serve(app: Application) -> AsyncIterator[str]:
+async def async_serve(
+    app: Application, server: uvicorn.Server | None = None
+) -> AsyncIterator[str]:
     """Serve an application on a free loopback port; yield its address."""
     sock = bind("127.0.0.1", 0)
     sock.listen(128)
-    server = make_server(app)
+    server = server or make_server(app)
     async with anyio.create_task_group() as tasks:
         tasks.start_soon(server.serve, [sock])
         try:
