Build the simulated cells of three packages on one stand-in

Cause: the fleets of membership, configuration and ownership tests each started instances, set clocks and advanced time with checks by code of their own. Change: stand_ins/virtual_cell.py does it for all three. Keepers are now checked every 0.05 s instead of every 0.1 s; other checks, bounds and seeds are unchanged.

--- a/tests/configuration/fleet.py
+++ b/tests/configuration/fleet.py
@@ -6,16 +6,12 @@
 from tests.declaration.test_parse import EXAMPLES
 from wagtailrill.configuration.keeper import ConfigurationKeeper
 from wagtailrill.configuration.models import ConfigurationSettings
-from wagtailrill.core.context import Context, Identity
-from wagtailrill.core.events import InstancesListed
-from wagtailrill.core.invariants import Invariants
 from wagtailrill.declaration.parse import parse
 from wagtailrill.declaration.text import to_json
-from wagtailrill.engine.host import ComponentHost
 from wagtailrill.membership.membership import Membership
 from wagtailrill.membership.models import MembershipSettings
-from wagtailrill.platform.models import InstanceEntry, Write
-from wagtailrill.stand_ins.virtual_fleet import VirtualFleet
+from wagtailrill.platform.models import Write
+from wagtailrill.stand_ins.virtual_cell import VirtualCell, instance_names
 
 IN_FORCE_S = 3.0
 # After an outage the watchers come back within a call's timeout and a retry.
@@ -24,48 +20,37 @@
 CFG = ConfigurationSettings("piraeus")
 
 
-class KeeperFleet:
+class KeeperFleet(VirtualCell):
     """Runs keepers and checks each sample of what is in force."""
 
     def __init__(self, seed, count=6, real_membership=False):
-        self.names = [f"i-{n:02}" for n in range(count)]
+        super().__init__(instance_names(count), seed)
         self.keepers, self.members = {}, {}
         self.accepted = {}
         self.written = []
         self.disturbed_s = 0.0
         self.real_membership = real_membership
         self.oracle = Oracle(self)
-        self.fleet = VirtualFleet(self._make, seed)
-        self.store = self.fleet.store
         self.rng = self.fleet.rng
         self.write()
         for name in self.names:
             self.start(name)
         self.oracle.check()
 
-    def _make(self, name, incarnation, rng):
-        ctx = Context(Identity(name, incarnation, "dc"), rng, Invariants())
-        host = ComponentHost(ctx)
-        membership = FakeMembership(ctx, self.oracle)
+    def attach(self, name, host):
+        membership = FakeMembership(host.ctx, self.oracle)
         if self.real_membership:
-            membership = Membership(ctx, MembershipSettings("cell-1", "piraeus"))
-        keeper = ConfigurationKeeper(ctx, membership, CFG)
+            membership = Membership(host.ctx, MembershipSettings("cell-1", "piraeus"))
+        keeper = ConfigurationKeeper(host.ctx, membership, CFG)
         membership.attach(host)
         keeper.attach(host)
         keeper.add_listener(self._on_configuration)
         self.keepers[name], self.members[name] = keeper, membership
-        return host
 
     def _on_configuration(self, configuration):
         burst = configuration.declaration.organisations[0].burst
         assert self.accepted[configuration.version] == burst, "not the text written"
 
-    def start(self, name):
-        """Start or replace an instance."""
-        self.fleet.start(name)
-        entries = tuple(InstanceEntry(n, "", "dc") for n in self.names)
-        self.fleet.deliver(name, InstancesListed(entries), 0.0)
-
     def write(self, text=None):
         """Write a new declaration, or a text that must not come into force."""
         burst = 100.0 + len(self.written)
@@ -88,28 +73,11 @@
         """Note that the store was down until now, at least for the coordinator."""
         self.disturbed_s = self.fleet.now_s
 
-    def run(self, duration_s, step_s=0.1):
-        """Advance time, with a check after each step."""
-        end_s = self.fleet.now_s + duration_s
-        while self.fleet.now_s < end_s - 1e-6:
-            self.fleet.run_until(min(end_s, self.fleet.now_s + step_s))
-            self.check()
-
-    def awake(self):
-        """Return the names of the unpaused instances, with their clocks set."""
-        names = []
-        for name, row in self.fleet.nodes.items():
-            if not row.paused:
-                ctx = self.keepers[name].ctx
-                ctx.set_time(row.offset_s + self.fleet.now_s * row.rate, ctx.wall_s)
-                names.append(name)
-        return names
-
     def serving(self):
         """Return the names of the instances that may serve requests."""
         return [
             name
-            for name in self.awake()
+            for name in self.running()
             if self.members[name].has_lease() and self.keepers[name].ready()
         ]
 
@@ -139,7 +107,7 @@
 
     def coordinator(self):
         """Return the coordinator's name, if there is one."""
-        for name in self.awake():
+        for name in self.running():
             if self.members[name].coordinates():
                 return name
         return None
@@ -153,8 +121,4 @@
 
     def run_until_settled(self, limit_s):
         """Advance time until all serve by the latest version; return the time."""
-        start_s = self.fleet.now_s
-        while not self.settled():
-            assert self.fleet.now_s - start_s < limit_s, f"not settled in {limit_s} s"
-            self.run(0.02, 0.02)
-        return self.fleet.now_s - start_s
+        return self.run_until(self.settled, limit_s)
--- a/tests/membership/fleet.py
+++ b/tests/membership/fleet.py
@@ -1,70 +1,34 @@
 """Virtual fleet of members with a check that no partition has two homes."""
 
 from wagtailrill.core.const import PARTITION_COUNT
-from wagtailrill.core.context import Context, Identity
-from wagtailrill.core.events import InstancesListed
-from wagtailrill.core.invariants import InvariantError, Invariants
-from wagtailrill.engine.host import ComponentHost
+from wagtailrill.core.invariants import InvariantError
 from wagtailrill.membership.membership import Membership
 from wagtailrill.membership.models import MembershipSettings
-from wagtailrill.platform.models import InstanceEntry
-from wagtailrill.stand_ins.virtual_fleet import VirtualFleet
+from wagtailrill.stand_ins.virtual_cell import VirtualCell, instance_names
 
 CFG = MembershipSettings(cell="cell-1", deployment="test")
 
 
-class MemberFleet:
+class MemberFleet(VirtualCell):
     """Runs members and checks the global invariants while time passes."""
 
     def __init__(self, count=12, seed=1, rates=None):
-        self.names = [f"i-{n:02}" for n in range(count)]
+        super().__init__(instance_names(count), seed)
         self.members = {}
-        self.fleet = VirtualFleet(self._make, seed)
-        self.store = self.fleet.store
         for name in self.names:
             self.start(name, (rates or {}).get(name, 1.0))
 
-    def _make(self, name, incarnation, rng):
-        ctx = Context(Identity(name, incarnation, "dc"), rng, Invariants())
-        host = ComponentHost(ctx)
-        membership = Membership(ctx, CFG)
-        membership.attach(host)
-        self.members[name] = membership
-        return host
-
-    def start(self, name, rate=1.0):
-        self.fleet.start(name, rate)
-        entries = tuple(InstanceEntry(n, "", "dc") for n in self.names)
-        self.fleet.deliver(name, InstancesListed(entries), 0.0)
+    def attach(self, name, host):
+        self.members[name] = Membership(host.ctx, CFG)
+        self.members[name].attach(host)
 
     def kill(self, name):
         self.fleet.kill(name)
         self.members.pop(name, None)
 
-    def run(self, duration_s, step_s=0.05):
-        """Advance time, with a check after each step."""
-        end_s = self.fleet.now_s + duration_s
-        while self.fleet.now_s < end_s:
-            self.fleet.run_until(min(end_s, self.fleet.now_s + step_s))
-            self.check()
-
-    def run_until(self, condition, limit_s, step_s=0.02):
-        """Advance time until a condition holds; return the time it took."""
-        start_s = self.fleet.now_s
-        while not condition():
-            assert self.fleet.now_s - start_s < limit_s, f"not within {limit_s} s"
-            self.run(step_s, step_s)
-        return self.fleet.now_s - start_s
-
     def awake(self):
         """Return the live, unpaused members with their clocks set to now."""
-        result = {}
-        for name, row in self.fleet.nodes.items():
-            if not row.paused:
-                ctx = self.members[name].ctx
-                ctx.set_time(row.offset_s + self.fleet.now_s * row.rate, ctx.wall_s)
-                result[name] = self.members[name]
-        return result
+        return {name: self.members[name] for name in self.running()}
 
     def check(self):
         """Raise if a partition has two homes, or the store lease two holders."""
--- a/tests/ownership/fleet.py
+++ b/tests/ownership/fleet.py
@@ -10,17 +10,14 @@
 from tests.ownership.backend_model import BackendModel, Ledger
 from wagtailrill.core.backend import BackendError, BackendErrorKind
 from wagtailrill.core.commands import CallBackend
-from wagtailrill.core.context import Context, Identity
-from wagtailrill.core.events import BackendReplied, InstancesListed
-from wagtailrill.core.invariants import Invariants
-from wagtailrill.engine.host import ComponentHost
+from wagtailrill.core.events import BackendReplied
 from wagtailrill.membership.membership import Membership
 from wagtailrill.membership.table import CellTable
 from wagtailrill.ownership.component import Ownership
 from wagtailrill.ownership.keys import key_hash
 from wagtailrill.ownership.models import OwnershipSettings, SlotRoute
-from wagtailrill.platform.models import InstanceEntry, Write
-from wagtailrill.stand_ins.virtual_fleet import WALL_EPOCH_S, VirtualFleet
+from wagtailrill.platform.models import Write
+from wagtailrill.stand_ins.virtual_cell import VirtualCell, instance_names
 
 # All instances decode the same documents; sharing the immutable tables saves a fifth of
 # the time of a run.
@@ -83,10 +80,11 @@
         self.world.fleet.call_later(delay_s, action)
 
 
-class OwnershipFleet:
+class OwnershipFleet(VirtualCell):
     """Steps instances, backend servers and callers on one virtual clock."""
 
     def __init__(self, instances, conf, seed, keys=12, callers_per_s=8.0):
+        super().__init__(instance_names(instances), seed)
         self.conf = conf
         self.rng = random.Random(seed ^ 0x5EED)
         self.ledger = Ledger()
@@ -104,7 +102,6 @@
             for n in range(keys)
         ]
         CellTable.from_bytes = _decode
-        self.fleet = VirtualFleet(self._make, seed)
         self.fleet.on_command(CallBackend, self._call_backend)
         self._watch_table()
         self.backends = {
@@ -116,27 +113,22 @@
             )
             for name in conf.backend_servers
         }
-        self.names = [f"i-{n:02}" for n in range(instances)]
         for name in self.names:
             self.start(name)
 
     def start(self, name):
-        """Start or replace an instance."""
-        self.fleet.start(name, self.rng.uniform(0.995, 1.005))
-        entries = tuple(InstanceEntry(n, "", "dc") for n in self.names)
-        self.fleet.deliver(name, InstancesListed(entries), 0.0)
+        """Start or replace an instance, with callers of its own."""
+        super().start(name, self.rng.uniform(0.995, 1.005))
         self._caller(name, self.fleet.nodes[name])
 
-    def _make(self, name, incarnation, rng):
-        ctx = Context(Identity(name, incarnation, "dc"), rng, Invariants())
-        host = ComponentHost(ctx)
-        self.memberships[name] = Membership(ctx, CFG)
+    def attach(self, name, host):
+        """Attach membership and ownership."""
+        self.memberships[name] = Membership(host.ctx, CFG)
         self.memberships[name].attach(host)
         cfg = OwnershipSettings(return_delay_s=1.0, rebalance_interval_s=2.0)
-        self.ownerships[name] = Ownership(ctx, self.memberships[name], cfg)
+        self.ownerships[name] = Ownership(host.ctx, self.memberships[name], cfg)
         self.ownerships[name].attach(host)
         self.ownerships[name].configure(self.conf)
-        return host
 
     def _watch_table(self):
         model = self.fleet.store.model
@@ -151,23 +143,13 @@
 
         model.apply = checked
 
-    def wall_s(self):
-        """Return the true Unix time."""
-        return WALL_EPOCH_S + self.fleet.now_s
-
     def awake(self, name):
         """Return the ownership of a running instance, with its clock set, or None."""
-        row = self.fleet.nodes.get(name)
-        if row is None or row.paused:
-            return None
-        ctx = row.node.ctx
-        ctx.set_time(row.offset_s + self.fleet.now_s * row.rate, self.wall_s())
-        return self.ownerships[name]
+        return self.ownerships[name] if self.set_clock(name) else None
 
     def coordinators(self):
         """Return the running instances that coordinate."""
-        names = [n for n in list(self.fleet.nodes) if self.awake(n) is not None]
-        return [n for n in names if self.memberships[n].coordinates()]
+        return [n for n in self.running() if self.memberships[n].coordinates()]
 
     def configure(self, conf):
         """Bring a configuration into force at different times at the instances."""
@@ -265,10 +247,6 @@
         self.fleet.call_later(ORDER_TIMEOUT_S, lambda: exchange.end(True))
         return exchange
 
-    def run(self, duration_s):
-        """Advance time."""
-        self.fleet.run_until(self.fleet.now_s + duration_s)
-
     def time_until_served(self, keys, limit_s, poll_s=0.02):
         """Send orders until each key has run again; return the time for each."""
         start_s = self.fleet.now_s
