Share the cell of the crash guard and idempotency tests

Cause: both built three instances over one shared table by the same code. Change: SharedCell in tests/support_directory.py builds them on VirtualCell. The instances now also receive the platform's list, which neither component reads.

--- a/tests/crash_guard/test_guard.py
+++ b/tests/crash_guard/test_guard.py
@@ -1,36 +1,23 @@
 """Guards against a request that crashes server after server."""
 
-from tests.support_directory import SharedDirectory, SharedTable
-from wagtailrill.core.context import Context, Identity
-from wagtailrill.core.invariants import Invariants
+from tests.support_directory import SharedCell
 from wagtailrill.core.orders import CallerRequest
 from wagtailrill.crash_guard.guard import CrashGuard, request_fingerprint
 from wagtailrill.crash_guard.models import CrashGuardSettings, CrashVerdict
-from wagtailrill.engine.host import ComponentHost
-from wagtailrill.partitions.directory import Member
-from wagtailrill.stand_ins.virtual_fleet import VirtualFleet
 
-NAMES = ("a", "b", "c")
 
-
-class Cell:
+class Cell(SharedCell):
     """Three instances with a crash guard."""
 
     def __init__(self):
         self.guards = {}
-        self.table = SharedTable([Member(n, i) for i, n in enumerate(NAMES, 1)])
-        self.fleet = VirtualFleet(self.make, 1)
-        for name in NAMES:
-            self.fleet.start(name)
+        super().__init__()
         self.fleet.run_until(1.0)
 
-    def make(self, name, incarnation, rng):
-        ctx = Context(Identity(name, incarnation, "dc"), rng, Invariants())
-        host = ComponentHost(ctx)
-        directory = SharedDirectory(self.table, ctx.identity)
-        self.guards[name] = CrashGuard(ctx, directory, CrashGuardSettings())
-        self.guards[name].attach(host)
-        return host
+    def attach(self, name, host):
+        guard = CrashGuard(host.ctx, self.directory(host), CrashGuardSettings())
+        guard.attach(host)
+        self.guards[name] = guard
 
     def report(self, name, fingerprint, server, start_id="1"):
         recorded = []
--- a/tests/idempotency/test_claims.py
+++ b/tests/idempotency/test_claims.py
@@ -2,10 +2,7 @@
 
 import pytest
 
-from tests.support_directory import SharedDirectory, SharedTable
-from wagtailrill.core.context import Context, Identity
-from wagtailrill.core.invariants import Invariants
-from wagtailrill.engine.host import ComponentHost
+from tests.support_directory import SharedCell
 from wagtailrill.idempotency.claims import Idempotency, claim_partition
 from wagtailrill.idempotency.models import (
     ClaimKey,
@@ -14,35 +11,26 @@
     StoredAnswer,
     Verdict,
 )
-from wagtailrill.partitions.directory import Member
-from wagtailrill.stand_ins.virtual_fleet import WALL_EPOCH_S, VirtualFleet
+from wagtailrill.stand_ins.virtual_fleet import WALL_EPOCH_S
 
-NAMES = ("a", "b", "c")
 KEY = ClaimKey("org", "releasedesk", "018f-key")
 
 
-class Cell:
+class Cell(SharedCell):
     """Three instances with claims and one shared table."""
 
     def __init__(self, seed=1):
-        self.table = SharedTable([Member(n, i) for i, n in enumerate(NAMES, 1)])
         self.claims = {}
-        self.fleet = VirtualFleet(self.make, seed)
-        for name in NAMES:
-            self.fleet.start(name)
+        super().__init__(seed)
         self.table.listeners = dict(self.claims)
         for partition, home in self.table.homes.items():
             self.claims[home.instance].home_gained(partition, 1)
         self.fleet.run_until(10.0)
 
-    def make(self, name, incarnation, rng):
-        ctx = Context(Identity(name, incarnation, "dc"), rng, Invariants())
-        host = ComponentHost(ctx)
-        directory = SharedDirectory(self.table, ctx.identity)
-        claims = Idempotency(ctx, directory, IdempotencySettings())
+    def attach(self, name, host):
+        claims = Idempotency(host.ctx, self.directory(host), IdempotencySettings())
         claims.attach(host)
         self.claims[name] = claims
-        return host
 
     def step(self, name):
         self.fleet.deliver(name, None, 0.0)
@@ -70,7 +58,7 @@
         return self.table.homes[claim_partition(KEY)].instance
 
     def other(self, *excluded):
-        return next(name for name in NAMES if name not in excluded)
+        return next(name for name in self.names if name not in excluded)
 
 
 @pytest.mark.parametrize(
@@ -134,10 +122,10 @@
     issued_s = cell.fleet.now_s - 1.0
     partition = claim_partition(KEY)
     target = cell.other(cell.home)
-    for name in NAMES:
+    for name in cell.names:
         cell.step(name)
     cell.table.move(partition, target)
-    for name in NAMES:
+    for name in cell.names:
         cell.fleet.deliver(name, None, 0.0)
     cell.fleet.run_until(cell.fleet.now_s + 1.0)
     _, repeat = cell.claim("c", issued_s=issued_s)
--- a/tests/support_directory.py
+++ b/tests/support_directory.py
@@ -2,6 +2,7 @@
 
 from wagtailrill.core.const import PARTITION_COUNT
 from wagtailrill.partitions.directory import SUCCESSOR_EPOCH_STEP, Home, Member
+from wagtailrill.stand_ins.virtual_cell import VirtualCell
 
 
 class SharedTable:
@@ -62,3 +63,17 @@
 
     def suspected(self, instance):
         return False
+
+
+class SharedCell(VirtualCell):
+    """Three instances over one shared table; a subclass attaches the component."""
+
+    def __init__(self, seed=1):
+        super().__init__(("a", "b", "c"), seed)
+        members = [Member(n, i) for i, n in enumerate(self.names, 1)]
+        self.table = SharedTable(members)
+        for name in self.names:
+            self.start(name)
+
+    def directory(self, host):
+        return SharedDirectory(self.table, host.ctx.identity)
