Forward changes of homes and members in one place

Cause: permits, limits and idempotency each passed four listener calls on to their home side by the same methods. Change: HomeForwarder does it; the home of limits names its methods as PartitionListener does. Permits and limits still tell their holder of a lost lease.

--- a/wagtailrill/idempotency/claims.py
+++ b/wagtailrill/idempotency/claims.py
@@ -7,7 +7,8 @@
 
 from ..core.context import Context
 from ..engine.host import ComponentHost
-from ..partitions.directory import Member, PartitionDirectory, partition_of
+from ..partitions.directory import PartitionDirectory, partition_of
+from ..partitions.forwarding import HomeForwarder
 from ..peer.registry import Envelope
 from .const import (
     CLAIM_RETRY_INTERVAL_S,
@@ -41,13 +42,14 @@
     on_result: ClaimCallback | None
 
 
-class Idempotency:
+class Idempotency(HomeForwarder):
     """Claims requests at the home of their idempotency key before they are sent."""
 
     def __init__(
         self, ctx: Context, directory: PartitionDirectory, cfg: IdempotencySettings
     ) -> None:
         self.home = ClaimHome(ctx, directory, cfg)
+        super().__init__(self.home)
         self._ctx = ctx
         self._directory = directory
         self._claim_ids = itertools.count(1)
@@ -116,22 +118,6 @@
         """Return whether records still wait for their next home."""
         return self.home.handing_over()
 
-    def home_gained(self, partition: int, epoch: int) -> None:
-        """Become the home of a partition."""
-        self.home.home_gained(partition, epoch)
-
-    def home_lost(self, partition: int) -> None:
-        """Stop being the home of a partition."""
-        self.home.home_lost(partition)
-
-    def member_dropped(self, member: Member) -> None:
-        """Learn that a member is lost."""
-        self.home.member_dropped(member)
-
-    def lease_lost(self) -> None:
-        """Learn that this instance's lease has lapsed."""
-        self.home.lease_lost()
-
     def _ask(self, claim: Claim) -> None:
         if claim.on_result is None or claim.claim_id not in self._claims:
             return
--- a/wagtailrill/limits/home.py
+++ b/wagtailrill/limits/home.py
@@ -56,7 +56,7 @@
             if state.open:
                 self._add_ledgers(state, send=True)
 
-    def gained(self, partition: int, epoch: int) -> None:
+    def home_gained(self, partition: int, epoch: int) -> None:
         """Ask every member what it holds."""
         collection = HoldingsCollection(partition, epoch)
         state = HomePartition(partition, epoch, collection)
@@ -64,15 +64,15 @@
         for member in self._directory.members():
             self._collect(state, member)
 
-    def lost(self, partition: int) -> None:
+    def home_lost(self, partition: int) -> None:
         """Forget a partition; what is lent stays with its holders."""
         self._partitions.pop(partition, None)
 
-    def lost_all(self) -> None:
+    def lease_lost(self) -> None:
         """Forget all partitions."""
         self._partitions.clear()
 
-    def dropped(self, member: Member) -> None:
+    def member_dropped(self, member: Member) -> None:
         """Take back what a lost member held."""
         for state in self._partitions.values():
             self._forget(state, member)
--- a/wagtailrill/limits/limits.py
+++ b/wagtailrill/limits/limits.py
@@ -3,14 +3,15 @@
 from ..core.context import Context
 from ..declaration.models import Configuration
 from ..engine.host import ComponentHost
-from ..partitions.directory import Member, PartitionDirectory
+from ..partitions.directory import PartitionDirectory
+from ..partitions.forwarding import HomeForwarder
 from .holder import Holder
 from .home import Home
 from .messages import CollectHoldings, HolderReport, HomeGrant
 from .models import Limit, LimitSettings, OnResult
 
 
-class Limits:
+class Limits(HomeForwarder):
     """Admits requests so that no organisation exceeds its rate and burst.
 
     It listens to changes of homes and members (`PartitionListener`).
@@ -22,6 +23,7 @@
         self._version = -1
         self.holder = Holder(ctx, directory, cfg)
         self.home = Home(ctx, directory, cfg)
+        super().__init__(self.home)
 
     def attach(self, host: ComponentHost) -> None:
         """Receive the messages of this package."""
@@ -45,19 +47,7 @@
         """Take a token; `on_result` runs at once or within the maximum wait."""
         self.holder.take(organisation, on_result)
 
-    def home_gained(self, partition: int, epoch: int) -> None:
-        """Collect what the members hold before lending anything."""
-        self.home.gained(partition, epoch)
-
-    def home_lost(self, partition: int) -> None:
-        """Stop lending for a partition."""
-        self.home.lost(partition)
-
-    def member_dropped(self, member: Member) -> None:
-        """Take back the shares of a member whose lease has lapsed."""
-        self.home.dropped(member)
-
     def lease_lost(self) -> None:
-        """Drop all shares and ledgers."""
-        self.home.lost_all()
+        """Learn that this instance's lease has lapsed: all holdings are void."""
+        super().lease_lost()
         self.holder.lease_lost()
--- a/wagtailrill/permits/permits.py
+++ b/wagtailrill/permits/permits.py
@@ -3,14 +3,15 @@
 from ..core.context import Context
 from ..declaration.models import Configuration
 from ..engine.host import ComponentHost
-from ..partitions.directory import Member, PartitionDirectory
+from ..partitions.directory import PartitionDirectory
+from ..partitions.forwarding import HomeForwarder
 from .holder import PermitHolder
 from .home import PermitHome
 from .messages import CollectHoldings, HoldingsReport, PermitGrant, PermitReport
 from .models import OnPermit, Permit, PermitSettings
 
 
-class Permits:
+class Permits(HomeForwarder):
     """Implements `PartitionListener`; see `PermitHolder` for the operations."""
 
     def __init__(
@@ -18,6 +19,7 @@
     ) -> None:
         self.holder = PermitHolder(ctx, directory, cfg)
         self.home = PermitHome(ctx, directory, cfg)
+        super().__init__(self.home)
 
     def attach(self, host: ComponentHost) -> None:
         """Receive the messages of this package from a host."""
@@ -80,19 +82,7 @@
         """Learn the start id and uptime in seconds that a probe returned."""
         self.holder.start_id_seen(backend_server, start_id, uptime_s)
 
-    def home_gained(self, partition: int, epoch: int) -> None:
-        """Become the home of a partition."""
-        self.home.home_gained(partition, epoch)
-
-    def home_lost(self, partition: int) -> None:
-        """Stop being the home of a partition."""
-        self.home.home_lost(partition)
-
-    def member_dropped(self, member: Member) -> None:
-        """Learn that a member's lease has lapsed."""
-        self.home.member_dropped(member)
-
     def lease_lost(self) -> None:
-        """Learn that this instance's lease has lapsed."""
-        self.home.lease_lost()
+        """Learn that this instance's lease has lapsed: all holdings are void."""
+        super().lease_lost()
         self.holder.lease_lost()
