Keep the totals of both sides of a limit in one class

Cause: a home's account and a holder's share had the same six totals and computed the same difference. Change: both extend Totals in limits/models.py.

--- a/wagtailrill/limits/ledger.py
+++ b/wagtailrill/limits/ledger.py
@@ -10,31 +10,22 @@
 from .bucket import Bucket
 from .const import SHARE_UNITS, TOKEN_UNITS
 from .messages import HolderAccount
-from .models import Limit, Units
+from .models import Limit, Totals, Units
 
 _LEVEL_TOLERANCE: Final = 1e-6  # rounding of float sums
 
 
 @attrs.define(eq=False)
-class Entry:
+class Entry(Totals):
     """Account with one holder; totals count since (epoch, session)."""
 
-    granted_rate: int = 0
-    granted_burst: int = 0
-    granted_tokens: int = 0
-    returned_rate: int = 0
-    returned_burst: int = 0
-    returned_tokens: int = 0
     demand_per_s: float = 0.0
     acknowledged: int = 0
 
     @property
     def lent(self) -> Units:
         """Return the most that the holder can hold or be about to receive."""
-        return Units(
-            self.granted_rate - self.returned_rate,
-            self.granted_burst - self.returned_burst,
-        )
+        return self.balance
 
 
 @attrs.define(eq=False)
--- a/wagtailrill/limits/models.py
+++ b/wagtailrill/limits/models.py
@@ -47,6 +47,26 @@
     burst: int = 0
 
 
+@attrs.define(eq=False, kw_only=True)
+class Totals:
+    """What a holder was granted and has returned since (epoch, session)."""
+
+    granted_rate: int = 0
+    granted_burst: int = 0
+    granted_tokens: int = 0
+    returned_rate: int = 0
+    returned_burst: int = 0
+    returned_tokens: int = 0
+
+    @property
+    def balance(self) -> Units:
+        """Return what was granted and not returned."""
+        return Units(
+            self.granted_rate - self.returned_rate,
+            self.granted_burst - self.returned_burst,
+        )
+
+
 @attrs.frozen
 class Limit:
     """Rate (requests/s) and burst (requests) of an organisation in a version."""
--- a/wagtailrill/limits/share.py
+++ b/wagtailrill/limits/share.py
@@ -9,7 +9,7 @@
 from .bucket import Bucket, DemandMeter
 from .const import SHARE_UNITS, TOKEN_UNITS
 from .messages import HolderAccount, HomeAccount
-from .models import Limit, OnResult, Units
+from .models import Limit, OnResult, Totals, Units
 
 
 @attrs.define
@@ -21,7 +21,7 @@
 
 
 @attrs.define(eq=False)
-class Share:
+class Share(Totals):
     """Share, bucket and waiting requests; totals count since (epoch, session)."""
 
     organisation: str
@@ -30,12 +30,6 @@
     bucket: Bucket = attrs.field(factory=Bucket)
     demand: DemandMeter = attrs.field(factory=DemandMeter)
     waiters: deque[Waiter] = attrs.field(factory=deque)
-    granted_rate: int = 0
-    granted_burst: int = 0
-    granted_tokens: int = 0
-    returned_rate: int = 0
-    returned_burst: int = 0
-    returned_tokens: int = 0
     number: int = 0
     acknowledged: int = 0
     unreported: bool = False
@@ -49,10 +43,7 @@
     @property
     def held(self) -> Units:
         """Return the share held now."""
-        return Units(
-            self.granted_rate - self.returned_rate,
-            self.granted_burst - self.returned_burst,
-        )
+        return self.balance
 
     def resize(self, now_s: float) -> None:
         """Fit the bucket to the share and the limit in force."""
