Share the command line of the seeded random runs

Change: tests/support_runs.py does it. The tests run the same seeds and numbers of schedules. With the grace wait taken out, seed 0 of membership failed as it should and named its command.

--- a/tests/configuration/random_run.py
+++ b/tests/configuration/random_run.py
@@ -1,9 +1,9 @@
 """Seeded random schedules of faults: python -m tests.configuration.random_run."""
 
-import argparse
-import time
+import functools
 
 from tests.configuration.fleet import KeeperFleet
+from tests.support_runs import SeededRuns, parser_of
 
 SETTLE_LIMIT_S = 15.0
 
@@ -112,24 +112,20 @@
     run.run_until_settled(SETTLE_LIMIT_S)
 
 
+RUNS = SeededRuns("tests.configuration.random_run", run_schedule)
+
+
 def main():
-    """Run schedules and print the command that repeats the first failure."""
-    parser = argparse.ArgumentParser()
-    parser.add_argument("--seed", type=int, default=0)
-    parser.add_argument("--count", type=int, default=1000)
+    """Run schedules and print the failing seeds."""
+    parser = parser_of(__doc__, 1000)
     parser.add_argument("--real-membership", action="store_true")
-    options = parser.parse_args()
-    started_s = time.monotonic()
-    for seed in range(options.seed, options.seed + options.count):
-        try:
-            run_schedule(seed, real_membership=options.real_membership)
-        except AssertionError:
-            extra = " --real-membership" if options.real_membership else ""
-            command = "python -m tests.configuration.random_run"
-            print(f"{command} --seed {seed} --count 1{extra}")
-            raise
-    print(f"{options.count} schedules in {time.monotonic() - started_s:.1f} s")
+    args = parser.parse_args()
+    if not args.real_membership:
+        return len(RUNS.check_each(args)) < args.schedules
+    run = functools.partial(run_schedule, real_membership=True)
+    runs = SeededRuns(RUNS.module, run)
+    return len(runs.check_each(args, "--real-membership")) < args.schedules
 
 
 if __name__ == "__main__":
-    main()
+    raise SystemExit(main())
--- a/tests/configuration/test_keeper.py
+++ b/tests/configuration/test_keeper.py
@@ -4,7 +4,7 @@
 from hypothesis import given, settings, strategies as st
 
 from tests.configuration.fleet import CFG, KeeperFleet
-from tests.configuration.random_run import run_schedule
+from tests.configuration.random_run import RUNS, run_schedule
 from wagtailrill.configuration.keeper import ConfigurationKeeper
 from wagtailrill.configuration.messages import (
     ConfigurationPush,
@@ -33,13 +33,7 @@
 @pytest.mark.parametrize("first_seed", range(0, 200, SCHEDULES_PER_TEST))
 def test_random_schedules_keep_the_invariants(first_seed):
     """Guards against old, reverted or invalid configurations under combined faults."""
-    for seed in range(first_seed, first_seed + SCHEDULES_PER_TEST):
-        try:
-            run_schedule(seed)
-        except AssertionError as exc:
-            command = f"python -m tests.configuration.random_run --seed {seed}"
-            exc.add_note(f"{command} --count 1")
-            raise
+    RUNS.check_all(first_seed, SCHEDULES_PER_TEST)
 
 
 def test_cell_works_with_real_membership():
--- a/tests/engine/random_run.py
+++ b/tests/engine/random_run.py
@@ -1,10 +1,9 @@
 """Random runs of whole engines under faults: `python -m tests.engine.random_run`."""
 
-import argparse
 import collections
-import sys
 
 from tests.engine.support import ORGANISATIONS, Deployment
+from tests.support_runs import SeededRuns, parser_of
 from wagtailrill.core.refusals import Ran
 
 RUN_S = 14.0
@@ -227,34 +226,17 @@
         assert not failed, f"not served after recovery: {failed}"
 
 
-def run_schedule(seed):
-    """Run one schedule; a failure names the command that repeats it."""
-    try:
-        return Schedule(seed).run()
-    except AssertionError as exc:
-        module = "PYTHONHASHSEED=0 python -m tests.engine.random_run"
-        command = f"{module} --seed {seed} --schedules 1"
-        raise AssertionError(f"{exc}\nrepeat with: {command}") from exc
+RUNS = SeededRuns("tests.engine.random_run", lambda seed: Schedule(seed).run())
 
 
 def main():
-    """Run schedules and count failures."""
-    parser = argparse.ArgumentParser(description=__doc__)
-    parser.add_argument("--seed", type=int, default=1)
-    parser.add_argument("--schedules", type=int, default=20)
-    args = parser.parse_args()
-    failures = 0
-    codes = collections.Counter()
-    for seed in range(args.seed, args.seed + args.schedules):
-        try:
-            schedule = run_schedule(seed)
-            codes.update(d.code for d in schedule.deployment.callers.deliveries)
-        except AssertionError as exc:
-            failures += 1
-            print(exc)
-    print(f"{args.schedules} schedules, {failures} failures, {dict(codes)}")
-    return 1 if failures else 0
+    """Run schedules and count failures and answers."""
+    args = parser_of(__doc__, 20).parse_args()
+    schedules = RUNS.check_each(args)
+    deliveries = (d for s in schedules for d in s.deployment.callers.deliveries)
+    print(dict(collections.Counter(d.code for d in deliveries)))
+    return len(schedules) < args.schedules
 
 
 if __name__ == "__main__":
-    sys.exit(main())
+    raise SystemExit(main())
--- a/tests/engine/test_random_run.py
+++ b/tests/engine/test_random_run.py
@@ -2,7 +2,7 @@
 
 import pytest
 
-from tests.engine.random_run import run_schedule
+from tests.engine.random_run import RUNS
 
 SCHEDULES = 60
 
@@ -10,4 +10,4 @@
 @pytest.mark.parametrize("seed", range(1, SCHEDULES + 1))
 def test_promises_hold_under_random_faults(seed):
     """Guards against double runs, false refusals, crossed answers and two owners."""
-    run_schedule(seed)
+    RUNS.check(seed)
--- a/tests/limits/random_run.py
+++ b/tests/limits/random_run.py
@@ -1,10 +1,8 @@
 """Seeded random runs of the limits with faults on a virtual clock."""
 
-import argparse
 import random
-import sys
-import traceback
 
+from tests.support_runs import SeededRuns, parser_of
 from wagtailrill.limits.models import LimitSettings
 from wagtailrill.partitions.directory import partition_of
 from wagtailrill.stand_ins.limits_bound import assert_bound
@@ -105,20 +103,14 @@
             self.cell.configure(name, version, self.rng.uniform(0.0, 1.5))
 
 
+RUNS = SeededRuns("tests.limits.random_run", lambda seed: Schedule(seed).run())
+
+
 def main():
-    parser = argparse.ArgumentParser(description=__doc__)
-    parser.add_argument("--seed", type=int, default=1)
-    parser.add_argument("--schedules", type=int, default=300)
-    args = parser.parse_args()
-    for seed in range(args.seed, args.seed + args.schedules):
-        try:
-            Schedule(seed).run()
-        except AssertionError:
-            traceback.print_exc()
-            sys.exit(f"repeat: python -m tests.limits.random_run --seed {seed} "
-                     "--schedules 1")  # fmt: skip
-    print(f"{args.schedules} schedules from seed {args.seed}: no violation")
+    """Run schedules and print the failing seeds."""
+    args = parser_of(__doc__, 300).parse_args()
+    return len(RUNS.check_each(args)) < args.schedules
 
 
 if __name__ == "__main__":
-    main()
+    raise SystemExit(main())
--- a/tests/limits/test_random_runs.py
+++ b/tests/limits/test_random_runs.py
@@ -12,7 +12,7 @@
 from wagtailrill.stand_ins.limits_bound import assert_bound
 from wagtailrill.stand_ins.limits_cell import LimitsCell, LimitsNode, Take
 
-from .random_run import Schedule
+from .random_run import RUNS, Schedule
 
 CI_SCHEDULES = 300
 MUTATION_SCHEDULES = 40
@@ -21,12 +21,7 @@
 @pytest.mark.parametrize("first", range(1, CI_SCHEDULES + 1, 25))
 def test_no_window_exceeds_the_limit(first):
     """Guards against more requests than burst + rate x window in any window."""
-    for seed in range(first, first + 25):
-        try:
-            Schedule(seed).run()
-        except AssertionError as exc:
-            command = f"python -m tests.limits.random_run --seed {seed} --schedules 1"
-            pytest.fail(f"{exc}; repeat with: {command}")
+    RUNS.check_all(first, 25)
 
 
 def lease_ignored(monkeypatch):
--- a/tests/membership/random_run.py
+++ b/tests/membership/random_run.py
@@ -3,14 +3,13 @@
 Repeat a seed with `python -m tests.membership.random_run --seed N --schedules 1`.
 """
 
-import argparse
 import itertools
 import random
-import sys
 
 import attrs
 
 from tests.membership.fleet import MemberFleet
+from tests.support_runs import SeededRuns, parser_of
 from wagtailrill.membership.table import HotKey, SlotOwner
 
 FAULTS_S = 16.0
@@ -171,9 +170,7 @@
     return Schedule(seed).run()
 
 
-def command(seed):
-    """Return the command that repeats a seed."""
-    return f"python -m tests.membership.random_run --seed {seed} --schedules 1"
+RUNS = SeededRuns("tests.membership.random_run", run_schedule)
 
 
 def recovery_s(seed, kind):
@@ -201,28 +198,16 @@
 
 def main():
     """Run schedules and print the failing seeds and the recovery times."""
-    parser = argparse.ArgumentParser()
-    parser.add_argument("--seed", type=int, default=1)
-    parser.add_argument("--schedules", type=int, default=1000)
-    args = parser.parse_args()
-    seeds = range(args.seed, args.seed + args.schedules)
-    failed = 0
-    for seed in seeds:
-        try:
-            run_schedule(seed)
-        except Exception as exc:
-            failed += 1
-            print(f"seed {seed}: {exc!r}; repeat: {command(seed)}", flush=True)
-            if args.schedules == 1:
-                raise
-    print(f"{args.schedules} schedules, {failed} failed")
+    args = parser_of(__doc__, 1000).parse_args()
+    passed = len(RUNS.check_each(args))
     if args.schedules >= 100:
+        seeds = range(args.seed, args.seed + args.schedules)
         for kind in LOSSES:
             times = [recovery_s(seed, kind) for seed in seeds]
             p50, p99 = percentile(times, 0.5), percentile(times, 0.99)
             print(f"{kind} lost: p50 {p50:.2f} p99 {p99:.2f} max {max(times):.2f} s")
-    return 1 if failed else 0
+    return passed < args.schedules
 
 
 if __name__ == "__main__":
-    sys.exit(main())
+    raise SystemExit(main())
--- a/tests/membership/test_random_runs.py
+++ b/tests/membership/test_random_runs.py
@@ -2,7 +2,7 @@
 
 import pytest
 
-from tests.membership.random_run import command, recovery_s, run_schedule
+from tests.membership.random_run import RUNS, recovery_s, run_schedule
 from tests.membership.test_faults import (
     cell as cell,
     test_write_with_a_lost_answer_happens_once as write_once,
@@ -19,10 +19,7 @@
 @pytest.mark.parametrize("seed", range(SCHEDULES))
 def test_overlapping_faults_leave_one_home_and_the_cell_recovers(seed):
     """Guards against two homes of a partition and cells that stay without one."""
-    try:
-        run_schedule(seed)
-    except Exception as exc:
-        pytest.fail(f"{exc!r}; repeat: {command(seed)}")
+    RUNS.check(seed)
 
 
 def test_cut_off_first_ranks_do_not_delay_the_takeover():
--- a/tests/ownership/random_run.py
+++ b/tests/ownership/random_run.py
@@ -3,7 +3,6 @@
 `python -m tests.ownership.random_run --seed N --schedules M` runs M schedules.
 """
 
-import argparse
 import collections
 import itertools
 import random
@@ -11,6 +10,7 @@
 
 from tests.ownership.fakes import configuration
 from tests.ownership.fleet import OwnershipFleet
+from tests.support_runs import SeededRuns, parser_of
 from wagtailrill.ownership import changes
 from wagtailrill.ownership.keys import hot_slot, key_hash, slot_of
 
@@ -248,16 +248,12 @@
 
 def run_schedules(seed, count, large=False):
     """Run schedules one after the other; a failure names the command to repeat it."""
+    runs = SeededRuns(
+        "tests.ownership.random_run", lambda number: Schedule(number, large).run()
+    )
     counts = collections.Counter()
     for number in range(seed, seed + count):
-        try:
-            schedule = Schedule(number, large).run()
-        except Exception as exc:
-            command = f"python -m tests.ownership.random_run --seed {number}"
-            option = " --large" if large else ""
-            raise AssertionError(
-                f"repeat with: {command} --schedules 1{option}\n{exc}"
-            ) from exc
+        schedule = runs.check(number, *(["--large"] if large else []))
         counts.update(schedule.counts)
         counts["effects"] += schedule.fleet.ledger.effects
     return counts
@@ -265,9 +261,7 @@
 
 def main():
     """Run the long mode."""
-    parser = argparse.ArgumentParser(description=__doc__)
-    parser.add_argument("--seed", type=int, default=1)
-    parser.add_argument("--schedules", type=int, default=1000)
+    parser = parser_of(__doc__, 1000)
     parser.add_argument("--large", action="store_true", help="12 instances, 13 servers")
     parser.add_argument("--losses", type=int, default=0, help="only measure losses")
     options = parser.parse_args()
--- a/tests/permits/random_run.py
+++ b/tests/permits/random_run.py
@@ -3,9 +3,10 @@
 Long mode: `python -m tests.permits.random_run --seed N --schedules M`.
 """
 
-import argparse
 import random
 
+from tests.support_runs import SeededRuns, parser_of
+
 from .fleet import ORGANISATIONS, SLOTS, PermitFleet
 
 INSTANCES = 12
@@ -180,40 +181,24 @@
             self.fleet.resume(name)
 
 
-def check(seed):
-    """Run one schedule; raise with the command that repeats it."""
+def run_schedule(seed):
+    """Run one schedule; raise if it finds a problem."""
     schedule = Schedule(seed)
-    command = f"python -m tests.permits.random_run --seed {seed} --schedules 1"
-    try:
-        problems = schedule.run()
-    except Exception as exc:
-        raise AssertionError(f"{exc!r}; repeat with: {command}") from exc
-    assert not problems, f"{problems}; repeat with: {command}"
+    problems = schedule.run()
+    assert not problems, problems
     return schedule
 
 
+RUNS = SeededRuns("tests.permits.random_run", run_schedule)
+
+
 def main():
     """Run schedules and print their totals."""
-    parser = argparse.ArgumentParser(description=__doc__)
-    parser.add_argument("--seed", type=int, default=1)
-    parser.add_argument("--schedules", type=int, default=200)
-    args = parser.parse_args()
-    failed = excused = served = messages = 0
-    for seed in range(args.seed, args.seed + args.schedules):
-        try:
-            fleet = check(seed).fleet
-        except AssertionError as exc:
-            failed += 1
-            print(exc)
-            continue
-        excused += fleet.excused
-        served += fleet.served
-        messages += fleet.messages
-    print(
-        f"schedules {args.schedules} failed {failed} served {served}"
-        f" excused {excused} messages {messages}"
-    )
-    return failed > 0
+    args = parser_of(__doc__, 200).parse_args()
+    fleets = [schedule.fleet for schedule in RUNS.check_each(args)]
+    for name in ("served", "excused", "messages"):
+        print(name, sum(getattr(fleet, name) for fleet in fleets))
+    return len(fleets) < args.schedules
 
 
 if __name__ == "__main__":
