Keep ran: no true while attempts of a request are still running

Cause: reading the pipeline showed that a hedge that may not be sent any more refused the whole request with ran: no while its first attempt was running, and that a lost attempt could queue a request twice beside a failed hedge. Change: a hedge that may not be sent is dropped, a refusal during an attempt says that it may have run, and a lost attempt is judged only while nothing else was decided.

--- a/tests/engine/test_faults.py
+++ b/tests/engine/test_faults.py
@@ -11,7 +11,8 @@
 from wagtailrill.core.refusals import Ran
 from wagtailrill.declaration.models import BackendServerState, DataCentreState
 from wagtailrill.engine.draining import DrainState
-from wagtailrill.engine.models import Attempt
+from wagtailrill.engine.models import Attempt, RequestState
+from wagtailrill.engine.refusal_texts import CUT_OFF
 from wagtailrill.permits.models import Permit
 
 
@@ -269,3 +270,51 @@
     deployment.run_for(60.0)
     assert all(d.answered for d in summaries)
     assert any(d.code == "rate_limited" for d in lookups)
+
+
+@pytest.fixture
+def running(deployment):
+    """Return a request that runs on one server, and a permit for another."""
+    for name in ("lookup-0", "lookup-1", "lookup-2"):
+        deployment.backends.by_name[name].model.slowdown = 200.0
+    delivery = deployment.callers.send("i-0", "POST", "/lookup", "small")
+    deployment.run_for(0.1)
+    pipeline = deployment.engine("i-0").pipeline
+    (row,) = pipeline._rows.values()
+    other = next(n for n in ("lookup-0", "lookup-1") if n not in row.tried)
+    permits = []
+    deployment.engine("i-0").permits.acquire(
+        other, 999, "small", float("inf"), permits.append
+    )
+    deployment.run_for(0.1)
+    return pipeline, row, permits[0], delivery
+
+
+def test_hedge_that_may_not_be_sent_leaves_the_first_attempt(deployment, running):
+    """Guards against `ran: no` about a request whose first attempt is running."""
+    pipeline, row, permit, delivery = running
+    pipeline.check_before_order = lambda row: CUT_OFF
+    pipeline._attempts._hedge_permitted(row, permit)
+    deployment.run_for(3.0)
+    assert delivery.ran is not Ran.NO
+    assert delivery.code != "cut_off"
+
+
+def test_refusal_during_an_attempt_says_that_it_may_have_run(deployment, running):
+    """Guards against `ran: no` about a request that was sent."""
+    pipeline, row, _, delivery = running
+    deployment.fleet.call_later(0.0, lambda: pipeline.refuse(row, CUT_OFF))
+    deployment.run_for(0.01)
+    deployment.fleet.deliver("i-0", None, 0.0)
+    deployment.run_for(1.0)
+    assert delivery.ran is Ran.UNKNOWN
+
+
+def test_lost_attempt_is_judged_only_while_nothing_else_was_decided(running):
+    """Guards against a request that is queued twice after a lost hedge."""
+    pipeline, row, _, _ = running
+    row.attempts.clear()
+    row.state = RequestState.QUEUED
+    pipeline._attempts._after_loss(row)
+    assert pipeline.current(row)
+    assert row.state is RequestState.QUEUED
--- a/wagtailrill/engine/attempts.py
+++ b/wagtailrill/engine/attempts.py
@@ -112,7 +112,8 @@
         refusal = self._pipeline.check_before_order(row)
         if refusal is not None:
             self._parts.permits.release(permit, connection_open=not permit.may_connect)
-            self._pipeline.refuse(row, refusal)
+            if not hedge:  # the first attempt of a hedged request goes on
+                self._pipeline.refuse(row, refusal)
             return
         route = self._route(row, permit)
         if row.service.keyed and route is None:
@@ -283,6 +284,8 @@
     def _after_loss(self, row: RequestRow) -> None:
         if not self._pipeline.current(row) or row.attempts:
             return
+        if row.state is not RequestState.JUDGING:
+            return  # a hedge has failed meanwhile and the request was queued again
         if self._pipeline.crash_verdict(row) is CrashVerdict.BLOCKED:
             self._pipeline.refuse(row, CRASHES_SERVERS_MAY_HAVE_RUN)
             return
--- a/wagtailrill/engine/pipeline.py
+++ b/wagtailrill/engine/pipeline.py
@@ -90,7 +90,10 @@
         return {n: len(q.queue) for n, q in self._placement.queues.items()}
 
     def refuse(self, row: RequestRow, refusal: Refusal) -> None:
-        """Answer a request with an error."""
+        """Answer a request with an error; attempts that still run are abandoned."""
+        if row.attempts:
+            row.may_have_run = True
+            self._attempts.cancel_all(row)
         if row.may_have_run and refusal.ran is Ran.NO:
             refusal = attrs.evolve(refusal, ran=Ran.UNKNOWN)
         outcome = Outcome.UNKNOWN if row.may_have_run else Outcome.NOT_RUN
