Drop nonsensical peer messages instead of failing a step

Cause: a well-formed message could fail a step of its receiver or freeze it. A partition of 64 or more raised IndexError in the holders of limits and permits, an unknown verdict or outcome raised ValueError in idempotency, and a permit grant with a huge total kept the holder counting up to it without end. Change: the holders of limits ignore unknown partitions, the directory knows no home for them, unknown verdicts are ignored, unknown outcomes count as unknown, and grants of more than 65,536 permits at once are dropped.

--- a/wagtailrill/idempotency/claims.py
+++ b/wagtailrill/idempotency/claims.py
@@ -18,6 +18,7 @@
 from .home import ClaimHome
 from .messages import ClaimReply, ClaimRequest, Completion, CompletionReply, Handover
 from .models import (
+    VERDICTS,
     ClaimCallback,
     ClaimKey,
     ClaimResult,
@@ -163,7 +164,7 @@
     def _claim_answered(self, envelope: Envelope) -> None:
         reply: ClaimReply = envelope.message
         claim = self._claims.get(reply.claim_id)
-        verdict = Verdict(reply.verdict)
+        verdict = VERDICTS.get(reply.verdict, Verdict.NOT_HOME)
         if claim is None or claim.on_result is None or verdict is Verdict.NOT_HOME:
             return
         on_result, claim.on_result = claim.on_result, None
--- a/wagtailrill/idempotency/home.py
+++ b/wagtailrill/idempotency/home.py
@@ -29,6 +29,7 @@
     HandoverRecord,
 )
 from .models import (
+    OUTCOMES,
     ClaimKey,
     ClaimResult,
     IdempotencySettings,
@@ -155,7 +156,7 @@
             key=ClaimKey(message.organisation, message.service, message.key),
             claimant=Member(envelope.sender, envelope.incarnation),
             claim_id=message.claim_id,
-            outcome=Outcome(message.outcome),
+            outcome=OUTCOMES.get(message.outcome, Outcome.UNKNOWN),
             answer=StoredAnswer(message.status, message.headers, message.body),
             kept=kept,
         )
--- a/wagtailrill/idempotency/models.py
+++ b/wagtailrill/idempotency/models.py
@@ -2,6 +2,7 @@
 
 import enum
 from collections.abc import Callable
+from typing import Final
 
 import attrs
 
@@ -37,6 +38,10 @@
     UNKNOWN = "unknown"
 
 
+VERDICTS: Final = {verdict.value: verdict for verdict in Verdict}
+OUTCOMES: Final = {outcome.value: outcome for outcome in Outcome}
+
+
 @attrs.frozen
 class ClaimKey:
     """Identifies a request across deliveries."""
--- a/wagtailrill/idempotency/records.py
+++ b/wagtailrill/idempotency/records.py
@@ -4,7 +4,14 @@
 
 from ..partitions.directory import Member
 from .messages import HandoverRecord
-from .models import ClaimKey, ClaimResult, Outcome, StoredAnswer, Verdict
+from .models import (
+    OUTCOMES,
+    ClaimKey,
+    ClaimResult,
+    Outcome,
+    StoredAnswer,
+    Verdict,
+)
 
 
 @attrs.define
@@ -134,7 +141,11 @@
                 issued_ms=record.issued_ms,
                 claimant=Member(record.claimant, record.claimant_incarnation),
                 claim_id=record.claim_id,
-                outcome=Outcome(record.outcome) if record.outcome else None,
+                outcome=(
+                    OUTCOMES.get(record.outcome, Outcome.UNKNOWN)
+                    if record.outcome
+                    else None
+                ),
                 kept=record.kept,
                 answer=StoredAnswer(record.status, record.headers, record.body),
             ),
--- a/wagtailrill/limits/holder.py
+++ b/wagtailrill/limits/holder.py
@@ -99,6 +99,8 @@
     def receive_collect(self, envelope: Envelope) -> None:
         """Report all holdings of a partition to its new home."""
         message: CollectHoldings = envelope.message
+        if message.partition >= PARTITION_COUNT:
+            return
         link = self._refreshed_link(message.partition)
         if message.epoch < link.epoch or not self._directory.has_lease():
             return
@@ -108,6 +110,8 @@
     def receive_grant(self, envelope: Envelope) -> None:
         """Take over what the home has granted and return what it asks back."""
         grant: HomeGrant = envelope.message
+        if grant.partition >= PARTITION_COUNT:
+            return
         # The table may name a later home whose collection did not wait for this
         # member, because it was dropped and has joined again since.
         link = self._refreshed_link(grant.partition)
--- a/wagtailrill/membership/membership.py
+++ b/wagtailrill/membership/membership.py
@@ -88,8 +88,10 @@
     def home_of(self, partition: int) -> Home | None:
         """Return the home of a partition, or None while it has none."""
         table = self._view.table
-        home = table.homes[partition] if table is not None else None
-        return home if home is not None and home.instance else None
+        if table is None or partition >= len(table.homes):
+            return None
+        home = table.homes[partition]
+        return home if home.instance else None
 
     def is_home(self, partition: int) -> bool:
         """Return whether this instance is the home and its lease is valid."""
--- a/wagtailrill/permits/const.py
+++ b/wagtailrill/permits/const.py
@@ -8,6 +8,9 @@
 # Waiting requests named in one report; the home needs only the next few of each
 # holder to decide, and reports stay under 1 KB.
 REPORTED_WAITING_MAX: Final = 12
+# More than the 65,536 slots or connections that a server can have are never granted
+# at once; a malformed total would keep the holder busy counting up to it.
+GRANTED_AT_ONCE_MAX: Final = 65_536
 # A home queue length older than this says nothing about the present.
 QUEUE_LENGTH_VALID_S: Final = 1.0
 # Age reported for a start id that the holder knows only from the home.
--- a/wagtailrill/permits/holder.py
+++ b/wagtailrill/permits/holder.py
@@ -191,11 +191,11 @@
         message: PermitGrant = envelope.message
         row = self._row(message.backend_server)
         home = self._home(row.partition)
-        if message.session != self.session or message.epoch != home.epoch:
+        current = (message.session, message.epoch) == (self.session, home.epoch)
+        if not (current and row.plausible(message.granted, message.connects)):
             return
         row.confirmed_number = max(row.confirmed_number, message.report_number)
-        row.queue_length = message.queue_length
-        row.queue_length_s = self.ctx.now_s
+        row.queue_length, row.queue_length_s = message.queue_length, self.ctx.now_s
         if message.start_id and message.start_id != row.sighting.start_id:
             known = row.sighting.start_id
             row.sighting.replace(message.start_id, self.ctx.now_s)
--- a/wagtailrill/permits/holder_rows.py
+++ b/wagtailrill/permits/holder_rows.py
@@ -6,7 +6,7 @@
 
 from ..core.const import holder_duration_s
 from ..core.timer import TimerHandle
-from .const import NEVER_SEEN_AGE_S
+from .const import GRANTED_AT_ONCE_MAX, NEVER_SEEN_AGE_S
 from .fair_order import FairOrder
 from .messages import PermitReport, WaitingRequest
 from .models import OnPermit, Permit
@@ -88,6 +88,12 @@
     queue_length: int = 0
     queue_length_s: float = float("-inf")
 
+    def plausible(self, granted: int, connects: int) -> bool:
+        """Return whether a home can have granted these totals."""
+        return max(granted - self.granted, connects - self.connects) <= (
+            GRANTED_AT_ONCE_MAX
+        )
+
     @property
     def held(self) -> int:
         """Return the permits held, in use or not."""
