Log the traceback of a failed step

Cause: the log lines step_failed and exchange_failed said only exc_info true, so the place of the failure was lost.

--- a/wagtailrill/observability/logs.py
+++ b/wagtailrill/observability/logs.py
@@ -16,6 +16,7 @@
             structlog.contextvars.merge_contextvars,
             structlog.processors.add_log_level,
             structlog.processors.TimeStamper(fmt="iso", utc=True),
+            structlog.processors.format_exc_info,
             structlog.processors.JSONRenderer(),
         ],
         wrapper_class=structlog.make_filtering_bound_logger(
