Bound the decoding of a peer message by its size

Cause: a payload of 10 bytes that names a list of a million empty elements took 8.3 s and 450 MB to decode, and the receiver served nothing meanwhile. The fuzz test met such payloads whenever its examples changed. Change: a message may be read for 65,536 words and two more for each byte received.

--- a/tests/engine/test_peer_fuzz.py
+++ b/tests/engine/test_peer_fuzz.py
@@ -3,6 +3,7 @@
 import contextlib
 import itertools
 import random
+import struct
 import typing
 from functools import cache
 
@@ -11,11 +12,15 @@
 from hypothesis import HealthCheck, Phase, given, settings, strategies as st
 
 from tests.engine.support import Deployment
+from wagtailrill.core.const import STORED_ANSWER_MAX_BYTES
 from wagtailrill.core.events import PeerReceived
 from wagtailrill.engine.registry import REGISTRARS, make_registry
+from wagtailrill.idempotency.messages import Completion, Handover, HandoverRecord
+from wagtailrill.ownership.messages import KeyLoad, LoadReport
 from wagtailrill.peer.errors import PeerDecodeError
 from wagtailrill.peer.frame import FrameCodec
 from wagtailrill.peer.registry import Envelope, MessageRegistry, camel_case
+from wagtailrill.permits.messages import CollectHoldings
 
 SECRET = b"s" * 32
 UNSIGNED_BITS = {"uint16": 16, "uint32": 32, "uint64": 64}
@@ -140,6 +145,48 @@
         CODEC.registry.decode(number, bytes(mutated))
 
 
+def test_list_of_empty_elements_is_refused():
+    """Guards against ten bytes that keep the receiver busy for seconds."""
+    # Root with one pointer to a composite list of 2^20 elements without words.
+    words = (1 << 48, (7 << 32) | 1, 1 << 22)
+    segment = struct.pack("<II3Q", 0, len(words), *words)
+    payload = b"".join(pack_word(segment[n : n + 8]) for n in range(0, 32, 8))
+    (number,) = (e.number for e in ENTRIES if e.cls is CollectHoldings)
+    with pytest.raises(PeerDecodeError):
+        CODEC.registry.decode(number, payload)
+
+
+def pack_word(word):
+    """Return a word in packed form; not for words without a zero or with only zeros."""
+    tag = sum(1 << n for n, byte in enumerate(word) if byte)
+    return bytes([tag, *filter(None, word)])
+
+
+def test_largest_messages_survive_the_codec():
+    """Guards against a bound on decoding that drops handovers or reports."""
+    body = bytes(STORED_ANSWER_MAX_BYTES)
+    answer = Completion(1, 2, "large", "release", "k", "answered", 200, (), body)
+    report = LoadReport("ledger", bytes(2048), (KeyLoad(0, 0.0),) * 230)
+    fields = (
+        "large",
+        "release",
+        "k",
+        1,
+        2,
+        "i-0",
+        3,
+        4,
+        "answered",
+        True,
+        200,
+        (),
+        body,
+    )
+    handover = Handover(1, 2, 0, True, 3, (HandoverRecord(*fields),) * 5)
+    for message in (answer, report, handover):
+        assert CODEC.decode(CODEC.encode(envelope(message))).message == message
+
+
 @settings(max_examples=50, derandomize=True, deadline=None, database=None)
 @given(ANY_MESSAGE, st.data())
 def test_altered_frames_are_not_accepted(message, data):
--- a/wagtailrill/peer/registry.py
+++ b/wagtailrill/peer/registry.py
@@ -9,6 +9,7 @@
 import attrs
 import capnp
 
+from .const import DECODED_WORDS_BASE, DECODED_WORDS_PER_BYTE
 from .errors import PeerDecodeError
 
 capnp.remove_import_hook()
@@ -128,7 +129,10 @@
         if entry is None:
             raise PeerDecodeError(f"unknown message number {number}")
         try:
-            struct = entry.schema.from_bytes_packed(payload)
+            limit = DECODED_WORDS_BASE + DECODED_WORDS_PER_BYTE * len(payload)
+            struct = entry.schema.from_bytes_packed(
+                payload, traversal_limit_in_words=limit
+            )
             return entry.decode_fields(struct.to_dict())
         except (capnp.KjException, ValueError, TypeError, KeyError) as exc:
             raise PeerDecodeError(f"malformed message {number}") from exc
