--- a/wagtailrill/idempotency/claims.py
+++ b/wagtailrill/idempotency/claims.py
@@ -19,6 +19,7 @@
 from .home import ClaimHome
 from .messages import ClaimReply, ClaimRequest, Completion, CompletionReply, Handover
 from .models import (
+    VERDICTS,
     ClaimCallback,
     ClaimKey,
     ClaimResult,
@@ -149,7 +150,7 @@
     def _claim_answered(self, envelope: Envelope) -> None:
         reply: ClaimReply = envelope.message
         claim = self._claims.get(reply.claim_id)
-        verdict = Verdict(reply.verdict)
+        verdict = VERDICTS.get(reply.verdict, Verdict.NOT_HOME)
         if claim is None or claim.on_result is None or verdict is Verdict.NOT_HOME:
             return
         on_result, claim.on_result = claim.on_result, None
