Import the schedule of the random runs where it is now

Cause: the merge of the consolidated runs left the mutation tests with a name that no longer exists, so the suite stopped at collection. Change: they run the schedule itself, which raises its own assertions.

--- a/tests/engine/test_mutations.py
+++ b/tests/engine/test_mutations.py
@@ -3,7 +3,7 @@
 import attrs
 import pytest
 
-from tests.engine.random_run import run_schedule
+from tests.engine.random_run import Schedule
 from wagtailrill.core.orders import AttemptOutcome
 from wagtailrill.core.refusals import Ran
 from wagtailrill.engine import attempts
@@ -58,7 +58,7 @@
     failed = False
     for seed in SEEDS:
         try:
-            run_schedule(seed)
+            Schedule(seed).run()
         except AssertionError:
             failed = True
             break
