Probe only backend servers of the configuration

The test of a whole instance still used the old way to start the backend server stand-in. Change: the home ignores names that the configuration does not have; the test binds the stand-ins' sockets.

--- a/tests/daemon/test_process.py
+++ b/tests/daemon/test_process.py
@@ -17,8 +17,11 @@
 from wagtailrill.platform.models import InstanceEntry, Write
 from wagtailrill.settings.models import InstanceSettings
 from wagtailrill.stand_ins.backend_model import BackendModel, BackendModelSettings
-from wagtailrill.stand_ins.backend_server import BackendApplication, make_server
-from wagtailrill.stand_ins.http import make_server as make_store_server
+from wagtailrill.stand_ins.backend_server import (
+    BackendApplication,
+    make_backend_server,
+)
+from wagtailrill.stand_ins.http import bind, make_server
 from wagtailrill.stand_ins.instance_registry import InstanceRegistry
 from wagtailrill.stand_ins.store import StoreStandIn
 
@@ -61,6 +64,11 @@
     def address(self, name):
         return f"{HOST}:{self.ports[name]}"
 
+    def socket(self, name):
+        sock = bind(HOST, self.ports[name])
+        sock.listen(16)
+        return sock
+
     def declaration(self):
         """Return a declaration with the one backend server."""
 
@@ -79,13 +87,12 @@
         store = StoreStandIn(registry, 1)
         text = to_json(self.declaration()).encode()
         store.model.apply(Write("test/config", text, 0), 0.0)
-        store_server = make_store_server(store)
-        store_server.config.port = self.ports["store"]
-        backend_server = make_server(self.backend, HOST, self.ports["backend"])
+        store_server = make_server(store)
+        backend_server = make_backend_server(self.backend)
         with anyio.fail_after(TIMEOUT_S):
             async with anyio.create_task_group() as tg:
-                tg.start_soon(store_server.serve)
-                tg.start_soon(backend_server.serve)
+                tg.start_soon(store_server.serve, [self.socket("store")])
+                tg.start_soon(backend_server.serve, [self.socket("backend")])
                 tg.start_soon(self.process.async_run)
                 await self.async_until_ready()
                 await scenario(self)
@@ -123,7 +130,7 @@
         key = uuid7(time.time(), random.Random(1))
         first = await one.async_release(key)
         again = await one.async_release(key)
-        assert first[0] == 200
+        assert first[0] == 200, first
         assert again == first
         assert one.backend.executions == {key: 1}
         refused = await one.async_request("caller", "POST", "/release")
--- a/wagtailrill/permits/home.py
+++ b/wagtailrill/permits/home.py
@@ -173,6 +173,11 @@
         has been running.
         """
         asked_s = self.ctx.now_s
+        known = self.configuration is not None and (
+            row.name in self.configuration.backend_servers
+        )
+        if not known:
+            return  # a peer may name any server
         if row.uptime_known or asked_s - row.uptime_asked_s < self.cfg.reconcile_s:
             return
         row.uptime_asked_s = asked_s
