Stop instances and move data centres within the random runs

Cause: the guarantees page listed that the random runs of whole engines stop no instance as planned and change no configuration.

--- a/tests/engine/random_run.py
+++ b/tests/engine/random_run.py
@@ -2,9 +2,13 @@
 
 import collections
 
+import attrs
+
 from tests.engine.support import ORGANISATIONS, Deployment
 from tests.support_runs import SeededRuns, parser_of
+from wagtailrill.core.events import DrainRequested
 from wagtailrill.core.refusals import Ran
+from wagtailrill.declaration.models import DataCentreState
 
 RUN_S = 14.0
 REQUEST_INTERVAL_S = 0.05
@@ -20,6 +24,7 @@
         self.rng = self.deployment.rng
         self.deployment.start()
         self.end_s = self.fleet.now_s + RUN_S
+        self.drained = []
         self.faults = (
             self.kill_instance,
             self.pause_instance,
@@ -31,6 +36,8 @@
             self.cut_backend,
             self.slow_backend,
             self.slow_releases,
+            self.drain_instance,
+            self.move_data_centre,
         )
 
     def run(self):
@@ -127,6 +134,36 @@
         model = self.deployment.backends.by_name[self.any_backend()].model
         model.slowdown = self.rng.choice((20.0, 600.0))
 
+    def drain_instance(self):
+        """Stop an instance as planned and replace it later."""
+        name = self.rng.choice(sorted(self.fleet.nodes))
+        row = self.fleet.nodes[name]
+        self.fleet.deliver(name, DrainRequested(), 0.0)
+        self.drained.append(row)
+        self.fleet.call_later(9.0, lambda: self.end_drain(row))
+
+    def end_drain(self, row):
+        """Replace a process that was stopped as planned."""
+        if self.fleet.nodes.get(row.name) is row:
+            self.deployment.kill(row.name)
+            self.replace(row.name)
+
+    def move_data_centre(self):
+        """Take a data centre out, and bring it back later."""
+        declaration = self.deployment.declaration
+        name = self.rng.choice(declaration.data_centres).name
+        moved = tuple(
+            attrs.evolve(dc, state=DataCentreState.OUT) if dc.name == name else dc
+            for dc in declaration.data_centres
+        )
+        changed = attrs.evolve(declaration, data_centres=moved)
+        self.deployment.write_configuration(changed)
+        self.fleet.call_later(self.rng.uniform(1.0, 5.0), self.restore_configuration)
+
+    def restore_configuration(self):
+        """Accept the first declaration again."""
+        self.deployment.write_configuration(self.deployment.declaration)
+
     def slow_releases(self):
         """Stall the servers of requests that must run once, and lose an instance."""
         for name, backend in self.deployment.backends.by_name.items():
@@ -159,6 +196,9 @@
     def heal(self):
         """End all faults."""
         self.heal_store()
+        self.restore_configuration()
+        for row in self.drained:
+            self.end_drain(row)
         self.fleet.heal()
         self.fleet.lost_message_probability = 0.0
         self.deployment.backends.cut.clear()
