Answer callers of a failed step and refuse servers without an address

Cause: reading the driver showed that a step that failed on a request left its caller without an answer, and that servers which are not configured were given an address that nobody had configured. Change: such callers get internal_error with ran: unknown; orders and control calls to unknown servers end as unreachable, and unused connection tables are dropped.

--- a/wagtailrill/core/refusals.py
+++ b/wagtailrill/core/refusals.py
@@ -37,6 +37,7 @@
     BACKEND_LOST = "backend_lost"
     BACKEND_BAD_ANSWER = "backend_bad_answer"
     DEADLINE_EXCEEDED = "deadline_exceeded"
+    INTERNAL_ERROR = "internal_error"
 
 
 STATUS_BY_CODE: Final[dict[RefusalCode, int]] = {
@@ -61,6 +62,7 @@
     RefusalCode.BACKEND_LOST: 502,
     RefusalCode.BACKEND_BAD_ANSWER: 502,
     RefusalCode.DEADLINE_EXCEEDED: 504,
+    RefusalCode.INTERNAL_ERROR: 500,
 }
 
 
--- a/wagtailrill/daemon/admin.py
+++ b/wagtailrill/daemon/admin.py
@@ -27,7 +27,7 @@
 
     engine: Engine
     metrics: Metrics
-    dispatch: Callable[[Event], None]
+    dispatch: Callable[[Event], object]
 
     async def __call__(self, scope: Scope, receive: Receive, send: Send) -> None:
         """Serve one request."""
--- a/wagtailrill/daemon/driver.py
+++ b/wagtailrill/daemon/driver.py
@@ -8,7 +8,9 @@
 import attrs
 import structlog
 from anyio.abc import TaskGroup
+from expression import Error
 
+from ..core.backend import BackendError, BackendErrorKind, BackendResult
 from ..core.commands import (
     AnswerRequest,
     CallBackend,
@@ -32,16 +34,22 @@
     StoreReplied,
 )
 from ..core.orders import AttemptOutcome, AttemptResult, CallerRequest, Order
+from ..core.refusals import Ran, Refusal, RefusalCode
 from ..gateway.application import CallerAnswer, refusal_answer
 from ..gateway.connections import BackendConnections
 from ..gateway.control import BackendControl
 from ..observability.metrics import Metrics
-from ..observability.tracing import NOT_SAMPLED, RequestSpan, Tracing
+from ..observability.tracing import NOT_SAMPLED, AttemptSpan, RequestSpan, Tracing
 from ..peer.tcp import PeerTransport
 from ..platform.models import PlatformStore
 from ..settings.models import Limits
 
 TIMER_RESOLUTION_S = 0.002
+INTERNAL_ERROR = Refusal(
+    RefusalCode.INTERNAL_ERROR,
+    "The request could not be handled; see the instance's log.",
+    Ran.UNKNOWN,
+)
 _LOG = structlog.get_logger()
 
 
@@ -126,8 +134,11 @@
         """Return the number of callers that wait for an answer."""
         return len(self._pending)
 
-    def dispatch(self, event: Event | None) -> None:
-        """Hand an event to the engine and carry out its commands."""
+    def dispatch(self, event: Event | None) -> bool:
+        """Hand an event to the engine and carry out its commands.
+
+        Return whether the engine handled it.
+        """
         engine = self._parts.engine
         try:
             commands = engine.step(event, time.monotonic(), time.time())
@@ -136,12 +147,13 @@
             # one would then end all others too.
             self._parts.metrics.count_failed_step(type(event).__name__)
             _LOG.exception("step_failed", event_type=type(event).__name__)
-            return
+            return False
         for command in commands:
             self._handlers[type(command)](command)
         due_s = engine.next_due_s()
         if due_s is not None and due_s < self._wake_s - TIMER_RESOLUTION_S:
             self._wake.set()
+        return True
 
     async def async_run(self, tg: TaskGroup) -> None:
         """Run the engine's timers until cancelled."""
@@ -164,10 +176,9 @@
         pending = PendingRequest(req, span, time.monotonic())
         self._pending[req.request_id] = pending
         self._inline_request = req.request_id
-        try:
-            self.dispatch(RequestArrived(req))
-        finally:
-            self._inline_request = 0
+        if not self.dispatch(RequestArrived(req)):
+            self._refuse(RefuseRequest(req.request_id, INTERNAL_ERROR))
+        self._inline_request = 0
         order, self._inline_order = self._inline_order, None
         try:
             if order is not None:
@@ -196,10 +207,10 @@
             for connections in list(self.connections.values()):
                 closed = await connections.async_drop_unusable()
                 for _ in range(closed):
-                    self._connection_closed(connections.name)
-
-    def _connection_closed(self, backend_server: str) -> None:
-        self.dispatch(ConnectionClosed(backend_server))
+                    self.dispatch(ConnectionClosed(connections.name))
+                unused = not connections.idle and not connections.busy
+                if unused and self._parts.address_of(connections.name) is None:
+                    self.connections.pop(connections.name, None)
 
     def _spawn(self, function: Callable[..., Any], *args: Any) -> None:
         if self._tasks is not None:
@@ -212,9 +223,9 @@
 
     async def _async_call_backend(self, command: CallBackend) -> None:
         address = self._parts.address_of(command.backend_server)
-        result = await self._control.async_call(
-            address or "127.0.0.1:0", command.operation
-        )
+        result: BackendResult = Error(BackendError(BackendErrorKind.UNREACHABLE))
+        if address is not None:
+            result = await self._control.async_call(address, command.operation)
         self.dispatch(BackendReplied(command.call_id, result))
 
     def _send_order(self, command: SendOrder) -> None:
@@ -231,6 +242,23 @@
         request_span = pending.span if pending else NOT_SAMPLED
         span = self._parts.tracing.start_attempt(request_span, order)
         connections = self._connections_to(order.backend_server)
+        if connections is None:
+            running.result = AttemptResult(
+                order.attempt_id, AttemptOutcome.CONNECT_FAILED, 0.0
+            )
+        else:
+            await self._async_exchange(running, connections, span)
+        del self._running[order.attempt_id]
+        assert running.result is not None
+        self._end_attempt(running.result, span)
+
+    async def _async_exchange(
+        self,
+        running: RunningAttempt,
+        connections: BackendConnections,
+        span: AttemptSpan,
+    ) -> None:
+        order = running.order
         running.scope.deadline = anyio.current_time() + order.timeout_s
         with running.scope:
             try:
@@ -240,12 +268,14 @@
                 running.result = AttemptResult(
                     order.attempt_id, AttemptOutcome.LOST, 0.0
                 )
-        del self._running[order.attempt_id]
-        result = running.result or await self._async_abandon(running, connections)
+        if running.result is None:
+            running.result = await self._async_abandon(running, connections)
+
+    def _end_attempt(self, result: AttemptResult, span: AttemptSpan) -> None:
         span.end(result)
-        self._results[order.attempt_id] = result
+        self._results[result.attempt_id] = result
         self.dispatch(AttemptEnded(result))
-        self._results.pop(order.attempt_id, None)
+        self._results.pop(result.attempt_id, None)
 
     async def _async_abandon(
         self, running: RunningAttempt, connections: BackendConnections
@@ -257,8 +287,11 @@
         await connections.async_drop_unproven(order.timeout_s)
         return AttemptResult(order.attempt_id, AttemptOutcome.TIMED_OUT, latency_s)
 
-    def _connections_to(self, backend_server: str) -> BackendConnections:
-        address = self._parts.address_of(backend_server) or "127.0.0.1:0"
+    def _connections_to(self, backend_server: str) -> BackendConnections | None:
+        """Return the connections to a server, None if it is not configured."""
+        address = self._parts.address_of(backend_server)
+        if address is None:
+            return None
         connections = self.connections.get(backend_server)
         if connections is None or connections.address != address:
             connections = BackendConnections(
--- a/wagtailrill/peer/tcp.py
+++ b/wagtailrill/peer/tcp.py
@@ -132,7 +132,9 @@
 class PeerTransport:
     """Listens for peers and keeps a sender for each of them."""
 
-    def __init__(self, codec: FrameCodec, receive: Callable[[Envelope], None]) -> None:
+    def __init__(
+        self, codec: FrameCodec, receive: Callable[[Envelope], object]
+    ) -> None:
         self.counters = PeerCounters()
         self._codec = codec
         self._receive = receive
