Let the backend server stand-in honour cancellation

Cause: the protocol says that a closed connection cancels its request, but the stand-in ran it to its end. Change: an order ends when its connection closes; a frozen server goes on. Figures: a test with an order of 30 s: its slot is free within 5 s of the close.

--- a/tests/stand_ins/test_backend_server.py
+++ b/tests/stand_ins/test_backend_server.py
@@ -171,3 +171,22 @@
     """Guards against an injected fault that changes nothing."""
     app = make_application(service_time_sigma=0.0)
     run(app, async_fault)
+
+
+def test_closed_connection_cancels_the_order():
+    """Guards against cancelled orders that go on taking a slot of the stand-in."""
+    cfg = BackendModelSettings("s-1", service_time_s=30.0, service_time_sigma=0.0)
+    model = BackendModel(cfg, random.Random(1), started_s=time.monotonic() - 60.0)
+    app = BackendApplication(model)
+
+    async def async_main():
+        async with async_serve(app, make_backend_server(app)) as address:
+            async with httpcore.AsyncConnectionPool() as pool:
+                with anyio.move_on_after(0.2):
+                    await pool.request("GET", f"http://{address}/a")
+            with anyio.fail_after(5.0):
+                while model.running:
+                    await anyio.sleep(0.01)
+        return model.ran
+
+    assert anyio.run(async_main) == 1
--- a/wagtailrill/stand_ins/backend_server.py
+++ b/wagtailrill/stand_ins/backend_server.py
@@ -37,6 +37,7 @@
     Send,
     async_read_body,
     async_send_answer,
+    async_wait_for_disconnect,
     bind,
     make_server,
 )
@@ -78,7 +79,21 @@
         }.get(scope["path"], self._async_order)
         if handler != self._async_fault:
             await self.frozen.wait()
-        await handler(scope, body, send)
+        if handler != self._async_order:
+            await handler(scope, body, send)
+            return
+        async with anyio.create_task_group() as tg:
+            tg.start_soon(self._async_cancel_when_left, receive, tg.cancel_scope)
+            await handler(scope, body, send)
+            tg.cancel_scope.cancel()
+
+    async def _async_cancel_when_left(
+        self, receive: Receive, scope: anyio.CancelScope
+    ) -> None:
+        """Stop an order whose connection was closed; a frozen server goes on."""
+        await async_wait_for_disconnect(receive)
+        await self.frozen.wait()
+        scope.cancel()
 
     def crash(self) -> None:
         """Drop all connections and come back cold."""
