Assert the count of a failed step and drop an unused field

Cause: the driver test looked for a metric's name, which is there without a failure, so this part of it could not fail. Change: it asserts the count for the event; a field of the backend server stand-in that nothing read is gone.

--- a/tests/daemon/test_driver.py
+++ b/tests/daemon/test_driver.py
@@ -90,5 +90,6 @@
     """Guards against one request that ends all instances in turn."""
     engine, answer, metrics = drive(None)
     assert len(engine.events) == 1
-    assert b"wagtailrill_failed_steps_total" in metrics.text()[0]
+    counted = b'wagtailrill_failed_steps_total{event="RequestArrived"} 1'
+    assert counted in metrics.text()[0]
     assert answer.status == 500
--- a/wagtailrill/stand_ins/backend_server.py
+++ b/wagtailrill/stand_ins/backend_server.py
@@ -58,7 +58,6 @@
         self.server: uvicorn.Server | None = None
         self.frozen = anyio.Event()
         self.frozen.set()
-        self.frozen_since_s = 0.0
         self.executions: dict[str, int] = {}
         self.crash_on_mark = True
         self.echoes_request_id = True
