Let the interface types say what the processes use

Cause: the Protocol types of backend servers and of the peer link had other methods than the classes behind them, and nothing was checked against them.

--- a/wagtailrill/core/backend.py
+++ b/wagtailrill/core/backend.py
@@ -81,13 +81,11 @@
 BackendResult = Result[Granted | Health, BackendError]
 
 
-class BackendServer(Protocol):
-    """Control interface of a backend server."""
+class BackendServers(Protocol):
+    """Control interface of backend servers, found by their address."""
 
-    async def async_grant(self, grant: Grant) -> BackendResult:
-        """Hand over a fenced grant."""
-        ...
-
-    async def async_probe(self) -> BackendResult:
-        """Return health, load and start id."""
+    async def async_call(
+        self, address: str, operation: BackendOperation
+    ) -> BackendResult:
+        """Hand over a fenced grant, or return health, load and start id."""
         ...
--- a/wagtailrill/daemon/driver.py
+++ b/wagtailrill/daemon/driver.py
@@ -10,7 +10,12 @@
 from anyio.abc import TaskGroup
 from expression import Error
 
-from ..core.backend import BackendError, BackendErrorKind, BackendResult
+from ..core.backend import (
+    BackendError,
+    BackendErrorKind,
+    BackendResult,
+    BackendServers,
+)
 from ..core.commands import (
     AnswerRequest,
     CallBackend,
@@ -40,7 +45,7 @@
 from ..gateway.control import BackendControl
 from ..observability.metrics import Metrics
 from ..observability.tracing import NOT_SAMPLED, AttemptSpan, RequestSpan, Tracing
-from ..peer.tcp import PeerTransport
+from ..peer.link import PeerLink
 from ..platform.models import PlatformStore
 from ..settings.models import Limits
 
@@ -94,7 +99,7 @@
 
     engine: Engine
     store: PlatformStore
-    transport: PeerTransport
+    transport: PeerLink
     metrics: Metrics
     tracing: Tracing
     log: Callable[[LogEvent], None]
@@ -108,7 +113,7 @@
     def __init__(self, parts: DriverParts) -> None:
         self.connections: dict[str, BackendConnections] = {}
         self._parts = parts
-        self._control = BackendControl()
+        self._control: BackendServers = BackendControl()
         self._tasks: TaskGroup | None = None
         self._pending: dict[int, PendingRequest] = {}
         self._running: dict[int, RunningAttempt] = {}
--- a/wagtailrill/engine/attempts.py
+++ b/wagtailrill/engine/attempts.py
@@ -168,7 +168,6 @@
             self._pipeline.current(row)
             and result.outcome is not AttemptOutcome.CANCELLED
         ):
-            row.last_outcome = result.outcome
             handler = self._handlers.get(result.outcome, self._failed)
             handler(row, attempt, result)
         self._pipeline.pump(row.service.name)
--- a/wagtailrill/engine/models.py
+++ b/wagtailrill/engine/models.py
@@ -4,7 +4,7 @@
 
 import attrs
 
-from ..core.orders import AttemptOutcome, CallerRequest, Headers
+from ..core.orders import CallerRequest, Headers
 from ..core.refusals import RefusalCode
 from ..core.timer import TimerHandle
 from ..declaration.models import Route, Service
@@ -64,7 +64,6 @@
     may_have_run: bool = False
     tried: frozenset[str] = frozenset()
     wait_reason: RefusalCode = RefusalCode.NO_BACKEND_SERVER
-    last_outcome: AttemptOutcome | None = None
     deadline_timer: TimerHandle | None = None
     hedge_timer: TimerHandle | None = None
 
--- a/wagtailrill/peer/link.py
+++ b/wagtailrill/peer/link.py
@@ -13,8 +13,8 @@
     all: receivers drop repeated and overtaken sequence numbers (`SequenceFilter`).
     """
 
-    async def async_send(self, envelope: Envelope) -> None:
-        """Send a message, or drop it when the receiver cannot be reached."""
+    def send(self, envelope: Envelope) -> None:
+        """Queue a message, or drop it when the receiver cannot be reached."""
         ...
 
 
