Grant keys from one instance that holds a duty in the store

Cause: keyed services were not served.

Change: members register under leases; a duty is a key that names its holder and stays when the holder ends; the granter of a service keeps its segments in the store, writes before it grants, releases with handover and lets grants of unreachable owners end; members get routes by peer messages.

--- a/wagtailrill/core/commands.py
+++ b/wagtailrill/core/commands.py
@@ -6,7 +6,6 @@
 
 if TYPE_CHECKING:
     from ..peer.registry import Envelope
-    from .backend import BackendOperation
     from .orders import Order
     from .refusals import Refusal
 
@@ -32,7 +31,7 @@
 
     call_id: int
     backend_server: str
-    operation: "BackendOperation"
+    operation: Any
 
 
 @attrs.frozen
--- a/wagtailrill/core/context.py
+++ b/wagtailrill/core/context.py
@@ -8,7 +8,6 @@
 import attrs
 
 from ..peer.registry import Envelope
-from .backend import BackendOperation, BackendResult
 from .commands import CallBackend, CallStore, Command, LogEvent, SendPeer
 from .invariants import Invariants
 from .timer import TimerService
@@ -46,7 +45,7 @@
         self._sequences: dict[str, int] = {}
         self._call_ids = itertools.count(1)
         self._store_calls: dict[int, Callable[[Any], None]] = {}
-        self._backend_calls: dict[int, Callable[[BackendResult], None]] = {}
+        self._backend_calls: dict[int, Callable[[Any], None]] = {}
 
     def set_time(self, now_s: float, wall_s: float) -> None:
         """Set both clocks; the monotonic one never goes back."""
@@ -87,8 +86,8 @@
     def call_backend(
         self,
         backend_server: str,
-        operation: BackendOperation,
-        on_result: Callable[[BackendResult], None],
+        operation: Any,
+        on_result: Callable[[Any], None],
     ) -> None:
         """Queue a control call to a backend server."""
         call_id = next(self._call_ids)
@@ -101,7 +100,7 @@
         if callback is not None:
             callback(result)
 
-    def backend_replied(self, call_id: int, result: BackendResult) -> None:
+    def backend_replied(self, call_id: int, result: Any) -> None:
         """Run the callback of a control call."""
         callback = self._backend_calls.pop(call_id, None)
         if callback is not None:
--- a/wagtailrill/core/events.py
+++ b/wagtailrill/core/events.py
@@ -6,7 +6,6 @@
 
 from ..peer.registry import Envelope
 from ..platform.models import InstanceEntry
-from .backend import BackendResult
 from .orders import AttemptResult, CallerRequest
 
 
@@ -30,7 +29,7 @@
     """Result of a `CallBackend` command."""
 
     call_id: int
-    result: BackendResult
+    result: Any
 
 
 @attrs.frozen
--- /dev/null
+++ b/wagtailrill/fleet/duties.py
@@ -0,0 +1,215 @@
+"""Duties that one instance has at a time, by keys of the store under leases."""
+
+import attrs
+
+from ..core.context import Context
+from ..core.log_events import LogName
+from ..store.models import (
+    Commit,
+    Committed,
+    Expected,
+    Put,
+    StoreResult,
+)
+from .const import (
+    ABSENCE_GRACE_S,
+    DUTY_TICK_S,
+    OUTAGE_AUTHORITY_S,
+    RANK_DELAY_S,
+    SETTLE_S,
+)
+from .members import Members
+from .models import (
+    DUTIES,
+    RESIGNED,
+    DutyHolder,
+    DutyListener,
+    rank_of,
+    read_holder,
+)
+
+
+@attrs.define(eq=False)
+class DutyRow:
+    """One duty: who has it, and whether this instance does."""
+
+    name: str
+    listener: DutyListener
+    holder: DutyHolder | None = None
+    held: bool = False
+    fence: int = 0
+    committing: bool = False
+
+
+class Duties:
+    """Takes duties that nobody has, and keeps them while the member lease lasts.
+
+    The key of a duty stays in the store and names its last holder, whose member key
+    tells whether it still runs. A duty is kept through an outage of the store for
+    `OUTAGE_AUTHORITY_S`: nobody else can take it then. A successor must reckon with a
+    predecessor that acts for as long, unless that process is known to have ended.
+    """
+
+    def __init__(self, ctx: Context, members: Members) -> None:
+        self._ctx = ctx
+        self._members = members
+        self._rows: dict[str, DutyRow] = {}
+        self._resigned = False
+        members.add_listener(self._changed)
+        ctx.timers.subscribe(DUTY_TICK_S, self._tick, SETTLE_S)
+
+    def register(self, duty: str, listener: DutyListener) -> None:
+        """Take part in a duty from now on."""
+        if duty not in self._rows:
+            row = DutyRow(duty, listener)
+            self._rows[duty] = row
+            self._read(row)
+
+    def withdraw(self, duty: str) -> None:
+        """Take no part in a duty any more."""
+        row = self._rows.pop(duty, None)
+        if row is not None and row.held:
+            self._release(row)
+
+    def holds(self, duty: str) -> bool:
+        """Return whether this instance may act for a duty now."""
+        row = self._rows.get(duty)
+        return row is not None and row.held and self._may_act()
+
+    def holder(self, duty: str) -> DutyHolder | None:
+        """Return the process that has a duty, as far as is known."""
+        row = self._rows.get(duty)
+        return row.holder if row is not None else None
+
+    def held(self) -> tuple[str, ...]:
+        """Return the duties of this instance."""
+        return tuple(name for name in self._rows if self.holds(name))
+
+    def resign(self) -> None:
+        """Give up all duties: the process stops."""
+        self._resigned = True
+        for row in self._rows.values():
+            if row.held:
+                self._release(row)
+
+    def _may_act(self) -> bool:
+        until_s = self._members.lease_until_s
+        if not self._members.store_answers():
+            until_s += OUTAGE_AUTHORITY_S
+        return self._ctx.now_s < until_s
+
+    def _release(self, row: DutyRow) -> None:
+        key = self._members.duty_key(row.name)
+        put = Put(key, RESIGNED.to_bytes())
+        self._ctx.log(LogName.DUTY_RESIGNED, duty=row.name, fence=row.fence)
+        self._lose(row)
+        commit = Commit((Expected(key, row.fence),), (put,))
+        self._ctx.call_store(commit, lambda result: None)
+
+    def _lose(self, row: DutyRow) -> None:
+        row.held = False
+        row.listener.duty_lost(row.name)
+
+    def _changed(self) -> None:
+        for row in self._rows.values():
+            self._read(row)
+
+    def _read(self, row: DutyRow) -> None:
+        item = self._members.item(DUTIES + row.name)
+        holder = read_holder(item) if item is not None else None
+        known = row.holder.fence if row.holder is not None else 0
+        if holder is None or holder.fence <= known:
+            return
+        row.holder = holder
+        if row.held and holder.fence > row.fence:
+            self._ctx.log(
+                LogName.DUTY_LOST,
+                duty=row.name,
+                fence=row.fence,
+                holder=holder.instance,
+                holder_fence=holder.fence,
+            )
+            self._lose(row)
+
+    def _tick(self) -> None:
+        for row in list(self._rows.values()):
+            if row.held and not self._may_act():
+                self._ctx.log(LogName.DUTY_LOST, duty=row.name, fence=row.fence)
+                self._lose(row)
+            elif not row.held and not row.committing:
+                self._try(row)
+
+    def _try(self, row: DutyRow) -> None:
+        if self._resigned or not self._members.lease_valid():
+            return
+        delay_s = self._rank(row) * RANK_DELAY_S
+        if self._vacant_for_s(row.holder) < delay_s:
+            return
+        key = self._members.duty_key(row.name)
+        identity = self._ctx.identity
+        value = DutyHolder(identity.instance, identity.incarnation, 0).to_bytes()
+        revision = row.holder.fence if row.holder is not None else 0
+        commit = Commit((Expected(key, revision),), (Put(key, value),))
+        predecessor_s = self._may_still_act_s(row.holder)
+        row.committing = True
+        self._ctx.call_store(
+            commit, lambda result: self._committed(row, result, predecessor_s)
+        )
+
+    def _committed(
+        self, row: DutyRow, result: StoreResult, predecessor_s: float
+    ) -> None:
+        row.committing = False
+        if result.is_error():
+            # A commit without an answer may have taken effect; the mirror then names
+            # this process as the holder, and the next attempt confirms it.
+            return
+        committed = result.ok
+        assert isinstance(committed, Committed)
+        identity = self._ctx.identity
+        row.holder = DutyHolder(
+            identity.instance, identity.incarnation, committed.revision
+        )
+        if self._rows.get(row.name) is not row or self._resigned:
+            row.fence = committed.revision
+            self._release(row)
+            return
+        row.held, row.fence = True, committed.revision
+        self._ctx.log(
+            LogName.DUTY_TAKEN,
+            duty=row.name,
+            fence=row.fence,
+            predecessor_may_act_s=round(predecessor_s, 3),
+        )
+        row.listener.duty_taken(row.name, row.fence, predecessor_s)
+
+    def _vacant_for_s(self, holder: DutyHolder | None) -> float:
+        """Return for how long a duty has had nobody, negative if it has somebody."""
+        if holder is None:
+            return self._members.complete_for_s()
+        if holder == attrs.evolve(RESIGNED, fence=holder.fence):
+            return float("inf")
+        if self._ended(holder):
+            return float("inf")
+        return self._members.absent_for_s(holder.instance) - ABSENCE_GRACE_S
+
+    def _may_still_act_s(self, holder: DutyHolder | None) -> float:
+        if holder is None or self._vacant_for_s(holder) == float("inf"):
+            return 0.0
+        absent_s = self._members.absent_for_s(holder.instance)
+        return max(0.0, OUTAGE_AUTHORITY_S - absent_s)
+
+    def _ended(self, holder: DutyHolder) -> bool:
+        """Return whether the process of a holder has ended, or is this one.
+
+        The platform does not run two processes of one instance at the same time.
+        """
+        if holder.instance == self._ctx.identity.instance:
+            return True
+        member = self._members.live().get(holder.instance)
+        return member is not None and member.incarnation != holder.incarnation
+
+    def _rank(self, row: DutyRow) -> int:
+        own = self._ctx.identity.instance
+        weight = rank_of(row.name, own)
+        return sum(rank_of(row.name, name) < weight for name in self._members.live())
--- a/wagtailrill/gateway/dialects.py
+++ b/wagtailrill/gateway/dialects.py
@@ -4,8 +4,9 @@
 
 import attrs
 
-from ..core.orders import AttemptOutcome, Headers, LoadReport, Order
+from ..core.orders import AttemptOutcome, AttemptResult, Headers, LoadReport, Order
 from ..core.refusals import Refusal
+from ..servers.control import ControlOperation, ControlResult
 
 
 @attrs.frozen
@@ -53,6 +54,29 @@
     load: LoadReport | None = None
 
 
+@attrs.frozen
+class ControlCall:
+    """A control call as an HTTP request."""
+
+    target: str
+    body: bytes
+    timeout_s: float
+
+
+class ControlDialect(Protocol):
+    """Control calls to backend servers."""
+
+    def encode(self, operation: ControlOperation) -> ControlCall:
+        """Return the request of a call."""
+        ...
+
+    def decode(
+        self, operation: ControlOperation, result: AttemptResult
+    ) -> ControlResult:
+        """Return what the end of the exchange means."""
+        ...
+
+
 class BackendDialect(Protocol):
     """Headers of orders to backend servers and of their answers."""
 
--- /dev/null
+++ b/wagtailrill/keys/__init__.py
@@ -0,0 +1,1 @@
+"""Owners of the keys of keyed services."""
--- /dev/null
+++ b/wagtailrill/keys/const.py
@@ -0,0 +1,23 @@
+"""Constants of key ownership."""
+
+from typing import Final
+
+KEY_POSITIONS: Final = 65_536
+# A lost granter's successor renews the grants before they end: the member lease of
+# 2.0 s, the takeover and one renewal fit into this time.
+GRANT_S: Final = 4.0
+GRANT_RENEW_S: Final = 1.0
+GRANT_RETRY_S: Final = 0.25
+# Backend servers' clocks may run this part slow.
+SERVER_CLOCK_BOUND: Final = 0.02
+GRANT_MARGIN_S: Final = 0.05
+# Grants without an answer in a row, after which an owner counts as lost.
+GRANT_FAILURES_MAX: Final = 2
+TICK_S: Final = 0.05
+PLAN_INTERVAL_S: Final = 0.6
+USAGE_INTERVAL_S: Final = 0.4
+USAGE_POSITIONS_MAX: Final = 400
+USAGE_DECAY_S: Final = 2.5
+ANNOUNCE_INTERVAL_S: Final = 1.0
+# Without word of the granter for so long, the table is read from the store.
+SILENCE_S: Final = 2.5
--- /dev/null
+++ b/wagtailrill/keys/granter.py
@@ -0,0 +1,375 @@
+"""Assigns the keys of one service while this instance has the duty."""
+
+from collections.abc import Callable
+
+import attrs
+
+from ..core.context import Context
+from ..core.log_events import LogName
+from ..servers.models import ServerRow
+from ..servers.table import ServerTable
+from ..store.models import (
+    Commit,
+    Committed,
+    Expected,
+    Found,
+    Get,
+    Put,
+    StoreErrorKind,
+    StoreResult,
+)
+from .const import (
+    GRANT_RETRY_S,
+    PLAN_INTERVAL_S,
+)
+from .grants import HELD_S, GrantParts, Grants
+from .models import EMPTY_TABLE, KeyTable, Segment, SegmentRow, SegmentState
+from .planner import Capacity, Holding, LoadMap, Move, divide, rebalance
+from .usage import UsageTable
+
+MOVES_MAX = 4
+# Keys that have just moved stay for this long.
+MOVE_PAUSE_S = 2.0
+WORK_INITIAL_S = 0.2
+
+
+@attrs.frozen
+class GranterParts:
+    """What a granter needs; `may_act` tells whether the duty is still held."""
+
+    ctx: Context
+    servers: ServerTable
+    service: str
+    key: str
+    may_act: Callable[[], bool]
+    on_change: Callable[[], None]
+
+
+class Granter:
+    """Keeps the table of segments in the store and carries it out at the servers.
+
+    A change is written before the new owner is asked, so that a successor knows every
+    owner that may hold keys.
+    """
+
+    def __init__(
+        self, parts: GranterParts, usage: UsageTable, duty_fence: int, wait_s: float
+    ) -> None:
+        self.rows: list[SegmentRow] = []
+        self.loaded = False
+        self._parts = parts
+        self._ctx = parts.ctx
+        self._usage = usage
+        self._duty_fence = duty_fence
+        self._predecessor_until_s = parts.ctx.now_s + wait_s
+        self._fence = 0
+        self._revision = 0
+        self._writing = False
+        self._stopped = False
+        self._planned_s = parts.ctx.now_s
+        self._moved_s: dict[int, float] = {}
+        self._grants = Grants(
+            GrantParts(
+                parts.ctx,
+                parts.servers,
+                parts.service,
+                lambda: not self._stopped and parts.may_act(),
+                parts.on_change,
+            )
+        )
+        self._load()
+
+    def stop(self) -> None:
+        """Call and write nothing more."""
+        self._stopped = True
+
+    def tick(self) -> None:
+        """Run the systems over all segments."""
+        if self._stopped or not self.loaded or not self._parts.may_act():
+            return
+        self._check_owners()
+        for row in self.rows:
+            self._grants.run(row)
+        self._assign_vacant()
+        if self._ctx.now_s - self._planned_s >= PLAN_INTERVAL_S:
+            self._planned_s = self._ctx.now_s
+            self._rebalance()
+
+    # Store
+
+    def _load(self) -> None:
+        self._ctx.call_store(Get(self._parts.key), self._on_loaded)
+
+    def _on_loaded(self, result: StoreResult) -> None:
+        if self._stopped:
+            return
+        if result.is_error():
+            self._ctx.timers.call_later(GRANT_RETRY_S, self._load)
+            return
+        found = result.ok
+        assert isinstance(found, Found)
+        table = EMPTY_TABLE
+        if found.item is not None:
+            self._revision = found.item.revision
+            read = KeyTable.from_bytes(found.item.value)
+            if read.is_ok():
+                table = read.ok
+        self._fence = table.fence
+        self._ctx.log(
+            LogName.KEY_TABLE_READ,
+            service=self._parts.service,
+            revision=self._revision,
+            segments=len(table.segments),
+            fence=table.fence,
+        )
+        self.rows = [self._row_of(segment) for segment in table.segments]
+        self.loaded = True
+        self._parts.on_change()
+
+    def _row_of(self, segment: Segment) -> SegmentRow:
+        if not segment.owner:
+            return SegmentRow(segment)
+        # A predecessor may have extended the grant until it stopped.
+        until_s = max(self._predecessor_until_s, self._ctx.now_s) + HELD_S
+        return SegmentRow(segment, SegmentState.SERVING, held_until_s=until_s)
+
+    def _write(self, rows: list[SegmentRow]) -> None:
+        """Write the table with new owners for some rows."""
+        fence = self._fence
+        segments: dict[int, Segment] = {}
+        for row in rows:
+            server = self._parts.servers.rows[row.target]
+            fence += 1
+            segments[id(row)] = attrs.evolve(
+                row.segment,
+                owner=server.name,
+                start_id=server.entry.start_id,
+                fence=fence,
+            )
+        table = KeyTable(
+            tuple(segments.get(id(row), _kept(row)) for row in self.rows),
+            fence,
+            self._duty_fence,
+        )
+        commit = Commit(
+            (Expected(self._parts.key, self._revision),),
+            (Put(self._parts.key, table.to_bytes()),),
+        )
+        self._writing = True
+        self._ctx.call_store(
+            commit, lambda result: self._written(result, table, rows, segments)
+        )
+
+    def _written(
+        self,
+        result: StoreResult,
+        table: KeyTable,
+        rows: list[SegmentRow],
+        segments: dict[int, Segment],
+    ) -> None:
+        if self._stopped:
+            return
+        if result.is_error():
+            error = result.error
+            self._ctx.log(
+                LogName.KEY_TABLE_WRITE_FAILED,
+                service=self._parts.service,
+                kind=error.kind.value,
+                message=error.message,
+            )
+            if error.kind is StoreErrorKind.REFUSED:
+                self._writing = False
+            else:
+                # The write may have taken effect; the table is read again.
+                self._read_back(table, rows, segments)
+            return
+        committed = result.ok
+        assert isinstance(committed, Committed)
+        self._apply(committed.revision, table, rows, segments)
+
+    def _read_back(
+        self,
+        table: KeyTable,
+        rows: list[SegmentRow],
+        segments: dict[int, Segment],
+    ) -> None:
+        def on_read(result: StoreResult) -> None:
+            if self._stopped:
+                return
+            if result.is_error():
+                self._ctx.timers.call_later(
+                    GRANT_RETRY_S, lambda: self._read_back(table, rows, segments)
+                )
+                return
+            found = result.ok
+            assert isinstance(found, Found)
+            revision = found.item.revision if found.item is not None else 0
+            content = found.item.value if found.item is not None else b""
+            if content == table.to_bytes():
+                self._apply(revision, table, rows, segments)
+            elif revision == self._revision:
+                # Carried out later, it would fail its condition once this is written.
+                self._fence = table.fence
+                self._writing = False
+            else:
+                self.loaded = False
+                self._writing = False
+                self._load()
+
+        self._ctx.call_store(Get(self._parts.key), on_read)
+
+    def _apply(
+        self,
+        revision: int,
+        table: KeyTable,
+        rows: list[SegmentRow],
+        segments: dict[int, Segment],
+    ) -> None:
+        self._writing = False
+        self._revision, self._fence = revision, table.fence
+        for row in rows:
+            former, row.segment = row.segment, segments[id(row)]
+            row.state = SegmentState.GRANTING
+            row.sent_s = float("-inf")
+            row.failures = 0
+            row.moved_s = self._ctx.now_s
+            self._ctx.log(
+                LogName.KEYS_MOVED,
+                service=self._parts.service,
+                first=row.segment.first,
+                last=row.segment.last,
+                former_owner=former.owner,
+                owner=row.segment.owner,
+                fence=row.segment.fence,
+                revision=revision,
+            )
+            self._grants.run(row)
+
+    # Owners
+
+    def _check_owners(self) -> None:
+        for row in self.rows:
+            if row.state in (SegmentState.VACANT, SegmentState.RELEASING):
+                continue
+            server = self._parts.servers.rows.get(row.segment.owner)
+            if server is not None and server.entry.start_id != row.segment.start_id:
+                # The process that was granted the keys has ended.
+                self._grants.vacate(row)
+            elif row.state is SegmentState.EXPIRING:
+                continue
+            elif server is None or not self._parts.servers.accepts_work(server):
+                self._take_back(row)
+
+    def _take_back(self, row: SegmentRow) -> None:
+        if row.state is SegmentState.GRANTING and row.calling:
+            return
+        row.target = ""
+        self._grants.release(row)
+        self._parts.on_change()
+
+    def _assign_vacant(self) -> None:
+        vacant = [row for row in self.rows if row.state is SegmentState.VACANT]
+        if not vacant or self._writing:
+            return
+        chosen: list[SegmentRow] = []
+        unplanned: list[SegmentRow] = []
+        for row in vacant:
+            server = self._parts.servers.rows.get(row.target)
+            if server is not None and self._may_own(server):
+                chosen.append(row)
+            else:
+                unplanned.append(row)
+        if unplanned:
+            chosen.extend(self._divide(unplanned))
+        if chosen:
+            self._write(chosen)
+
+    def _divide(self, vacant: list[SegmentRow]) -> list[SegmentRow]:
+        moves = divide(
+            [(row.segment.first, row.segment.last) for row in vacant],
+            self._holdings(),
+            self._capacities(),
+            self._load_map(),
+        )
+        return [piece for move in moves for piece in self._cut_out(move)]
+
+    def _rebalance(self) -> None:
+        if self._writing or any(
+            row.state in (SegmentState.VACANT, SegmentState.RELEASING)
+            for row in self.rows
+        ):
+            return
+        moves = rebalance(
+            self._holdings(movable=True),
+            self._capacities(),
+            self._load_map(),
+            MOVES_MAX,
+        )
+        for move in moves:
+            for row in self._cut_out(move):
+                self._grants.release(row)
+        if moves:
+            self._parts.on_change()
+
+    def _cut_out(self, move: Move) -> list[SegmentRow]:
+        """Return the rows that make up a move, cut off from the rest of theirs."""
+        rows: list[SegmentRow] = []
+        found: list[SegmentRow] = []
+        for row in self.rows:
+            first, last = row.segment.first, row.segment.last
+            if last < move.first or first > move.last:
+                rows.append(row)
+                continue
+            if first < move.first:
+                rows.append(row.piece(first, move.first - 1))
+            inner = row.piece(max(first, move.first), min(last, move.last))
+            inner.target = move.target
+            rows.append(inner)
+            found.append(inner)
+            if last > move.last:
+                rows.append(row.piece(move.last + 1, last))
+        self.rows = rows
+        return found
+
+    def _holdings(self, movable: bool = False) -> list[Holding]:
+        settled_s = self._ctx.now_s - MOVE_PAUSE_S
+        return [
+            Holding(row.segment.first, row.segment.last, row.segment.owner)
+            for row in self.rows
+            if row.state in (SegmentState.SERVING, SegmentState.GRANTING)
+            and not (movable and (row.calling or row.moved_s > settled_s))
+        ]
+
+    def _capacities(self) -> list[Capacity]:
+        rows = [
+            row
+            for row in self._parts.servers.by_service.get(self._parts.service, ())
+            if self._may_own(row)
+        ]
+        works = [self._usage.work_s(row.name) or row.work_s for row in rows]
+        known = sorted(work for work in works if work > 0.0)
+        usual = known[len(known) // 2] if known else WORK_INITIAL_S
+        return [
+            Capacity(row.name, row.entry.slots / (work or usual))
+            for row, work in zip(rows, works, strict=True)
+        ]
+
+    def _may_own(self, server: ServerRow) -> bool:
+        servers = self._parts.servers
+        if not servers.accepts_work(server):
+            return False
+        return not servers.is_cold(server) or all(
+            servers.is_cold(row)
+            for row in servers.by_service.get(self._parts.service, ())
+        )
+
+    def _load_map(self) -> LoadMap:
+        return LoadMap(self._usage.rates())
+
+
+def _kept(row: SegmentRow) -> Segment:
+    """Return what the table says of a row that does not change.
+
+    A vacant row keeps its former owner, which no longer holds it.
+    """
+    return row.segment
--- a/wagtailrill/peer/frame.py
+++ b/wagtailrill/peer/frame.py
@@ -21,12 +21,13 @@
 _SCHEMA: Any = capnp.load(str(Path(__file__).with_name("frame.capnp"))).Frame
 
 
-@attrs.frozen
+@attrs.define
 class FrameCodec:
     """Encodes and decodes frames.
 
     Frames are signed with the first secret and accepted with any, so that secrets
-    can be rotated while old and new instances run together.
+    can be rotated while old and new instances run together. Without a secret nothing
+    is accepted and nothing may be encoded.
     """
 
     registry: MessageRegistry
--- a/wagtailrill/peer/tcp.py
+++ b/wagtailrill/peer/tcp.py
@@ -155,7 +155,7 @@
     def send(self, envelope: Envelope) -> None:
         """Queue a message, or drop it when the instance's address is unknown."""
         sender = self._sender(envelope.receiver)
-        if sender is None:
+        if sender is None or not self._codec.secrets:
             self.counters.dropped_frames += 1
             return
         sender.offer(self._codec.encode(envelope))
--- a/wagtailrill/platform/__main__.py
+++ b/wagtailrill/platform/__main__.py
@@ -1,6 +1,7 @@
 """Program that runs one instance on the platform."""
 
 import os
+import secrets
 import sys
 from pathlib import Path
 
@@ -8,6 +9,7 @@
 
 from ..core.context import Identity
 from ..declaration.models import CallerLimits
+from ..fleet.models import FleetSettings
 from ..observability.logs import configure_logs
 from ..organisations.keys import OpaqueKeyForm
 from ..retries.extra_attempts import ExtraAttemptSettings
@@ -19,6 +21,7 @@
 from ..settings.models import LogLevel
 from . import wire
 from .configuration import PlatformConfigurations
+from .control import PlatformControl
 from .dialect import PlatformBackends, PlatformCallers, forwarded_headers
 from .discovery import PlatformServerEntries
 from .settings import PlatformSettings, parse_settings
@@ -27,18 +30,23 @@
 SETTINGS_VARIABLE = "WAGTAILRILL_CONFIG"
 STORE_TIMEOUT_S = 1.0
 EXIT_USAGE = 2
+INCARNATION_BITS = 62
 # In force until the operator's configuration says otherwise.
 FIRST_CALLER_LIMITS = CallerLimits(16_384, 67_108_864, 3.0, 15.0)
 
 
 def process_settings(cfg: PlatformSettings) -> ProcessSettings:
     """Return the product's settings for a process of the platform."""
-    identity = Identity(cfg.instance, 1, cfg.data_centre)
+    incarnation = secrets.randbits(INCARNATION_BITS) + 1
+    identity = Identity(cfg.instance, incarnation, cfg.data_centre)
+    peer_address = f"{cfg.ip}:{cfg.peer_port}"
     bounds = cfg.bounds
     return ProcessSettings(
         router=RouterSettings(
             identity=identity,
             discovery=DiscoverySettings(wire.SERVER_PREFIX),
+            fleet=FleetSettings("wagtailrill/fleet/", peer_address),
+            key_table_prefix="wagtailrill/keys/",
             cold=ColdSettings(bounds.cold_excess_factor, bounds.cold_excess_requests),
             extra_attempts=ExtraAttemptSettings(
                 share=bounds.retry_share,
@@ -55,6 +63,8 @@
         store=PlatformStore(cfg.store_address, STORE_TIMEOUT_S),
         callers=PlatformCallers(),
         backends=PlatformBackends(),
+        control=PlatformControl(),
+        peer_address=peer_address,
         caller_address=cfg.caller_address,
         probe_address=cfg.ready_address,
         caller_limits=FIRST_CALLER_LIMITS,
--- /dev/null
+++ b/wagtailrill/router/messages.py
@@ -0,0 +1,16 @@
+"""Registry of all peer messages."""
+
+from typing import Final
+
+from ..keys.messages import register_messages as register_keys
+from ..peer.registry import MessageRegistry
+
+REGISTRARS: Final = (register_keys,)
+
+
+def make_registry() -> MessageRegistry:
+    """Return a registry with the messages of every component."""
+    registry = MessageRegistry()
+    for register in REGISTRARS:
+        register(registry)
+    return registry
--- a/wagtailrill/router/models.py
+++ b/wagtailrill/router/models.py
@@ -3,6 +3,7 @@
 import attrs
 
 from ..core.context import Identity
+from ..fleet.models import FleetSettings
 from ..retries.extra_attempts import ExtraAttemptSettings
 from ..servers.choice import ChoiceSettings
 from ..servers.discovery import DiscoverySettings
@@ -15,6 +16,8 @@
 
     identity: Identity
     discovery: DiscoverySettings
+    fleet: FleetSettings
+    key_table_prefix: str
     cold: ColdSettings = attrs.field(factory=ColdSettings)
     choice: ChoiceSettings = attrs.field(factory=ChoiceSettings)
     extra_attempts: ExtraAttemptSettings = attrs.field(factory=ExtraAttemptSettings)
--- a/wagtailrill/router/router.py
+++ b/wagtailrill/router/router.py
@@ -13,11 +13,13 @@
 from ..core.host import ComponentHost
 from ..core.invariants import Invariants
 from ..core.orders import Headers
-from ..core.refusals import RefusalCode
 from ..declaration.models import Configuration
+from ..fleet.duties import Duties
+from ..fleet.members import Members
+from ..keys.component import KeyOwnership
 from ..organisations.keys import KeyForm, TenantKeys
 from ..requests.checks import ArrivalChecks
-from ..requests.interfaces import KeyOwner, TakeResult
+from ..requests.interfaces import TakeResult
 from ..requests.pipeline import Pipeline, PipelineParts
 from ..retries.extra_attempts import ExtraAttempts
 from ..servers.choice import ServerChoice
@@ -32,15 +34,6 @@
         on_result(TakeResult(True))
 
 
-class NoKeys:
-    def owner(self, service: str, position: int) -> KeyOwner | RefusalCode:
-        return RefusalCode.KEY_MOVING
-
-    def record(self, service: str, position: int) -> None: ...
-
-    def misdirected(self, service: str, position: int, backend_server: str) -> None: ...
-
-
 @attrs.frozen
 class Adapter:
     """How the environment of the instance is read."""
@@ -73,9 +66,15 @@
         self.discovery = Discovery(
             ctx, cfg.discovery, adapter.server_entries, self.servers.update
         )
-        self.cold = ColdAllowances(ctx, self.servers, cfg.cold, self.instances)
+        self.members = Members(ctx, cfg.fleet)
+        self.duties = Duties(ctx, self.members)
+        self.keys = KeyOwnership(
+            ctx, self.servers, self.members, self.duties, cfg.key_table_prefix
+        )
+        counted = self.members.counted
+        self.cold = ColdAllowances(ctx, self.servers, cfg.cold, counted)
         self.choice = ServerChoice(ctx, self.servers, self.cold, cfg.choice)
-        self.retries = ExtraAttempts(ctx, cfg.extra_attempts, self.instances)
+        self.retries = ExtraAttempts(ctx, cfg.extra_attempts, counted)
         self.pipeline = Pipeline(
             PipelineParts(
                 ctx=ctx,
@@ -83,23 +82,22 @@
                     ctx, TenantKeys(adapter.key_form), adapter.forwarded_headers
                 ),
                 limits=NoLimits(),
-                router=NoKeys(),
+                router=self.keys,
                 servers=self.servers,
                 choice=self.choice,
                 retries=self.retries,
             )
         )
-        self.pipeline.attach(self.host)
+        for part in (self.pipeline, self.keys):
+            part.attach(self.host)
         self.configuration.add_listener(self._configure)
         self.draining = False
         self.host.on_event(DrainRequested, self._drain)
 
-    def instances(self) -> tuple[str, ...]:
-        return (*(f"x{n}" for n in range(11)), self.cfg.identity.instance)
-
     def start(self, now_s: float, wall_s: float) -> list[Command]:
         """Begin to read the store; return the first commands."""
         self.ctx.set_time(now_s, wall_s)
+        self.members.start()
         self.configuration.start()
         self.discovery.start()
         return self.step(None, now_s, wall_s)
@@ -121,8 +119,7 @@
 
     def address_of(self, backend_server: str) -> str | None:
         """Return the address of a backend server."""
-        row = self.servers.rows.get(backend_server)
-        return row.entry.address if row is not None else None
+        return self.servers.address_of(backend_server)
 
     def status(self) -> dict[str, Any]:
         """Return the state of this instance for operators."""
@@ -138,8 +135,11 @@
         }
 
     def _drain(self, event: DrainRequested) -> None:
-        self.draining = True
+        if not self.draining:
+            self.draining = True
+            self.duties.resign()
+            self.members.stop()
 
     def _configure(self, configuration: Configuration) -> None:
-        for part in (self.servers, self.cold, self.retries, self.pipeline):
+        for part in (self.servers, self.cold, self.retries, self.keys, self.pipeline):
             part.configure(configuration)
--- a/wagtailrill/runtime/driver.py
+++ b/wagtailrill/runtime/driver.py
@@ -10,6 +10,7 @@
 
 from ..core.commands import (
     AnswerRequest,
+    CallBackend,
     CallStore,
     CancelAttempt,
     CloseConnections,
@@ -17,19 +18,27 @@
     LogEvent,
     RefuseRequest,
     SendOrder,
+    SendPeer,
 )
 from ..core.events import (
     AttemptEnded,
+    BackendReplied,
     CallerLeft,
     Event,
     RequestArrived,
     StoreReplied,
 )
-from ..core.orders import AttemptOutcome, AttemptResult, CallerRequest
+from ..core.orders import AttemptOutcome, AttemptResult, CallerRequest, Order
 from ..core.refusals import Ran, Refusal, RefusalCode
 from ..gateway.backend_pool import BackendPool
 from ..gateway.caller_protocol import Exchange
-from ..gateway.dialects import BackendDialect, CallerAnswer, CallerDialect
+from ..gateway.dialects import (
+    BackendDialect,
+    CallerAnswer,
+    CallerDialect,
+    ControlDialect,
+)
+from ..peer.link import PeerLink
 from ..store.models import Store
 
 INTERNAL_ERROR = Refusal(
@@ -37,9 +46,18 @@
     "The request could not be handled; see the instance's log.",
     Ran.UNKNOWN,
 )
+CONTROL_HEADERS = ((b"content-type", b"application/json"),)
 _LOG = structlog.get_logger()
 
 
+def now_s() -> float:
+    """Return the seconds since the machine's start.
+
+    This clock goes on while the machine is suspended, so that leases end in time.
+    """
+    return time.clock_gettime(time.CLOCK_BOOTTIME)
+
+
 class Decisions(Protocol):
     """Decision code of one instance."""
 
@@ -68,6 +86,8 @@
     store: Store
     callers: CallerDialect
     backends: BackendDialect
+    control: ControlDialect
+    transport: PeerLink
     log: Callable[[LogEvent], None]
 
 
@@ -91,9 +111,12 @@
         self._pool_of: dict[int, BackendPool] = {}
         self._results: dict[int, AttemptResult] = {}
         self._timer: asyncio.TimerHandle | None = None
+        self._timer_due_s = 0.0
         self._tasks: set[asyncio.Task[None]] = set()
         self._handlers: dict[type, Callable[[Any], None]] = {
+            SendPeer: lambda command: parts.transport.send(command.envelope),
             CallStore: self._call_store,
+            CallBackend: self._call_backend,
             SendOrder: self._send_order,
             CancelAttempt: self._cancel_attempt,
             CloseConnections: self._close_connections,
@@ -104,7 +127,7 @@
 
     def start(self) -> None:
         """Start the router."""
-        commands = self._parts.decisions.start(time.monotonic(), time.time())
+        commands = self._parts.decisions.start(now_s(), time.time())
         self._carry_out(commands)
         self._arm_timer()
 
@@ -119,7 +142,7 @@
         """
         decisions = self._parts.decisions
         try:
-            commands = decisions.step(event, time.monotonic(), time.time())
+            commands = decisions.step(event, now_s(), time.time())
         except Exception:
             _LOG.exception("step_failed", event_type=type(event).__name__)
             self._arm_timer()
@@ -155,12 +178,14 @@
     def _arm_timer(self) -> None:
         due_s = self._parts.decisions.next_due_s()
         if self._timer is not None:
-            if due_s is not None and self._timer.when() <= due_s:
+            if due_s is not None and self._timer_due_s <= due_s:
                 return
             self._timer.cancel()
             self._timer = None
         if due_s is not None:
-            self._timer = self._loop.call_at(due_s, self._run_timers)
+            self._timer_due_s = due_s
+            delay_s = max(0.0, due_s - now_s())
+            self._timer = self._loop.call_later(delay_s, self._run_timers)
 
     def _run_timers(self) -> None:
         self._timer = None
@@ -175,6 +200,38 @@
         result = await self._parts.store.async_call(command.operation)
         self.dispatch(StoreReplied(command.call_id, result))
 
+    def _call_backend(self, command: CallBackend) -> None:
+        call = self._parts.control.encode(command.operation)
+        # Attempts have positive numbers.
+        attempt_id = -command.call_id
+        order = Order(
+            attempt_id=attempt_id,
+            request_id=0,
+            backend_server=command.backend_server,
+            method="POST",
+            target=call.target,
+            headers=CONTROL_HEADERS,
+            body=call.body,
+            expires_unix_s=0.0,
+            timeout_s=call.timeout_s,
+        )
+        pool = self._pool(command.backend_server)
+
+        def ended(result: AttemptResult) -> None:
+            timeout.cancel()
+            decoded = self._parts.control.decode(command.operation, result)
+            self.dispatch(BackendReplied(command.call_id, decoded))
+
+        if pool is None:
+            timeout = self._loop.call_soon(
+                lambda: ended(
+                    AttemptResult(attempt_id, AttemptOutcome.CONNECT_FAILED, 0.0)
+                )
+            )
+            return
+        timeout = self._loop.call_later(call.timeout_s, pool.cancel, attempt_id)
+        pool.exchange(order, ended)
+
     def _send_order(self, command: SendOrder) -> None:
         order = command.order
         pool = self._pool(order.backend_server)
--- a/wagtailrill/runtime/process.py
+++ b/wagtailrill/runtime/process.py
@@ -13,13 +13,16 @@
 import structlog
 import uvicorn
 
-from ..core.events import DrainRequested
+from ..core.events import DrainRequested, PeerReceived
 from ..core.invariants import Invariants
 from ..declaration.models import CallerLimits, Configuration
 from ..gateway.caller_protocol import CallerServerState, protocol_class
 from ..gateway.const import CLEANUP_INTERVAL_S
-from ..gateway.dialects import BackendDialect, CallerDialect
+from ..gateway.dialects import BackendDialect, CallerDialect, ControlDialect
 from ..observability.logs import write_event
+from ..peer.frame import FrameCodec
+from ..peer.tcp import PeerTransport
+from ..router.messages import make_registry
 from ..router.models import RouterSettings
 from ..router.router import Adapter, Router
 from ..store.models import Store
@@ -41,7 +44,9 @@
     store: Store
     callers: CallerDialect
     backends: BackendDialect
+    control: ControlDialect
     caller_address: str
+    peer_address: str
     probe_address: str
     caller_limits: CallerLimits
     stop_s: float = 6.0
@@ -59,11 +64,24 @@
             random.Random(secrets.randbits(SEED_BITS)),
             invariants,
         )
-        self.driver = Driver(
-            DriverParts(self.router, cfg.store, cfg.callers, cfg.backends, write_event)
+        self.codec = FrameCodec(make_registry(), ())
+        self.transport = PeerTransport(
+            self.codec, lambda envelope: self.driver.dispatch(PeerReceived(envelope))
+        )
+        self.driver: Driver = Driver(
+            DriverParts(
+                decisions=self.router,
+                store=cfg.store,
+                callers=cfg.callers,
+                backends=cfg.backends,
+                control=cfg.control,
+                transport=self.transport,
+                log=write_event,
+            )
         )
         self.callers = CallerServerState(self.driver, cfg.callers, cfg.caller_limits)
         self.router.configuration.add_listener(self._configure)
+        self.router.members.add_listener(self._members_changed)
         probes = ProbeApplication(self.router)
         self.caller_server = _server(
             None, cfg.caller_address, protocol_class(self.callers)
@@ -74,6 +92,8 @@
     async def async_run(self) -> None:
         """Run until a planned stop has ended."""
         async with anyio.create_task_group() as tg:
+            host, _, port = self.cfg.peer_address.rpartition(":")
+            tg.start_soon(self.transport.async_serve, host, int(port))
             tg.start_soon(self._async_handle_signals)
             tg.start_soon(self.caller_server.serve)
             tg.start_soon(self.probe_server.serve)
@@ -88,6 +108,12 @@
         if limits is not None:
             self.callers.limits = limits
 
+    def _members_changed(self) -> None:
+        members = self.router.members.live().values()
+        self.transport.set_addresses({m.instance: m.address for m in members})
+        secret = self.router.members.secret
+        self.codec.secrets = (secret,) if secret else ()
+
     async def _async_handle_signals(self) -> None:
         with anyio.open_signal_receiver(signal.SIGTERM, signal.SIGINT) as signals:
             async for _ in signals:
--- a/wagtailrill/servers/const.py
+++ b/wagtailrill/servers/const.py
@@ -12,3 +12,5 @@
 COLD_WINDOW_S: Final = 1.08
 # Part of the fleet's allowance for a cold server that is handed out.
 COLD_ALLOWANCE_PART: Final = 0.9
+# The address of a server whose entry has ended is kept for this long.
+GONE_KEPT_S: Final = 15.0
--- a/wagtailrill/servers/table.py
+++ b/wagtailrill/servers/table.py
@@ -8,6 +8,7 @@
 from ..core.context import Context
 from ..core.log_events import LogName
 from ..declaration.models import Configuration, Service
+from .const import GONE_KEPT_S
 from .models import ServerEntry, ServerRow, ServerState
 
 TableListener = Callable[[], None]
@@ -22,6 +23,7 @@
         self.closed: frozenset[str] = frozenset()
         self._ctx = ctx
         self._services: dict[str, Service] = {}
+        self._gone: dict[str, tuple[float, str]] = {}
         self._listeners: list[TableListener] = []
 
     def add_listener(self, listener: TableListener) -> None:
@@ -53,6 +55,18 @@
             and row.entry.data_centre not in self.closed
         )
 
+    def address_of(self, name: str) -> str | None:
+        """Return the address of a server, also for some time after it is gone.
+
+        A server may run on after its entry has ended, and can then be asked to give
+        up its keys.
+        """
+        row = self.rows.get(name)
+        if row is not None:
+            return row.entry.address
+        gone_s, address = self._gone.get(name, (0.0, ""))
+        return address if address and self._ctx.now_s - gone_s < GONE_KEPT_S else None
+
     def connections_max(self, row: ServerRow) -> int:
         """Return how many connections a server takes from all instances together."""
         service = self._services.get(row.entry.service)
@@ -96,6 +110,9 @@
 
     def _remove(self, name: str, reason: str) -> None:
         row = self.rows.pop(name)
+        now_s = self._ctx.now_s
+        self._gone = {n: g for n, g in self._gone.items() if now_s - g[0] < GONE_KEPT_S}
+        self._gone[name] = (now_s, row.entry.address)
         self._ctx.emit(CloseConnections(name))
         self._ctx.log(
             LogName.SERVER_GONE,
