Keep the rates of organisations by tokens that a duty issues

Change: six duties issue the tokens of organisations; a bucket starts empty, a successor waits for a predecessor that may still act; instances use a divided part of the tolerance when no issuer answers.

--- a/wagtailrill/platform/__main__.py
+++ b/wagtailrill/platform/__main__.py
@@ -12,6 +12,7 @@
 from ..fleet.models import FleetSettings
 from ..observability.logs import configure_logs
 from ..organisations.keys import OpaqueKeyForm
+from ..rates.models import RateSettings
 from ..retries.extra_attempts import ExtraAttemptSettings
 from ..router.models import RouterSettings
 from ..router.router import Adapter
@@ -47,6 +48,9 @@
             discovery=DiscoverySettings(wire.SERVER_PREFIX),
             fleet=FleetSettings("wagtailrill/fleet/", peer_address),
             key_table_prefix="wagtailrill/keys/",
+            rates=RateSettings(
+                bounds.quota_window_s, bounds.quota_excess, bounds.quota_allowance
+            ),
             cold=ColdSettings(bounds.cold_excess_factor, bounds.cold_excess_requests),
             extra_attempts=ExtraAttemptSettings(
                 share=bounds.retry_share,
--- /dev/null
+++ b/wagtailrill/rates/__init__.py
@@ -0,0 +1,1 @@
+"""Rates of organisations, kept by all instances together."""
--- /dev/null
+++ b/wagtailrill/rates/component.py
@@ -0,0 +1,104 @@
+"""Rates of organisations: the holder of each instance and the issuers' duties."""
+
+from collections.abc import Callable
+
+import xxhash
+
+from ..core.context import Context
+from ..core.host import ComponentHost
+from ..declaration.models import Configuration
+from ..fleet.duties import Duties
+from ..fleet.members import Members
+from ..peer.registry import Envelope
+from ..requests.interfaces import TakeResult
+from .const import SHARDS, TICK_S
+from .holder import Holder
+from .issuer import Issuer
+from .messages import TokenGrant, TokenRequest
+from .models import Limit, RateSettings
+
+DUTY_PREFIX = "rates/"
+
+
+def duty_of(organisation: str) -> str:
+    """Return the duty that issues the tokens of an organisation."""
+    return f"{DUTY_PREFIX}{xxhash.xxh3_64_intdigest(organisation.encode()) % SHARDS}"
+
+
+class Rates:
+    """Implements `RateLimits`, and `DutyListener` for the duties of issuing."""
+
+    def __init__(
+        self, ctx: Context, members: Members, duties: Duties, cfg: RateSettings
+    ) -> None:
+        self._ctx = ctx
+        self._duties = duties
+        self.issuer = Issuer(ctx)
+        self.holder = Holder(ctx, cfg, members.counted, self._ask)
+        self._counted: tuple[str, ...] = ()
+        self._members = members
+        ctx.timers.subscribe(TICK_S, self._tick)
+
+    def attach(self, host: ComponentHost) -> None:
+        """Register the handlers of messages."""
+        host.on_messages([TokenRequest], self._on_request)
+        host.on_messages([TokenGrant], self._on_grant)
+
+    def configure(self, configuration: Configuration) -> None:
+        """Apply the rates of a configuration."""
+        limits = {
+            o.name: Limit(o.rate_per_s, o.burst)
+            for o in configuration.organisations.values()
+        }
+        self.issuer.configure(limits)
+        self.holder.configure(limits)
+        for number in range(SHARDS):
+            self._duties.register(f"{DUTY_PREFIX}{number}", self)
+
+    def take(self, organisation: str, on_result: Callable[[TakeResult], None]) -> None:
+        """Admit a request now, or once a token has come."""
+        self.holder.take(organisation, on_result)
+
+    def duty_taken(self, duty: str, fence: int, predecessor_may_act_s: float) -> None:
+        """Begin to issue tokens."""
+        self.issuer.begin(duty, predecessor_may_act_s)
+
+    def duty_lost(self, duty: str) -> None:
+        """Stop issuing tokens."""
+        self.issuer.end(duty)
+
+    def _ask(self, organisation: str, wanted: int, returned: int, number: int) -> bool:
+        """Ask the issuer; return whether one is known."""
+        holder = self._duties.holder(duty_of(organisation))
+        if holder is None or not holder.instance:
+            return False
+        request = TokenRequest(organisation, wanted, returned, number)
+        self._ctx.send(holder.instance, request, holder.incarnation)
+        return True
+
+    def _on_request(self, envelope: Envelope) -> None:
+        request: TokenRequest = envelope.message
+        duty = duty_of(request.organisation)
+        issues = self._duties.holds(duty) and self.issuer.issues(duty)
+        tokens = 0
+        if issues:
+            tokens = self.issuer.take(
+                duty, request.organisation, request.wanted, request.returned
+            )
+        if not request.number:
+            return
+        due_in_s = self.issuer.due_in_s(duty, request.organisation) if issues else 0.0
+        grant = TokenGrant(
+            request.organisation, tokens, due_in_s, request.number, issues
+        )
+        self._ctx.send(envelope.sender, grant, envelope.incarnation)
+
+    def _on_grant(self, envelope: Envelope) -> None:
+        self.holder.granted(envelope.message)
+
+    def _tick(self) -> None:
+        self.holder.tick()
+        counted = self._members.counted()
+        if counted != self._counted:
+            self._counted = counted
+            self.holder.instances_changed()
--- /dev/null
+++ b/wagtailrill/rates/const.py
@@ -0,0 +1,23 @@
+"""Constants of rates."""
+
+from typing import Final
+
+# Organisations are spread over this many duties.
+SHARDS: Final = 6
+# A holder asks for what it needs for this long.
+AHEAD_S: Final = 0.25
+DEMAND_DECAY_S: Final = 1.5
+# Tokens that are not used go back after this time.
+TOKENS_KEPT_S: Final = 1.0
+# A request waits this long for a token before the instance's own share is used.
+WAIT_S: Final = 0.08
+WAITERS_MAX: Final = 256
+# After a question without an answer the next one waits this long.
+SILENCE_PAUSE_S: Final = 0.4
+# After a denial the next question waits until a token is due, at least this long.
+DENIAL_PAUSE_S: Final = 0.05
+RETRY_AFTER_MIN_S: Final = 0.2
+RETRY_AFTER_MAX_S: Final = 2.0
+# Part of the tolerance that instances use without asking.
+OWN_SHARE_PART: Final = 0.6
+TICK_S: Final = 0.2
--- a/wagtailrill/router/messages.py
+++ b/wagtailrill/router/messages.py
@@ -4,8 +4,9 @@
 
 from ..keys.messages import register_messages as register_keys
 from ..peer.registry import MessageRegistry
+from ..rates.messages import register_messages as register_rates
 
-REGISTRARS: Final = (register_keys,)
+REGISTRARS: Final = (register_keys, register_rates)
 
 
 def make_registry() -> MessageRegistry:
--- a/wagtailrill/router/router.py
+++ b/wagtailrill/router/router.py
@@ -18,8 +18,8 @@
 from ..fleet.members import Members
 from ..keys.component import KeyOwnership
 from ..organisations.keys import KeyForm, TenantKeys
+from ..rates.component import Rates
 from ..requests.checks import ArrivalChecks
-from ..requests.interfaces import TakeResult
 from ..requests.pipeline import Pipeline, PipelineParts
 from ..retries.extra_attempts import ExtraAttempts
 from ..servers.choice import ServerChoice
@@ -29,11 +29,6 @@
 from .models import RouterSettings
 
 
-class NoLimits:
-    def take(self, organisation: str, on_result: Callable[[TakeResult], None]) -> None:
-        on_result(TakeResult(True))
-
-
 @attrs.frozen
 class Adapter:
     """How the environment of the instance is read."""
@@ -71,6 +66,7 @@
         self.keys = KeyOwnership(
             ctx, self.servers, self.members, self.duties, cfg.key_table_prefix
         )
+        self.rates = Rates(ctx, self.members, self.duties, cfg.rates)
         counted = self.members.counted
         self.cold = ColdAllowances(ctx, self.servers, cfg.cold, counted)
         self.choice = ServerChoice(ctx, self.servers, self.cold, cfg.choice)
@@ -81,14 +77,14 @@
                 checks=ArrivalChecks(
                     ctx, TenantKeys(adapter.key_form), adapter.forwarded_headers
                 ),
-                limits=NoLimits(),
+                limits=self.rates,
                 router=self.keys,
                 servers=self.servers,
                 choice=self.choice,
                 retries=self.retries,
             )
         )
-        for part in (self.pipeline, self.keys):
+        for part in (self.pipeline, self.keys, self.rates):
             part.attach(self.host)
         self.configuration.add_listener(self._configure)
         self.draining = False
@@ -141,5 +137,12 @@
             self.members.stop()
 
     def _configure(self, configuration: Configuration) -> None:
-        for part in (self.servers, self.cold, self.retries, self.keys, self.pipeline):
+        for part in (
+            self.servers,
+            self.cold,
+            self.retries,
+            self.keys,
+            self.rates,
+            self.pipeline,
+        ):
             part.configure(configuration)
