--- /dev/null
+++ b/wagtailrill/placement/dispatcher.py
@@ -0,0 +1,292 @@
+"""Places the requests of one service while this instance has its duty."""
+
+from collections.abc import Callable
+
+import attrs
+
+from ..core.context import Context
+from ..core.orders import AttemptOutcome
+from ..servers.models import ServerRow
+from ..servers.table import ServerTable
+from .const import (
+    DISTANT_PART,
+    FORGET_AFTER_S,
+    RETRY_AFTER_MAX_S,
+    RETRY_AFTER_MIN_S,
+    SPARE_MAX,
+    WAIT_PART,
+    WORK_INITIAL_S,
+    WORK_WEIGHT,
+)
+from .load import ServerLoad
+from .messages import (
+    NO_KEY,
+    NO_REPORT,
+    PlaceAnswer,
+    PlaceEnd,
+    PlaceRequest,
+    PlaceVerdict,
+)
+
+FAILURE_COST = 3.0
+
+Reply = Callable[[PlaceAnswer], None]
+OwnerOf = Callable[[int], str]
+
+
+@attrs.define(eq=False)
+class Waiting:
+    """A request that waits for room."""
+
+    request: PlaceRequest
+    asker: str
+    data_centre: str
+    reply: Reply
+    arrived_s: float
+    excluded: frozenset[str]
+
+    @property
+    def rank(self) -> tuple[int, float]:
+        """Return the order in which requests are placed."""
+        return self.request.priority, self.arrived_s - self.request.waited_s
+
+    def start_by_s(self) -> float:
+        """Return when the request should have been placed at the latest."""
+        first_s = self.arrived_s - self.request.waited_s
+        return first_s + self.request.target_s * WAIT_PART
+
+
+@attrs.define(eq=False)
+class Assignment:
+    """A request that is at a backend server."""
+
+    load: ServerLoad
+    until_s: float
+
+
+@attrs.frozen
+class DispatcherParts:
+    """What a dispatcher needs; `owner_of` is used for keyed services."""
+
+    ctx: Context
+    servers: ServerTable
+    service: str
+    owner_of: OwnerOf
+
+
+class Dispatcher:
+    """Knows what is at each server, and lets requests wait here for a free slot.
+
+    All of it is a hint: a server refuses what it has no room for.
+    """
+
+    def __init__(self, parts: DispatcherParts) -> None:
+        self.work_s = WORK_INITIAL_S
+        self._parts = parts
+        self._ctx = parts.ctx
+        self._loads: dict[str, ServerLoad] = {}
+        self._assignments: dict[tuple[str, int], Assignment] = {}
+        self._waiting: list[Waiting] = []
+
+    def place(
+        self, request: PlaceRequest, asker: str, data_centre: str, reply: Reply
+    ) -> None:
+        """Answer a request at once, or when there is room."""
+        waiting = Waiting(
+            request,
+            asker,
+            data_centre,
+            reply,
+            self._ctx.now_s,
+            frozenset(request.excluded),
+        )
+        if self._try(waiting, len(self._waiting)):
+            return
+        if request.extra or not self._worth_waiting(waiting):
+            self._refuse(waiting)
+            return
+        self._waiting.append(waiting)
+        reply(PlaceAnswer(request.number, PlaceVerdict.QUEUED, "", 0.0))
+
+    def ended(self, end: PlaceEnd, asker: str) -> None:
+        """Take in the end of a request, or that it is not wanted any more."""
+        assignment = self._assignments.pop((asker, end.number), None)
+        if assignment is not None:
+            assignment.load.assigned -= 1
+        if not end.backend_server:
+            self._waiting = [
+                w
+                for w in self._waiting
+                if (w.asker, w.request.number) != (asker, end.number)
+            ]
+            self._pump()
+            return
+        load = self._load(end.backend_server)
+        if load is None:
+            return
+        now_s = self._ctx.now_s
+        outcome = AttemptOutcome(end.outcome)
+        load.ended(outcome, now_s)
+        if end.running != NO_REPORT:
+            load.report(end.running, end.waiting, end.slowness, now_s)
+        elif load.outside:
+            load.outside = max(0.0, load.outside - 1.0)
+        if outcome is AttemptOutcome.ANSWERED and load.present() < load.slots:
+            sample_s = end.latency_s / max(load.slowness, 0.05)
+            self.work_s += WORK_WEIGHT * (sample_s - self.work_s)
+        self._pump()
+
+    def tick(self) -> None:
+        """Forget what is overdue, and refuse what has waited too long."""
+        now_s = self._ctx.now_s
+        for key, assignment in list(self._assignments.items()):
+            if now_s >= assignment.until_s:
+                assignment.load.assigned -= 1
+                del self._assignments[key]
+        for waiting in list(self._waiting):
+            if now_s >= waiting.start_by_s():
+                self._waiting.remove(waiting)
+                self._refuse(waiting)
+        self._pump()
+
+    def _pump(self) -> None:
+        """Place waiting requests where there is room, the most urgent first."""
+        if not self._waiting:
+            return
+        self._waiting.sort(key=lambda waiting: waiting.rank)
+        placed: set[int] = set()
+        for ahead, waiting in enumerate(self._waiting):
+            if self._try(waiting, ahead - len(placed)):
+                placed.add(id(waiting))
+        if placed:
+            self._waiting = [w for w in self._waiting if id(w) not in placed]
+
+    def _try(self, waiting: Waiting, ahead: int) -> bool:
+        """Place a request if there is room and nothing better to wait for."""
+        if waiting.request.key_position == NO_KEY:
+            load = self._best(waiting, ahead)
+        else:
+            load = self._owner(waiting)
+            if load is not None and load.present() >= load.slots + SPARE_MAX:
+                return False
+        if load is None:
+            return False
+        self._assign(waiting, load)
+        return True
+
+    def _assign(self, waiting: Waiting, load: ServerLoad) -> None:
+        request = waiting.request
+        load.assigned += 1
+        until_s = self._ctx.now_s + request.left_s + FORGET_AFTER_S
+        self._assignments[waiting.asker, request.number] = Assignment(load, until_s)
+        waiting.reply(PlaceAnswer(request.number, PlaceVerdict.PLACED, load.name, 0.0))
+
+    def _owner(self, waiting: Waiting) -> ServerLoad | None:
+        name = self._parts.owner_of(waiting.request.key_position)
+        return self._load(name) if name else None
+
+    def _best(self, waiting: Waiting, ahead: int) -> ServerLoad | None:
+        """Return the server with room where a request would end first.
+
+        None if it would end sooner by waiting for a slot of a faster server.
+        """
+        best: ServerLoad | None = None
+        best_s = float("inf")
+        full: list[tuple[ServerLoad, float]] = []
+        for row in self._candidates(waiting.excluded):
+            load = self._load_of(row)
+            finish_s = self.finish_s(load, row, waiting.data_centre)
+            if load.present() >= load.slots:
+                full.append((load, finish_s))
+            elif finish_s < best_s:
+                best, best_s = load, finish_s
+        faster = [(load, finish_s) for load, finish_s in full if finish_s < best_s]
+        if best is None or not faster or waiting.request.extra:
+            return best
+        rate = sum(1.0 / self._slot_s(load) for load, _ in faster)
+        wait_s = (ahead + 1) / rate
+        sooner = wait_s + min(finish_s for _, finish_s in faster) < best_s
+        return None if sooner else best
+
+    def finish_s(self, load: ServerLoad, row: ServerRow, data_centre: str) -> float:
+        """Return the seconds that a request would take on a free slot of a server."""
+        now_s = self._ctx.now_s
+        finish_s = self.work_s * load.slowness_now(now_s)
+        if row.entry.data_centre != data_centre:
+            finish_s *= 1.0 + DISTANT_PART
+        # A failure costs the time of another attempt.
+        return finish_s * (1.0 + FAILURE_COST * load.failure_rate(now_s))
+
+    def _candidates(self, excluded: frozenset[str]) -> list[ServerRow]:
+        servers = self._parts.servers
+        rows = [
+            row
+            for row in servers.by_service.get(self._parts.service, ())
+            if servers.accepts_work(row)
+        ]
+        now_s = self._ctx.now_s
+        warm = [r for r in rows if not servers.is_cold(r)] or rows
+        usable = [
+            r
+            for r in warm
+            if r.name not in excluded and not self._load_of(r).suspect(now_s)
+        ]
+        return usable or [r for r in warm if r.name not in excluded] or warm
+
+    def _worth_waiting(self, waiting: Waiting) -> bool:
+        """Return whether a request can be expected to be placed in time."""
+        wait_s = self._owner_wait_s(waiting)
+        if wait_s is None:
+            wait_s = self._service_wait_s(waiting)
+        return self._ctx.now_s + wait_s < waiting.start_by_s()
+
+    def _owner_wait_s(self, waiting: Waiting) -> float | None:
+        """Return the wait for a key's owner, None if any server can be chosen."""
+        position = waiting.request.key_position
+        if position == NO_KEY:
+            return None
+        load = self._owner(waiting)
+        if load is None:
+            return 0.0  # the key is moving, which takes as long as it takes
+        ahead = load.present() + 1.0 - load.slots
+        ahead += sum(self._owner(other) is load for other in self._waiting)
+        return ahead * self._slot_s(load)
+
+    def _service_wait_s(self, waiting: Waiting) -> float:
+        rate = sum(
+            1.0 / self._slot_s(self._load_of(row))
+            for row in self._candidates(frozenset())
+        )
+        if rate <= 0.0:
+            return float("inf")
+        ahead = sum(other.rank <= waiting.rank for other in self._waiting) + 1
+        return ahead / rate
+
+    def _slot_s(self, load: ServerLoad) -> float:
+        """Return the seconds between two slots of a full server that become free."""
+        return self.work_s * load.slowness_now(self._ctx.now_s) / load.slots
+
+    def _refuse(self, waiting: Waiting) -> None:
+        request = waiting.request
+        if request.key_position != NO_KEY and self._owner(waiting) is None:
+            moving = PlaceAnswer(request.number, PlaceVerdict.MOVING, "", 0.0)
+            waiting.reply(moving)
+            return
+        wait_s = self._owner_wait_s(waiting)
+        if wait_s is None:
+            wait_s = self._service_wait_s(waiting)
+        retry_after_s = min(max(wait_s, RETRY_AFTER_MIN_S), RETRY_AFTER_MAX_S)
+        waiting.reply(
+            PlaceAnswer(request.number, PlaceVerdict.REFUSED, "", retry_after_s)
+        )
+
+    def _load(self, name: str) -> ServerLoad | None:
+        row = self._parts.servers.rows.get(name)
+        return self._load_of(row) if row is not None else None
+
+    def _load_of(self, row: ServerRow) -> ServerLoad:
+        load = self._loads.get(row.name)
+        if load is None or load.slots != row.entry.slots:
+            load = ServerLoad(row.name, row.entry.slots)
+            self._loads[row.name] = load
+        return load
--- a/wagtailrill/platform/dialect.py
+++ b/wagtailrill/platform/dialect.py
@@ -11,6 +11,7 @@
 _MS_PER_S = 1000.0
 _MISDIRECTED_STATUS = 421
 _FAILURE_STATUS_MIN = 500
+_RAN = frozenset({AttemptOutcome.ANSWERED, AttemptOutcome.FAILED})
 _TIME_LEFT_MAX_MS = 86_400_000
 # Set by this instance, whatever the caller sent.
 _OWN_HEADERS = frozenset(
@@ -73,11 +74,14 @@
         """Return what an answer says; header names are lower case."""
         fields = dict(headers)
         request_id = fields.get(wire.REQUEST_ID)
+        outcome = _outcome(status, wire.NOT_RUN in fields)
+        # The answered request itself is still counted as running.
+        finished = 1 if outcome in _RAN else 0
         return AnswerFields(
-            outcome=_outcome(status, wire.NOT_RUN in fields),
+            outcome=outcome,
             caller_id=None if request_id is None else request_id.decode("latin-1"),
             start_id=fields.get(wire.SERVER_ID, b"").decode("latin-1"),
-            load=read_load(fields.get(wire.LOAD)),
+            load=read_load(fields.get(wire.LOAD), finished),
         )
 
 
@@ -91,8 +95,11 @@
     return AttemptOutcome.ANSWERED
 
 
-def read_load(value: bytes | None) -> LoadReport | None:
-    """Return the load of a header: running, waiting, slots, slowness in per cent."""
+def read_load(value: bytes | None, finished: int = 0) -> LoadReport | None:
+    """Return the load of a header: running, waiting, slots, slowness in per cent.
+
+    `finished` requests that are counted as running have ended.
+    """
     if value is None:
         return None
     try:
@@ -102,7 +109,8 @@
     if len(figures) < 3 or min(figures) < 0:
         return None
     slowness = figures[3] / 100.0 if len(figures) > 3 else 1.0
-    return LoadReport(figures[0], figures[1], figures[2], max(slowness, 0.01))
+    running = max(figures[0] - finished, 0)
+    return LoadReport(running, figures[1], figures[2], max(slowness, 0.01))
 
 
 def _time_left_s(value: bytes | None) -> float | None:
--- a/wagtailrill/requests/attempts.py
+++ b/wagtailrill/requests/attempts.py
@@ -7,8 +7,8 @@
 from ..core.context import Context
 from ..core.events import AttemptEnded
 from ..core.orders import AttemptOutcome, AttemptResult, Order
+from ..placement.component import Placed
 from ..servers.choice import ServerChoice
-from ..servers.models import ServerRow
 from ..servers.table import ServerTable
 from .models import Attempt, RequestCounters, RequestRow, RequestState, count
 
@@ -45,20 +45,20 @@
         self._attempt_ids = itertools.count(1)
         self._by_id: dict[int, tuple[RequestRow, Attempt]] = {}
 
-    def start(self, row: RequestRow, server: ServerRow, hedge: bool = False) -> None:
-        """Send a request to a backend server."""
+    def start(self, row: RequestRow, placed: Placed, hedge: bool = False) -> None:
+        """Send a request to the backend server that was chosen for it."""
         self._ctx.invariants.check(
             row.route.idempotent or not row.may_have_run,
             "non_idempotent_sent_once",
             f"request {row.req.request_id}",
         )
-        attempt = Attempt(next(self._attempt_ids), server, self._ctx.now_s, hedge)
+        attempt = Attempt(next(self._attempt_ids), placed, self._ctx.now_s, hedge)
         row.state = RequestState.RUNNING
         row.attempts_made += 1
         row.attempts[attempt.attempt_id] = attempt
-        row.tried |= {server.name}
+        row.tried |= {placed.server.name}
         self._by_id[attempt.attempt_id] = (row, attempt)
-        self._choice.sent(server)
+        self._choice.sent(placed.server)
         self._ctx.emit(SendOrder(self._order(row, attempt)))
 
     def cancel_all(self, row: RequestRow) -> None:
@@ -79,8 +79,8 @@
         if result.outcome not in NOT_RUN_OUTCOMES:
             row.runs += 1
         if result.outcome in DOUBTFUL_OUTCOMES:
-            self._servers.doubt_warmth(attempt.server, result.outcome.value)
-        self._choice.ended(attempt.server, result)
+            self._servers.doubt_warmth(attempt.placed.server, result.outcome.value)
+        self._choice.ended(attempt.placed.server, result)
         self.on_ended(row, attempt, result)
 
     def _order(self, row: RequestRow, attempt: Attempt) -> Order:
@@ -93,7 +93,7 @@
         return Order(
             attempt_id=attempt.attempt_id,
             request_id=req.request_id,
-            backend_server=attempt.server.name,
+            backend_server=attempt.placed.server.name,
             method=req.method,
             target=f"{req.path}?{req.query}" if req.query else req.path,
             headers=row.headers,
@@ -102,5 +102,5 @@
             timeout_s=max(time_left_s, ORDER_TIMEOUT_MIN_S),
             caller_id=req.caller_id,
             organisation=row.organisation,
-            connections_max=self._servers.connections_max(attempt.server),
+            connections_max=self._servers.connections_max(attempt.placed.server),
         )
--- a/wagtailrill/requests/interfaces.py
+++ b/wagtailrill/requests/interfaces.py
@@ -54,6 +54,10 @@
         """Count a request."""
         ...
 
+    def may_take(self, service: str) -> bool:
+        """Return whether the budget has room for one extra attempt."""
+        ...
+
     def take(self, service: str) -> bool:
         """Take one extra attempt from the budget, if there is one."""
         ...
--- a/wagtailrill/requests/models.py
+++ b/wagtailrill/requests/models.py
@@ -9,7 +9,7 @@
 from ..core.timer import TimerHandle
 from ..declaration.models import Route, Service
 from ..organisations.models import Tenant
-from ..servers.models import ServerRow
+from ..placement.component import Placed
 
 
 class RequestState(enum.Enum):
@@ -17,7 +17,8 @@
 
     LIMITING = "limiting"  # waits for a token of its organisation
     CLAIMING = "claiming"  # waits until its idempotency key is claimed
-    WAITING = "waiting"  # waits for a backend server
+    PLACING = "placing"  # waits for the choice of a backend server
+    WAITING = "waiting"  # its key is moving
     RUNNING = "running"
 
 
@@ -26,7 +27,7 @@
     """One attempt at a request on a backend server."""
 
     attempt_id: int
-    server: ServerRow
+    placed: Placed
     started_s: float
     hedge: bool = False
 
@@ -57,6 +58,9 @@
     suspect: bool = False
     deadline_timer: TimerHandle | None = None
     hedge_timer: TimerHandle | None = None
+    # Questions to placement that have no answer yet, 0 for none.
+    question: int = 0
+    hedge_question: int = 0
 
     @property
     def organisation(self) -> str:
--- a/wagtailrill/requests/pipeline.py
+++ b/wagtailrill/requests/pipeline.py
@@ -10,20 +10,20 @@
 from ..core.orders import AttemptOutcome, AttemptResult
 from ..core.refusals import Ran, Refusal, RefusalCode
 from ..declaration.models import Configuration
+from ..placement.component import NotPlaced, Placed, Placement, Wanted
 from ..servers.choice import ServerChoice
-from ..servers.models import ServerRow
 from ..servers.table import ServerTable
 from .attempts import NOT_RUN_OUTCOMES, AttemptRunner
 from .checks import ArrivalChecks
 from .const import USEFUL_TIME_MIN_S, WAIT_PART_OF_TARGET, WAIT_TICK_S
-from .interfaces import KeyOwner, KeyRouter, RateLimits, Retries, TakeResult
+from .interfaces import KeyRouter, RateLimits, Retries, TakeResult
 from .models import Attempt, RequestCounters, RequestRow, RequestState, count
 from .refusals import (
     DEADLINE_EXCEEDED,
     RATE_LIMITED_TEXT,
     REFUSAL_BY_OUTCOME,
     WITHDRAWN,
-    waited_too_long,
+    no_room,
 )
 
 # An attempt that failed like this may be repeated if the request is idempotent.
@@ -31,6 +31,9 @@
     {AttemptOutcome.LOST, AttemptOutcome.BAD_ANSWER, AttemptOutcome.FAILED}
 )
 
+# Reported for a placed request that is not sent.
+NOT_STARTED = AttemptResult(0, AttemptOutcome.CANCELLED, 0.0)
+
 
 @attrs.frozen
 class PipelineParts:
@@ -43,6 +46,7 @@
     servers: ServerTable
     choice: ServerChoice
     retries: Retries
+    placement: Placement
 
 
 class Pipeline:
@@ -111,42 +115,58 @@
     def _admitted(self, row: RequestRow) -> None:
         if row.service.keyed and row.key_position is not None:
             self._parts.router.record(row.service.name, row.key_position)
-        if not self._place(row):
-            self._wait(row)
+        self._place(row)
 
     # Placement
 
-    def _place(self, row: RequestRow) -> bool:
-        """Send a request to a backend server; return whether there was one."""
+    def _place(self, row: RequestRow) -> None:
+        """Ask for a backend server, unless the request may not go on."""
         if row.tenant is not None and not self._parts.checks.keys.still_valid(
             row.tenant
         ):
             self._refuse(row, WITHDRAWN)
-            return True
+            return
         if row.deadline_s - self._ctx.now_s < USEFUL_TIME_MIN_S:
             self._deadline(row)
-            return True
-        server = self._server_for(row)
-        if server is None:
-            return False
-        self._attempts.start(row, server)
-        self._arm_hedge(row)
-        return True
-
-    def _server_for(self, row: RequestRow) -> ServerRow | None:
-        service = row.service
-        if not service.keyed or row.key_position is None:
-            row.wait_reason = RefusalCode.NO_BACKEND_SERVER
-            server = self._parts.choice.choose(service.name, row.tried)
-            if server is None and row.tried:
-                server = self._parts.choice.choose(service.name, frozenset())
-            return server
-        owner = self._parts.router.owner(service.name, row.key_position)
-        if not isinstance(owner, KeyOwner):
-            row.wait_reason = owner
-            return None
-        row.wait_reason = RefusalCode.KEY_MOVING
-        return self._parts.choice.keyed(owner.backend_server)
+            return
+        row.state = RequestState.PLACING
+        row.question = 0
+        row.question = self._parts.placement.place(
+            self._wanted(row), lambda result: self._placed(row, result)
+        )
+
+    def _placed(self, row: RequestRow, result: Placed | NotPlaced) -> None:
+        row.question = 0
+        if isinstance(result, Placed):
+            if self._current(row):
+                self._attempts.start(row, result)
+                self._arm_hedge(row)
+            else:
+                self._parts.placement.ended(row.service.name, result, NOT_STARTED)
+            return
+        if not self._current(row):
+            return
+        if result.moving and not self._waited_too_long(row):
+            self._wait(row)
+            return
+        row.wait_reason = (
+            RefusalCode.KEY_MOVING if result.moving else RefusalCode.NO_BACKEND_SERVER
+        )
+        self._refuse(row, no_room(row.wait_reason, result.retry_after_s))
+
+    def _wanted(self, row: RequestRow, extra: bool = False) -> Wanted:
+        now_s = self._ctx.now_s
+        return Wanted(
+            service=row.service.name,
+            keyed=row.service.keyed,
+            key_position=row.key_position,
+            priority=row.priority,
+            waited_s=now_s - row.arrived_s,
+            target_s=row.route.target_s,
+            left_s=row.deadline_s - now_s,
+            excluded=row.tried,
+            extra=extra,
+        )
 
     def _wait(self, row: RequestRow) -> None:
         row.state = RequestState.WAITING
@@ -160,12 +180,9 @@
         ordered = sorted(
             self._waiting.values(), key=lambda row: (row.priority, row.arrived_s)
         )
+        self._waiting.clear()
         for row in ordered:
-            if self._place(row):
-                self._waiting.pop(row.req.request_id, None)
-            elif self._waited_too_long(row):
-                self._waiting.pop(row.req.request_id, None)
-                self._refuse(row, waited_too_long(row.wait_reason))
+            self._place(row)
         if self._waiting and not self._ticking:
             self._ticking = True
             self._ctx.timers.call_later(WAIT_TICK_S, self._tick)
@@ -180,12 +197,13 @@
         self, row: RequestRow, attempt: Attempt, result: AttemptResult
     ) -> None:
         outcome = result.outcome
+        self._parts.placement.ended(row.service.name, attempt.placed, result)
         if outcome is AttemptOutcome.ANSWERED:
             self._parts.retries.record(row.service.name, result.latency_s)
         if row.service.keyed and outcome is AttemptOutcome.MISDIRECTED:
             assert row.key_position is not None
             self._parts.router.misdirected(
-                row.service.name, row.key_position, attempt.server.name
+                row.service.name, row.key_position, attempt.placed.server.name
             )
         if not self._current(row) or outcome is AttemptOutcome.CANCELLED:
             return
@@ -199,12 +217,11 @@
             self._ctx.log(
                 LogName.REQUEST_RETRIED,
                 request_id=row.req.caller_id,
-                backend_server=attempt.server.name,
+                backend_server=attempt.placed.server.name,
                 outcome=outcome.value,
                 attempts=row.attempts_made,
             )
-            if not self._place(row):
-                self._wait(row)
+            self._place(row)
             return
         if outcome is AttemptOutcome.FAILED:
             self._answer(row, attempt)
@@ -239,16 +256,23 @@
             return
         if row.runs + len(row.attempts) >= row.route.attempts_max:
             return
-        server = self._parts.choice.choose(row.service.name, row.tried)
-        if server is None:
+        if not self._parts.retries.may_take(row.service.name):
             return
-        left_s = row.arrived_s + row.route.target_s - self._ctx.now_s
-        if self._parts.choice.expected_s(server) > left_s:
+        row.hedge_question = self._parts.placement.place(
+            self._wanted(row, extra=True),
+            lambda result: self._hedge_placed(row, result),
+        )
+
+    def _hedge_placed(self, row: RequestRow, result: Placed | NotPlaced) -> None:
+        row.hedge_question = 0
+        if isinstance(result, NotPlaced):
             return
-        if not self._parts.retries.take(row.service.name):
+        wanted = self._current(row) and len(row.attempts) == 1
+        if not wanted or not self._parts.retries.take(row.service.name):
+            self._parts.placement.ended(row.service.name, result, NOT_STARTED)
             return
         self.counters.hedges += 1
-        self._attempts.start(row, server, hedge=True)
+        self._attempts.start(row, result, hedge=True)
 
     # Ends
 
@@ -274,6 +298,9 @@
     def _finish(self, row: RequestRow) -> None:
         self._rows.pop(row.req.request_id, None)
         self._waiting.pop(row.req.request_id, None)
+        for question in (row.question, row.hedge_question):
+            if question:
+                self._parts.placement.cancel(question, row.service.name)
         for timer in (row.deadline_timer, row.hedge_timer):
             if timer is not None:
                 timer.cancel()
@@ -284,7 +311,7 @@
         if row.may_have_run:
             self._refuse(row, DEADLINE_EXCEEDED)
         else:
-            self._refuse(row, waited_too_long(row.wait_reason))
+            self._refuse(row, no_room(row.wait_reason, 0.0))
 
     def _caller_left(self, event: CallerLeft) -> None:
         row = self._rows.get(event.request_id)
--- a/wagtailrill/requests/refusals.py
+++ b/wagtailrill/requests/refusals.py
@@ -66,10 +66,10 @@
 }
 
 
-def waited_too_long(reason: RefusalCode) -> Refusal:
+def no_room(reason: RefusalCode, retry_after_s: float) -> Refusal:
     """Return the refusal of a request that no backend server could take."""
     return Refusal(
         reason,
         "No backend server can take the request soon.",
-        retry_after_s=RETRY_AFTER_S,
+        retry_after_s=retry_after_s or RETRY_AFTER_S,
     )
--- a/wagtailrill/retries/extra_attempts.py
+++ b/wagtailrill/retries/extra_attempts.py
@@ -70,15 +70,19 @@
             row.requests_s.append(self._ctx.now_s)
             row.expire(self._ctx.now_s - self._cfg.window_s)
 
-    def take(self, service: str) -> bool:
-        """Take one extra attempt from the budget; return whether there was one."""
+    def may_take(self, service: str) -> bool:
+        """Return whether the budget has room for one extra attempt."""
         row = self._rows.get(service)
         if row is None:
             return False
         row.expire(self._ctx.now_s - self._cfg.window_s)
-        if len(row.extra_s) + 1 > self._budget(row):
+        return len(row.extra_s) + 1 <= self._budget(row)
+
+    def take(self, service: str) -> bool:
+        """Take one extra attempt from the budget; return whether there was one."""
+        if not self.may_take(service):
             return False
-        row.extra_s.append(self._ctx.now_s)
+        self._rows[service].extra_s.append(self._ctx.now_s)
         return True
 
     def record(self, service: str, latency_s: float) -> None:
--- a/wagtailrill/router/router.py
+++ b/wagtailrill/router/router.py
@@ -18,6 +18,7 @@
 from ..fleet.members import Members
 from ..keys.component import KeyOwnership
 from ..organisations.keys import KeyForm, TenantKeys
+from ..placement.component import Placement, PlacementParts
 from ..rates.component import Rates
 from ..requests.checks import ArrivalChecks
 from ..requests.pipeline import Pipeline, PipelineParts
@@ -71,6 +72,11 @@
         self.cold = ColdAllowances(ctx, self.servers, cfg.cold, counted)
         self.choice = ServerChoice(ctx, self.servers, self.cold, cfg.choice)
         self.retries = ExtraAttempts(ctx, cfg.extra_attempts, counted)
+        self.placement = Placement(
+            PlacementParts(
+                ctx, self.servers, self.choice, self.keys, self.members, self.duties
+            )
+        )
         self.pipeline = Pipeline(
             PipelineParts(
                 ctx=ctx,
@@ -82,9 +88,10 @@
                 servers=self.servers,
                 choice=self.choice,
                 retries=self.retries,
+                placement=self.placement,
             )
         )
-        for part in (self.pipeline, self.keys, self.rates):
+        for part in (self.pipeline, self.keys, self.rates, self.placement):
             part.attach(self.host)
         self.configuration.add_listener(self._configure)
         self.draining = False
@@ -143,6 +150,7 @@
             self.retries,
             self.keys,
             self.rates,
+            self.placement,
             self.pipeline,
         ):
             part.configure(configuration)
