--- a/wagtailrill/keys/component.py
+++ b/wagtailrill/keys/component.py
@@ -12,19 +12,14 @@
 from ..fleet.members import Members
 from ..peer.registry import Envelope
 from ..requests.interfaces import KeyOwner
+from ..servers.models import ServerRow
 from ..servers.table import ServerTable
 from ..store.models import Found, Get, StoreResult
-from .const import ANNOUNCE_INTERVAL_S, SILENCE_S, TICK_S, USAGE_INTERVAL_S
+from .const import ANNOUNCE_INTERVAL_S, SILENCE_S, TICK_S
 from .granter import Granter, GranterParts
-from .messages import (
-    KeyRoutesNotice,
-    KeyRoutesRequest,
-    KeyRoutesUpdate,
-    KeyUsage,
-    WorkSample,
-)
+from .messages import KeyRoutesNotice, KeyRoutesRequest, KeyRoutesUpdate
 from .models import NO_ROUTES, KeyRoutes, KeyTable, SegmentRow, SegmentState
-from .usage import UsageCounter, UsageTable
+from .usage import UsageTable
 
 DUTY_PREFIX = "keys/"
 ROUTED_STATES = frozenset({SegmentState.SERVING})
@@ -33,11 +28,10 @@
 
 @attrs.define(eq=False)
 class ServiceRow:
-    """One keyed service: routes, counts and, with the duty, the granter."""
+    """One keyed service: routes and, with the duty, usage and granter."""
 
     name: str
     usage: UsageTable
-    counter: UsageCounter = attrs.field(factory=UsageCounter)
     routes: KeyRoutes = NO_ROUTES
     heard_s: float = float("-inf")
     asked_s: float = float("-inf")
@@ -64,9 +58,9 @@
         self._duties = duties
         self._table_prefix = table_prefix
         self._rows: dict[str, ServiceRow] = {}
+        self.capacity_of: Callable[[ServerRow], float] = _slots
         ctx.timers.subscribe(TICK_S, self._tick)
         ctx.timers.subscribe(ANNOUNCE_INTERVAL_S, self._announce)
-        ctx.timers.subscribe(USAGE_INTERVAL_S, self._report_usage)
 
     def attach(self, host: ComponentHost) -> None:
         """Register the handlers of messages."""
@@ -74,7 +68,6 @@
             KeyRoutesUpdate: self._on_update,
             KeyRoutesRequest: self._on_request,
             KeyRoutesNotice: self._on_notice,
-            KeyUsage: self._on_usage,
         }
         for cls, handler in handlers.items():
             host.on_messages([cls], handler)
@@ -102,10 +95,10 @@
         return KeyOwner(name)
 
     def record(self, service: str, position: int) -> None:
-        """Count a request for a key."""
+        """Count a request for a key, if this instance assigns the keys."""
         row = self._rows.get(service)
         if row is not None:
-            row.counter.record(position)
+            row.usage.record(position)
 
     def misdirected(self, service: str, position: int, backend_server: str) -> None:
         """Ask for newer routes, since a server does not hold a key."""
@@ -187,12 +180,6 @@
             request = KeyRoutesRequest(row.name, known.duty_fence, known.sequence)
             self._ctx.send(envelope.sender, request)
 
-    def _on_usage(self, envelope: Envelope) -> None:
-        usage: KeyUsage = envelope.message
-        row = self._rows.get(usage.service)
-        if row is not None and row.granter is not None:
-            row.usage.add(usage)
-
     # Duty
 
     def duty_taken(self, duty: str, fence: int, predecessor_may_act_s: float) -> None:
@@ -208,6 +195,7 @@
             self._servers,
             row.name,
             self._table_prefix + row.name,
+            lambda server: self.capacity_of(server),
             lambda: self._duties.holds(duty),
             changed,
         )
@@ -255,17 +243,9 @@
                 for name in self._members.live():
                     self._ctx.send(name, notice)
 
-    def _report_usage(self) -> None:
-        for row in self._rows.values():
-            holder = self._duties.holder(DUTY_PREFIX + row.name)
-            if holder is None or not holder.instance or not row.counter.counts:
-                continue
-            work = [
-                WorkSample(server.name, server.work_s)
-                for server in self._servers.by_service.get(row.name, ())
-                if server.samples
-            ]
-            self._ctx.send(holder.instance, row.counter.report(row.name, work))
+
+def _slots(server: ServerRow) -> float:
+    return float(server.entry.slots)
 
 
 def _routes_of_table(table: KeyTable) -> KeyRoutes:
--- a/wagtailrill/keys/const.py
+++ b/wagtailrill/keys/const.py
@@ -14,10 +14,10 @@
 # Grants without an answer in a row, after which an owner counts as lost.
 GRANT_FAILURES_MAX: Final = 2
 TICK_S: Final = 0.05
-PLAN_INTERVAL_S: Final = 0.6
-USAGE_INTERVAL_S: Final = 0.4
-USAGE_POSITIONS_MAX: Final = 400
-USAGE_DECAY_S: Final = 2.5
+PLAN_INTERVAL_S: Final = 0.3
+USAGE_DECAY_S: Final = 1.5
+# Lower rates of a position are forgotten, in requests/s.
+USAGE_RATE_MIN: Final = 0.02
 ANNOUNCE_INTERVAL_S: Final = 1.0
 # Without word of the granter for so long, the table is read from the store.
 SILENCE_S: Final = 2.5
--- a/wagtailrill/keys/granter.py
+++ b/wagtailrill/keys/granter.py
@@ -30,17 +30,25 @@
 MOVES_MAX = 4
 # Keys that have just moved stay for this long.
 MOVE_PAUSE_S = 2.0
-WORK_INITIAL_S = 0.2
+
+# In these a segment's owner gives its keys up.
+LEAVING_STATES = frozenset(
+    {SegmentState.VACANT, SegmentState.RELEASING, SegmentState.EXPIRING}
+)
 
 
 @attrs.frozen
 class GranterParts:
-    """What a granter needs; `may_act` tells whether the duty is still held."""
+    """What a granter needs; `may_act` tells whether the duty is still held.
+
+    `capacity_of` returns the requests/s that a server can run.
+    """
 
     ctx: Context
     servers: ServerTable
     service: str
     key: str
+    capacity_of: Callable[[ServerRow], float]
     may_act: Callable[[], bool]
     on_change: Callable[[], None]
 
@@ -294,16 +302,10 @@
         return [piece for move in moves for piece in self._cut_out(move)]
 
     def _rebalance(self) -> None:
-        if self._writing or any(
-            row.state in (SegmentState.VACANT, SegmentState.RELEASING)
-            for row in self.rows
-        ):
+        if self._writing:
             return
         moves = rebalance(
-            self._holdings(movable=True),
-            self._capacities(),
-            self._load_map(),
-            MOVES_MAX,
+            self._holdings(), self._capacities(), self._load_map(), MOVES_MAX
         )
         for move in moves:
             for row in self._cut_out(move):
@@ -331,28 +333,31 @@
         self.rows = rows
         return found
 
-    def _holdings(self, movable: bool = False) -> list[Holding]:
-        settled_s = self._ctx.now_s - MOVE_PAUSE_S
+    def _holdings(self) -> list[Holding]:
+        """Return who holds, or is about to hold, which positions."""
         return [
-            Holding(row.segment.first, row.segment.last, row.segment.owner)
+            Holding(
+                row.segment.first,
+                row.segment.last,
+                row.target if row.state in LEAVING_STATES else row.segment.owner,
+                self._movable(row),
+            )
             for row in self.rows
-            if row.state in (SegmentState.SERVING, SegmentState.GRANTING)
-            and not (movable and (row.calling or row.moved_s > settled_s))
         ]
 
+    def _movable(self, row: SegmentRow) -> bool:
+        return (
+            row.state is SegmentState.SERVING
+            and not row.calling
+            and self._ctx.now_s - row.moved_s >= MOVE_PAUSE_S
+        )
+
     def _capacities(self) -> list[Capacity]:
-        rows = [
-            row
+        return [
+            Capacity(row.name, self._parts.capacity_of(row))
             for row in self._parts.servers.by_service.get(self._parts.service, ())
             if self._may_own(row)
         ]
-        works = [self._usage.work_s(row.name) or row.work_s for row in rows]
-        known = sorted(work for work in works if work > 0.0)
-        usual = known[len(known) // 2] if known else WORK_INITIAL_S
-        return [
-            Capacity(row.name, row.entry.slots / (work or usual))
-            for row, work in zip(rows, works, strict=True)
-        ]
 
     def _may_own(self, server: ServerRow) -> bool:
         servers = self._parts.servers
--- a/wagtailrill/keys/keys.capnp
+++ b/wagtailrill/keys/keys.capnp
@@ -20,15 +20,3 @@
   dutyFence @1 :UInt64;
   sequence @2 :UInt64;
 }
-
-struct WorkSample {
-  backendServer @0 :Text;
-  workS @1 :Float64;
-}
-
-struct KeyUsage {
-  service @0 :Text;
-  positions @1 :List(UInt32);
-  counts @2 :List(UInt32);
-  work @3 :List(WorkSample);
-}
--- a/wagtailrill/keys/messages.py
+++ b/wagtailrill/keys/messages.py
@@ -38,30 +38,11 @@
     sequence: int
 
 
-@attrs.frozen
-class WorkSample:
-    """Seconds that a request takes at a backend server when it need not wait."""
-
-    backend_server: str
-    work_s: float
-
-
-@attrs.frozen
-class KeyUsage:
-    """Requests by position since the last report of a member."""
-
-    service: str
-    positions: tuple[int, ...]
-    counts: tuple[int, ...]
-    work: tuple[WorkSample, ...]
-
-
 SCHEMA_FILE: Final = Path(__file__).with_name("keys.capnp")
 MESSAGES: Final[dict[int, type]] = {
     110: KeyRoutesUpdate,
     111: KeyRoutesRequest,
     112: KeyRoutesNotice,
-    113: KeyUsage,
 }
 
 
--- a/wagtailrill/placement/component.py
+++ b/wagtailrill/placement/component.py
@@ -150,6 +150,13 @@
     def duty_lost(self, duty: str) -> None:
         """Stop placing requests."""
 
+    def capacity_of(self, server: ServerRow) -> float:
+        """Return the requests/s that a server can run, as far as is known here."""
+        dispatcher = self._dispatcher(server.entry.service)
+        if dispatcher is None:
+            return float(server.entry.slots)
+        return dispatcher.capacity_of(server)
+
     def place(self, wanted: Wanted, on_placed: OnPlaced) -> int:
         """Call back with a server, now or later; return the question's number."""
         row = self._rows.get(wanted.service)
@@ -327,6 +334,8 @@
         member = self._parts.members.live().get(envelope.sender)
         if member is not None:
             data_centre = member.data_centre
+        if request.key_position != NO_KEY:
+            self._parts.keys.record(request.service, request.key_position)
         dispatcher.place(request, envelope.sender, data_centre, reply)
 
     def _on_end(self, envelope: Envelope) -> None:
--- a/wagtailrill/placement/dispatcher.py
+++ b/wagtailrill/placement/dispatcher.py
@@ -136,6 +136,11 @@
             self.work_s += WORK_WEIGHT * (sample_s - self.work_s)
         self._pump()
 
+    def capacity_of(self, row: ServerRow) -> float:
+        """Return the requests/s that a server can usually run."""
+        load = self._load_of(row)
+        return load.slots / (self.work_s * load.usual_slowness)
+
     def tick(self) -> None:
         """Forget what is overdue, and refuse what has waited too long."""
         now_s = self._ctx.now_s
--- a/wagtailrill/rates/component.py
+++ b/wagtailrill/rates/component.py
@@ -33,7 +33,7 @@
     ) -> None:
         self._ctx = ctx
         self._duties = duties
-        self.issuer = Issuer(ctx)
+        self.issuer = Issuer(ctx, cfg)
         self.holder = Holder(ctx, cfg, members.counted, self._ask)
         self._counted: tuple[str, ...] = ()
         self._members = members
--- a/wagtailrill/rates/const.py
+++ b/wagtailrill/rates/const.py
@@ -18,6 +18,11 @@
 DENIAL_PAUSE_S: Final = 0.05
 RETRY_AFTER_MIN_S: Final = 0.2
 RETRY_AFTER_MAX_S: Final = 2.0
-# Part of the tolerance that instances use without asking.
-OWN_SHARE_PART: Final = 0.6
+# Parts of the bound that issuers and, without asking, instances may use. The rest is
+# for requests that are delayed between their admission and their server.
+ISSUED_PART: Final = 0.86
+OWN_PART: Final = 0.08
+# Parts of what is issued, and of an instance's share, that may be used at once.
+ISSUED_BURST_PART: Final = 0.15
+OWN_BURST_PART: Final = 0.5
 TICK_S: Final = 0.2
--- a/wagtailrill/rates/holder.py
+++ b/wagtailrill/rates/holder.py
@@ -12,7 +12,8 @@
     AHEAD_S,
     DEMAND_DECAY_S,
     DENIAL_PAUSE_S,
-    OWN_SHARE_PART,
+    OWN_BURST_PART,
+    OWN_PART,
     RETRY_AFTER_MAX_S,
     RETRY_AFTER_MIN_S,
     SILENCE_PAUSE_S,
@@ -207,11 +208,5 @@
         on_result(TakeResult(False, retry_after_s))
 
     def _own_limit(self, limit: Limit) -> Limit:
-        cfg = self._cfg
-        if math.isinf(limit.rate_per_s):
-            return limit
-        bound = limit.rate_per_s * cfg.window_s + limit.burst
-        tolerance = bound * cfg.excess + cfg.allowance
-        share = tolerance * OWN_SHARE_PART / max(len(self._instances()), 1)
-        # Half of the share at once, the other half over the window.
-        return Limit(share / 2.0 / cfg.window_s, share / 2.0)
+        part = OWN_PART / max(len(self._instances()), 1)
+        return self._cfg.shape(limit, part, OWN_BURST_PART)
--- a/wagtailrill/rates/issuer.py
+++ b/wagtailrill/rates/issuer.py
@@ -3,7 +3,8 @@
 import attrs
 
 from ..core.context import Context
-from .models import Bucket, Limit
+from .const import ISSUED_BURST_PART, ISSUED_PART
+from .models import Bucket, Limit, RateSettings
 
 
 @attrs.define(eq=False)
@@ -24,13 +25,18 @@
     what this one issues keep the bound together.
     """
 
-    def __init__(self, ctx: Context) -> None:
+    def __init__(self, ctx: Context, cfg: RateSettings) -> None:
         self._ctx = ctx
+        self._cfg = cfg
         self._limits: dict[str, Limit] = {}
         self._shards: dict[str, Shard] = {}
 
     def configure(self, limits: dict[str, Limit]) -> None:
         """Apply the limits of a configuration."""
+        limits = {
+            name: self._cfg.shape(limit, ISSUED_PART, ISSUED_BURST_PART)
+            for name, limit in limits.items()
+        }
         self._limits = limits
         for shard in self._shards.values():
             for name, bucket in list(shard.buckets.items()):
--- a/wagtailrill/rates/models.py
+++ b/wagtailrill/rates/models.py
@@ -16,6 +16,23 @@
     excess: float = 0.0
     allowance: float = 0.0
 
+    def bound(self, limit: "Limit") -> float:
+        """Return the most requests of an organisation in any window."""
+        declared = limit.rate_per_s * self.window_s + limit.burst
+        return declared * (1.0 + self.excess) + self.allowance
+
+    def shape(self, limit: "Limit", part: float, burst_part: float) -> "Limit":
+        """Return the bucket that lets a part of the bound through in any window.
+
+        A bucket gives at most its burst and its rate times the window, so a small
+        burst leaves a high rate.
+        """
+        if math.isinf(limit.rate_per_s):
+            return limit
+        bound = self.bound(limit) * part
+        burst = max(1.0, bound * burst_part)
+        return Limit(max(bound - burst, 0.0) / self.window_s, burst)
+
 
 @attrs.frozen
 class Limit:
--- a/wagtailrill/requests/interfaces.py
+++ b/wagtailrill/requests/interfaces.py
@@ -38,10 +38,6 @@
         """Return the owner of a key, or why there is none now."""
         ...
 
-    def record(self, service: str, position: int) -> None:
-        """Count a request for a key."""
-        ...
-
     def misdirected(self, service: str, position: int, backend_server: str) -> None:
         """Learn that a backend server does not hold a key."""
         ...
--- a/wagtailrill/requests/pipeline.py
+++ b/wagtailrill/requests/pipeline.py
@@ -113,8 +113,6 @@
         self._refuse(row, refusal)
 
     def _admitted(self, row: RequestRow) -> None:
-        if row.service.keyed and row.key_position is not None:
-            self._parts.router.record(row.service.name, row.key_position)
         self._place(row)
 
     # Placement
--- a/wagtailrill/router/router.py
+++ b/wagtailrill/router/router.py
@@ -77,6 +77,7 @@
                 ctx, self.servers, self.choice, self.keys, self.members, self.duties
             )
         )
+        self.keys.capacity_of = self.placement.capacity_of
         self.pipeline = Pipeline(
             PipelineParts(
                 ctx=ctx,
