--- a/wagtailrill/keys/component.py
+++ b/wagtailrill/keys/component.py
@@ -6,6 +6,7 @@
 
 from ..core.context import Context
 from ..core.host import ComponentHost
+from ..core.orders import LoadReport
 from ..core.refusals import RefusalCode
 from ..declaration.models import Configuration
 from ..fleet.duties import Duties
@@ -19,6 +20,7 @@
 from .granter import Granter, GranterParts
 from .messages import KeyRoutesNotice, KeyRoutesRequest, KeyRoutesUpdate
 from .models import NO_ROUTES, KeyRoutes, KeyTable, SegmentRow, SegmentState
+from .planner import Capacity
 from .usage import UsageTable
 
 DUTY_PREFIX = "keys/"
@@ -58,7 +60,8 @@
         self._duties = duties
         self._table_prefix = table_prefix
         self._rows: dict[str, ServiceRow] = {}
-        self.capacity_of: Callable[[ServerRow], float] = _slots
+        self.capacity_of: Callable[[ServerRow], Capacity] = _unknown_capacity
+        self.on_load: Callable[[str, LoadReport], None] = lambda name, load: None
         ctx.timers.subscribe(TICK_S, self._tick)
         ctx.timers.subscribe(ANNOUNCE_INTERVAL_S, self._announce)
 
@@ -198,6 +201,7 @@
             lambda server: self.capacity_of(server),
             lambda: self._duties.holds(duty),
             changed,
+            lambda name, load: self.on_load(name, load),
         )
         row.granter = Granter(parts, row.usage, fence, predecessor_may_act_s)
 
@@ -244,8 +248,8 @@
                     self._ctx.send(name, notice)
 
 
-def _slots(server: ServerRow) -> float:
-    return float(server.entry.slots)
+def _unknown_capacity(server: ServerRow) -> Capacity:
+    return Capacity(server.name, float(server.entry.slots))
 
 
 def _routes_of_table(table: KeyTable) -> KeyRoutes:
--- a/wagtailrill/keys/const.py
+++ b/wagtailrill/keys/const.py
@@ -13,6 +13,14 @@
 GRANT_MARGIN_S: Final = 0.05
 # Grants without an answer in a row, after which an owner counts as lost.
 GRANT_FAILURES_MAX: Final = 2
+# Grants to one server at a time: each needs a connection of its own.
+CALLS_MAX: Final = 2
+# Positions that lie side by side are given out in stripes, since busy keys lie close
+# to one another.
+STRIPES: Final = 128
+# The very first assignment waits until no server has joined for so long.
+SETTLE_S: Final = 1.5
+SETTLE_MAX_S: Final = 5.0
 TICK_S: Final = 0.05
 PLAN_INTERVAL_S: Final = 0.3
 USAGE_DECAY_S: Final = 1.5
--- a/wagtailrill/keys/granter.py
+++ b/wagtailrill/keys/granter.py
@@ -6,6 +6,7 @@
 
 from ..core.context import Context
 from ..core.log_events import LogName
+from ..core.orders import LoadReport
 from ..servers.models import ServerRow
 from ..servers.table import ServerTable
 from ..store.models import (
@@ -21,6 +22,8 @@
 from .const import (
     GRANT_RETRY_S,
     PLAN_INTERVAL_S,
+    SETTLE_MAX_S,
+    SETTLE_S,
 )
 from .grants import HELD_S, GrantParts, Grants
 from .models import EMPTY_TABLE, KeyTable, Segment, SegmentRow, SegmentState
@@ -41,16 +44,17 @@
 class GranterParts:
     """What a granter needs; `may_act` tells whether the duty is still held.
 
-    `capacity_of` returns the requests/s that a server can run.
+    `capacity_of` returns what a server can run.
     """
 
     ctx: Context
     servers: ServerTable
     service: str
     key: str
-    capacity_of: Callable[[ServerRow], float]
+    capacity_of: Callable[[ServerRow], Capacity]
     may_act: Callable[[], bool]
     on_change: Callable[[], None]
+    on_load: Callable[[str, LoadReport], None]
 
 
 class Granter:
@@ -74,7 +78,7 @@
         self._revision = 0
         self._writing = False
         self._stopped = False
-        self._planned_s = parts.ctx.now_s
+        self._planned_s = self._began_s = parts.ctx.now_s
         self._moved_s: dict[int, float] = {}
         self._grants = Grants(
             GrantParts(
@@ -83,6 +87,7 @@
                 parts.service,
                 lambda: not self._stopped and parts.may_act(),
                 parts.on_change,
+                parts.on_load,
             )
         )
         self._load()
@@ -96,13 +101,25 @@
         if self._stopped or not self.loaded or not self._parts.may_act():
             return
         self._check_owners()
-        for row in self.rows:
+        # Those that wait longest go first, since a server is asked little by little.
+        for row in sorted(self.rows, key=lambda row: row.sent_s):
             self._grants.run(row)
-        self._assign_vacant()
+        if self._settled():
+            self._assign_vacant()
         if self._ctx.now_s - self._planned_s >= PLAN_INTERVAL_S:
             self._planned_s = self._ctx.now_s
             self._rebalance()
 
+    def _settled(self) -> bool:
+        """Return whether the first assignment need not wait for more servers."""
+        if self._revision:
+            return True
+        now_s = self._ctx.now_s
+        rows = self._parts.servers.by_service.get(self._parts.service, ())
+        newest_s = max((row.joined_s for row in rows), default=now_s)
+        waited_s = now_s - self._began_s
+        return now_s - newest_s >= SETTLE_S or waited_s >= SETTLE_MAX_S
+
     # Store
 
     def _load(self) -> None:
@@ -354,7 +371,7 @@
 
     def _capacities(self) -> list[Capacity]:
         return [
-            Capacity(row.name, self._parts.capacity_of(row))
+            self._parts.capacity_of(row)
             for row in self._parts.servers.by_service.get(self._parts.service, ())
             if self._may_own(row)
         ]
--- a/wagtailrill/keys/grants.py
+++ b/wagtailrill/keys/grants.py
@@ -1,5 +1,6 @@
 """Grants and releases of one service's segments at backend servers."""
 
+from collections import Counter
 from collections.abc import Callable
 
 import attrs
@@ -7,15 +8,18 @@
 
 from ..core.context import Context
 from ..core.log_events import LogName
+from ..core.orders import LoadReport
 from ..servers.control import (
     ControlError,
     ControlErrorKind,
     GrantKeys,
+    KeysGranted,
     KeysReleased,
     ReleaseKeys,
 )
 from ..servers.table import ServerTable
 from .const import (
+    CALLS_MAX,
     GRANT_FAILURES_MAX,
     GRANT_MARGIN_S,
     GRANT_RENEW_S,
@@ -23,7 +27,7 @@
     GRANT_S,
     SERVER_CLOCK_BOUND,
 )
-from .models import SegmentRow, SegmentState
+from .models import Segment, SegmentRow, SegmentState
 
 HELD_S = GRANT_S * (1.0 + SERVER_CLOCK_BOUND) + GRANT_MARGIN_S
 
@@ -37,6 +41,7 @@
     service: str
     may_act: Callable[[], bool]
     on_change: Callable[[], None]
+    on_load: Callable[[str, LoadReport], None]
 
 
 class Grants:
@@ -45,6 +50,7 @@
     def __init__(self, parts: GrantParts) -> None:
         self._parts = parts
         self._ctx = parts.ctx
+        self._calls: Counter[str] = Counter()
 
     def run(self, row: SegmentRow) -> None:
         """Do what is due for a segment."""
@@ -93,6 +99,9 @@
         if not self._parts.may_act():
             return
         segment = row.segment
+        if self._calls[segment.owner] >= CALLS_MAX:
+            return
+        self._calls[segment.owner] += 1
         row.calling = True
         row.sent_s = self._ctx.now_s
         former_until_s = row.held_until_s
@@ -103,17 +112,23 @@
         self._ctx.call_backend(
             segment.owner,
             operation,
-            lambda result: self._granted(row, result, former_until_s),
+            lambda result: self._granted(row, segment, result, former_until_s),
         )
 
     def _granted(
         self,
         row: SegmentRow,
+        segment: Segment,
         result: "Result[object, ControlError]",
         former_until_s: float,
     ) -> None:
         row.calling = False
+        self._calls[segment.owner] -= 1
         if result.is_ok():
+            granted = result.ok
+            assert isinstance(granted, KeysGranted)
+            if granted.load is not None:
+                self._parts.on_load(segment.owner, granted.load)
             row.failures = 0
             row.confirmed_s = self._ctx.now_s
             if row.state is SegmentState.GRANTING:
--- a/wagtailrill/keys/planner.py
+++ b/wagtailrill/keys/planner.py
@@ -5,19 +5,19 @@
 
 import attrs
 
-from .const import KEY_POSITIONS
+from .const import KEY_POSITIONS, STRIPES
 
 # Part of a service's requests that is taken to be spread evenly over its keys.
 EVEN_PART = 0.2
-# A server above this use of its slots gives keys to one that is less used.
-BUSY_USE = 0.5
-# A move has to lower the use of the busier of both servers by this much.
-GAIN_MIN = 0.12
-# A run of keys may have this part of the load that should move.
-RUN_LEAST = 0.4
-RUN_MOST = 1.3
-# A new server gets this part of its fair share of positions at first.
-FIRST_SHARE = 0.6
+# A move has to lower the longer of both servers' times by this part.
+GAIN_MIN = 0.15
+# Without measured requests the servers are taken to be used this much.
+ASSUMED_USE = 0.5
+# Parts of a server's load that are tried as moves, and how exactly a run has them.
+RUN_PARTS = (0.15, 0.4)
+RUN_LEAST = 0.6
+RUN_MOST = 1.4
+STRIPE_POSITIONS = KEY_POSITIONS // STRIPES
 
 
 @attrs.frozen
@@ -32,10 +32,25 @@
 
 @attrs.frozen
 class Capacity:
-    """What a server can do: requests per second when all slots are used."""
+    """What a server can do: requests per second when all slots are used.
+
+    `slowness` is how long it takes for one request, 1.0 as usual.
+    """
 
     name: str
     requests_per_s: float
+    slowness: float = 1.0
+
+    def time(self, load: float) -> float:
+        """Return how long a request takes, with the wait for a slot.
+
+        The shape is that of a queue with several servers: short waits up to a use of
+        0.8, and long ones near 1.
+        """
+        use = load / max(self.requests_per_s, 1e-3)
+        if use >= 1.0:
+            return self.slowness * (11.0 + 20.0 * (use - 1.0))
+        return self.slowness * (1.0 + use**6 / (3.0 * (1.0 - use) + 0.1))
 
 
 @attrs.frozen
@@ -50,15 +65,15 @@
 class LoadMap:
     """Requests per second by position, with a part spread evenly.
 
-    Without any requests each position counts the same.
+    Without any requests `assumed` requests per second are spread evenly.
     """
 
-    def __init__(self, rates: Mapping[int, float]) -> None:
+    def __init__(self, rates: Mapping[int, float], assumed: float = 1.0) -> None:
         total = sum(rates.values())
         self.measured = total > 0.0
         self._positions = sorted(rates)
         self._rates = {p: rate * (1.0 - EVEN_PART) for p, rate in rates.items()}
-        self._even = (EVEN_PART * total if self.measured else 1.0) / KEY_POSITIONS
+        self._even = (EVEN_PART * total if self.measured else assumed) / KEY_POSITIONS
 
     def load(self, first: int, last: int) -> float:
         """Return the requests per second of some positions."""
@@ -74,20 +89,6 @@
         """Return the measured requests per second of a position."""
         return self._rates[position]
 
-    def cut(self, first: int, last: int, wanted: float) -> int:
-        """Return the last position such that the load from `first` is as wanted."""
-        seen, position = 0.0, first
-        for hot in self.between(first, last):
-            gap = (hot - position) * self._even
-            if seen + gap >= wanted:
-                break
-            seen += gap + self._rates[hot] + self._even
-            position = hot + 1
-            if seen >= wanted:
-                return min(hot, last)
-        rest = int((wanted - seen) / self._even)
-        return max(first, min(last, position + rest - 1))
-
     def densest(self, first: int, last: int, wanted: float) -> tuple[int, int] | None:
         """Return the narrowest run of measured positions with about the load wanted."""
         positions = self.between(first, last)
@@ -112,10 +113,10 @@
 
 
 @attrs.define
-class Uses:
+class Loads:
     """Loads by server while moves are planned."""
 
-    capacities: dict[str, float]
+    capacities: dict[str, Capacity]
     loads: dict[str, float]
 
     @classmethod
@@ -124,29 +125,32 @@
         holdings: Iterable[Holding],
         capacities: Sequence[Capacity],
         load: LoadMap,
-    ) -> "Uses":
+    ) -> "Loads":
         """Return the loads of what the servers hold."""
-        uses = cls(
-            {c.name: max(c.requests_per_s, 1e-3) for c in capacities},
-            {c.name: 0.0 for c in capacities},
-        )
+        loads = cls({c.name: c for c in capacities}, {c.name: 0.0 for c in capacities})
         for holding in holdings:
-            if holding.owner in uses.loads:
-                uses.loads[holding.owner] += load.load(holding.first, holding.last)
-        return uses
+            if holding.owner in loads.loads:
+                loads.loads[holding.owner] += load.load(holding.first, holding.last)
+        return loads
 
-    def use(self, name: str, more: float = 0.0) -> float:
-        """Return the part of a server's capacity that is used."""
-        return (self.loads[name] + more) / self.capacities[name]
+    def time(self, name: str, more: float = 0.0) -> float:
+        """Return how long a request takes at a server that got more load."""
+        return self.capacities[name].time(self.loads[name] + more)
 
-    def least(self, more: float = 0.0, but: str = "") -> str:
-        """Return the server that is used least after it got more load."""
+    def fastest(self, more: float, but: str = "") -> str:
+        """Return the server where requests take least after it got more load."""
         names = [name for name in self.capacities if name != but]
-        return min(names, key=lambda name: (self.use(name, more), name))
+        return min(names, key=lambda name: (self.time(name, more), name))
 
-    def most(self, names: Iterable[str]) -> str:
-        """Return the server of some that is used most."""
-        return max(names, key=lambda name: (self.use(name), name))
+    def slowest(self, names: Iterable[str]) -> str:
+        """Return the server of some where requests take longest."""
+        return max(names, key=lambda name: (self.time(name), name))
+
+    def move(self, amount: float, target: str, source: str = "") -> None:
+        """Count load at another server."""
+        self.loads[target] += amount
+        if source:
+            self.loads[source] -= amount
 
 
 def divide(
@@ -155,26 +159,20 @@
     capacities: Sequence[Capacity],
     load: LoadMap,
 ) -> list[Move]:
-    """Return who gets positions that nobody holds.
-
-    Each server is filled up to the use that all have when everything is divided; the
-    positions that it gets lie side by side.
-    """
+    """Return who gets positions that nobody holds, stripe by stripe."""
     if not capacities:
         return []
-    uses = Uses.of(holdings, capacities, load)
-    wanted = sum(uses.loads.values()) + sum(load.load(f, last) for f, last in vacant)
-    wanted_use = wanted / sum(uses.capacities.values())
+    if not load.measured:
+        load = LoadMap({}, ASSUMED_USE * sum(c.requests_per_s for c in capacities))
+    loads = Loads.of(holdings, capacities, load)
     moves: list[Move] = []
     for start, last in vacant:
-        first = start
-        while first <= last:
-            target = uses.least()
-            room = wanted_use * uses.capacities[target] - uses.loads[target]
-            end = load.cut(first, last, max(room, 0.0))
+        for first in range(start, last + 1, STRIPE_POSITIONS):
+            end = min(last, first + STRIPE_POSITIONS - 1)
+            amount = load.load(first, end)
+            target = loads.fastest(amount)
             moves.append(Move(first, end, target))
-            uses.loads[target] += load.load(first, end)
-            first = end + 1
+            loads.move(amount, target)
     return moves
 
 
@@ -190,60 +188,58 @@
     moves = _first_shares(holdings, capacities)
     if moves or not load.measured:
         return moves[:moves_max]
-    uses = Uses.of(holdings, capacities, load)
-    rest = [h for h in holdings if h.movable and h.owner in uses.loads]
+    loads = Loads.of(holdings, capacities, load)
+    rest = [h for h in holdings if h.movable and h.owner in loads.loads]
     sources = {h.owner for h in rest}
     while sources and len(moves) < moves_max:
-        source = uses.most(sources)
-        if uses.use(source) < BUSY_USE:
-            break
-        move = _best_move(source, rest, uses, load)
+        source = loads.slowest(sources)
+        move = _best_move(source, rest, loads, load)
         if move is None:
             sources.discard(source)
             continue
         moves.append(move)
-        moved = load.load(move.first, move.last)
-        uses.loads[source] -= moved
-        uses.loads[move.target] += moved
+        loads.move(load.load(move.first, move.last), move.target, source)
         rest = _without(rest, move)
     return moves
 
 
 def _best_move(
-    source: str, holdings: Sequence[Holding], uses: Uses, load: LoadMap
+    source: str, holdings: Sequence[Holding], loads: Loads, load: LoadMap
 ) -> Move | None:
     """Return the move that relieves a server most, None if none is worth it."""
     best: Move | None = None
-    best_use = uses.use(source) - GAIN_MIN
-    for first, last in _runs(source, holdings, uses, load):
+    best_time = loads.time(source) * (1.0 - GAIN_MIN)
+    for first, last in _runs(source, holdings, loads, load):
         moved = load.load(first, last)
-        target = uses.least(moved, but=source)
-        use = max(uses.use(source, -moved), uses.use(target, moved))
-        if use < best_use:
-            best, best_use = Move(first, last, target), use
+        target = loads.fastest(moved, but=source)
+        time = loads.time(target, moved)
+        if last - first + 1 < _positions(source, holdings):
+            time = max(time, loads.time(source, -moved))
+        if time < best_time:
+            best, best_time = Move(first, last, target), time
     return best
 
 
+def _positions(owner: str, holdings: Sequence[Holding]) -> int:
+    return sum(h.last - h.first + 1 for h in holdings if h.owner == owner)
+
+
 def _runs(
-    source: str, holdings: Sequence[Holding], uses: Uses, load: LoadMap
+    source: str, holdings: Sequence[Holding], loads: Loads, load: LoadMap
 ) -> Iterable[tuple[int, int]]:
     """Yield runs of a server's keys that could be moved."""
-    target = uses.least(but=source)
-    # After a move of this load both servers are used alike.
-    per_load = 1.0 / uses.capacities[source] + 1.0 / uses.capacities[target]
-    wanted = (uses.use(source) - uses.use(target)) / per_load
+    held = loads.loads[source]
     for holding in holdings:
         if holding.owner != source:
             continue
-        run = load.densest(holding.first, holding.last, wanted)
-        if run is not None:
-            yield run
+        yield holding.first, holding.last
         hottest = load.hottest(holding.first, holding.last)
         if hottest is not None:
             yield hottest, hottest
-        if holding.last > holding.first:
-            end = load.cut(holding.first, holding.last, wanted)
-            yield holding.first, min(end, holding.last)
+        for part in RUN_PARTS:
+            run = load.densest(holding.first, holding.last, held * part)
+            if run is not None:
+                yield run
 
 
 def _without(holdings: Sequence[Holding], move: Move) -> list[Holding]:
@@ -262,18 +258,15 @@
 def _first_shares(
     holdings: Sequence[Holding], capacities: Sequence[Capacity]
 ) -> list[Move]:
-    """Return moves that give servers without keys a first share."""
+    """Return moves that give servers without keys their first ones."""
     owners = {holding.owner for holding in holdings}
-    total = sum(c.requests_per_s for c in capacities)
     movable = [h for h in holdings if h.movable]
     moves: list[Move] = []
     for capacity in capacities:
         if capacity.name in owners or not movable:
             continue
         widest = max(movable, key=lambda h: h.last - h.first)
-        share = int(KEY_POSITIONS * capacity.requests_per_s / total * FIRST_SHARE)
-        half = (widest.last - widest.first + 1) // 2
-        width = max(1, min(share, half))
-        moves.append(Move(widest.first, widest.first + width - 1, capacity.name))
+        last = min(widest.last, widest.first + STRIPE_POSITIONS - 1)
+        moves.append(Move(widest.first, last, capacity.name))
         movable.remove(widest)
     return moves
--- a/wagtailrill/placement/component.py
+++ b/wagtailrill/placement/component.py
@@ -7,12 +7,13 @@
 
 from ..core.context import Context
 from ..core.host import ComponentHost
-from ..core.orders import AttemptResult
+from ..core.orders import AttemptResult, LoadReport
 from ..core.timer import TimerHandle
 from ..declaration.models import Configuration
 from ..fleet.duties import Duties
 from ..fleet.members import Members
 from ..keys.component import DUTY_PREFIX as KEYS_DUTY_PREFIX, KeyOwnership
+from ..keys.planner import Capacity
 from ..peer.registry import Envelope
 from ..servers.choice import ServerChoice
 from ..servers.models import ServerRow
@@ -150,13 +151,21 @@
     def duty_lost(self, duty: str) -> None:
         """Stop placing requests."""
 
-    def capacity_of(self, server: ServerRow) -> float:
-        """Return the requests/s that a server can run, as far as is known here."""
+    def capacity_of(self, server: ServerRow) -> Capacity:
+        """Return what a server can run, as far as is known here."""
         dispatcher = self._dispatcher(server.entry.service)
         if dispatcher is None:
-            return float(server.entry.slots)
+            return Capacity(server.name, float(server.entry.slots))
         return dispatcher.capacity_of(server)
 
+    def load_reported(self, backend_server: str, load: LoadReport) -> None:
+        """Take in a load that a server reported with another answer."""
+        server = self._parts.servers.rows.get(backend_server)
+        if server is not None:
+            dispatcher = self._dispatcher(server.entry.service)
+            if dispatcher is not None:
+                dispatcher.load_reported(server, load)
+
     def place(self, wanted: Wanted, on_placed: OnPlaced) -> int:
         """Call back with a server, now or later; return the question's number."""
         row = self._rows.get(wanted.service)
--- a/wagtailrill/placement/dispatcher.py
+++ b/wagtailrill/placement/dispatcher.py
@@ -5,7 +5,8 @@
 import attrs
 
 from ..core.context import Context
-from ..core.orders import AttemptOutcome
+from ..core.orders import AttemptOutcome, LoadReport
+from ..keys.planner import Capacity
 from ..servers.models import ServerRow
 from ..servers.table import ServerTable
 from .const import (
@@ -14,6 +15,7 @@
     RETRY_AFTER_MAX_S,
     RETRY_AFTER_MIN_S,
     SPARE_MAX,
+    UNKNOWN_PART,
     WAIT_PART,
     WORK_INITIAL_S,
     WORK_WEIGHT,
@@ -136,10 +138,16 @@
             self.work_s += WORK_WEIGHT * (sample_s - self.work_s)
         self._pump()
 
-    def capacity_of(self, row: ServerRow) -> float:
-        """Return the requests/s that a server can usually run."""
+    def capacity_of(self, row: ServerRow) -> Capacity:
+        """Return what a server can usually run."""
         load = self._load_of(row)
-        return load.slots / (self.work_s * load.usual_slowness)
+        rate = load.slots / (self.work_s * load.usual_slowness)
+        return Capacity(load.name, rate, load.usual_slowness)
+
+    def load_reported(self, row: ServerRow, load: LoadReport) -> None:
+        """Take in a load that a server reported beside an answer to a request."""
+        known = self._load_of(row)
+        known.report(load.running, load.waiting, load.slowness, self._ctx.now_s)
 
     def tick(self) -> None:
         """Forget what is overdue, and refuse what has waited too long."""
@@ -219,6 +227,8 @@
         finish_s = self.work_s * load.slowness_now(now_s)
         if row.entry.data_centre != data_centre:
             finish_s *= 1.0 + DISTANT_PART
+        if load.unknown and not load.assigned:
+            finish_s *= UNKNOWN_PART
         # A failure costs the time of another attempt.
         return finish_s * (1.0 + FAILURE_COST * load.failure_rate(now_s))
 
--- a/wagtailrill/placement/load.py
+++ b/wagtailrill/placement/load.py
@@ -1,6 +1,8 @@
 """Load of backend servers as the instance that places requests knows it."""
 
 import math
+import statistics
+from collections import deque
 
 import attrs
 
@@ -9,6 +11,8 @@
     FAILURE_DECAY_S,
     FAILURE_WEIGHT,
     REPORT_AGE_S,
+    SAMPLE_INTERVAL_S,
+    SAMPLES_MAX,
     SUSPECT_FIRST_S,
     SUSPECT_MAX_S,
 )
@@ -33,9 +37,11 @@
     # Reported requests that were not placed from here.
     outside: float = 0.0
     slowness: float = 1.0
-    # Slowness without the changes of the last moment.
+    # Median of reports that lie apart, which short disturbances do not change.
     usual_slowness: float = 1.0
     reported_s: float = float("-inf")
+    sampled_s: float = float("-inf")
+    samples: deque[float] = attrs.field(factory=lambda: deque(maxlen=SAMPLES_MAX))
     failures: float = 0.0
     failures_s: float = 0.0
     suspect_until_s: float = float("-inf")
@@ -45,8 +51,11 @@
         """Take in a load report."""
         self.outside = max(0.0, running + waiting - self.assigned)
         self.slowness = slowness
-        self.usual_slowness += 0.05 * (slowness - self.usual_slowness)
         self.reported_s = now_s
+        if now_s - self.sampled_s >= SAMPLE_INTERVAL_S:
+            self.sampled_s = now_s
+            self.samples.append(slowness)
+            self.usual_slowness = statistics.median_low(self.samples)
 
     def ended(self, outcome: AttemptOutcome, now_s: float) -> None:
         """Take in how a request ended."""
@@ -71,6 +80,11 @@
         self.failures_s = now_s
         return self.failures
 
+    @property
+    def unknown(self) -> bool:
+        """Return whether the server has not reported yet."""
+        return not self.samples
+
     def present(self) -> float:
         """Return the requests that are at the server."""
         return self.assigned + self.outside
--- a/wagtailrill/platform/control.py
+++ b/wagtailrill/platform/control.py
@@ -67,6 +67,6 @@
         if result.status != _OK:
             return Error(ControlError(ControlErrorKind.REFUSED, result.status))
         if isinstance(operation, GrantKeys):
-            return Ok(KeysGranted())
+            return Ok(KeysGranted(result.load))
         handover = dict(result.headers).get(wire.HANDOVER, b"")
         return Ok(KeysReleased(handover.decode("latin-1")))
--- a/wagtailrill/router/router.py
+++ b/wagtailrill/router/router.py
@@ -78,6 +78,7 @@
             )
         )
         self.keys.capacity_of = self.placement.capacity_of
+        self.keys.on_load = self.placement.load_reported
         self.pipeline = Pipeline(
             PipelineParts(
                 ctx=ctx,
--- a/wagtailrill/servers/control.py
+++ b/wagtailrill/servers/control.py
@@ -5,6 +5,8 @@
 import attrs
 from expression import Result
 
+from ..core.orders import LoadReport
+
 
 @attrs.frozen
 class GrantKeys:
@@ -36,6 +38,8 @@
 class KeysGranted:
     """The backend server holds the positions."""
 
+    load: LoadReport | None = None
+
 
 @attrs.frozen
 class KeysReleased:
