Bar late grants by releasing under the new token

Change: a move is written with its new token and former owners before anything is released; a successor writes the table before it acts, and tells its predecessor to stop.

--- a/wagtailrill/core/log_events.py
+++ b/wagtailrill/core/log_events.py
@@ -42,3 +42,4 @@
     KEY_TABLE_READ = "key_table_read"
     KEY_TABLE_WRITE_FAILED = "key_table_write_failed"
     KEY_OWNER_LOST = "key_owner_lost"
+    KEY_TABLE_INVALID = "key_table_invalid"
--- a/wagtailrill/fleet/duties.py
+++ b/wagtailrill/fleet/duties.py
@@ -3,7 +3,9 @@
 import attrs
 
 from ..core.context import Context
+from ..core.host import ComponentHost
 from ..core.log_events import LogName
+from ..peer.registry import Envelope
 from ..store.models import (
     Commit,
     Committed,
@@ -19,6 +21,7 @@
     SETTLE_S,
 )
 from .members import Members
+from .messages import DutyAnnouncement, DutyStopped
 from .models import (
     DUTIES,
     RESIGNED,
@@ -39,6 +42,8 @@
     held: bool = False
     fence: int = 0
     committing: bool = False
+    # A former holder that may still act.
+    predecessor: DutyHolder | None = None
 
 
 class Duties:
@@ -58,6 +63,11 @@
         members.add_listener(self._changed)
         ctx.timers.subscribe(DUTY_TICK_S, self._tick, SETTLE_S)
 
+    def attach(self, host: ComponentHost) -> None:
+        """Register the handlers of messages."""
+        host.on_messages([DutyAnnouncement], self._on_announcement)
+        host.on_messages([DutyStopped], self._on_stopped)
+
     def register(self, duty: str, listener: DutyListener) -> None:
         """Take part in a duty from now on."""
         if duty not in self._rows:
@@ -120,6 +130,9 @@
         known = row.holder.fence if row.holder is not None else 0
         if holder is None or holder.fence <= known:
             return
+        self._learn(row, holder)
+
+    def _learn(self, row: DutyRow, holder: DutyHolder) -> None:
         row.holder = holder
         if row.held and holder.fence > row.fence:
             self._ctx.log(
@@ -167,6 +180,7 @@
         committed = result.ok
         assert isinstance(committed, Committed)
         identity = self._ctx.identity
+        former = row.holder
         row.holder = DutyHolder(
             identity.instance, identity.incarnation, committed.revision
         )
@@ -182,6 +196,37 @@
             predecessor_may_act_s=round(predecessor_s, 3),
         )
         row.listener.duty_taken(row.name, row.fence, predecessor_s)
+        row.predecessor = former if predecessor_s > 0.0 else None
+        names = set(self._members.live())
+        if row.predecessor is not None:
+            names.add(row.predecessor.instance)
+        for name in names:
+            self._ctx.send(name, DutyAnnouncement(row.name, row.fence))
+
+    def _on_announcement(self, envelope: Envelope) -> None:
+        message: DutyAnnouncement = envelope.message
+        row = self._rows.get(message.duty)
+        if row is None:
+            return
+        known = row.holder.fence if row.holder is not None else 0
+        if message.fence > known:
+            self._learn(
+                row,
+                DutyHolder(envelope.sender, envelope.incarnation, message.fence),
+            )
+        if not row.held or row.fence < message.fence:
+            self._ctx.send(envelope.sender, DutyStopped(message.duty, message.fence))
+
+    def _on_stopped(self, envelope: Envelope) -> None:
+        message: DutyStopped = envelope.message
+        row = self._rows.get(message.duty)
+        if row is None or not row.held or message.fence != row.fence:
+            return
+        former = row.predecessor
+        sender = (envelope.sender, envelope.incarnation)
+        if former is not None and (former.instance, former.incarnation) == sender:
+            row.predecessor = None
+            row.listener.predecessor_stopped(row.name)
 
     def _vacant_for_s(self, holder: DutyHolder | None) -> float:
         """Return for how long a duty has had nobody, negative if it has somebody."""
--- a/wagtailrill/fleet/models.py
+++ b/wagtailrill/fleet/models.py
@@ -98,6 +98,10 @@
         """Begin; a predecessor may still act for so many seconds."""
         ...
 
+    def predecessor_stopped(self, duty: str) -> None:
+        """Learn that the predecessor does not act any more."""
+        ...
+
     def duty_lost(self, duty: str) -> None:
         """Stop at once."""
         ...
--- a/wagtailrill/keys/component.py
+++ b/wagtailrill/keys/component.py
@@ -62,6 +62,7 @@
         self._rows: dict[str, ServiceRow] = {}
         self.capacity_of: Callable[[ServerRow], Capacity] = _unknown_capacity
         self.on_load: Callable[[str, LoadReport], None] = lambda name, load: None
+        self.heard_s: Callable[[str], float] = lambda name: float("-inf")
         ctx.timers.subscribe(TICK_S, self._tick)
         ctx.timers.subscribe(ANNOUNCE_INTERVAL_S, self._announce)
 
@@ -202,9 +203,16 @@
             lambda: self._duties.holds(duty),
             changed,
             lambda name, load: self.on_load(name, load),
+            lambda name: self.heard_s(name),
         )
         row.granter = Granter(parts, row.usage, fence, predecessor_may_act_s)
 
+    def predecessor_stopped(self, duty: str) -> None:
+        """Learn that the predecessor does not act any more."""
+        row = self._rows.get(duty.removeprefix(DUTY_PREFIX))
+        if row is not None and row.granter is not None:
+            row.granter.predecessor_stopped()
+
     def duty_lost(self, duty: str) -> None:
         """Stop assigning keys."""
         row = self._rows.get(duty.removeprefix(DUTY_PREFIX))
--- a/wagtailrill/keys/const.py
+++ b/wagtailrill/keys/const.py
@@ -5,14 +5,18 @@
 KEY_POSITIONS: Final = 65_536
 # A lost granter's successor renews the grants before they end: the member lease of
 # 2.0 s, the takeover and one renewal fit into this time.
-GRANT_S: Final = 4.0
-GRANT_RENEW_S: Final = 1.0
+GRANT_S: Final = 3.4
+GRANT_RENEW_S: Final = 0.8
 GRANT_RETRY_S: Final = 0.25
+RELEASE_RETRY_S: Final = 0.5
+STORE_RETRY_S: Final = 0.25
 # Backend servers' clocks may run this part slow.
 SERVER_CLOCK_BOUND: Final = 0.02
 GRANT_MARGIN_S: Final = 0.05
-# Grants without an answer in a row, after which an owner counts as lost.
+# An owner counts as lost after so many failed grants in a row, if it has answered
+# nothing else for the time below.
 GRANT_FAILURES_MAX: Final = 2
+OWNER_SILENT_S: Final = 1.0
 # Grants to one server at a time: each needs a connection of its own.
 CALLS_MAX: Final = 2
 # Positions that lie side by side are given out in stripes, since busy keys lie close
--- a/wagtailrill/keys/grants.py
+++ b/wagtailrill/keys/grants.py
@@ -25,16 +25,23 @@
     GRANT_RENEW_S,
     GRANT_RETRY_S,
     GRANT_S,
+    OWNER_SILENT_S,
+    RELEASE_RETRY_S,
     SERVER_CLOCK_BOUND,
 )
-from .models import Segment, SegmentRow, SegmentState
+from .models import FormerRow, Segment, SegmentRow, SegmentState
 
 HELD_S = GRANT_S * (1.0 + SERVER_CLOCK_BOUND) + GRANT_MARGIN_S
+CallResult = Result[object, ControlError]
 
 
 @attrs.frozen
 class GrantParts:
-    """What the calls need; `may_act` tells whether the duty is still held."""
+    """What the calls need.
+
+    `may_act` tells whether the duty is still held, `heard_s` when a server last
+    answered a request.
+    """
 
     ctx: Context
     servers: ServerTable
@@ -42,76 +49,57 @@
     may_act: Callable[[], bool]
     on_change: Callable[[], None]
     on_load: Callable[[str, LoadReport], None]
+    heard_s: Callable[[str], float]
 
 
 class Grants:
-    """Calls the owners of segments and follows what the answers mean."""
+    """Calls the owners of segments and follows what the answers mean.
+
+    Former owners are asked to release the keys under the new token, which bars every
+    grant of an older one, however late it is carried out.
+    """
 
     def __init__(self, parts: GrantParts) -> None:
         self._parts = parts
         self._ctx = parts.ctx
         self._calls: Counter[str] = Counter()
+        self._heard_s: dict[str, float] = {}
+        self._handlers: dict[SegmentState, Callable[[SegmentRow], None]] = {
+            SegmentState.RELEASING: self._release,
+            SegmentState.GRANTING: self._grant_if_due,
+            SegmentState.SERVING: self._grant_if_due,
+        }
 
     def run(self, row: SegmentRow) -> None:
         """Do what is due for a segment."""
-        handler = {
-            SegmentState.GRANTING: self._grant_if_due,
-            SegmentState.SERVING: self._grant_if_due,
-            SegmentState.EXPIRING: self._expire_if_due,
-        }.get(row.state)
+        handler = self._handlers.get(row.state)
         if handler is not None:
             handler(row)
 
-    def release(self, row: SegmentRow) -> None:
-        """Take a segment from its owner; it is vacant once the owner has let go."""
-        row.state = SegmentState.RELEASING
-        self._call_release(row)
-
-    def expire(self, row: SegmentRow, reason: str) -> None:
-        """Let a segment's grant end, because its owner cannot be asked."""
-        row.state = SegmentState.EXPIRING
-        self._ctx.log(
-            LogName.KEY_OWNER_LOST,
-            service=self._parts.service,
-            backend_server=row.segment.owner,
-            first=row.segment.first,
-            last=row.segment.last,
-            reason=reason,
-            held_for_s=round(max(0.0, row.held_until_s - self._ctx.now_s), 3),
-        )
-
-    def vacate(self, row: SegmentRow) -> None:
-        """Note that nobody holds a segment any more."""
-        row.state = SegmentState.VACANT
-        row.failures = 0
-        self._parts.on_change()
-
-    def _expire_if_due(self, row: SegmentRow) -> None:
-        if self._ctx.now_s >= max(row.held_until_s, row.unanswered_until_s):
-            self.vacate(row)
+    # Grants
 
     def _grant_if_due(self, row: SegmentRow) -> None:
         interval_s = GRANT_RETRY_S if row.failures else GRANT_RENEW_S
         if row.state is SegmentState.GRANTING and not row.failures:
             interval_s = 0.0
-        if row.calling or self._ctx.now_s - row.sent_s < interval_s:
-            return
-        if not self._parts.may_act():
-            return
         segment = row.segment
-        if self._calls[segment.owner] >= CALLS_MAX:
+        if (
+            row.calling
+            or self._ctx.now_s - row.sent_s < interval_s
+            or self._calls[segment.owner] >= CALLS_MAX
+            or not self._parts.may_act()
+        ):
             return
-        self._calls[segment.owner] += 1
         row.calling = True
         row.sent_s = self._ctx.now_s
+        self._calls[segment.owner] += 1
         former_until_s = row.held_until_s
         row.held_until_s = self._ctx.now_s + HELD_S
-        operation = GrantKeys(
-            segment.first, segment.last, segment.fence, GRANT_S, row.handover
-        )
         self._ctx.call_backend(
             segment.owner,
-            operation,
+            GrantKeys(
+                segment.first, segment.last, segment.fence, GRANT_S, row.handover
+            ),
             lambda result: self._granted(row, segment, result, former_until_s),
         )
 
@@ -119,78 +107,118 @@
         self,
         row: SegmentRow,
         segment: Segment,
-        result: "Result[object, ControlError]",
+        result: CallResult,
         former_until_s: float,
     ) -> None:
-        row.calling = False
         self._calls[segment.owner] -= 1
-        if result.is_ok():
-            granted = result.ok
-            assert isinstance(granted, KeysGranted)
-            if granted.load is not None:
-                self._parts.on_load(segment.owner, granted.load)
-            row.failures = 0
-            row.confirmed_s = self._ctx.now_s
-            if row.state is SegmentState.GRANTING:
-                row.state = SegmentState.SERVING
-                row.handover = ""
-                self._log(LogName.KEYS_GRANTED, row)
-                self._parts.on_change()
+        current = row.segment is segment
+        if current:
+            row.calling = False
+        if result.is_error():
+            if current:
+                self._grant_failed(row, result.error, former_until_s)
             return
-        error = result.error
-        row.failures += 1
-        if error.kind is ControlErrorKind.NO_ANSWER:
-            row.unanswered_until_s = row.sent_s + HELD_S
-        else:
-            row.held_until_s = former_until_s
-        if row.state not in (SegmentState.GRANTING, SegmentState.SERVING):
+        self._heard_s[segment.owner] = self._ctx.now_s
+        granted = result.ok
+        assert isinstance(granted, KeysGranted)
+        if granted.load is not None:
+            self._parts.on_load(segment.owner, granted.load)
+        if not current:
             return
-        self._log(LogName.KEYS_GRANT_FAILED, row, kind=error.kind.value)
-        if error.kind is ControlErrorKind.FENCED:
-            # Only a new token, which the next write gives, can be granted.
-            self.vacate(row)
-        elif error.kind is ControlErrorKind.REFUSED:
-            self.expire(row, "grant refused")
-        elif row.failures >= GRANT_FAILURES_MAX:
-            self.expire(row, "grants unanswered")
+        row.failures = 0
+        if row.state is SegmentState.GRANTING:
+            row.state = SegmentState.SERVING
+            row.handover = ""
+            self._log(LogName.KEYS_GRANTED, row, segment.owner)
             self._parts.on_change()
 
-    def _call_release(self, row: SegmentRow) -> None:
-        segment = row.segment
-        row.calling = True
-        self._ctx.call_backend(
-            segment.owner,
-            ReleaseKeys(segment.first, segment.last, segment.fence),
-            lambda result: self._released(row, result),
-        )
-
-    def _released(
-        self, row: SegmentRow, result: "Result[object, ControlError]"
+    def _grant_failed(
+        self, row: SegmentRow, error: ControlError, former_until_s: float
     ) -> None:
-        row.calling = False
-        if row.state is not SegmentState.RELEASING:
-            return
+        row.failures += 1
+        if error.kind is not ControlErrorKind.NO_ANSWER:
+            row.held_until_s = former_until_s
+        self._log(
+            LogName.KEYS_GRANT_FAILED,
+            row,
+            row.segment.owner,
+            kind=error.kind.value,
+            failures=row.failures,
+        )
+        refused = error.kind in (ControlErrorKind.FENCED, ControlErrorKind.REFUSED)
+        if refused or self._silent(row):
+            # The next write gives the keys to another server, or a new token.
+            row.lost = True
+
+    def _silent(self, row: SegmentRow) -> bool:
+        """Return whether an owner has not been heard of for some time."""
+        owner = row.segment.owner
+        heard_s = max(
+            self._heard_s.get(owner, float("-inf")), self._parts.heard_s(owner)
+        )
+        silent_s = self._ctx.now_s - heard_s
+        return row.failures >= GRANT_FAILURES_MAX and silent_s >= OWNER_SILENT_S
+
+    # Releases
+
+    def _release(self, row: SegmentRow) -> None:
+        for former in row.formers:
+            if not former.done:
+                self._check_former(row, former)
+        if all(former.done for former in row.formers):
+            row.state = SegmentState.GRANTING
+            row.sent_s = float("-inf")
+            self._grant_if_due(row)
+
+    def _check_former(self, row: SegmentRow, former: FormerRow) -> None:
+        now_s = self._ctx.now_s
+        server = self._parts.servers.rows.get(former.former.owner)
+        if server is not None and server.entry.start_id != former.former.start_id:
+            former.done = True  # that process has ended
+        elif now_s >= former.held_until_s:
+            former.done = True
+        elif not former.calling and now_s - former.asked_s >= RELEASE_RETRY_S:
+            former.calling, former.asked_s = True, now_s
+            segment = row.segment
+            self._ctx.call_backend(
+                former.former.owner,
+                ReleaseKeys(segment.first, segment.last, segment.fence),
+                lambda result: self._released(row, former, result),
+            )
+
+    def _released(self, row: SegmentRow, former: FormerRow, result: CallResult) -> None:
+        former.calling = False
+        owner = former.former.owner
         if result.is_error():
-            self._log(LogName.KEYS_RELEASE_FAILED, row, kind=result.error.kind.value)
-            self.expire(row, "release failed")
+            self._log(
+                LogName.KEYS_RELEASE_FAILED,
+                row,
+                owner,
+                kind=result.error.kind.value,
+                held_for_s=round(former.held_until_s - self._ctx.now_s, 3),
+            )
+            if result.error.kind is ControlErrorKind.REFUSED:
+                former.done = True  # another process has the address
             return
         released = result.ok
         assert isinstance(released, KeysReleased)
-        row.handover = released.handover
-        self._log(LogName.KEYS_RELEASED, row, handover=bool(released.handover))
-        if self._ctx.now_s < row.unanswered_until_s:
-            # A grant that was not answered may still be carried out.
-            row.state = SegmentState.EXPIRING
-            row.held_until_s = row.unanswered_until_s
-        else:
-            self.vacate(row)
-
-    def _log(self, name: LogName, row: SegmentRow, **fields: str | bool) -> None:
+        former.done = True
+        row.handover = row.handover or released.handover
+        self._log(LogName.KEYS_RELEASED, row, owner, handover=bool(released.handover))
+        self.run(row)
+
+    def _log(
+        self,
+        name: LogName,
+        row: SegmentRow,
+        backend_server: str,
+        **fields: str | float | bool,
+    ) -> None:
         segment = row.segment
         self._ctx.log(
             name,
             service=self._parts.service,
-            backend_server=segment.owner,
+            backend_server=backend_server,
             first=segment.first,
             last=segment.last,
             fence=segment.fence,
--- a/wagtailrill/keys/models.py
+++ b/wagtailrill/keys/models.py
@@ -3,6 +3,7 @@
 import enum
 import json
 from bisect import bisect_right
+from typing import Any
 
 import attrs
 from expression import Error, Ok, Result
@@ -10,12 +11,21 @@
 from .const import KEY_POSITIONS
 
 
+@attrs.frozen
+class Former:
+    """A process that may still hold keys which have been given to another."""
+
+    owner: str
+    start_id: str
+
+
 @attrs.frozen
 class Segment:
     """Positions from `first` to `last`, both included, and who holds them.
 
     `start_id` is the process start that was granted the keys, `fence` the fencing
-    token of the grant. An empty `owner` holds nothing.
+    token of the grant. An empty `owner` holds nothing. The owner is asked only when
+    all `formers` have given the keys up.
     """
 
     first: int
@@ -23,6 +33,7 @@
     owner: str = ""
     start_id: str = ""
     fence: int = 0
+    formers: tuple[Former, ...] = ()
 
     @property
     def width(self) -> int:
@@ -56,10 +67,7 @@
         """Return the table, or why it is malformed."""
         try:
             document = json.loads(content)
-            segments = tuple(
-                Segment(int(first), int(last), str(owner), str(start_id), int(fence))
-                for first, last, owner, start_id, fence in document["segments"]
-            )
+            segments = tuple(_segment(*fields) for fields in document["segments"])
             table = cls(segments, int(document["fence"]), int(document["duty_fence"]))
         except (ValueError, KeyError, TypeError) as exc:
             return Error(f"malformed key table: {exc}")
@@ -75,25 +83,48 @@
         return expected == KEY_POSITIONS
 
 
+def _segment(
+    first: int, last: int, owner: str, start_id: str, fence: int, formers: Any
+) -> Segment:
+    return Segment(
+        int(first),
+        int(last),
+        str(owner),
+        str(start_id),
+        int(fence),
+        tuple(Former(str(name), str(former)) for name, former in formers),
+    )
+
+
 EMPTY_TABLE = KeyTable((Segment(0, KEY_POSITIONS - 1),))
 
 
 class SegmentState(enum.Enum):
     """What the granter does with a segment."""
 
-    VACANT = "vacant"  # nobody holds it; it is assigned with the next write
-    GRANTING = "granting"  # written, and not yet confirmed by the new owner
+    VACANT = "vacant"  # nobody was ever given it
+    RELEASING = "releasing"  # former owners give its keys up, or their grants end
+    GRANTING = "granting"  # not yet confirmed by its owner
     SERVING = "serving"
-    RELEASING = "releasing"  # the owner finishes what runs on its keys
-    EXPIRING = "expiring"  # the owner cannot be asked; its grant has to end
+
+
+@attrs.define(eq=False)
+class FormerRow:
+    """A former owner with the time at which its grant has ended at the latest."""
+
+    former: Former
+    held_until_s: float
+    asked_s: float = float("-inf")
+    calling: bool = False
+    done: bool = False
 
 
 @attrs.define(eq=False)
 class SegmentRow:
     """A segment with the granter's knowledge of its grant; times are monotonic.
 
-    `held_until_s` is the time at which a grant that was sent may last at most,
-    `unanswered_until_s` that of grants that may still be carried out.
+    `held_until_s` is the time at which the owner's grant has ended at the latest,
+    `target` the server that is to get the keys with the next write.
     """
 
     segment: Segment
@@ -101,17 +132,18 @@
     target: str = ""
     handover: str = ""
     sent_s: float = float("-inf")
-    confirmed_s: float = float("-inf")
     held_until_s: float = float("-inf")
-    unanswered_until_s: float = float("-inf")
     moved_s: float = float("-inf")
     failures: int = 0
+    lost: bool = False
     calling: bool = False
+    formers: list[FormerRow] = attrs.field(factory=list)
 
     def piece(self, first: int, last: int) -> "SegmentRow":
         """Return a row for a part of the segment with the same knowledge."""
         segment = attrs.evolve(self.segment, first=first, last=last)
-        return attrs.evolve(self, segment=segment, calling=False)
+        formers = [attrs.evolve(former, calling=False) for former in self.formers]
+        return attrs.evolve(self, segment=segment, calling=False, formers=formers)
 
 
 @attrs.frozen
--- a/wagtailrill/placement/component.py
+++ b/wagtailrill/placement/component.py
@@ -148,6 +148,9 @@
     def duty_taken(self, duty: str, fence: int, predecessor_may_act_s: float) -> None:
         """Begin to place requests; what a predecessor does is no harm."""
 
+    def predecessor_stopped(self, duty: str) -> None:
+        """Take no notice: a predecessor does no harm."""
+
     def duty_lost(self, duty: str) -> None:
         """Stop placing requests."""
 
@@ -158,6 +161,14 @@
             return Capacity(server.name, float(server.entry.slots))
         return dispatcher.capacity_of(server)
 
+    def heard_s(self, backend_server: str) -> float:
+        """Return when a server last reported its load with an answer."""
+        server = self._parts.servers.rows.get(backend_server)
+        dispatcher = self._dispatcher(server.entry.service) if server else None
+        if server is None or dispatcher is None:
+            return float("-inf")
+        return dispatcher.heard_s(server)
+
     def load_reported(self, backend_server: str, load: LoadReport) -> None:
         """Take in a load that a server reported with another answer."""
         server = self._parts.servers.rows.get(backend_server)
--- a/wagtailrill/placement/dispatcher.py
+++ b/wagtailrill/placement/dispatcher.py
@@ -130,6 +130,7 @@
         outcome = AttemptOutcome(end.outcome)
         load.ended(outcome, now_s)
         if end.running != NO_REPORT:
+            load.answered_s = now_s
             load.report(end.running, end.waiting, end.slowness, now_s)
         elif load.outside:
             load.outside = max(0.0, load.outside - 1.0)
@@ -144,6 +145,10 @@
         rate = load.slots / (self.work_s * load.usual_slowness)
         return Capacity(load.name, rate, load.usual_slowness)
 
+    def heard_s(self, row: ServerRow) -> float:
+        """Return when a server last reported its load with an answer."""
+        return self._load_of(row).answered_s
+
     def load_reported(self, row: ServerRow, load: LoadReport) -> None:
         """Take in a load that a server reported beside an answer to a request."""
         known = self._load_of(row)
--- a/wagtailrill/placement/load.py
+++ b/wagtailrill/placement/load.py
@@ -40,6 +40,7 @@
     # Median of reports that lie apart, which short disturbances do not change.
     usual_slowness: float = 1.0
     reported_s: float = float("-inf")
+    answered_s: float = float("-inf")
     sampled_s: float = float("-inf")
     samples: deque[float] = attrs.field(factory=lambda: deque(maxlen=SAMPLES_MAX))
     failures: float = 0.0
--- a/wagtailrill/platform/store_client.py
+++ b/wagtailrill/platform/store_client.py
@@ -11,6 +11,7 @@
 import httpcore
 from expression import Error, Ok
 
+from ..gateway.sockets import SILENCE_OPTIONS
 from ..store.models import (
     Changes,
     Commit,
@@ -76,7 +77,9 @@
         self._base = f"http://{address}"
         self._timeout_s = timeout_s
         self._pool = httpcore.AsyncConnectionPool(
-            max_connections=CONNECTIONS_MAX, keepalive_expiry=KEEPALIVE_S
+            max_connections=CONNECTIONS_MAX,
+            keepalive_expiry=KEEPALIVE_S,
+            socket_options=SILENCE_OPTIONS,
         )
 
     async def async_close(self) -> None:
--- a/wagtailrill/rates/component.py
+++ b/wagtailrill/rates/component.py
@@ -63,6 +63,10 @@
         """Begin to issue tokens."""
         self.issuer.begin(duty, predecessor_may_act_s)
 
+    def predecessor_stopped(self, duty: str) -> None:
+        """Issue tokens at once."""
+        self.issuer.predecessor_stopped(duty)
+
     def duty_lost(self, duty: str) -> None:
         """Stop issuing tokens."""
         self.issuer.end(duty)
--- a/wagtailrill/rates/issuer.py
+++ b/wagtailrill/rates/issuer.py
@@ -50,6 +50,12 @@
         shard = Shard(self._ctx.now_s + wait_s)
         self._shards[duty] = shard
 
+    def predecessor_stopped(self, duty: str) -> None:
+        """Wait no longer for a predecessor."""
+        shard = self._shards.get(duty)
+        if shard is not None:
+            shard.issues_from_s = min(shard.issues_from_s, self._ctx.now_s)
+
     def end(self, duty: str) -> None:
         """Issue no more for a duty."""
         self._shards.pop(duty, None)
--- a/wagtailrill/router/messages.py
+++ b/wagtailrill/router/messages.py
@@ -2,12 +2,18 @@
 
 from typing import Final
 
+from ..fleet.messages import register_messages as register_fleet
 from ..keys.messages import register_messages as register_keys
 from ..peer.registry import MessageRegistry
 from ..placement.messages import register_messages as register_placement
 from ..rates.messages import register_messages as register_rates
 
-REGISTRARS: Final = (register_keys, register_rates, register_placement)
+REGISTRARS: Final = (
+    register_fleet,
+    register_keys,
+    register_rates,
+    register_placement,
+)
 
 
 def make_registry() -> MessageRegistry:
--- a/wagtailrill/router/router.py
+++ b/wagtailrill/router/router.py
@@ -79,6 +79,7 @@
         )
         self.keys.capacity_of = self.placement.capacity_of
         self.keys.on_load = self.placement.load_reported
+        self.keys.heard_s = self.placement.heard_s
         self.pipeline = Pipeline(
             PipelineParts(
                 ctx=ctx,
@@ -93,7 +94,13 @@
                 placement=self.placement,
             )
         )
-        for part in (self.pipeline, self.keys, self.rates, self.placement):
+        for part in (
+            self.duties,
+            self.pipeline,
+            self.keys,
+            self.rates,
+            self.placement,
+        ):
             part.attach(self.host)
         self.configuration.add_listener(self._configure)
         self.draining = False
--- a/wagtailrill/runtime/process.py
+++ b/wagtailrill/runtime/process.py
@@ -29,6 +29,7 @@
 from .driver import Driver, DriverParts
 from .probes import ProbeApplication
 
+_LOG = structlog.get_logger()
 SEED_BITS = 62
 DRAIN_TICK_S = 0.1
 # The load balancer stops sending new connections after two missed questions.
@@ -115,8 +116,14 @@
         self.codec.secrets = (secret,) if secret else ()
 
     async def _async_handle_signals(self) -> None:
-        with anyio.open_signal_receiver(signal.SIGTERM, signal.SIGINT) as signals:
-            async for _ in signals:
+        with anyio.open_signal_receiver(
+            signal.SIGTERM, signal.SIGINT, signal.SIGHUP
+        ) as signals:
+            async for received in signals:
+                if received is signal.SIGHUP:
+                    _LOG.info("reload_requested")
+                    continue
+                _LOG.info("stop_requested", signal=received.name)
                 self.driver.dispatch(DrainRequested())
                 self._stopping.set()
 
@@ -177,4 +184,4 @@
 
 
 def _log_violation(name: str, detail: str) -> None:
-    structlog.get_logger().error("invariant_violated", name=name, detail=detail)
+    _LOG.error("invariant_violated", name=name, detail=detail)
--- a/wagtailrill/store/mirror.py
+++ b/wagtailrill/store/mirror.py
@@ -21,7 +21,6 @@
     ListPrefix,
     Removed,
     StoreError,
-    StoreErrorKind,
     StoreResult,
     WatchPrefix,
 )
@@ -46,7 +45,7 @@
 
 
 class PrefixMirror:
-    """Lists a prefix, then watches it; lists again when history was compacted.
+    """Lists a prefix, then watches it; lists again when a watch was cut.
 
     `items` holds the last known contents. `confirmed_s` is the monotonic time at which
     the contents were last known to be complete, `-inf` before the first list.
@@ -156,14 +155,10 @@
                 message=error.message,
                 revision=self.revision,
             )
-        if error.kind is StoreErrorKind.COMPACTED:
+        # After a watch was cut, changes may be missing without a word of the store.
+        if self._state is MirrorState.WATCHING:
             self._list("")
             return
-        again = (
-            self._watch
-            if self._state is MirrorState.WATCHING
-            else lambda: self._list("")
-        )
         delay_s = self._retry_s * self._ctx.rng.uniform(0.5, 1.0)
         self._retry_s = min(self._retry_s * RETRY_GROWTH, RETRY_MAX_S)
-        self._ctx.timers.call_later(delay_s, again)
+        self._ctx.timers.call_later(delay_s, lambda: self._list(""))
