--- /dev/null
+++ b/tests/runs/deployment.py
@@ -0,0 +1,274 @@
+"""Routers, backend servers and callers of one deployment on a virtual clock."""
+
+import itertools
+import random
+from collections.abc import Iterator
+from typing import Final
+
+import attrs
+from expression import Error, Ok, Result
+
+from wagtailrill.core.commands import (
+    AnswerRequest,
+    Command,
+    LogEvent,
+    RefuseRequest,
+    ReplayAnswer,
+)
+from wagtailrill.core.context import Identity
+from wagtailrill.core.events import CallerLeft, RequestArrived
+from wagtailrill.core.invariants import Invariants
+from wagtailrill.core.orders import CallerRequest
+from wagtailrill.core.refusals import Refusal
+from wagtailrill.declaration.models import Declaration
+from wagtailrill.fleet.models import FleetSettings
+from wagtailrill.organisations.keys import OpaqueKeyForm
+from wagtailrill.platform import wire
+from wagtailrill.platform.discovery import PlatformServerEntries
+from wagtailrill.router.models import Adapter, DiscoveredServers, RouterSettings
+from wagtailrill.router.router import Router
+from wagtailrill.stand_ins.server_model import ServerModelSettings
+from wagtailrill.stand_ins.virtual_fleet import VirtualFleet
+from wagtailrill.stand_ins.virtual_servers import Execution, VirtualServers
+from wagtailrill.store.models import Item
+
+from .declaration import ALLOWANCES, DATA_CENTRES, DECLARATION, ORGANISATIONS
+
+CONFIG_KEY: Final = "config/declaration"
+CLOSED_PREFIX: Final = "config/closed/"
+
+
+@attrs.frozen
+class NamedDeclarations:
+    """Decodes values that name one of some declarations."""
+
+    declarations: dict[bytes, Declaration]
+    prefix: str = "config/"
+
+    def declaration_key(self) -> str:
+        """Return the key that holds the name."""
+        return CONFIG_KEY
+
+    def decode(self, item: Item) -> Result[Declaration, str]:
+        """Return the declaration of a name."""
+        found = self.declarations.get(item.value)
+        return Ok(found) if found is not None else Error("unknown")
+
+    def closed(self, keys: frozenset[str]) -> frozenset[str]:
+        """Return the data centres that have a key of their own."""
+        return frozenset(
+            key.removeprefix(CLOSED_PREFIX)
+            for key in keys
+            if key.startswith(CLOSED_PREFIX)
+        )
+
+
+@attrs.define
+class Call:
+    """A caller's request and what became of it."""
+
+    caller_id: str
+    instance: str
+    service: str
+    organisation: str
+    idempotent: bool
+    sent_s: float
+    ended_s: float | None = None
+    answered: bool = False
+    refusal: Refusal | None = None
+    lost: bool = False
+
+    @property
+    def promised_not_run(self) -> bool:
+        """Return whether the caller was told that the request has not run."""
+        return self.refusal is not None and self.refusal.status in (429, 503)
+
+
+class Deployment:
+    """Runs routers against backend servers; checks what every run must keep."""
+
+    def __init__(
+        self,
+        seed: int,
+        instances: int = 4,
+        declarations: dict[bytes, Declaration] | None = None,
+    ) -> None:
+        self.rng = random.Random(seed)
+        self.logs: list[tuple[float, str, LogEvent]] = []
+        self.calls: dict[str, Call] = {}
+        self.violations: list[str] = []
+        self._configurations = NamedDeclarations(
+            declarations or {b"first": DECLARATION}
+        )
+        self._open: dict[tuple[str, int, int], Call] = {}
+        self._numbers = itertools.count(1)
+        self.fleet = VirtualFleet(self._make_router, seed)
+        self.servers = VirtualServers(self.fleet, seed + 2)
+        self.servers.on_execution = self._on_execution
+        for cls in (AnswerRequest, RefuseRequest, ReplayAnswer):
+            self.fleet.on_command(cls, self._on_answer)
+        self.fleet.on_command(LogEvent, self._on_log)
+        self.names = [f"i-{number}" for number in range(1, instances + 1)]
+
+    @property
+    def now_s(self) -> float:
+        """Return the virtual time in seconds."""
+        return self.fleet.now_s
+
+    def start(self, servers_per_service: int = 4, name: bytes = b"first") -> None:
+        """Start everything; a run begins when this returns."""
+        self.fleet.store.model.put(CONFIG_KEY, name)
+        for name_ in self.names:
+            self.fleet.start(name_)
+        for number in range(servers_per_service):
+            for service in ("roll", "box"):
+                self.add_server(service, number)
+        self.fleet.run_until(6.0)
+
+    def add_server(self, service: str, number: int, cold_s: float = 0.0) -> None:
+        """Start a backend server."""
+        cfg = ServerModelSettings(
+            f"{service}-{number}",
+            service,
+            keyed=service == "roll",
+            cold_s=cold_s,
+            work_s=0.02,
+        )
+        self.servers.add(cfg, DATA_CENTRES[number % len(DATA_CENTRES)])
+
+    def kill(self, name: str) -> None:
+        """Lose an instance with the requests that it has."""
+        self.fleet.kill(name)
+        for (instance, _, _), call in list(self._open.items()):
+            if instance == name:
+                call.lost = True
+
+    def router(self, name: str) -> Router:
+        """Return the router of an instance."""
+        node = self.fleet.nodes[name].node
+        assert isinstance(node, Router)
+        return node
+
+    def call(
+        self,
+        instance: str,
+        service: str = "box",
+        organisation: str = "calm",
+        method: str = "GET",
+        position: int | None = None,
+    ) -> Call:
+        """Send a request to an instance."""
+        number = next(self._numbers)
+        call = Call(
+            f"c-{number}",
+            instance,
+            service,
+            organisation,
+            method == "GET",
+            self.now_s,
+        )
+        self.calls[call.caller_id] = call
+        row = self.fleet.nodes[instance]
+        self._open[instance, row.incarnation, number] = call
+        keyed = service == "roll"
+        req = CallerRequest(
+            request_id=number,
+            method=method,
+            path=f"/roll/k{number}" if keyed else "/box",
+            query="",
+            headers=(),
+            body=b"",
+            caller_id=call.caller_id,
+            credential=organisation.encode(),
+            key_position=position if keyed else None,
+        )
+        self.fleet.deliver(instance, RequestArrived(req), 0.0)
+        return call
+
+    def leave(self, call: Call) -> None:
+        """Let a caller close its connection."""
+        number = int(call.caller_id.removeprefix("c-"))
+        call.lost = True
+        self.fleet.deliver(call.instance, CallerLeft(number), 0.0)
+
+    def load(self, rate_per_s: float, end_s: float) -> None:
+        """Send random requests until a time."""
+
+        def send() -> None:
+            if self.now_s >= end_s:
+                return
+            names = [n for n in self.names if n in self.fleet.nodes]
+            if names:
+                service = self.rng.choice(("roll", "box"))
+                self.call(
+                    self.rng.choice(names),
+                    service,
+                    self.rng.choices(list(ORGANISATIONS), (3, 1))[0],
+                    self.rng.choices(("GET", "POST"), (3, 1))[0],
+                    self.rng.randrange(65_536) if service == "roll" else None,
+                )
+            self.fleet.call_later(self.rng.expovariate(rate_per_s), send)
+
+        self.fleet.call_later(0.0, send)
+
+    def executions_of(self, call: Call) -> list[Execution]:
+        """Return the runs of a request at backend servers."""
+        return [e for e in self.servers.executions if e.caller_id == call.caller_id]
+
+    def logged(self, event: str) -> Iterator[tuple[float, str, dict[str, object]]]:
+        """Yield time, instance and fields of the log lines of a name."""
+        for at_s, name, command in self.logs:
+            if command.event == event:
+                yield at_s, name, dict(command.fields)
+
+    def _make_router(self, name: str, incarnation: int, rng: random.Random) -> Router:
+        number = self.names.index(name)
+        data_centre = DATA_CENTRES[number % len(DATA_CENTRES)]
+        cfg = RouterSettings(
+            Identity(name, incarnation, data_centre),
+            FleetSettings("fleet/", f"127.0.0.{number + 1}:9"),
+            "keys/",
+            "claims/",
+            ALLOWANCES,
+        )
+        adapter = Adapter(
+            self._configurations,
+            DiscoveredServers(wire.SERVER_PREFIX, PlatformServerEntries()),
+            OpaqueKeyForm(),
+            lambda header: False,
+        )
+        return Router(cfg, adapter, rng, Invariants())
+
+    def _on_log(self, name: str, command: Command) -> None:
+        assert isinstance(command, LogEvent)
+        self.logs.append((self.now_s, name, command))
+
+    def _on_answer(self, name: str, command: Command) -> None:
+        assert isinstance(command, AnswerRequest | RefuseRequest | ReplayAnswer)
+        key = (name, self.fleet.nodes[name].incarnation, command.request_id)
+        call = self._open.pop(key, None)
+        if call is None:
+            self.violations.append(f"{name} answers {command.request_id} once more")
+            return
+        call.ended_s = self.now_s
+        if isinstance(command, RefuseRequest):
+            call.refusal = command.refusal
+            return
+        call.answered = True
+        if isinstance(command, AnswerRequest):
+            result = self.servers.results[name, command.attempt_id]
+            if result.body != call.caller_id.encode():
+                self.violations.append(f"{call.caller_id} gets another's answer")
+
+    def _on_execution(self, execution: Execution) -> None:
+        server = self.servers.by_name[execution.server]
+        if execution.position is None:
+            return
+        others = set(
+            self.servers.holders(execution.position, server.model.cfg.service)
+        ) - {execution.server}
+        if others:
+            self.violations.append(
+                f"{execution.at_s:.3f}: {execution.server} and {sorted(others)} hold "
+                f"{execution.position}"
+            )
--- a/wagtailrill/stand_ins/virtual_servers.py
+++ b/wagtailrill/stand_ins/virtual_servers.py
@@ -87,6 +87,7 @@
     ) -> None:
         self.fleet = fleet
         self.executions: list[Execution] = []
+        self.on_execution: Callable[[Execution], None] = lambda execution: None
         self.by_name: dict[str, VirtualServer] = {}
         self.results: dict[tuple[str, int], AttemptResult] = {}
         self._rng = random.Random(seed)
@@ -300,16 +301,16 @@
         server, order = exchange.server, exchange.order
         exchange.running = True
         server.model.begin(order.key_position, self.fleet.now_s)
-        self.executions.append(
-            Execution(
-                self.fleet.now_s,
-                order.backend_server,
-                server.model.starts,
-                order.caller_id,
-                order.organisation,
-                order.key_position,
-            )
+        execution = Execution(
+            self.fleet.now_s,
+            order.backend_server,
+            server.model.starts,
+            order.caller_id,
+            order.organisation,
+            order.key_position,
         )
+        self.executions.append(execution)
+        self.on_execution(execution)
         self.fleet.call_later(server.model.work_s(), lambda: self._finish(exchange))
 
     def _finish(self, exchange: Exchange) -> None:
