Say in one line why each request ended, and explain it from logs

Change: requests/request_log.py writes a line for each decision with its inputs: service, route, organisation, configuration revision, time waited and left, all attempts with server, outcome and who chose it, and what decided. `wagtailrillctl explain-request ID FILE...` merges the lines of several processes, adds what they said of the servers and keys concerned, and names the cause.

Ruled out: a line for each attempt of an answered request; the volume grows with the load, and the last line names all attempts.

--- a/wagtailrill/cli/__main__.py
+++ b/wagtailrill/cli/__main__.py
@@ -23,6 +23,7 @@
 from .const import CALL_TIMEOUT_S, STORE_VARIABLE, ExitCode
 from .declaration_store import DeclarationStore
 from .instance_commands import async_drain, async_explain_key, async_status
+from .log_commands import explain_request
 from .models import CommandResult
 from .progress import async_progress
 from .store_commands import (
@@ -179,6 +180,14 @@
     return await async_drain(addresses[options.instance])
 
 
+async def _async_explain_request(invocation: Invocation) -> CommandResult:
+    options = invocation.options
+    try:
+        return explain_request(options.request_id, tuple(options.files))
+    except OSError as exc:
+        raise UsageError(f"{exc.filename} cannot be read: {exc.strerror}") from exc
+
+
 STORE_COMMANDS: Final[dict[str, StoreCommand]] = {
     "apply": _async_apply,
     "export": lambda _, store: async_export(store),
@@ -193,6 +202,7 @@
         invocation.admin_addresses(), invocation.options.service, invocation.options.key
     ),
     "drain": _async_drain,
+    "explain-request": _async_explain_request,
 }
 
 
--- a/wagtailrill/cli/arguments.py
+++ b/wagtailrill/cli/arguments.py
@@ -14,6 +14,7 @@
   wagtailrillctl --store 127.0.0.1:21500 --deployment piraeus data-centre out volos-a
   wagtailrillctl --instances examples/piraeus/instances organisation grant aegean-lines
   wagtailrillctl --instances examples/piraeus/instances explain-key ledgerroll C123
+  wagtailrillctl explain-request 9c41d07be2a35f68 logs/*.log
   wagtailrillctl drain --admin 127.0.0.1:21512
 
 exit codes:
@@ -123,6 +124,13 @@
     explain = _add(commands, "explain-key", "show which backend server owns a key")
     explain.add_argument("service", metavar="SERVICE")
     explain.add_argument("key", metavar="KEY")
+    request = _add(
+        commands, "explain-request", "tell from logs why a request ended as it did"
+    )
+    request.add_argument("request_id", metavar="ID")
+    request.add_argument(
+        "files", nargs="*", metavar="FILE", help="log files, or - for standard input"
+    )
     drain = _add(commands, "drain", "start a planned stop of an instance")
     target = drain.add_mutually_exclusive_group(required=True)
     target.add_argument("instance", nargs="?", metavar="INSTANCE")
--- a/wagtailrill/placement/component.py
+++ b/wagtailrill/placement/component.py
@@ -1,7 +1,6 @@
 """Placement of one instance: asks the dispatcher, and is one for some services."""
 
 import itertools
-from collections.abc import Callable
 
 import attrs
 
@@ -33,52 +32,11 @@
     PlaceRequest,
     PlaceVerdict,
 )
+from .models import NotPlaced, OnPlaced, Placed, Ticket, Wanted
 
 DUTY_PREFIX = "place/"
 
 
-@attrs.frozen
-class Wanted:
-    """A request that needs a backend server; times in seconds."""
-
-    service: str
-    keyed: bool
-    key_position: int | None
-    priority: int
-    waited_s: float
-    target_s: float
-    left_s: float
-    excluded: frozenset[str]
-    extra: bool = False
-
-
-@attrs.frozen
-class Ticket:
-    """Who has placed a request; `number` is 0 for this instance itself."""
-
-    dispatcher: str
-    number: int
-
-
-@attrs.frozen
-class Placed:
-    """The backend server for a request."""
-
-    server: ServerRow
-    ticket: Ticket
-
-
-@attrs.frozen
-class NotPlaced:
-    """There is no backend server for a request now."""
-
-    moving: bool
-    retry_after_s: float
-
-
-OnPlaced = Callable[[Placed | NotPlaced], None]
-
-
 @attrs.define(eq=False)
 class Question:
     """A request for which the dispatcher has been asked."""
@@ -270,7 +228,7 @@
             if server is None and wanted.excluded and not wanted.extra:
                 server = parts.choice.choose(wanted.service, frozenset())
         if server is None:
-            return NotPlaced(wanted.keyed, 0.0)
+            return NotPlaced(wanted.keyed, 0.0, self._ctx.identity.instance)
         return Placed(server, Ticket("", 0))
 
     def _silent(self, number: int) -> None:
@@ -309,7 +267,7 @@
             return self._place_alone(question.wanted)
         if answer.verdict is not PlaceVerdict.PLACED:
             moving = answer.verdict is PlaceVerdict.MOVING
-            return NotPlaced(moving, answer.retry_after_s)
+            return NotPlaced(moving, answer.retry_after_s, question.dispatcher)
         server = self._parts.choice.known(answer.backend_server)
         if server is None:
             # Unknown here, or cold and this instance has used its share.
--- a/wagtailrill/rates/holder.py
+++ b/wagtailrill/rates/holder.py
@@ -116,7 +116,7 @@
         """Admit a request now, or once a token has come."""
         purse = self._purses.get(organisation)
         if purse is None:
-            on_result(TakeResult(False, RETRY_AFTER_MAX_S))
+            on_result(TakeResult(False, RETRY_AFTER_MAX_S, "unknown_organisation"))
             return
         if math.isinf(purse.limit.rate_per_s):
             on_result(ADMITTED)
@@ -210,7 +210,9 @@
             return
         wait_s = max(purse.ask_after_s, purse.denied_until_s) - now_s
         retry_after_s = min(max(wait_s, RETRY_AFTER_MIN_S), RETRY_AFTER_MAX_S)
-        on_result(TakeResult(False, retry_after_s))
+        # Without an issuer only the own share of this instance counts.
+        decided_by = "issuer" if now_s < purse.denied_until_s else "own_share"
+        on_result(TakeResult(False, retry_after_s, decided_by))
 
     def _own_limit(self, limit: Limit) -> Limit:
         part = OWN_PART / max(len(self._instances()), 1)
--- a/wagtailrill/requests/attempts.py
+++ b/wagtailrill/requests/attempts.py
@@ -7,7 +7,7 @@
 from ..core.context import Context
 from ..core.events import AttemptEnded
 from ..core.orders import AttemptOutcome, AttemptResult, Order
-from ..placement.component import Placed
+from ..placement.models import Placed
 from ..servers.choice import ServerChoice
 from ..servers.models import ServerRow
 from ..servers.table import ServerTable
@@ -59,8 +59,8 @@
         )
         attempt = Attempt(next(self._attempt_ids), placed, self._ctx.now_s, hedge)
         row.state = RequestState.RUNNING
-        row.attempts_made += 1
         row.attempts[attempt.attempt_id] = attempt
+        row.past.append(attempt)
         row.tried |= {placed.server.name}
         self._by_id[attempt.attempt_id] = (row, attempt)
         self._choice.sent(placed.server)
@@ -81,6 +81,7 @@
         row, attempt = self._by_id.pop(result.attempt_id)
         row.attempts.pop(result.attempt_id, None)
         count(self._counters.attempts, result.outcome.value)
+        attempt.outcome, attempt.latency_s = result.outcome, result.latency_s
         if result.outcome not in NOT_RUN_OUTCOMES:
             row.runs += 1
         if result.outcome in DOUBTFUL_OUTCOMES:
--- a/wagtailrill/requests/interfaces.py
+++ b/wagtailrill/requests/interfaces.py
@@ -10,10 +10,14 @@
 
 @attrs.frozen
 class TakeResult:
-    """Whether a request is within its organisation's limit, or when to come back."""
+    """Whether a request is within its organisation's limit, or when to come back.
+
+    `decided_by` says what had no token for it.
+    """
 
     admitted: bool
     retry_after_s: float = 0.0
+    decided_by: str = ""
 
 
 class RateLimits(Protocol):
--- a/wagtailrill/requests/models.py
+++ b/wagtailrill/requests/models.py
@@ -4,12 +4,12 @@
 
 import attrs
 
-from ..core.orders import CallerRequest, Headers
+from ..core.orders import AttemptOutcome, CallerRequest, Headers
 from ..core.refusals import RefusalCode
 from ..core.timer import TimerHandle
 from ..declaration.models import Route, Service
 from ..organisations.models import Tenant
-from ..placement.component import Placed
+from ..placement.models import Placed
 
 
 class RequestState(enum.Enum):
@@ -30,6 +30,8 @@
     placed: Placed
     started_s: float
     hedge: bool = False
+    outcome: AttemptOutcome | None = None
+    latency_s: float = 0.0
 
 
 @attrs.define(eq=False, slots=True)
@@ -53,9 +55,12 @@
     claim_key: str | None = None
     claim_id: int = 0
     attempts: dict[int, Attempt] = attrs.field(factory=dict)
-    attempts_made: int = 0
+    # All attempts, with those that have ended.
+    past: list[Attempt] = attrs.field(factory=list)
     runs: int = 0
     tried: frozenset[str] = frozenset()
+    # Who found no room or no token: an instance, or a part of this one.
+    decided_by: str = ""
     wait_reason: RefusalCode = RefusalCode.NO_BACKEND_SERVER
     fingerprint: int | None = None
     deadline_timer: TimerHandle | None = None
@@ -69,6 +74,11 @@
         """Return the organisation's name, empty on routes without a tenant key."""
         return self.tenant.organisation if self.tenant else ""
 
+    @property
+    def attempts_made(self) -> int:
+        """Return the number of attempts so far."""
+        return len(self.past)
+
     @property
     def may_have_run(self) -> bool:
         """Return whether a backend server may have run the request."""
--- a/wagtailrill/requests/pipeline.py
+++ b/wagtailrill/requests/pipeline.py
@@ -18,13 +18,13 @@
 from ..core.context import Context
 from ..core.events import AttemptEnded, CallerLeft, RequestArrived
 from ..core.host import ComponentHost
-from ..core.log_events import LogName
 from ..core.orders import AttemptOutcome, AttemptResult
 from ..core.refusals import Ran, Refusal, RefusalCode
 from ..crash_guard.guard import CrashGuard
 from ..crash_guard.models import request_fingerprint
 from ..declaration.models import Configuration
-from ..placement.component import NotPlaced, Placed, Placement, Wanted
+from ..placement.component import Placement
+from ..placement.models import NotPlaced, Placed, Wanted
 from ..servers.choice import ServerChoice
 from ..servers.table import ServerTable
 from .attempts import NOT_RUN_OUTCOMES, AttemptRunner
@@ -41,6 +41,7 @@
     WITHDRAWN,
     no_room,
 )
+from .request_log import RequestLog
 
 # An attempt that failed like this may be repeated if the request is idempotent.
 REPEATED_IF_IDEMPOTENT = frozenset(
@@ -75,6 +76,7 @@
         self.counters = RequestCounters()
         self._parts = parts
         self._ctx = parts.ctx
+        self._log = RequestLog(parts.ctx, parts.checks)
         self._rows: dict[int, RequestRow] = {}
         self._waiting: dict[int, RequestRow] = {}
         self._ticking = False
@@ -103,7 +105,8 @@
         req = event.request
         row = self._parts.checks.check(req)
         if isinstance(row, Refusal):
-            self._emit_refusal(req.request_id, row, req.caller_id)
+            self._log.turned_away(req, row)
+            self._emit_refusal(req.request_id, row)
             return
         self._rows[req.request_id] = row
         count(self.counters.requests, row.service.name)
@@ -149,6 +152,7 @@
         if row.route.deferrable and self._ctx.now_s + delay_s < row.deadline_s:
             self._ctx.timers.call_later(delay_s, lambda: self._take_token(row))
             return
+        row.decided_by = result.decided_by
         refusal = Refusal(
             RefusalCode.RATE_LIMITED,
             RATE_LIMITED_TEXT,
@@ -218,6 +222,7 @@
         if result.moving and not self._waited_too_long(row):
             self._wait(row)
             return
+        row.decided_by = result.decided_by
         row.wait_reason = (
             RefusalCode.KEY_MOVING if result.moving else RefusalCode.NO_BACKEND_SERVER
         )
@@ -238,6 +243,7 @@
         )
 
     def _wait(self, row: RequestRow) -> None:
+        self._log.waits(row)
         row.state = RequestState.WAITING
         self._waiting[row.req.request_id] = row
         if not self._ticking:
@@ -274,7 +280,7 @@
         elif row.attempts or self._blocked(row):
             return  # another attempt is still running, or there will be none
         elif self._may_repeat(row, outcome):
-            self._repeat(row, attempt, outcome)
+            self._repeat(row, outcome)
         elif outcome is AttemptOutcome.FAILED:
             self._answer(row, attempt, result)
         else:
@@ -296,17 +302,9 @@
                 service.name, row.key_position, attempt.placed.server.name
             )
 
-    def _repeat(
-        self, row: RequestRow, attempt: Attempt, outcome: AttemptOutcome
-    ) -> None:
+    def _repeat(self, row: RequestRow, outcome: AttemptOutcome) -> None:
         self.counters.retries += 1
-        self._ctx.log(
-            LogName.REQUEST_RETRIED,
-            request_id=row.req.caller_id,
-            backend_server=attempt.placed.server.name,
-            outcome=outcome.value,
-            attempts=row.attempts_made,
-        )
+        self._log.repeated(row, outcome.value)
         self._place(row)
 
     def _may_repeat(self, row: RequestRow, outcome: AttemptOutcome) -> bool:
@@ -353,6 +351,7 @@
             self._parts.placement.ended(row.service.name, result, NOT_STARTED)
             return
         self.counters.hedges += 1
+        self._log.hedged(row, result)
         self._attempts.start(row, result, hedge=True)
 
     # Ends
@@ -363,6 +362,7 @@
             answer = StoredAnswer(result.status, result.headers, result.body)
             self._parts.claims.complete(row.claim_id, ClaimEnd.ANSWERED, answer)
             row.claim_id = 0
+        self._log.answered(row, attempt, result.status)
         self._finish(row)
         self._ctx.emit(AnswerRequest(row.req.request_id, attempt.attempt_id))
 
@@ -377,8 +377,9 @@
                 retry_after_s=None,
             )
         self._attempts.cancel_all(row)
+        self._log.refused(row, refusal)
         self._finish(row)
-        self._emit_refusal(row.req.request_id, refusal, row.req.caller_id)
+        self._emit_refusal(row.req.request_id, refusal)
 
     def _finish(self, row: RequestRow) -> None:
         self._rows.pop(row.req.request_id, None)
@@ -407,21 +408,13 @@
         # The answer of a claimed request is kept for the caller's repeat.
         if row is None or (row.claim_id and row.attempts):
             return
+        self._log.caller_left(row)
         self._attempts.cancel_all(row)
         self._finish(row)
 
     def _current(self, row: RequestRow) -> bool:
         return self._rows.get(row.req.request_id) is row
 
-    def _emit_refusal(self, request_id: int, refusal: Refusal, caller_id: str) -> None:
+    def _emit_refusal(self, request_id: int, refusal: Refusal) -> None:
         count(self.counters.refusals, refusal.code.value)
-        self._ctx.log(
-            LogName.REQUEST_REFUSED
-            if refusal.ran is Ran.NO
-            else LogName.REQUEST_FAILED,
-            request_id=caller_id,
-            code=refusal.code.value,
-            status=refusal.status,
-            ran=refusal.ran.value,
-        )
         self._ctx.emit(RefuseRequest(request_id, refusal))
