Move hot keys to owners with room, and let late requests wait

The planner gave servers without keys a first share in every round, taking it from the last one that had got one, and made no other move meanwhile. A hot key was seen only after 1.5 s. Requests that could not meet their target were refused although their callers wait three times longer.

Change: moves are ranked by the requests in progress that they save, less the requests that wait during the move; first shares come from owners with several holdings and do not end the round. The dispatcher keeps late requests behind those that can meet their target, as long as the servers have spare room for them. It knows how long a key that moves will be without an owner. Lines about moves carry the load and capacity.

Ruled out: one write for each move; twelve moves a round cost one call.

--- a/wagtailrill/keys/component.py
+++ b/wagtailrill/keys/component.py
@@ -115,6 +115,13 @@
         row = self._rows.get(service)
         return row.routes if row is not None else NO_ROUTES
 
+    def served_in_s(self, service: str, position: int) -> float:
+        """Return about how long a key has no owner, 0 if nobody here knows."""
+        row = self._rows.get(service)
+        if row is None or row.granter is None:
+            return 0.0
+        return row.granter.served_in_s(position)
+
     def explain(self, service: str, position: int) -> dict[str, str | int] | None:
         """Return what this instance knows of a key, None for other services."""
         row = self._rows.get(service)
--- a/wagtailrill/keys/const.py
+++ b/wagtailrill/keys/const.py
@@ -28,6 +28,9 @@
 TICK_S: Final = 0.05
 PLAN_INTERVAL_S: Final = 0.3
 USAGE_DECAY_S: Final = 1.5
+# A key that has become hot is seen after so long, if enough requests for it came.
+USAGE_FAST_DECAY_S: Final = 0.4
+FAST_SAMPLES_MIN: Final = 5.0
 # Lower rates of a position are forgotten, in requests/s.
 USAGE_RATE_MIN: Final = 0.02
 ANNOUNCE_INTERVAL_S: Final = 1.0
--- a/wagtailrill/keys/granter.py
+++ b/wagtailrill/keys/granter.py
@@ -23,9 +23,11 @@
 from .table_store import TableStore
 from .usage import UsageTable
 
-MOVES_MAX = 4
+MOVES_MAX = 12
 # Keys that have just moved stay for this long.
 MOVE_PAUSE_S = 2.0
+# A release waits for the work that runs on the keys.
+USUAL_MOVE_S = 0.3
 
 
 @attrs.frozen
@@ -115,6 +117,26 @@
         if changed:
             self._write(changed)
 
+    def served_in_s(self, position: int) -> float:
+        """Return about how long a key is without an owner that can be asked."""
+        for row in self.rows:
+            if row.segment.first <= position <= row.segment.last:
+                return self._vacant_s(row)
+        return USUAL_MOVE_S
+
+    def _vacant_s(self, row: SegmentRow) -> float:
+        if row.state is SegmentState.SERVING:
+            return 0.0
+        waits_s = [
+            former.held_until_s - self._ctx.now_s
+            for former in row.formers
+            if not former.done and self._cannot_release(former)
+        ]
+        return max(waits_s, default=0.0) + USUAL_MOVE_S
+
+    def _cannot_release(self, former: FormerRow) -> bool:
+        return former.failed or former.former.owner not in self._parts.servers.rows
+
     def explain(self, position: int) -> dict[str, str | int]:
         """Return what the granter knows of a key."""
         for row in self.rows:
@@ -184,6 +206,7 @@
         row.lost = row.calling = False
         row.held_until_s = float("-inf")
         row.moved_s = self._ctx.now_s
+        capacity = self._parts.capacity_of(self._parts.servers.rows[segment.owner])
         self._ctx.log(
             LogName.KEYS_MOVED,
             service=self._parts.service,
@@ -193,9 +216,20 @@
             owner=segment.owner,
             fence=segment.fence,
             revision=self._store.revision,
+            requests_per_s=round(self._usage.rate(segment.first, segment.last), 2),
+            owner_requests_per_s=round(self._owned_rate(segment.owner), 2),
+            owner_capacity_per_s=round(capacity.requests_per_s, 2),
+            owner_slowness=round(capacity.slowness, 2),
         )
         self._grants.run(row)
 
+    def _owned_rate(self, server: str) -> float:
+        return sum(
+            self._usage.rate(row.segment.first, row.segment.last)
+            for row in self.rows
+            if row.segment.owner == server
+        )
+
     # Systems that choose rows for the next write
 
     def _leave_lost_owners(self) -> list[SegmentRow]:
--- a/wagtailrill/keys/grants.py
+++ b/wagtailrill/keys/grants.py
@@ -190,6 +190,7 @@
         former.calling = False
         owner = former.former.owner
         if result.is_error():
+            former.failed = True
             self._log(
                 LogName.KEYS_RELEASE_FAILED,
                 row,
--- a/wagtailrill/keys/models.py
+++ b/wagtailrill/keys/models.py
@@ -116,6 +116,7 @@
     held_until_s: float
     asked_s: float = float("-inf")
     calling: bool = False
+    failed: bool = False
     done: bool = False
 
 
--- a/wagtailrill/keys/planner.py
+++ b/wagtailrill/keys/planner.py
@@ -1,6 +1,7 @@
 """Plans which backend server holds which keys."""
 
 from bisect import bisect_left, bisect_right
+from collections import Counter
 from collections.abc import Iterable, Mapping, Sequence
 
 import attrs
@@ -9,10 +10,18 @@
 
 # Part of a service's requests that is taken to be spread evenly over its keys.
 EVEN_PART = 0.2
-# A move has to lower the longer of both servers' times by this part.
-GAIN_MIN = 0.15
 # Without measured requests the servers are taken to be used this much.
 ASSUMED_USE = 0.5
+# A move has to lower the requests in progress, in units of a request's usual time, by
+# more than this, and by more than the requests for the keys that wait meanwhile.
+GAIN_MIN = 0.5
+MOVE_COST_PER_REQUEST = 0.6
+# Keys that change hands have a price of their own.
+MOVE_COST_ALL_KEYS = 16.0
+# Only servers with waiting requests, and their busiest keys, are considered.
+WAIT_FACTOR_MIN = 1.15
+HOLDINGS_TRIED = 4
+TARGETS_TRIED = 8
 # Parts of a server's load that are tried as moves, and how exactly a run has them.
 RUN_PARTS = (0.15, 0.4)
 RUN_LEAST = 0.6
@@ -41,6 +50,10 @@
     requests_per_s: float
     slowness: float = 1.0
 
+    def cost(self, load: float) -> float:
+        """Return the requests in progress, in units of a request's usual time."""
+        return load * self.time(load)
+
     def time(self, load: float) -> float:
         """Return how long a request takes, with the wait for a slot.
 
@@ -133,18 +146,25 @@
                 loads.loads[holding.owner] += load.load(holding.first, holding.last)
         return loads
 
-    def time(self, name: str, more: float = 0.0) -> float:
-        """Return how long a request takes at a server that got more load."""
-        return self.capacities[name].time(self.loads[name] + more)
+    def added_cost(self, name: str, more: float) -> float:
+        """Return the requests in progress that more load would add at a server."""
+        capacity, load = self.capacities[name], self.loads[name]
+        return capacity.cost(load + more) - capacity.cost(load)
 
-    def fastest(self, more: float, but: str = "") -> str:
-        """Return the server where requests take least after it got more load."""
-        names = [name for name in self.capacities if name != but]
-        return min(names, key=lambda name: (self.time(name, more), name))
+    def cheapest(self, more: float, names: Iterable[str]) -> str:
+        """Return the server where more load adds least."""
+        return min(names, key=lambda name: (self.added_cost(name, more), name))
 
-    def slowest(self, names: Iterable[str]) -> str:
-        """Return the server of some where requests take longest."""
-        return max(names, key=lambda name: (self.time(name), name))
+    def waits(self, name: str) -> bool:
+        """Return whether requests wait for a slot of a server."""
+        capacity = self.capacities[name]
+        return capacity.time(self.loads[name]) > capacity.slowness * WAIT_FACTOR_MIN
+
+    def least_used(self, but: str) -> list[str]:
+        """Return the servers with most room, but one."""
+        names = [name for name in self.capacities if name != but]
+        names.sort(key=lambda n: self.loads[n] - self.capacities[n].requests_per_s)
+        return names[:TARGETS_TRIED]
 
     def move(self, amount: float, target: str, source: str = "") -> None:
         """Count load at another server."""
@@ -170,7 +190,7 @@
         for first in range(start, last + 1, STRIPE_POSITIONS):
             end = min(last, first + STRIPE_POSITIONS - 1)
             amount = load.load(first, end)
-            target = loads.fastest(amount)
+            target = loads.cheapest(amount, loads.capacities)
             moves.append(Move(first, end, target))
             loads.move(amount, target)
     return moves
@@ -182,21 +202,21 @@
     load: LoadMap,
     moves_max: int,
 ) -> list[Move]:
-    """Return moves from servers that are much used to those that are little used."""
+    """Return moves that lower the number of waiting requests, the best ones first."""
     if len(capacities) < 2:
         return []
-    moves = _first_shares(holdings, capacities)
-    if moves or not load.measured:
-        return moves[:moves_max]
     loads = Loads.of(holdings, capacities, load)
+    moves = _first_shares(holdings, loads, load)[:moves_max]
     rest = [h for h in holdings if h.movable and h.owner in loads.loads]
-    sources = {h.owner for h in rest}
-    while sources and len(moves) < moves_max:
-        source = loads.slowest(sources)
-        move = _best_move(source, rest, loads, load)
-        if move is None:
-            sources.discard(source)
-            continue
+    for move in moves:
+        rest = _without(rest, move)
+    if not load.measured:
+        return moves
+    while len(moves) < moves_max:
+        best = _best_move(rest, loads, load)
+        if best is None:
+            break
+        source, move = best
         moves.append(move)
         loads.move(load.load(move.first, move.last), move.target, source)
         rest = _without(rest, move)
@@ -204,34 +224,33 @@
 
 
 def _best_move(
-    source: str, holdings: Sequence[Holding], loads: Loads, load: LoadMap
-) -> Move | None:
-    """Return the move that relieves a server most, None if none is worth it."""
-    best: Move | None = None
-    best_time = loads.time(source) * (1.0 - GAIN_MIN)
-    for first, last in _runs(source, holdings, loads, load):
-        moved = load.load(first, last)
-        target = loads.fastest(moved, but=source)
-        time = loads.time(target, moved)
-        if last - first + 1 < _positions(source, holdings):
-            time = max(time, loads.time(source, -moved))
-        if time < best_time:
-            best, best_time = Move(first, last, target), time
+    holdings: Sequence[Holding], loads: Loads, load: LoadMap
+) -> tuple[str, Move] | None:
+    """Return the source and the move that relieves most, None if none is worth it."""
+    best: tuple[str, Move] | None = None
+    best_gain = GAIN_MIN
+    sources = {h.owner for h in holdings if loads.waits(h.owner)}
+    for source in sorted(sources):
+        targets = loads.least_used(but=source)
+        for first, last in _runs(source, holdings, loads, load):
+            moved = load.load(first, last)
+            target = loads.cheapest(moved, targets)
+            gain = -loads.added_cost(source, -moved) - loads.added_cost(target, moved)
+            gain -= moved * MOVE_COST_PER_REQUEST
+            gain -= MOVE_COST_ALL_KEYS * (last - first + 1) / KEY_POSITIONS
+            if gain > best_gain:
+                best, best_gain = (source, Move(first, last, target)), gain
     return best
 
 
-def _positions(owner: str, holdings: Sequence[Holding]) -> int:
-    return sum(h.last - h.first + 1 for h in holdings if h.owner == owner)
-
-
 def _runs(
     source: str, holdings: Sequence[Holding], loads: Loads, load: LoadMap
 ) -> Iterable[tuple[int, int]]:
     """Yield runs of a server's keys that could be moved."""
     held = loads.loads[source]
-    for holding in holdings:
-        if holding.owner != source:
-            continue
+    own = [h for h in holdings if h.owner == source]
+    own.sort(key=lambda h: load.load(h.first, h.last), reverse=True)
+    for holding in own[:HOLDINGS_TRIED]:
         yield holding.first, holding.last
         hottest = load.hottest(holding.first, holding.last)
         if hottest is not None:
@@ -256,17 +275,38 @@
 
 
 def _first_shares(
-    holdings: Sequence[Holding], capacities: Sequence[Capacity]
+    holdings: Sequence[Holding], loads: Loads, load: LoadMap
 ) -> list[Move]:
-    """Return moves that give servers without keys their first ones."""
-    owners = {holding.owner for holding in holdings}
-    movable = [h for h in holdings if h.movable]
+    """Return moves that give servers without keys their first ones.
+
+    Owners that have several holdings give one up, the most loaded owner first.
+    """
+    counts = Counter(holding.owner for holding in holdings)
     moves: list[Move] = []
-    for capacity in capacities:
-        if capacity.name in owners or not movable:
+    given: set[int] = set()
+    for name in loads.capacities:
+        if counts[name]:
             continue
-        widest = max(movable, key=lambda h: h.last - h.first)
-        last = min(widest.last, widest.first + STRIPE_POSITIONS - 1)
-        moves.append(Move(widest.first, last, capacity.name))
-        movable.remove(widest)
+        movable = [
+            h
+            for h in holdings
+            if h.movable and counts[h.owner] > 1 and h.first not in given
+        ]
+        if not movable:
+            break
+        owner = max(movable, key=lambda h: loads.loads.get(h.owner, 0.0)).owner
+        source = min(
+            (h for h in movable if h.owner == owner),
+            key=lambda h: load.load(h.first, h.last),
+        )
+        last = min(source.last, source.first + STRIPE_POSITIONS - 1)
+        moves.append(Move(source.first, last, name))
+        given.add(source.first)
+        counts[source.owner] -= 1
+        counts[name] += 1
+        amount = load.load(source.first, last)
+        if source.owner in loads.loads:
+            loads.move(amount, name, source.owner)
+        else:
+            loads.move(amount, name)
     return moves
--- a/wagtailrill/placement/component.py
+++ b/wagtailrill/placement/component.py
@@ -228,7 +228,9 @@
             if server is None and wanted.excluded and not wanted.extra:
                 server = parts.choice.choose(wanted.service, frozenset())
         if server is None:
-            return NotPlaced(wanted.keyed, 0.0, self._ctx.identity.instance)
+            return NotPlaced(
+                wanted.keyed, wanted.keyed, 0.0, self._ctx.identity.instance
+            )
         return Placed(server, Ticket("", 0))
 
     def _silent(self, number: int) -> None:
@@ -267,7 +269,7 @@
             return self._place_alone(question.wanted)
         if answer.verdict is not PlaceVerdict.PLACED:
             moving = answer.verdict is PlaceVerdict.MOVING
-            return NotPlaced(moving, answer.retry_after_s, question.dispatcher)
+            return NotPlaced(moving, False, answer.retry_after_s, question.dispatcher)
         server = self._parts.choice.known(answer.backend_server)
         if server is None:
             # Unknown here, or cold and this instance has used its share.
@@ -294,6 +296,7 @@
                     parts.servers,
                     service,
                     lambda position: parts.keys.routes(service).owner_of(position),
+                    lambda position: parts.keys.served_in_s(service, position),
                 )
             )
         return row.dispatcher
--- a/wagtailrill/placement/dispatcher.py
+++ b/wagtailrill/placement/dispatcher.py
@@ -7,7 +7,7 @@
 from ..core.context import Context
 from ..core.orders import AttemptOutcome, LoadReport
 from ..keys.planner import Capacity
-from ..servers.load import LoadTable, ServerLoad
+from ..servers.load import Demand, LoadTable, ServerLoad
 from ..servers.models import ServerRow
 from ..servers.table import ServerTable
 from .const import (
@@ -15,7 +15,9 @@
     RETRY_AFTER_MAX_S,
     RETRY_AFTER_MIN_S,
     SPARE_MAX,
-    WAIT_PART,
+    SPARE_PART_MIN,
+    WAIT_PART_MIN,
+    WORK_MARGIN,
 )
 from .messages import (
     NO_KEY,
@@ -32,24 +34,27 @@
 
 @attrs.define(eq=False)
 class Waiting:
-    """A request that waits for room."""
+    """A request that waits for room.
+
+    From `late_from_s` on it cannot reach its target any more. Then it has a slot only
+    when no other request wants it, until `hopeless_from_s`.
+    """
 
     request: PlaceRequest
     asker: str
     data_centre: str
     reply: Reply
     arrived_s: float
+    late_from_s: float
+    hopeless_from_s: float
     excluded: frozenset[str]
+    late: bool = False
 
     @property
-    def rank(self) -> tuple[int, float]:
+    def rank(self) -> tuple[bool, int, float]:
         """Return the order in which requests are placed."""
-        return self.request.priority, self.arrived_s - self.request.waited_s
-
-    def start_by_s(self) -> float:
-        """Return when the request should have been placed at the latest."""
         first_s = self.arrived_s - self.request.waited_s
-        return first_s + self.request.target_s * WAIT_PART
+        return self.late, self.request.priority, first_s
 
 
 @attrs.define(eq=False)
@@ -62,12 +67,17 @@
 
 @attrs.frozen
 class DispatcherParts:
-    """What a dispatcher needs; `owner_of` is used for keyed services."""
+    """What a dispatcher needs.
+
+    For keyed services `owner_of` returns who holds a position, empty for nobody, and
+    `served_in_s` about how long that lasts.
+    """
 
     ctx: Context
     servers: ServerTable
     service: str
     owner_of: OwnerOf
+    served_in_s: Callable[[int], float]
 
 
 class Dispatcher:
@@ -82,19 +92,18 @@
         self._loads = LoadTable(parts.ctx)
         self._assignments: dict[tuple[str, int], Assignment] = {}
         self._waiting: list[Waiting] = []
+        self._demand = Demand()
 
     def place(
         self, request: PlaceRequest, asker: str, data_centre: str, reply: Reply
     ) -> None:
         """Answer a request at once, or when there is room."""
-        waiting = Waiting(
-            request,
-            asker,
-            data_centre,
-            reply,
-            self._ctx.now_s,
-            frozenset(request.excluded),
-        )
+        waiting = self._waiting_of(request, asker, data_centre, reply)
+        owner = self._owner(waiting)
+        if owner is not None:
+            owner.demand.count(self._ctx.now_s)
+        elif not request.extra:
+            self._demand.count(self._ctx.now_s)
         if self._try(waiting, len(self._waiting)):
             return
         if request.extra or not self._worth_waiting(waiting):
@@ -148,7 +157,12 @@
                 assignment.load.assigned -= 1
                 del self._assignments[key]
         for waiting in list(self._waiting):
-            if now_s >= waiting.start_by_s():
+            if not waiting.late and now_s >= waiting.late_from_s:
+                waiting.late = True
+                hopeless = not self._worth_waiting(waiting)
+            else:
+                hopeless = now_s >= waiting.hopeless_from_s
+            if hopeless:
                 self._waiting.remove(waiting)
                 self._refuse(waiting)
         self._pump()
@@ -186,7 +200,8 @@
         waiting.reply(PlaceAnswer(request.number, PlaceVerdict.PLACED, load.name, 0.0))
 
     def _owner(self, waiting: Waiting) -> ServerLoad | None:
-        name = self._parts.owner_of(waiting.request.key_position)
+        position = waiting.request.key_position
+        name = self._parts.owner_of(position) if position != NO_KEY else ""
         return self._load(name) if name else None
 
     def _best(self, waiting: Waiting, ahead: int) -> ServerLoad | None:
@@ -228,12 +243,53 @@
         ]
         return usable or [r for r in warm if r.name not in excluded] or warm
 
+    def _waiting_of(
+        self, request: PlaceRequest, asker: str, data_centre: str, reply: Reply
+    ) -> Waiting:
+        now_s = self._ctx.now_s
+        work_s = self._loads.work_s * WORK_MARGIN
+        target_left_s = request.target_s - request.waited_s
+        soonest_s = request.target_s * WAIT_PART_MIN - request.waited_s
+        late_s = max(target_left_s - work_s, soonest_s)
+        hopeless_s = request.left_s - work_s
+        return Waiting(
+            request,
+            asker,
+            data_centre,
+            reply,
+            now_s,
+            now_s + min(late_s, hopeless_s),
+            now_s + hopeless_s,
+            frozenset(request.excluded),
+            late_s <= 0.0,
+        )
+
     def _worth_waiting(self, waiting: Waiting) -> bool:
         """Return whether a request can be expected to be placed in time."""
+        now_s = self._ctx.now_s
+        if not waiting.late and now_s + self._wait_s(waiting) < waiting.late_from_s:
+            return True
+        return now_s + self._late_wait_s(waiting) < waiting.hopeless_from_s
+
+    def _wait_s(self, waiting: Waiting) -> float:
+        """Return how long requests of a rank wait until they are placed."""
         wait_s = self._owner_wait_s(waiting)
-        if wait_s is None:
-            wait_s = self._service_wait_s(waiting)
-        return self._ctx.now_s + wait_s < waiting.start_by_s()
+        return self._service_wait_s(waiting) if wait_s is None else wait_s
+
+    def _late_wait_s(self, waiting: Waiting) -> float:
+        """Return how long a late request waits, by the room that others leave."""
+        now_s = self._ctx.now_s
+        if waiting.request.key_position == NO_KEY:
+            rate, used = self._service_rate(), self._demand.rate(now_s)
+            ahead = len(self._waiting)
+        else:
+            owner = self._owner(waiting)
+            if owner is None:
+                return self._parts.served_in_s(waiting.request.key_position)
+            rate, used = 1.0 / self._loads.slot_s(owner), owner.demand.rate(now_s)
+            ahead = sum(self._owner(other) is owner for other in self._waiting)
+        spare = max(rate - used, rate * SPARE_PART_MIN)
+        return (ahead + 1) / spare if spare > 0.0 else float("inf")
 
     def _owner_wait_s(self, waiting: Waiting) -> float | None:
         """Return the wait for a key's owner, None if any server can be chosen."""
@@ -242,34 +298,36 @@
             return None
         load = self._owner(waiting)
         if load is None:
-            return 0.0  # the key is moving, which takes as long as it takes
+            return self._parts.served_in_s(position)
         ahead = load.present() + 1.0 - load.slots
-        ahead += sum(self._owner(other) is load for other in self._waiting)
+        ahead += sum(
+            self._owner(other) is load and other.rank <= waiting.rank
+            for other in self._waiting
+        )
         return ahead * self._loads.slot_s(load)
 
     def _service_wait_s(self, waiting: Waiting) -> float:
-        rate = sum(
-            1.0 / self._loads.slot_s(self._loads.of(row))
-            for row in self._candidates(frozenset())
-        )
+        rate = self._service_rate()
         if rate <= 0.0:
             return float("inf")
         ahead = sum(other.rank <= waiting.rank for other in self._waiting) + 1
         return ahead / rate
 
+    def _service_rate(self) -> float:
+        """Return the requests per second that all servers can begin."""
+        return sum(
+            1.0 / self._loads.slot_s(self._loads.of(row))
+            for row in self._candidates(frozenset())
+        )
+
     def _refuse(self, waiting: Waiting) -> None:
         request = waiting.request
+        verdict = PlaceVerdict.REFUSED
         if request.key_position != NO_KEY and self._owner(waiting) is None:
-            moving = PlaceAnswer(request.number, PlaceVerdict.MOVING, "", 0.0)
-            waiting.reply(moving)
-            return
-        wait_s = self._owner_wait_s(waiting)
-        if wait_s is None:
-            wait_s = self._service_wait_s(waiting)
+            verdict = PlaceVerdict.MOVING
+        wait_s = self._wait_s(waiting)
         retry_after_s = min(max(wait_s, RETRY_AFTER_MIN_S), RETRY_AFTER_MAX_S)
-        waiting.reply(
-            PlaceAnswer(request.number, PlaceVerdict.REFUSED, "", retry_after_s)
-        )
+        waiting.reply(PlaceAnswer(request.number, verdict, "", retry_after_s))
 
     def _load(self, name: str) -> ServerLoad | None:
         row = self._parts.servers.rows.get(name)
--- a/wagtailrill/placement/models.py
+++ b/wagtailrill/placement/models.py
@@ -42,10 +42,12 @@
 class NotPlaced:
     """There is no backend server for a request now.
 
-    `decided_by` is the instance that has looked for one.
+    `moving` says that the key has no owner; with `may_wait` another look soon may find
+    one. `decided_by` is the instance that has looked.
     """
 
     moving: bool
+    may_wait: bool
     retry_after_s: float
     decided_by: str
 
--- a/wagtailrill/requests/pipeline.py
+++ b/wagtailrill/requests/pipeline.py
@@ -219,7 +219,7 @@
             return
         if not self._current(row):
             return
-        if result.moving and not self._waited_too_long(row):
+        if result.may_wait and not self._waited_too_long(row):
             self._wait(row)
             return
         row.decided_by = result.decided_by
--- a/wagtailrill/servers/const.py
+++ b/wagtailrill/servers/const.py
@@ -29,3 +29,4 @@
 # A failure costs about this many times the time of a request.
 FAILURE_COST: Final = 3.0
 SLOWNESS_MIN: Final = 0.05
+DEMAND_DECAY_S: Final = 1.0
--- a/wagtailrill/servers/load.py
+++ b/wagtailrill/servers/load.py
@@ -9,6 +9,7 @@
 from ..core.context import Context
 from ..core.orders import AttemptOutcome, LoadReport
 from .const import (
+    DEMAND_DECAY_S,
     DISTANT_PART,
     FAILURE_COST,
     FAILURE_DECAY_S,
@@ -35,6 +36,23 @@
 }
 
 
+@attrs.define(eq=False)
+class Demand:
+    """Decayed rate of requests."""
+
+    per_s: float = 0.0
+    updated_s: float = 0.0
+
+    def count(self, now_s: float) -> None:
+        """Count a request."""
+        self.per_s = self.rate(now_s) + 1.0 / DEMAND_DECAY_S
+        self.updated_s = now_s
+
+    def rate(self, now_s: float) -> float:
+        """Return the requests per second."""
+        return self.per_s * math.exp(-(now_s - self.updated_s) / DEMAND_DECAY_S)
+
+
 @attrs.define(eq=False)
 class ServerLoad:
     """What was sent to one server and what it reported last."""
@@ -54,6 +72,8 @@
     failures_s: float = 0.0
     suspect_until_s: float = float("-inf")
     suspect_s: float = 0.0
+    # Requests that want just this server, as the owner of their keys.
+    demand: Demand = attrs.field(factory=Demand)
 
     def report(self, load: LoadReport, now_s: float) -> None:
         """Take in a load report."""
