Use any free slot for requests that should not wait

With six slow servers the dispatcher left their free slots unused, since a request would have ended sooner at a faster server, and then refused the request because that wait was too long.

Change: a request that is late, or not worth keeping, takes the free slot where it ends first, if that is before its deadline; it is refused only without one.

Ruled out: shorter waits alone; 3,235 of 3,289 refusals came while slots were free.

--- a/wagtailrill/placement/dispatcher.py
+++ b/wagtailrill/placement/dispatcher.py
@@ -16,6 +16,7 @@
     RETRY_AFTER_MIN_S,
     SPARE_MAX,
     SPARE_PART_MIN,
+    WAIT_PART_MAX,
     WAIT_PART_MIN,
     WORK_MARGIN,
 )
@@ -106,9 +107,12 @@
             self._demand.count(self._ctx.now_s)
         if self._try(waiting, len(self._waiting)):
             return
-        if request.extra or not self._worth_waiting(waiting):
+        if request.extra:
             self._refuse(waiting)
             return
+        if not self._worth_waiting(waiting):
+            self._place_late(waiting)
+            return
         self._waiting.append(waiting)
         reply(PlaceAnswer(request.number, PlaceVerdict.QUEUED, "", 0.0))
 
@@ -157,14 +161,13 @@
                 assignment.load.assigned -= 1
                 del self._assignments[key]
         for waiting in list(self._waiting):
-            if not waiting.late and now_s >= waiting.late_from_s:
-                waiting.late = True
-                hopeless = not self._worth_waiting(waiting)
-            else:
-                hopeless = now_s >= waiting.hopeless_from_s
-            if hopeless:
+            becomes_late = not waiting.late and now_s >= waiting.late_from_s
+            waiting.late |= becomes_late
+            if now_s >= waiting.hopeless_from_s or (
+                becomes_late and not self._worth_waiting(waiting)
+            ):
                 self._waiting.remove(waiting)
-                self._refuse(waiting)
+                self._place_late(waiting)
         self._pump()
 
     def _pump(self) -> None:
@@ -192,6 +195,12 @@
         self._assign(waiting, load)
         return True
 
+    def _place_late(self, waiting: Waiting) -> None:
+        """Use any free slot for a request that should not wait, or refuse it."""
+        waiting.late = True
+        if not self._try(waiting, 0):
+            self._refuse(waiting)
+
     def _assign(self, waiting: Waiting, load: ServerLoad) -> None:
         request = waiting.request
         load.assigned += 1
@@ -207,7 +216,8 @@
     def _best(self, waiting: Waiting, ahead: int) -> ServerLoad | None:
         """Return the server with room where a request would end first.
 
-        None if it would end sooner by waiting for a slot of a faster server.
+        None if it would end sooner by waiting for a slot of a faster server, or, for a
+        late one, if it would not end in time.
         """
         best: ServerLoad | None = None
         best_s = float("inf")
@@ -219,6 +229,9 @@
                 full.append((load, finish_s))
             elif finish_s < best_s:
                 best, best_s = load, finish_s
+        if waiting.late:
+            left_s = waiting.arrived_s + waiting.request.left_s - self._ctx.now_s
+            return best if best_s < left_s else None
         faster = [(load, finish_s) for load, finish_s in full if finish_s < best_s]
         if best is None or not faster or waiting.request.extra:
             return best
@@ -251,6 +264,7 @@
         target_left_s = request.target_s - request.waited_s
         soonest_s = request.target_s * WAIT_PART_MIN - request.waited_s
         late_s = max(target_left_s - work_s, soonest_s)
+        late_s = min(late_s, request.target_s * WAIT_PART_MAX - request.waited_s)
         hopeless_s = request.left_s - work_s
         return Waiting(
             request,
