Refuse requests that a planned stop would break off

The load balancer sends new connections to instances that are not ready when half of their data centre is not.

Change: after the request to stop, an instance takes only requests whose deadline lies before its end; others get 503 at once. A stop that is asked for at the admin interface ends the process, too, as its page says.

Ruled out: closing kept connections sooner; the request came on a new one.

--- a/tests/core/test_host.py
+++ b/tests/core/test_host.py
@@ -15,5 +15,5 @@
     seen = []
     host.on_event(DrainRequested, lambda event: seen.append("event"))
     host.before_step(lambda: seen.append(ctx.now_s))
-    host.step(DrainRequested(), 5.0, 0.0)
+    host.step(DrainRequested(1.0), 5.0, 0.0)
     assert seen == [5.0, "event"]
--- /dev/null
+++ b/tests/support.py
@@ -0,0 +1,68 @@
+"""Parts that several tests build on."""
+
+import random
+
+from wagtailrill.core.commands import CallStore, LogEvent, SendPeer
+from wagtailrill.core.context import Context, Identity
+from wagtailrill.core.invariants import Invariants
+from wagtailrill.servers.models import ServerEntry
+from wagtailrill.servers.table import ServerTable
+
+
+def make_context(instance: str = "i-1", now_s: float = 100.0) -> Context:
+    """Return the context of one instance in data centre `north`."""
+    ctx = Context(Identity(instance, 1, "north"), random.Random(1), Invariants())
+    ctx.set_time(now_s, 1_800_000_000.0)
+    ctx.timers.advance(now_s)
+    return ctx
+
+
+def advance(ctx: Context, seconds: float) -> None:
+    """Let time pass and run the timers that are due."""
+    ctx.set_time(ctx.now_s + seconds, ctx.wall_s + seconds)
+    ctx.timers.advance(ctx.now_s)
+
+
+def logged(ctx: Context) -> list[str]:
+    """Return the names of the log lines that are queued."""
+    return [c.event for c in ctx.commands if isinstance(c, LogEvent)]
+
+
+def sent(ctx: Context, cls: type) -> list[object]:
+    """Return the queued peer messages of a class."""
+    return [
+        c.envelope.message
+        for c in ctx.commands
+        if isinstance(c, SendPeer) and isinstance(c.envelope.message, cls)
+    ]
+
+
+def store_calls(ctx: Context, cls: type) -> list[CallStore]:
+    """Return the queued store calls with an operation of a class."""
+    return [
+        c
+        for c in ctx.commands
+        if isinstance(c, CallStore) and isinstance(c.operation, cls)
+    ]
+
+
+def entry(name: str, service: str = "box", **fields: object) -> ServerEntry:
+    """Return the entry of a backend server in data centre `north`."""
+    values: dict[str, object] = {
+        "name": name,
+        "service": service,
+        "address": "127.0.0.1:9",
+        "data_centre": "north",
+        "slots": 2,
+        "connections_max": 0,
+        "start_id": name + "/1",
+        "revision": 1,
+    }
+    return ServerEntry(**(values | fields))  # type: ignore[arg-type]
+
+
+def make_table(ctx: Context, *entries: ServerEntry) -> ServerTable:
+    """Return a table with the servers of some entries."""
+    table = ServerTable(ctx)
+    table.update({e.name: e for e in entries})
+    return table
--- a/wagtailrill/core/events.py
+++ b/wagtailrill/core/events.py
@@ -54,7 +54,9 @@
 
 @attrs.frozen
 class DrainRequested:
-    """Start a planned stop."""
+    """Start a planned stop, which ends after `stop_in_s` seconds at the latest."""
+
+    stop_in_s: float
 
 
 Event = (
--- a/wagtailrill/requests/pipeline.py
+++ b/wagtailrill/requests/pipeline.py
@@ -35,6 +35,7 @@
 from .refusals import (
     CRASHES_SERVERS,
     DEADLINE_EXCEEDED,
+    DRAINING,
     RATE_LIMITED_TEXT,
     REFUSAL_BY_OUTCOME,
     REFUSAL_BY_VERDICT,
@@ -80,6 +81,7 @@
         self._rows: dict[int, RequestRow] = {}
         self._waiting: dict[int, RequestRow] = {}
         self._ticking = False
+        self._stops_at_s = float("inf")
         self._attempts = AttemptRunner(
             parts.ctx, parts.servers, parts.choice, self.counters, parts.instances
         )
@@ -95,6 +97,10 @@
         """Apply a configuration."""
         self._parts.checks.configure(configuration)
 
+    def stop_at(self, stops_at_s: float) -> None:
+        """Take only requests that end before this instance stops."""
+        self._stops_at_s = stops_at_s
+
     def open_requests(self) -> int:
         """Return the number of requests without an answer."""
         return len(self._rows)
@@ -114,6 +120,9 @@
         row.deadline_timer = self._ctx.timers.call_at(
             row.deadline_s, lambda: self._deadline(row)
         )
+        if row.deadline_s > self._stops_at_s:
+            self._refuse(row, DRAINING)
+            return
         if self._blocked(row):
             return
         if row.tenant is None:
--- a/wagtailrill/requests/refusals.py
+++ b/wagtailrill/requests/refusals.py
@@ -5,7 +5,7 @@
 from ..claims.models import Verdict
 from ..core.orders import AttemptOutcome
 from ..core.refusals import Ran, Refusal, RefusalCode
-from .const import RETRY_AFTER_S
+from .const import DRAINING_RETRY_AFTER_S, RETRY_AFTER_S
 
 NO_ROUTE: Final = Refusal(
     RefusalCode.ROUTE_UNKNOWN, "No route matches this host, method and path."
@@ -25,6 +25,11 @@
 WITHDRAWN: Final = Refusal(
     RefusalCode.TENANT_KEY_INVALID, "The tenant key was withdrawn."
 )
+DRAINING: Final = Refusal(
+    RefusalCode.DRAINING,
+    "This instance stops before the request could end; send it to another one.",
+    retry_after_s=DRAINING_RETRY_AFTER_S,
+)
 CRASHES_SERVERS: Final = Refusal(
     RefusalCode.REQUEST_CRASHES_SERVERS,
     "Backend servers crashed while running this request; it is blocked for a while.",
--- a/wagtailrill/router/router.py
+++ b/wagtailrill/router/router.py
@@ -204,6 +204,7 @@
             open_requests=self.pipeline.open_requests(),
             duties=",".join(self.duties.held()),
         )
+        self.pipeline.stop_at(self.ctx.now_s + event.stop_in_s)
         self.duties.resign()
         self.members.stop()
 
--- a/wagtailrill/runtime/admin.py
+++ b/wagtailrill/runtime/admin.py
@@ -7,7 +7,6 @@
 
 import attrs
 
-from ..core.events import DrainRequested, Event
 from ..observability.metrics import Metrics
 from ..router.router import Router
 
@@ -29,7 +28,7 @@
 
     router: Router
     metrics: Metrics
-    dispatch: Callable[[Event], object]
+    drain: Callable[[], None]
 
     async def __call__(self, scope: Any, receive: Any, send: Any) -> None:
         """Serve one request."""
@@ -74,7 +73,7 @@
         return _json(200, explanation)
 
     def _drain(self, query: dict[str, str]) -> AdminAnswer:
-        self.dispatch(DrainRequested())
+        self.drain()
         return _json(202, {"draining": self.router.draining})
 
 
--- a/wagtailrill/runtime/process.py
+++ b/wagtailrill/runtime/process.py
@@ -106,7 +106,7 @@
         self.router.configuration.add_listener(self._configure)
         self.router.members.add_listener(self._members_changed)
         self.metrics.add_source(self._gauges)
-        admin = AdminApplication(self.router, self.metrics, self.driver.dispatch)
+        admin = AdminApplication(self.router, self.metrics, self._begin_stop)
         self.caller_server = _server(
             _no_application, cfg.caller_address, protocol_class(self.callers)
         )
@@ -164,8 +164,11 @@
                     self._reload("signal")
                     continue
                 _LOG.info("stop_requested", signal=received.name)
-                self.driver.dispatch(DrainRequested())
-                self._stopping.set()
+                self._begin_stop()
+
+    def _begin_stop(self) -> None:
+        self.driver.dispatch(DrainRequested(self.cfg.stop_s - STOP_MARGIN_S))
+        self._stopping.set()
 
     async def _async_watch_settings(self) -> None:
         while True:
