Learn how slow servers are beyond what they report

Change: the work of a service follows the median answer in small steps. Each server has a factor of its own for what its answers take beyond the reported slowness; it is forgotten without requests. The age of its oldest request counts, too.

Ruled out: the load reports alone; a neighbour's slowness shows there, a server's own does not.

--- a/wagtailrill/keys/granter.py
+++ b/wagtailrill/keys/granter.py
@@ -19,7 +19,7 @@
     SegmentRow,
     SegmentState,
 )
-from .planner import Capacity, Holding, LoadMap, Move, divide, rebalance
+from .planner import ASSUMED_USE, Capacity, Holding, LoadMap, Move, divide, rebalance
 from .table_store import TableStore
 from .usage import UsageTable
 
@@ -329,7 +329,12 @@
         )
 
     def _load_map(self) -> LoadMap:
-        return LoadMap(self._usage.rates())
+        rates = self._usage.rates()
+        if rates or not self._first:
+            return LoadMap(rates)
+        # Before the first requests the servers' reports tell how fast they are.
+        capacity = sum(c.requests_per_s for c in self._capacities())
+        return LoadMap({}, ASSUMED_USE * capacity)
 
 
 def _row_of(segment: Segment, until_s: float) -> SegmentRow:
--- a/wagtailrill/keys/planner.py
+++ b/wagtailrill/keys/planner.py
@@ -3,25 +3,27 @@
 from bisect import bisect_left, bisect_right
 from collections import Counter
 from collections.abc import Iterable, Mapping, Sequence
+from itertools import accumulate
 
 import attrs
 
 from .const import KEY_POSITIONS, STRIPES
 
-# Part of a service's requests that is taken to be spread evenly over its keys.
-EVEN_PART = 0.2
+# Part of the requests for keys that are not busy which counts as spread evenly.
+EVEN_PART = 0.3
+BUSY_PER_S = 4.0
 # Without measured requests the servers are taken to be used this much.
-ASSUMED_USE = 0.5
+ASSUMED_USE = 0.3
 # A move has to lower the requests in progress, in units of a request's usual time, by
 # more than this, and by more than the requests for the keys that wait meanwhile.
-GAIN_MIN = 0.5
-MOVE_COST_PER_REQUEST = 0.6
+GAIN_MIN = 0.15
+MOVE_COST_PER_REQUEST = 0.1
 # Keys that change hands have a price of their own.
-MOVE_COST_ALL_KEYS = 16.0
-# Only servers with waiting requests, and their busiest keys, are considered.
-WAIT_FACTOR_MIN = 1.15
+MOVE_COST_ALL_KEYS = 35.0
+# Only the busiest keys of a server are considered.
 HOLDINGS_TRIED = 4
 TARGETS_TRIED = 8
+SOURCES_TRIED = 4
 # Parts of a server's load that are tried as moves, and how exactly a run has them.
 RUN_PARTS = (0.15, 0.4)
 RUN_LEAST = 0.6
@@ -76,22 +78,30 @@
 
 
 class LoadMap:
-    """Requests per second by position, with a part spread evenly.
+    """Requests per second by position.
 
-    Without any requests `assumed` requests per second are spread evenly.
+    A part of the requests for keys that are not busy counts as spread evenly, since
+    few requests tell little of a key. Without any requests `assumed` requests per
+    second are spread evenly.
     """
 
-    def __init__(self, rates: Mapping[int, float], assumed: float = 1.0) -> None:
-        total = sum(rates.values())
-        self.measured = total > 0.0
+    def __init__(self, rates: Mapping[int, float], assumed: float = 0.0) -> None:
+        self.known = bool(rates) or assumed > 0.0
         self._positions = sorted(rates)
-        self._rates = {p: rate * (1.0 - EVEN_PART) for p, rate in rates.items()}
-        self._even = (EVEN_PART * total if self.measured else assumed) / KEY_POSITIONS
+        self._rates = {
+            p: rate if rate >= BUSY_PER_S else rate * (1.0 - EVEN_PART)
+            for p, rate in rates.items()
+        }
+        known = [self._rates[p] for p in self._positions]
+        self._sums = [0.0, *accumulate(known)]
+        even = sum(rates.values()) - self._sums[-1] if rates else assumed
+        self._even = even / KEY_POSITIONS
 
     def load(self, first: int, last: int) -> float:
         """Return the requests per second of some positions."""
-        measured = sum(self._rates[p] for p in self.between(first, last))
-        return measured + (last - first + 1) * self._even
+        start = bisect_left(self._positions, first)
+        end = bisect_right(self._positions, last)
+        return self._sums[end] - self._sums[start] + (last - first + 1) * self._even
 
     def between(self, first: int, last: int) -> Sequence[int]:
         """Return the measured positions of a range, in order."""
@@ -155,15 +165,18 @@
         """Return the server where more load adds least."""
         return min(names, key=lambda name: (self.added_cost(name, more), name))
 
-    def waits(self, name: str) -> bool:
-        """Return whether requests wait for a slot of a server."""
-        capacity = self.capacities[name]
-        return capacity.time(self.loads[name]) > capacity.slowness * WAIT_FACTOR_MIN
+    def slowest(self, names: Iterable[str]) -> list[str]:
+        """Return the servers with most requests in progress for their load."""
+
+        def time(name: str) -> float:
+            return self.capacities[name].time(self.loads[name])
+
+        return sorted(names, key=lambda name: (-time(name), name))[:SOURCES_TRIED]
 
     def least_used(self, but: str) -> list[str]:
         """Return the servers with most room, but one."""
         names = [name for name in self.capacities if name != but]
-        names.sort(key=lambda n: self.loads[n] - self.capacities[n].requests_per_s)
+        names.sort(key=lambda name: (self.added_cost(name, 1.0), name))
         return names[:TARGETS_TRIED]
 
     def move(self, amount: float, target: str, source: str = "") -> None:
@@ -182,7 +195,7 @@
     """Return who gets positions that nobody holds, stripe by stripe."""
     if not capacities:
         return []
-    if not load.measured:
+    if not load.known:
         load = LoadMap({}, ASSUMED_USE * sum(c.requests_per_s for c in capacities))
     loads = Loads.of(holdings, capacities, load)
     moves: list[Move] = []
@@ -210,7 +223,7 @@
     rest = [h for h in holdings if h.movable and h.owner in loads.loads]
     for move in moves:
         rest = _without(rest, move)
-    if not load.measured:
+    if not load.known:
         return moves
     while len(moves) < moves_max:
         best = _best_move(rest, loads, load)
@@ -229,8 +242,7 @@
     """Return the source and the move that relieves most, None if none is worth it."""
     best: tuple[str, Move] | None = None
     best_gain = GAIN_MIN
-    sources = {h.owner for h in holdings if loads.waits(h.owner)}
-    for source in sorted(sources):
+    for source in loads.slowest({h.owner for h in holdings}):
         targets = loads.least_used(but=source)
         for first, last in _runs(source, holdings, loads, load):
             moved = load.load(first, last)
--- a/wagtailrill/placement/dispatcher.py
+++ b/wagtailrill/placement/dispatcher.py
@@ -63,6 +63,7 @@
     """A request that is at a backend server."""
 
     load: ServerLoad
+    placed_s: float
     until_s: float
 
 
@@ -142,8 +143,9 @@
     def capacity_of(self, row: ServerRow) -> Capacity:
         """Return what a server can usually run."""
         load = self._loads.of(row)
-        rate = load.slots / (self._loads.work_s * load.usual_slowness)
-        return Capacity(load.name, rate, load.usual_slowness)
+        slowness = self._loads.usual_slowness(load)
+        rate = load.slots / (self._loads.work_s * slowness)
+        return Capacity(load.name, rate, slowness)
 
     def heard_s(self, row: ServerRow) -> float:
         """Return when a server last reported its load with an answer."""
@@ -156,10 +158,7 @@
     def tick(self) -> None:
         """Forget what is overdue, and refuse what has waited too long."""
         now_s = self._ctx.now_s
-        for key, assignment in list(self._assignments.items()):
-            if now_s >= assignment.until_s:
-                assignment.load.assigned -= 1
-                del self._assignments[key]
+        self._check_assignments(now_s)
         for waiting in list(self._waiting):
             becomes_late = not waiting.late and now_s >= waiting.late_from_s
             waiting.late |= becomes_late
@@ -170,6 +169,20 @@
                 self._place_late(waiting)
         self._pump()
 
+    def _check_assignments(self, now_s: float) -> None:
+        """Drop overdue assignments, and learn the age of each server's oldest one."""
+        oldest_s: dict[int, float] = {}
+        for key, assignment in list(self._assignments.items()):
+            load = assignment.load
+            if now_s >= assignment.until_s:
+                load.assigned -= 1
+                del self._assignments[key]
+                continue
+            age_s = now_s - assignment.placed_s
+            oldest_s[id(load)] = max(oldest_s.get(id(load), 0.0), age_s)
+        for load in self._loads.all():
+            load.oldest_age_s = oldest_s.get(id(load), 0.0)
+
     def _pump(self) -> None:
         """Place waiting requests where there is room, the most urgent first."""
         if not self._waiting:
@@ -205,7 +218,9 @@
         request = waiting.request
         load.assigned += 1
         until_s = self._ctx.now_s + request.left_s + FORGET_AFTER_S
-        self._assignments[waiting.asker, request.number] = Assignment(load, until_s)
+        self._assignments[waiting.asker, request.number] = Assignment(
+            load, self._ctx.now_s, until_s
+        )
         waiting.reply(PlaceAnswer(request.number, PlaceVerdict.PLACED, load.name, 0.0))
 
     def _owner(self, waiting: Waiting) -> ServerLoad | None:
--- a/wagtailrill/servers/const.py
+++ b/wagtailrill/servers/const.py
@@ -14,10 +14,17 @@
 # The address of a server whose entry has ended is kept for this long.
 GONE_KEPT_S: Final = 15.0
 WORK_INITIAL_S: Final = 0.15
-WORK_WEIGHT: Final = 0.03
+WORK_STEP: Final = 0.02
 REPORT_AGE_S: Final = 0.6
 SAMPLE_INTERVAL_S: Final = 0.15
 SAMPLES_MAX: Final = 31
+# A server may be slow without reporting it; what is seen of it is kept for so long.
+UNREPORTED_WEIGHT: Final = 0.12
+UNREPORTED_DECAY_S: Final = 4.0
+UNREPORTED_MIN: Final = 0.3
+UNREPORTED_MAX: Final = 30.0
+# A new request is taken to need at least this part of the oldest one's time so far.
+OLDEST_PART: Final = 0.5
 # A server that has not answered yet counts as this much faster, so that it is tried.
 UNKNOWN_PART: Final = 0.3
 FAILURE_WEIGHT: Final = 0.15
--- a/wagtailrill/servers/load.py
+++ b/wagtailrill/servers/load.py
@@ -3,6 +3,7 @@
 import math
 import statistics
 from collections import deque
+from collections.abc import Iterable
 
 import attrs
 
@@ -14,6 +15,7 @@
     FAILURE_COST,
     FAILURE_DECAY_S,
     FAILURE_WEIGHT,
+    OLDEST_PART,
     REPORT_AGE_S,
     SAMPLE_INTERVAL_S,
     SAMPLES_MAX,
@@ -21,8 +23,12 @@
     SUSPECT_FIRST_S,
     SUSPECT_MAX_S,
     UNKNOWN_PART,
+    UNREPORTED_DECAY_S,
+    UNREPORTED_MAX,
+    UNREPORTED_MIN,
+    UNREPORTED_WEIGHT,
     WORK_INITIAL_S,
-    WORK_WEIGHT,
+    WORK_STEP,
 )
 from .models import ServerRow
 
@@ -64,6 +70,11 @@
     slowness: float = 1.0
     # Median of reports that lie apart, which short disturbances do not change.
     usual_slowness: float = 1.0
+    # How much longer requests take than the reported slowness explains.
+    unreported: float = 1.0
+    unreported_s: float = 0.0
+    # Seconds that the oldest request has been here.
+    oldest_age_s: float = 0.0
     reported_s: float = float("-inf")
     answered_s: float = float("-inf")
     sampled_s: float = float("-inf")
@@ -85,6 +96,18 @@
             self.samples.append(self.slowness)
             self.usual_slowness = statistics.median_low(self.samples)
 
+    def took(self, part: float, now_s: float) -> None:
+        """Take in how long a request took, as a part of what was expected."""
+        known = math.log(self.unreported_now(now_s))
+        seen = math.log(min(max(part, UNREPORTED_MIN), UNREPORTED_MAX))
+        self.unreported = math.exp(known + UNREPORTED_WEIGHT * (seen - known))
+        self.unreported_s = now_s
+
+    def unreported_now(self, now_s: float) -> float:
+        """Return the unreported slowness, which is forgotten without requests."""
+        decay = math.exp(-max(0.0, now_s - self.unreported_s) / UNREPORTED_DECAY_S)
+        return math.exp(math.log(self.unreported) * decay)
+
     def ended(self, outcome: AttemptOutcome, now_s: float) -> None:
         """Take in how a request ended."""
         if outcome is AttemptOutcome.CANCELLED:
@@ -140,7 +163,7 @@
 class LoadTable:
     """Loads by server, and the work of a request of one service.
 
-    `work_s` is how long a request takes where the slowness is 1.0.
+    `work_s` is how long the median request takes where the slowness is 1.0.
     """
 
     def __init__(self, ctx: Context) -> None:
@@ -155,6 +178,10 @@
             load = self._loads[row.name] = ServerLoad(row)
         return load
 
+    def all(self) -> Iterable[ServerLoad]:
+        """Return the loads of all servers."""
+        return self._loads.values()
+
     def ended(
         self,
         load: ServerLoad,
@@ -171,13 +198,16 @@
         elif load.outside:
             load.outside = max(0.0, load.outside - 1.0)
         if outcome is AttemptOutcome.ANSWERED and load.present() < load.slots:
-            sample_s = latency_s / load.slowness
-            self.work_s += WORK_WEIGHT * (sample_s - self.work_s)
+            part = latency_s / (load.slowness * self.work_s)
+            load.took(part, now_s)
+            # A step towards the median, which some slow servers hardly change.
+            self.work_s *= math.exp(math.copysign(WORK_STEP, part - 1.0))
 
     def time_s(self, load: ServerLoad, data_centre: str) -> float:
         """Return the seconds that a request would take on a free slot of a server."""
         now_s = self._ctx.now_s
-        time_s = self.work_s * load.slowness_now(now_s)
+        time_s = self.work_s * load.slowness_now(now_s) * load.unreported_now(now_s)
+        time_s = max(time_s, load.oldest_age_s * OLDEST_PART)
         if load.row.entry.data_centre != data_centre:
             time_s *= 1.0 + DISTANT_PART
         if load.unknown and not load.assigned:
@@ -186,4 +216,10 @@
 
     def slot_s(self, load: ServerLoad) -> float:
         """Return the seconds between two slots of a full server that become free."""
-        return self.work_s * load.slowness_now(self._ctx.now_s) / load.slots
+        now_s = self._ctx.now_s
+        slowness = load.slowness_now(now_s) * load.unreported_now(now_s)
+        return self.work_s * slowness / load.slots
+
+    def usual_slowness(self, load: ServerLoad) -> float:
+        """Return the slowness of a server that lasts, reported or not."""
+        return load.usual_slowness * load.unreported_now(self._ctx.now_s)
