Give up the keys of a silent owner at once, and move fewer keys

Cause: a test of a frozen owner showed that its ranges were given up one by one, after two failed grants each with two calls at a time: the last of thirty after more than seven seconds; and the silent owner was chosen again. After the loss of a granter some grants ended before the successor had extended them, since it extended two of a server in each tick. A request that a server did not accept was sent to it nine times within 8 ms, out of the retry budget.

Change: failures count by owner; a silent one loses all keys and gets none for 4 s. The next grant of a server follows when one is answered. A request that was misdirected waits 0.1 s before it is placed again. Only busy ranges are cut, and a move has to save more. Members hear of routes once a second, since they use them only while the granter is silent.

Ruled out: shorter grants, which would end during a takeover.

--- a/wagtailrill/cli/request_story.py
+++ b/wagtailrill/cli/request_story.py
@@ -1,5 +1,6 @@
 """What the logs of all instances say of one request, and the cause of its end."""
 
+from collections import deque
 from collections.abc import Callable
 from typing import Final
 
@@ -13,6 +14,7 @@
 # until so long after it.
 BEFORE_S: Final = 5.0
 AFTER_S: Final = 1.0
+SAME_KIND_MAX: Final = 2
 
 # Lines that say what an instance could reach or had the right to do; the last one
 # before a request still holds during it.
@@ -109,7 +111,7 @@
     """Return what any instance said of the servers and the key of a request."""
     servers = _servers(own)
     keys = {(x.text("service"), x.fields.get("key_position")) for x in own}
-    return [
+    found = [
         line
         for line in lines
         if line.at_s >= first_s - BEFORE_S
@@ -119,6 +121,16 @@
         )
         and not line.text("request_id")
     ]
+    return _last_of_each(found)
+
+
+def _last_of_each(lines: list[LogLine]) -> list[LogLine]:
+    """Return the last lines of each kind that an instance wrote of a server."""
+    kept: dict[tuple[str, str, str], deque[LogLine]] = {}
+    for line in lines:
+        kind = (line.instance, line.event, line.text("backend_server"))
+        kept.setdefault(kind, deque(maxlen=SAME_KIND_MAX)).append(line)
+    return [line for same in kept.values() for line in same]
 
 
 def _servers(own: list[LogLine]) -> set[str]:
--- a/wagtailrill/keys/component.py
+++ b/wagtailrill/keys/component.py
@@ -16,7 +16,7 @@
 from ..servers.models import ServerRow
 from ..servers.table import ServerTable
 from ..store.models import Found, Get, StoreResult
-from .const import ANNOUNCE_INTERVAL_S, SILENCE_S, TICK_S
+from .const import ANNOUNCE_INTERVAL_S, PUBLISH_INTERVAL_S, SILENCE_S, TICK_S
 from .granter import Granter, GranterParts
 from .messages import KeyRoutesNotice, KeyRoutesRequest, KeyRoutesUpdate
 from .models import NO_ROUTES, KeyRoutes, KeyTable, SegmentRow, SegmentState
@@ -40,6 +40,8 @@
     reading: bool = False
     granter: Granter | None = None
     sequence: int = 0
+    published_sequence: int = 0
+    published_s: float = float("-inf")
     changed: bool = False
 
 
@@ -215,7 +217,7 @@
     def duty_taken(self, duty: str, fence: int, predecessor_may_act_s: float) -> None:
         """Begin to assign the keys of a service."""
         row = self._rows[duty.removeprefix(DUTY_PREFIX)]
-        row.sequence = 0
+        row.sequence = row.published_sequence = 0
 
         def changed() -> None:
             row.changed = True
@@ -252,11 +254,22 @@
                 row.granter.tick()
                 if row.changed and row.granter.loaded:
                     row.changed = False
-                    self._publish(row, row.granter.rows)
+                    self._apply(row, row.granter.rows)
+                if self._ctx.now_s >= row.published_s + PUBLISH_INTERVAL_S:
+                    self._publish(row)
             elif self._ctx.now_s - row.heard_s > SILENCE_S:
                 self._read_table(row)
 
-    def _publish(self, row: ServiceRow, segments: list[SegmentRow]) -> None:
+    def _publish(self, row: ServiceRow) -> None:
+        """Tell the members the routes if they have changed."""
+        if row.published_sequence == row.sequence:
+            return
+        row.published_sequence, row.published_s = row.sequence, self._ctx.now_s
+        update = _update_of(row.name, row.routes)
+        for name in self._members.live():
+            self._ctx.send(name, update)
+
+    def _apply(self, row: ServiceRow, segments: list[SegmentRow]) -> None:
         row.sequence += 1
         holder = self._duties.holder(DUTY_PREFIX + row.name)
         starts: list[int] = []
@@ -269,9 +282,6 @@
                 owners.append(owner)
         fence = holder.fence if holder is not None else 0
         row.routes = KeyRoutes(tuple(starts), tuple(owners), fence, row.sequence)
-        update = _update_of(row.name, row.routes)
-        for name in self._members.live():
-            self._ctx.send(name, update)
 
     def _announce(self) -> None:
         for row in self._rows.values():
--- a/wagtailrill/keys/granter.py
+++ b/wagtailrill/keys/granter.py
@@ -77,6 +77,7 @@
                 parts.on_change,
                 parts.on_load,
                 parts.heard_s,
+                self._grant_next,
             )
         )
         self._store = TableStore(
@@ -117,6 +118,12 @@
         if changed:
             self._write(changed)
 
+    def _grant_next(self, owner: str) -> None:
+        """Extend the grant of a server that waits longest."""
+        rows = [row for row in self.rows if row.segment.owner == owner]
+        if rows:
+            self._grants.run(min(rows, key=lambda row: row.sent_s))
+
     def served_in_s(self, position: int) -> float:
         """Return about how long a key is without an owner that can be asked."""
         for row in self.rows:
@@ -241,6 +248,7 @@
         server = servers.rows.get(row.segment.owner)
         return (
             row.lost
+            or self._grants.owner_silent(row.segment.owner)
             or server is None
             or server.entry.start_id != row.segment.start_id
             or not servers.accepts_work(server)
@@ -321,7 +329,7 @@
 
     def _may_own(self, server: ServerRow) -> bool:
         servers = self._parts.servers
-        if not servers.accepts_work(server):
+        if not servers.accepts_work(server) or self._grants.owner_silent(server.name):
             return False
         return not servers.is_cold(server) or all(
             servers.is_cold(row)
--- a/wagtailrill/keys/grants.py
+++ b/wagtailrill/keys/grants.py
@@ -25,6 +25,7 @@
     GRANT_RENEW_S,
     GRANT_RETRY_S,
     GRANT_S,
+    OWNER_RETRY_S,
     OWNER_SILENT_S,
     RELEASE_RETRY_S,
     SERVER_CLOCK_BOUND,
@@ -40,7 +41,7 @@
     """What the calls need.
 
     `may_act` tells whether the duty is still held, `heard_s` when a server last
-    answered a request.
+    answered a request. `on_free` is called when another grant may go to a server.
     """
 
     ctx: Context
@@ -50,6 +51,7 @@
     on_change: Callable[[], None]
     on_load: Callable[[str, LoadReport], None]
     heard_s: Callable[[str], float]
+    on_free: Callable[[str], None]
 
 
 class Grants:
@@ -64,6 +66,9 @@
         self._ctx = parts.ctx
         self._calls: Counter[str] = Counter()
         self._heard_s: dict[str, float] = {}
+        # Grants to each owner that failed one after the other.
+        self._failures: Counter[str] = Counter()
+        self._failed_s: dict[str, float] = {}
         self._handlers: dict[SegmentState, Callable[[SegmentRow], None]] = {
             SegmentState.RELEASING: self._release,
             SegmentState.GRANTING: self._grant_if_due,
@@ -119,10 +124,12 @@
                 self._grant_failed(row, result.error, former_until_s)
             return
         self._heard_s[segment.owner] = self._ctx.now_s
+        self._failures[segment.owner] = 0
         granted = result.ok
         assert isinstance(granted, KeysGranted)
         if granted.load is not None:
             self._parts.on_load(segment.owner, granted.load)
+        self._parts.on_free(segment.owner)
         if not current:
             return
         row.failures = 0
@@ -136,6 +143,8 @@
         self, row: SegmentRow, error: ControlError, former_until_s: float
     ) -> None:
         row.failures += 1
+        self._failures[row.segment.owner] += 1
+        self._failed_s[row.segment.owner] = self._ctx.now_s
         if error.kind is not ControlErrorKind.NO_ANSWER:
             row.held_until_s = former_until_s
         self._log(
@@ -146,18 +155,24 @@
             failures=row.failures,
         )
         refused = error.kind in (ControlErrorKind.FENCED, ControlErrorKind.REFUSED)
-        if refused or self._silent(row):
-            # The next write gives the keys to another server, or a new token.
-            row.lost = True
-
-    def _silent(self, row: SegmentRow) -> bool:
-        """Return whether an owner has not been heard of for some time."""
-        owner = row.segment.owner
+        # The next write gives the keys to another server, or a new token.
+        row.lost = row.lost or refused
+
+    def owner_silent(self, owner: str) -> bool:
+        """Return whether an owner has not been heard of for some time.
+
+        All its keys are lost then: asking for each range would take seconds. It may get
+        keys again after `OWNER_RETRY_S`.
+        """
+        if self._failures[owner] < GRANT_FAILURES_MAX:
+            return False
+        if self._ctx.now_s - self._failed_s[owner] >= OWNER_RETRY_S:
+            self._failures[owner] = 0
+            return False
         heard_s = max(
             self._heard_s.get(owner, float("-inf")), self._parts.heard_s(owner)
         )
-        silent_s = self._ctx.now_s - heard_s
-        return row.failures >= GRANT_FAILURES_MAX and silent_s >= OWNER_SILENT_S
+        return self._ctx.now_s - heard_s >= OWNER_SILENT_S
 
     # Releases
 
--- a/wagtailrill/keys/planner.py
+++ b/wagtailrill/keys/planner.py
@@ -16,8 +16,8 @@
 ASSUMED_USE = 0.3
 # A move has to lower the requests in progress, in units of a request's usual time, by
 # more than this, and by more than the requests for the keys that wait meanwhile.
-GAIN_MIN = 0.15
-MOVE_COST_PER_REQUEST = 0.1
+GAIN_MIN = 0.4
+MOVE_COST_PER_REQUEST = 0.2
 # Keys that change hands have a price of their own.
 MOVE_COST_ALL_KEYS = 35.0
 # Only the busiest keys of a server are considered.
@@ -264,11 +264,14 @@
     own.sort(key=lambda h: load.load(h.first, h.last), reverse=True)
     for holding in own[:HOLDINGS_TRIED]:
         yield holding.first, holding.last
+        if load.load(holding.first, holding.last) < BUSY_PER_S:
+            continue  # each range has a grant of its own, so only busy ones are cut
         hottest = load.hottest(holding.first, holding.last)
-        if hottest is not None:
+        if hottest is not None and load.rate(hottest) >= BUSY_PER_S:
             yield hottest, hottest
         for part in RUN_PARTS:
-            run = load.densest(holding.first, holding.last, held * part)
+            wanted = max(held * part, BUSY_PER_S)
+            run = load.densest(holding.first, holding.last, wanted)
             if run is not None:
                 yield run
 
--- a/wagtailrill/requests/pipeline.py
+++ b/wagtailrill/requests/pipeline.py
@@ -29,7 +29,13 @@
 from ..servers.table import ServerTable
 from .attempts import NOT_RUN_OUTCOMES, AttemptRunner
 from .checks import ArrivalChecks
-from .const import DEFERRED_RETRY_S, USEFUL_TIME_MIN_S, WAIT_PART_OF_TARGET, WAIT_TICK_S
+from .const import (
+    DEFERRED_RETRY_S,
+    MISDIRECTED_PAUSE_S,
+    USEFUL_TIME_MIN_S,
+    WAIT_PART_OF_TARGET,
+    WAIT_TICK_S,
+)
 from .interfaces import KeyRouter, RateLimits, Retries, TakeResult
 from .models import Attempt, RequestCounters, RequestRow, RequestState, count
 from .refusals import (
@@ -314,8 +320,17 @@
     def _repeat(self, row: RequestRow, outcome: AttemptOutcome) -> None:
         self.counters.retries += 1
         self._log.repeated(row, outcome.value)
+        if outcome is AttemptOutcome.MISDIRECTED and row.service.keyed:
+            # The owner is told soon, or another one; asking at once is no use.
+            row.state = RequestState.WAITING
+            self._ctx.timers.call_later(MISDIRECTED_PAUSE_S, lambda: self._again(row))
+            return
         self._place(row)
 
+    def _again(self, row: RequestRow) -> None:
+        if self._current(row):
+            self._place(row)
+
     def _may_repeat(self, row: RequestRow, outcome: AttemptOutcome) -> bool:
         not_run = outcome in NOT_RUN_OUTCOMES
         if not not_run:
