--- /dev/null
+++ b/tests/operations/test_page.py
@@ -0,0 +1,89 @@
+"""Guards docs/OPERATIONS.md: its commands lead from a request to its cause."""
+
+import json
+import re
+import shlex
+from pathlib import Path
+
+import pytest
+
+from wagtailrill.cli.__main__ import main
+from wagtailrill.core.log_events import LogName
+
+from .cases import CASES, write_logs
+
+PAGE = Path(__file__).parents[2] / "docs" / "OPERATIONS.md"
+CAUSES = {
+    "rate": "over its rate of 12.0/s (issuer)",
+    "server": "an attempt may have run and brought no answer",
+    "key": "had no owner",
+}
+
+
+def command_of(case: str) -> list[str]:
+    """Return the command that the page gives for a case."""
+    found = re.search(
+        rf"<!-- case: {case} -->.*?\n    (wagtailrillctl .*?)\n", PAGE.read_text(), re.S
+    )
+    assert found is not None
+    return shlex.split(found[1])[1:]
+
+
+@pytest.mark.parametrize("case", sorted(CASES))
+def test_page_leads_to_the_cause(case, tmp_path, capsys):
+    """Guards against pages whose commands do not find why a request failed."""
+    run, call = CASES[case]()
+    files = write_logs(run, tmp_path)
+    arguments = []
+    for word in command_of(case):
+        if word == "logs/*.log":
+            arguments += files
+        else:
+            arguments.append(call.caller_id if word == "ID" else word)
+    with pytest.raises(SystemExit) as exit_info:
+        main(arguments)
+    assert exit_info.value.code == 0
+    last = capsys.readouterr().out.strip().splitlines()[-1]
+    assert last.startswith("Cause: ")
+    assert CAUSES[case] in last
+    assert CAUSES[case] in PAGE.read_text()
+
+
+def test_every_name_of_a_line_is_in_the_list():
+    """Guards against log lines that the page does not explain."""
+    listed = set(re.findall(r"^\| `([a-z_]+)` \|", PAGE.read_text(), re.M))
+    assert {name.value for name in LogName} <= listed
+
+
+def test_clipped_lines_and_garbage_are_left_out(tmp_path, capsys):
+    """Guards against logs that cannot be read since one line is broken."""
+    run, call = CASES["rate"]()
+    (file, *_) = [f for f in write_logs(run, tmp_path) if "i-2" in f]
+    content = Path(file).read_bytes()
+    broken = [b"\xff\xfe garbage", b'{"event": "request_refused", "inst', b"[]", b"{}"]
+    prefixed = b"12.5 i-2 " + content.replace(b"\n", b"\n12.5 i-2 ")
+    Path(file).write_bytes(b"\n".join([*broken, prefixed]))
+    with pytest.raises(SystemExit) as exit_info:
+        main(["--json", "explain-request", call.caller_id, file])
+    assert exit_info.value.code == 0
+    told = json.loads(capsys.readouterr().out)
+    assert CAUSES["rate"] in told["cause"]
+    assert told["unreadable"] == len(broken) + 1
+
+
+def test_unknown_request_is_said_to_be_unknown(tmp_path, capsys):
+    """Guards against an empty story that looks like a cause."""
+    file = tmp_path / "empty.log"
+    file.write_bytes(b"")
+    with pytest.raises(SystemExit) as exit_info:
+        main(["explain-request", "nobody", str(file)])
+    assert exit_info.value.code == 1
+    assert "No line names the request nobody" in capsys.readouterr().err
+
+
+def test_missing_file_is_wrong_usage(tmp_path, capsys):
+    """Guards against a traceback where a file name is mistyped."""
+    with pytest.raises(SystemExit) as exit_info:
+        main(["explain-request", "c-1", str(tmp_path / "none.log")])
+    assert exit_info.value.code == 2
+    assert "cannot be read" in capsys.readouterr().err
