--- /dev/null
+++ b/tests/fleet/test_duties.py
@@ -0,0 +1,109 @@
+"""Guards that one instance has a duty at a time, on the virtual clock."""
+
+import pytest
+
+from tests.runs.deployment import Deployment
+from wagtailrill.core.events import DrainRequested
+
+DUTY = "keys/roll"
+
+
+@pytest.fixture
+def run():
+    deployment = Deployment(31)
+    deployment.start()
+    return deployment
+
+
+def holders(run):
+    return [n for n in run.fleet.nodes if run.router(n).duties.holds(DUTY)]
+
+
+def taken_after_s(run, former, limit_s=20.0):
+    """Return after how many seconds another instance has the duty."""
+    start_s = run.now_s
+    while run.now_s - start_s < limit_s:
+        run.fleet.run_until(run.now_s + 0.05)
+        if any(name != former for name in holders(run)):
+            return run.now_s - start_s
+    pytest.fail("nobody takes the duty")
+
+
+def test_one_instance_has_each_duty(run):
+    """Guards against two granters after a common start."""
+    assert len(holders(run)) == 1
+
+
+def test_lost_holder_is_replaced_within_three_seconds(run):
+    """Guards against grants that end since nobody extends them."""
+    (former,) = holders(run)
+    run.kill(former)
+    assert taken_after_s(run, former) < 3.0
+
+
+def test_planned_stop_hands_over_at_once(run):
+    """Guards against a gap of a whole lease at each rolling restart."""
+    (former,) = holders(run)
+    run.fleet.deliver(former, DrainRequested(5.0), 0.0)
+    assert taken_after_s(run, former) < 0.6
+
+
+def test_restarted_holder_takes_its_duty_without_waiting_for_its_lease(run):
+    """Guards against a wait for a process that is known to have ended."""
+    (former,) = holders(run)
+    run.kill(former)
+    run.fleet.start(former)
+    start_s = run.now_s
+    while not holders(run):
+        run.fleet.run_until(run.now_s + 0.05)
+        assert run.now_s - start_s < 1.5
+
+
+def test_holder_keeps_its_duty_while_the_store_is_down(run):
+    """Guards against keys without a granter during an outage of the store."""
+    (former,) = holders(run)
+    run.fleet.store.down = True
+    run.fleet.run_until(run.now_s + 7.0)
+    assert holders(run) == [former]
+    run.fleet.store.down = False
+    run.fleet.store.model.pause_leases(7.0)
+    run.fleet.run_until(run.now_s + 4.0)
+    assert len(holders(run)) == 1
+
+
+def test_holder_that_alone_cannot_reach_the_store_stops(run):
+    """Guards against a granter that goes on beside its successor."""
+    (former,) = holders(run)
+    run.fleet.store.unreachable.add(former)
+    taken_after_s(run, former)
+    run.fleet.run_until(run.now_s + 1.0)
+    assert former not in holders(run)
+
+
+def test_all_processes_lost_at_once_come_back(run):
+    """Guards against a fleet that waits for a majority that never returns."""
+    for name in list(run.fleet.nodes):
+        run.kill(name)
+    run.fleet.run_until(run.now_s + 0.5)
+    for name in run.names:
+        run.fleet.start(name)
+    start_s = run.now_s
+    while not holders(run):
+        run.fleet.run_until(run.now_s + 0.05)
+        assert run.now_s - start_s < 3.0
+    run.fleet.run_until(run.now_s + 1.0)
+    assert run.call("i-1").caller_id
+    calls = [run.call(n, "roll", position=99) for n in run.names]
+    run.fleet.run_until(run.now_s + 1.5)
+    assert all(call.answered for call in calls)
+
+
+def test_one_instance_left_takes_everything(run):
+    """Guards against duties that only several instances can take."""
+    for name in run.names[1:]:
+        run.kill(name)
+    run.fleet.run_until(run.now_s + 12.0)
+    assert DUTY in run.router("i-1").duties.held()
+    call = run.call("i-1", "roll", position=5)
+    run.fleet.run_until(run.now_s + 1.5)
+    assert call.answered
--- /dev/null
+++ b/tests/platform/test_decoders.py
@@ -0,0 +1,230 @@
+"""Guards how the platform's words become the product's types."""
+
+import json
+import math
+
+import pytest
+from hypothesis import given, strategies as st
+
+from wagtailrill.declaration.models import TenantKeyRule
+from wagtailrill.platform.configuration import PlatformConfigurations
+from wagtailrill.platform.discovery import PlatformServerEntries
+from wagtailrill.platform.settings import parse_settings
+from wagtailrill.platform.units import WireError, seconds
+from wagtailrill.servers.models import ServerState
+from wagtailrill.store.models import Item
+
+CONFIGURATION = {
+    "version": "r7",
+    "routes": {
+        "columns": [
+            *("name", "host", "prefix", "kind", "timeout", "target_latency"),
+            *("priority", "service", "max_attempts", "public", "traffic_split"),
+        ],
+        "rows": [
+            [
+                *("r-1", "A.example", "/x/", "unsafe", "1000ms", "500ms"),
+                *(1, "desk", 2, False, None),
+            ],
+            [
+                *("r-2", "b.example", "/y/", "safe", "800ms", "0.4s"),
+                *(2, None, 2, True),
+                [{"service": "box", "weight": 90}, {"service": "roll", "weight": 10}],
+            ],
+        ],
+    },
+    "services": {
+        "columns": ["name", "max_connections", "warmup", "warmup_per_s", "sharded"],
+        "rows": [
+            ["desk", 120, "3s", 10.0, None],
+            ["box", 120, "3s", 10.0, None],
+            ["roll", 120, "3s", 10.0, True],
+        ],
+    },
+    "limits": {
+        "max_header_bytes": 16384,
+        "max_body_bytes": 67108864,
+        "header_timeout": "3000ms",
+        "idle_timeout": "15000ms",
+    },
+    "tenants": {
+        "columns": ["name", "api_keys", "priority", "rate_per_s", "burst"],
+        "rows": [["lines", ["k1", "k2"], 0, 153, 150], ["free", ["k3"], None, 0, 5]],
+    },
+}
+ENTRY = {
+    "service": "box",
+    "address": "10.0.0.1:80",
+    "zone": "north",
+    "version": "v1",
+    "slots": 6,
+    "state": "ready",
+    "warmup_left": "1500ms",
+    "seq": 4,
+    "born": 1_767_728_614_392,
+}
+SETTINGS = """
+node = "n-1"
+zone = "north"
+region = "sea"
+ip = "10.1.0.37"
+internal_ports = [7560,7575]
+heartbeat = "870ms"
+a_new_field = 5
+bounds = ["drain=2500ms","grace=6s","quota_over=0.1","quota_slack=20","unknown=1"]
+[zones]
+north = "sea"
+[listen]
+front = "10.1.0.37:8388"
+ready = "10.1.0.37:8384"
+[limits]
+cpu_share = 0.86
+memory_mb = 300
+max_fds = 4100
+[platform]
+address = "10.200.1.7:8382"
+"""
+CONFIGURATIONS = PlatformConfigurations({"north": "sea"})
+
+
+def decode(fields):
+    value = fields if isinstance(fields, bytes) else json.dumps(fields).encode()
+    return CONFIGURATIONS.decode(Item("op/config", value, 5))
+
+
+def test_configuration_becomes_a_declaration():
+    """Guards against routes, rates or limits that are read wrongly."""
+    declaration = decode(CONFIGURATION).ok
+    by_name = {service.name: service for service in declaration.services}
+    (desk,) = by_name["desk"].routes
+    assert (desk.host, desk.path, desk.idempotent) == ("a.example", "/x/", False)
+    assert (desk.timeout_s, desk.target_latency_s, desk.priority) == (1.0, 0.5, 1)
+    assert desk.tenant_key is TenantKeyRule.REQUIRED
+    (split,) = by_name["box"].routes
+    assert [(p.service, p.weight) for p in split.split] == [("box", 90), ("roll", 10)]
+    assert split.tenant_key is TenantKeyRule.NONE
+    assert by_name["roll"].keyed
+    assert not by_name["box"].keyed
+    assert by_name["box"].cold_start.requests_per_s == 10.0
+    lines, free = declaration.organisations
+    assert (lines.rate_per_s, lines.burst, len(lines.tenant_keys)) == (153, 150, 2)
+    assert math.isinf(free.rate_per_s)
+    assert declaration.caller_limits.idle_timeout_s == 15.0
+
+
+@pytest.mark.parametrize(
+    ("path", "value"),
+    [
+        (("routes", "rows", 0, 3), "maybe"),
+        (("routes", "rows", 0, 4), "soon"),
+        (("routes", "rows", 0, 4), None),
+        (("routes", "rows", 0, 7), "nowhere"),
+        (("services", "rows", 0, 1), -4),
+        (("services", "rows", 0, 3), 1e308),
+        (("tenants", "rows", 0, 3), 1e308),
+        (("tenants", "rows", 0, 3), "many"),
+        (("limits", "max_body_bytes"), 0),
+        (("routes", "columns"), "name"),
+    ],
+)
+def test_odd_configuration_is_refused_and_stops_nothing(path, value):
+    """Guards against a malformed or absurd value that comes into force."""
+    fields = json.loads(json.dumps(CONFIGURATION))
+    target = fields
+    for step in path[:-1]:
+        target = target[step]
+    target[path[-1]] = value
+    assert decode(fields).is_error()
+
+
+@pytest.mark.parametrize("value", [b"", b"{", b"[]", b"\xff", b"[" * 100_000])
+def test_unreadable_configuration_is_refused(value):
+    """Guards against bytes that end the process."""
+    assert decode(value).is_error()
+
+
+def test_evacuations_close_data_centres():
+    """Guards against a zone that stays in use while it is evacuated."""
+    keys = frozenset({"op/config", "op/evacuate/north"})
+    assert CONFIGURATIONS.closed(keys) == frozenset({"north"})
+
+
+def entry_of(fields):
+    value = fields if isinstance(fields, bytes) else json.dumps(fields).encode()
+    return PlatformServerEntries().decode(Item("servers/i-1", value, 9))
+
+
+def test_entry_names_a_server():
+    """Guards against a cold or restarted server that looks like the former one."""
+    entry = entry_of(ENTRY).ok
+    assert (entry.name, entry.service, entry.slots) == ("i-1", "box", 6)
+    assert entry.cold_left_s == 1.5
+    assert entry.state is ServerState.READY
+    assert entry_of(ENTRY | {"born": 5}).ok.start_id != entry.start_id
+
+
+@pytest.mark.parametrize(
+    "fields",
+    [
+        b"",
+        b"\xff\xfe",
+        b"null",
+        ENTRY | {"state": "resting"},
+        ENTRY | {"slots": 0},
+        ENTRY | {"slots": "6"},
+        ENTRY | {"service": 4},
+        ENTRY | {"warmup_left": 1500},
+        ENTRY | {"address": "nowhere"},
+        {k: v for k, v in ENTRY.items() if k != "address"},
+        {k: v for k, v in ENTRY.items() if k != "zone"},
+    ],
+)
+def test_foreign_entry_names_no_server(fields):
+    """Guards against entries of other writers that are used or end the process."""
+    assert entry_of(fields).is_error()
+
+
+@given(st.binary(max_size=200))
+def test_no_bytes_of_an_entry_raise(value):
+    """Guards against an entry that ends the process."""
+    entry_of(value)
+
+
+def test_settings_are_read_and_new_fields_ignored():
+    """Guards against a platform that adds a field and stops all machines."""
+    cfg = parse_settings(SETTINGS.encode()).ok
+    assert (cfg.instance, cfg.data_centre, cfg.peer_port) == ("n-1", "north", 7560)
+    assert cfg.store_address == "10.200.1.7:8382"
+    assert (cfg.bounds.leave_s, cfg.bounds.quota_excess) == (2.5, 0.1)
+    assert cfg.bounds.retry_share == 0.2
+
+
+@pytest.mark.parametrize(
+    ("line", "by"),
+    [
+        ('zone = "north"', "zone = 4"),
+        ("internal_ports = [7560,7575]", "internal_ports = []"),
+        ("[platform]", "[elsewhere]"),
+        ('"drain=2500ms"', '"drain=soon"'),
+        ("memory_mb = 300", "memory_mb = -1"),
+        ("[limits]", "[limits"),
+    ],
+)
+def test_wrong_settings_are_said_to_be_wrong(line, by):
+    """Guards against a process that starts with settings it has not understood."""
+    assert parse_settings(SETTINGS.replace(line, by).encode()).is_error()
+
+
+@pytest.mark.parametrize(
+    ("text", "expected_s"), [("1500ms", 1.5), ("2.5s", 2.5), ("0ms", 0.0)]
+)
+def test_times(text, expected_s):
+    """Guards against milliseconds that are taken for seconds."""
+    assert seconds(text, "x") == pytest.approx(expected_s)
+
+
+@pytest.mark.parametrize("value", ["", "5", "5m", "-1s", "1e3s", "9" * 30 + "s", 4])
+def test_no_times(value):
+    """Guards against times that overflow or are guessed."""
+    with pytest.raises(WireError):
+        seconds(value, "x")
