Use free slots of servers that lose answers

The age of one unanswered request made a server look slow; a late request was refused unless an estimate said that it would end in time; and each lost answer made a server count as cold until its next entry.

Change: the median age of a server's requests counts, not the oldest. A late request takes any free slot. Only requests of a better rank count as ahead. An answer to a request from before the doubt shows that the server has not started again.

Ruled out: more spare requests for each server; they were empty.

--- /dev/null
+++ b/tests/servers/test_table.py
@@ -0,0 +1,67 @@
+"""Guards what is known of the backend servers that are announced."""
+
+from tests.support import advance, entry, logged, make_context, make_table
+from wagtailrill.servers.models import ServerState
+
+
+def test_server_that_starts_again_under_its_name_is_another_one():
+    """Guards against load, keys and warmth that a new process inherits."""
+    ctx = make_context()
+    table = make_table(ctx, entry("s-1"))
+    before = table.rows["s-1"]
+    table.update({"s-1": entry("s-1", start_id="s-1/2", revision=2)})
+    assert table.rows["s-1"] is not before
+
+
+def test_lost_connection_makes_a_server_count_as_cold_until_its_next_entry():
+    """Guards against a restarted server that gets full load before it is announced."""
+    ctx = make_context()
+    table = make_table(ctx, entry("s-1"))
+    row = table.rows["s-1"]
+    table.doubt_warmth(row, "lost")
+    table.update({"s-1": entry("s-1")})
+    assert table.is_cold(row)
+    table.update({"s-1": entry("s-1", revision=2)})
+    assert not table.is_cold(row)
+
+
+def test_answer_to_an_earlier_request_ends_the_doubt():
+    """Guards against sound servers that are left out for each lost answer."""
+    ctx = make_context()
+    table = make_table(ctx, entry("s-1"))
+    row = table.rows["s-1"]
+    earlier_s = ctx.now_s
+    advance(ctx, 0.1)
+    table.doubt_warmth(row, "lost")
+    advance(ctx, 0.1)
+    table.answered(row, ctx.now_s)
+    assert table.is_cold(row)  # the request was sent after the doubt
+    table.answered(row, earlier_s)
+    assert not table.is_cold(row)
+    assert "server_warmth_trusted" in logged(ctx)
+
+
+def test_cold_server_is_warm_when_its_time_is_over():
+    """Guards against servers that stay at a few requests for good."""
+    ctx = make_context()
+    table = make_table(ctx, entry("s-1", cold_left_s=3.0))
+    row = table.rows["s-1"]
+    assert table.is_cold(row)
+    advance(ctx, 3.1)
+    assert not table.is_cold(row)
+
+
+def test_leaving_server_takes_no_work():
+    """Guards against requests to a server that is about to end."""
+    table = make_table(make_context(), entry("s-1", state=ServerState.LEAVING))
+    assert not table.accepts_work(table.rows["s-1"])
+
+
+def test_address_of_a_server_that_is_gone_is_kept_for_some_time():
+    """Guards against keys that cannot be asked back from a server without entry."""
+    ctx = make_context()
+    table = make_table(ctx, entry("s-1"))
+    table.update({})
+    assert table.address_of("s-1") == "127.0.0.1:9"
+    advance(ctx, 20.0)
+    assert table.address_of("s-1") is None
--- a/wagtailrill/core/log_events.py
+++ b/wagtailrill/core/log_events.py
@@ -15,6 +15,7 @@
     SERVER_GONE = "server_gone"
     SERVER_ENTRY_INVALID = "server_entry_invalid"
     SERVER_WARMTH_DOUBTED = "server_warmth_doubted"
+    SERVER_WARMTH_TRUSTED = "server_warmth_trusted"
     CONFIGURATION_APPLIED = "configuration_applied"
     CONFIGURATION_INVALID = "configuration_invalid"
     DATA_CENTRES_CLOSED = "data_centres_closed"
--- a/wagtailrill/placement/dispatcher.py
+++ b/wagtailrill/placement/dispatcher.py
@@ -1,6 +1,7 @@
 """Places the requests of one service while this instance has its duty."""
 
 from collections.abc import Callable
+from statistics import median_low
 
 import attrs
 
@@ -106,7 +107,7 @@
             owner.demand.count(self._ctx.now_s)
         elif not request.extra:
             self._demand.count(self._ctx.now_s)
-        if self._try(waiting, len(self._waiting)):
+        if self._try(waiting, self._ahead_of(waiting)):
             return
         if request.extra:
             self._refuse(waiting)
@@ -170,18 +171,18 @@
         self._pump()
 
     def _check_assignments(self, now_s: float) -> None:
-        """Drop overdue assignments, and learn the age of each server's oldest one."""
-        oldest_s: dict[int, float] = {}
+        """Drop overdue assignments, and learn how old those of each server are."""
+        ages_s: dict[int, list[float]] = {}
         for key, assignment in list(self._assignments.items()):
             load = assignment.load
             if now_s >= assignment.until_s:
                 load.assigned -= 1
                 del self._assignments[key]
                 continue
-            age_s = now_s - assignment.placed_s
-            oldest_s[id(load)] = max(oldest_s.get(id(load), 0.0), age_s)
+            ages_s.setdefault(id(load), []).append(now_s - assignment.placed_s)
         for load in self._loads.all():
-            load.oldest_age_s = oldest_s.get(id(load), 0.0)
+            ages = ages_s.get(id(load))
+            load.usual_age_s = median_low(ages) if ages else 0.0
 
     def _pump(self) -> None:
         """Place waiting requests where there is room, the most urgent first."""
@@ -231,28 +232,25 @@
     def _best(self, waiting: Waiting, ahead: int) -> ServerLoad | None:
         """Return the server with room where a request would end first.
 
-        None if it would end sooner by waiting for a slot of a faster server, or, for a
-        late one, if it would not end in time.
+        None if it would end sooner by waiting for a slot of a faster server. A late
+        request does not wait for that.
         """
         best: ServerLoad | None = None
         best_s = float("inf")
         full: list[tuple[ServerLoad, float]] = []
         for row in self._candidates(waiting.excluded):
             load = self._loads.of(row)
-            finish_s = self._loads.time_s(load, waiting.data_centre)
+            cost_s = self._loads.cost_s(load, waiting.data_centre)
             if load.present() >= load.slots:
-                full.append((load, finish_s))
-            elif finish_s < best_s:
-                best, best_s = load, finish_s
-        if waiting.late:
-            left_s = waiting.arrived_s + waiting.request.left_s - self._ctx.now_s
-            return best if best_s < left_s else None
-        faster = [(load, finish_s) for load, finish_s in full if finish_s < best_s]
-        if best is None or not faster or waiting.request.extra:
+                full.append((load, cost_s))
+            elif cost_s < best_s:
+                best, best_s = load, cost_s
+        faster = [(load, cost_s) for load, cost_s in full if cost_s < best_s]
+        if best is None or not faster or waiting.request.extra or waiting.late:
             return best
         rate = sum(1.0 / self._loads.slot_s(load) for load, _ in faster)
         wait_s = (ahead + 1) / rate
-        sooner = wait_s + min(finish_s for _, finish_s in faster) < best_s
+        sooner = wait_s + min(cost_s for _, cost_s in faster) < best_s
         return None if sooner else best
 
     def _candidates(self, excluded: frozenset[str]) -> list[ServerRow]:
@@ -339,8 +337,10 @@
         rate = self._service_rate()
         if rate <= 0.0:
             return float("inf")
-        ahead = sum(other.rank <= waiting.rank for other in self._waiting) + 1
-        return ahead / rate
+        return (self._ahead_of(waiting) + 1) / rate
+
+    def _ahead_of(self, waiting: Waiting) -> int:
+        return sum(other.rank <= waiting.rank for other in self._waiting)
 
     def _service_rate(self) -> float:
         """Return the requests per second that all servers can begin."""
--- a/wagtailrill/requests/attempts.py
+++ b/wagtailrill/requests/attempts.py
@@ -86,6 +86,8 @@
             row.runs += 1
         if result.outcome in DOUBTFUL_OUTCOMES:
             self._servers.doubt_warmth(attempt.placed.server, result.outcome.value)
+        elif result.outcome is AttemptOutcome.ANSWERED:
+            self._servers.answered(attempt.placed.server, attempt.started_s)
         self._choice.ended(attempt.placed.server, result)
         self.on_ended(row, attempt, result)
 
--- a/wagtailrill/servers/choice.py
+++ b/wagtailrill/servers/choice.py
@@ -57,7 +57,7 @@
         loads = self._table_of(row.entry.service)
         load = loads.of(row)
         crowding = max(1.0, (load.present() + 1.0) / load.slots)
-        time_s = loads.time_s(load, self._ctx.identity.data_centre) * crowding
+        time_s = loads.cost_s(load, self._ctx.identity.data_centre) * crowding
         # Servers that look alike are used in turns.
         return time_s * (1.0 + 0.02 * self._ctx.rng.random())
 
--- a/wagtailrill/servers/const.py
+++ b/wagtailrill/servers/const.py
@@ -23,8 +23,6 @@
 UNREPORTED_DECAY_S: Final = 4.0
 UNREPORTED_MIN: Final = 0.3
 UNREPORTED_MAX: Final = 30.0
-# A new request is taken to need at least this part of the oldest one's time so far.
-OLDEST_PART: Final = 0.5
 # A server that has not answered yet counts as this much faster, so that it is tried.
 UNKNOWN_PART: Final = 0.3
 FAILURE_WEIGHT: Final = 0.15
--- a/wagtailrill/servers/load.py
+++ b/wagtailrill/servers/load.py
@@ -15,7 +15,6 @@
     FAILURE_COST,
     FAILURE_DECAY_S,
     FAILURE_WEIGHT,
-    OLDEST_PART,
     REPORT_AGE_S,
     SAMPLE_INTERVAL_S,
     SAMPLES_MAX,
@@ -73,8 +72,8 @@
     # How much longer requests take than the reported slowness explains.
     unreported: float = 1.0
     unreported_s: float = 0.0
-    # Seconds that the oldest request has been here.
-    oldest_age_s: float = 0.0
+    # Median of the seconds that its present requests have been here.
+    usual_age_s: float = 0.0
     reported_s: float = float("-inf")
     answered_s: float = float("-inf")
     sampled_s: float = float("-inf")
@@ -203,16 +202,20 @@
             # A step towards the median, which some slow servers hardly change.
             self.work_s *= math.exp(math.copysign(WORK_STEP, part - 1.0))
 
-    def time_s(self, load: ServerLoad, data_centre: str) -> float:
-        """Return the seconds that a request would take on a free slot of a server."""
+    def time_s(self, load: ServerLoad) -> float:
+        """Return the seconds that a request takes on a free slot of a server."""
         now_s = self._ctx.now_s
         time_s = self.work_s * load.slowness_now(now_s) * load.unreported_now(now_s)
-        time_s = max(time_s, load.oldest_age_s * OLDEST_PART)
+        return max(time_s, load.usual_age_s)
+
+    def cost_s(self, load: ServerLoad, data_centre: str) -> float:
+        """Return the time on a free slot, with failures and distance counted in."""
+        time_s = self.time_s(load)
         if load.row.entry.data_centre != data_centre:
             time_s *= 1.0 + DISTANT_PART
         if load.unknown and not load.assigned:
             time_s *= UNKNOWN_PART
-        return time_s * (1.0 + FAILURE_COST * load.failure_rate(now_s))
+        return time_s * (1.0 + FAILURE_COST * load.failure_rate(self._ctx.now_s))
 
     def slot_s(self, load: ServerLoad) -> float:
         """Return the seconds between two slots of a full server that become free."""
--- a/wagtailrill/servers/models.py
+++ b/wagtailrill/servers/models.py
@@ -43,6 +43,7 @@
     cold_until_s: float = float("-inf")
     # A lost connection may mean that the server started again without notice.
     doubted_revision: int | None = None
+    doubted_s: float = float("-inf")
     recent_sends_s: deque[float] = attrs.field(factory=deque)
 
     @property
--- a/wagtailrill/servers/table.py
+++ b/wagtailrill/servers/table.py
@@ -80,10 +80,20 @@
         """Take a server for cold until its next entry: it may have started again."""
         if row.doubted_revision is None:
             row.doubted_revision = row.entry.revision
+            row.doubted_s = self._ctx.now_s
             self._ctx.log(
                 LogName.SERVER_WARMTH_DOUBTED, backend_server=row.name, reason=reason
             )
 
+    def answered(self, row: ServerRow, started_s: float) -> None:
+        """Trust a server that has answered a request from before the doubt.
+
+        A process that starts again loses all requests that it was running.
+        """
+        if row.doubted_revision is not None and started_s < row.doubted_s:
+            row.doubted_revision = None
+            self._ctx.log(LogName.SERVER_WARMTH_TRUSTED, backend_server=row.name)
+
     def _update_row(self, entry: ServerEntry) -> bool:
         row = self.rows.get(entry.name)
         if row is not None and row.entry.start_id != entry.start_id:
