Spread duties over the instances, and tell every predecessor to stop

The wait after a common start had no effect, since its timer counted from 0. A successor whose write was seen by its own watch before the answer came took itself for its predecessor, and did not tell that one to stop. Each answer tried all waiting requests at all servers.

Change: the instance with the least weight of duties takes the next one; others wait. A vacancy counts from when it was seen. The former holder is kept from the time of the write.

Ruled out: a fixed order of the instances by name, which cannot know who is lost.

--- a/tests/fleet/test_duties.py
+++ b/tests/fleet/test_duties.py
@@ -107,3 +107,22 @@
     call = run.call("i-1", "roll", position=5)
     run.fleet.run_until(run.now_s + 1.5)
     assert call.answered
+
+
+def test_duties_are_spread_over_the_instances():
+    """Guards against one instance that does all the work and answers nobody in time.
+
+    On scale-1 of pcb-gate one of ten machines had the duties of all three services;
+    the others had no answer of it and refused 2,069 requests for their rate.
+    """
+    for seed in range(5):
+        run = Deployment(seed, instances=10)
+        run.start()
+        run.fleet.run_until(8.0)
+        held = {n: run.router(n).duties.held() for n in run.names}
+        assert sum(map(len, held.values())) == 8
+        assert max(map(len, held.values())) <= 2
+        services = [
+            [d for d in ds if not d.startswith("rates/")] for ds in held.values()
+        ]
+        assert max(map(len, services)) <= 1
--- a/tests/placement/test_dispatcher.py
+++ b/tests/placement/test_dispatcher.py
@@ -221,3 +221,24 @@
     advance(bench.ctx, 1.1)
     bench.dispatcher.tick()
     assert bench.verdict(bench.ask()) is PlaceVerdict.PLACED
+
+
+def test_a_long_queue_costs_little_for_each_answer():
+    """Guards against an instance that is kept busy by its queue.
+
+    Each answer tried all waiting requests at all servers, which took milliseconds.
+    """
+    bench = Bench(*(entry(f"s-{n}", slots=6) for n in range(20)))
+    numbers = [bench.ask(left_s=60.0, target_s=50.0) for _ in range(600)]
+    tried = 0
+    original = bench.dispatcher._best
+
+    def best(waiting, ahead):
+        nonlocal tried
+        tried += 1
+        return original(waiting, ahead)
+
+    bench.dispatcher._best = best
+    for number in numbers[:50]:
+        bench.end(number)
+    assert tried <= 50 * 5
--- a/wagtailrill/fleet/const.py
+++ b/wagtailrill/fleet/const.py
@@ -14,8 +14,12 @@
 # An instance that vanished from the store may still run for this long.
 VANISHED_COUNTS_S: Final = 12.0
 # Instances that start together see each other before they take duties.
-SETTLE_S: Final = 0.6
+SETTLE_S: Final = 0.3
 RANK_DELAY_S: Final = 0.2
+# Work of a duty: one that places all requests of a service, or issues tokens of some
+# organisations.
+SERVICE_DUTY_WEIGHT: Final = 3
+RATES_DUTY_WEIGHT: Final = 1
 DUTY_TICK_S: Final = 0.1
 # After an outage in which leases ended, members register again within this time.
 ABSENCE_GRACE_S: Final = 0.4
--- a/wagtailrill/fleet/duties.py
+++ b/wagtailrill/fleet/duties.py
@@ -1,5 +1,7 @@
 """Duties that one instance has at a time, by keys of the store under leases."""
 
+from collections import Counter
+
 import attrs
 
 from ..core.context import Context
@@ -38,10 +40,13 @@
 
     name: str
     listener: DutyListener
+    weight: int
     holder: DutyHolder | None = None
     held: bool = False
     fence: int = 0
     committing: bool = False
+    # Since when this instance has seen that nobody has the duty.
+    vacant_s: float | None = None
     # A former holder that may still act.
     predecessor: DutyHolder | None = None
 
@@ -61,17 +66,17 @@
         self._rows: dict[str, DutyRow] = {}
         self._resigned = False
         members.add_listener(self._changed)
-        ctx.timers.subscribe(DUTY_TICK_S, self._tick, SETTLE_S)
+        ctx.timers.subscribe(DUTY_TICK_S, self._tick)
 
     def attach(self, host: ComponentHost) -> None:
         """Register the handlers of messages."""
         host.on_messages([DutyAnnouncement], self._on_announcement)
         host.on_messages([DutyStopped], self._on_stopped)
 
-    def register(self, duty: str, listener: DutyListener) -> None:
-        """Take part in a duty from now on."""
+    def register(self, duty: str, listener: DutyListener, weight: int) -> None:
+        """Take part in a duty from now on; `weight` tells how much work it is."""
         if duty not in self._rows:
-            row = DutyRow(duty, listener)
+            row = DutyRow(duty, listener, weight)
             self._rows[duty] = row
             self._read(row)
 
@@ -153,24 +158,34 @@
                 self._try(row)
 
     def _try(self, row: DutyRow) -> None:
+        if not self._is_vacant(row):
+            row.vacant_s = None
+            return
+        if row.vacant_s is None:
+            row.vacant_s = self._ctx.now_s
         if self._resigned or not self._members.lease_valid():
             return
-        delay_s = self._rank(row) * RANK_DELAY_S
-        if self._vacant_for_s(row.holder) < delay_s:
+        if self._ctx.now_s - row.vacant_s < self._rank(row) * RANK_DELAY_S:
             return
         key = self._members.duty_key(row.name)
         identity = self._ctx.identity
         value = DutyHolder(identity.instance, identity.incarnation, 0).to_bytes()
         revision = row.holder.fence if row.holder is not None else 0
         commit = Commit((Expected(key, revision),), (Put(key, value),))
-        predecessor_s = self._may_still_act_s(row.holder)
+        # The mirror may show this write before its answer comes.
+        former = row.holder
+        predecessor_s = self._may_still_act_s(former)
         row.committing = True
         self._ctx.call_store(
-            commit, lambda result: self._committed(row, result, predecessor_s)
+            commit, lambda result: self._committed(row, result, former, predecessor_s)
         )
 
     def _committed(
-        self, row: DutyRow, result: StoreResult, predecessor_s: float
+        self,
+        row: DutyRow,
+        result: StoreResult,
+        former: DutyHolder | None,
+        predecessor_s: float,
     ) -> None:
         row.committing = False
         if result.is_error():
@@ -180,7 +195,6 @@
         committed = result.ok
         assert isinstance(committed, Committed)
         identity = self._ctx.identity
-        former = row.holder
         row.holder = DutyHolder(
             identity.instance, identity.incarnation, committed.revision
         )
@@ -228,18 +242,20 @@
             row.predecessor = None
             row.listener.predecessor_stopped(row.name)
 
-    def _vacant_for_s(self, holder: DutyHolder | None) -> float:
-        """Return for how long a duty has had nobody, negative if it has somebody."""
-        if holder is None:
-            return self._members.complete_for_s()
-        if holder == attrs.evolve(RESIGNED, fence=holder.fence):
-            return float("inf")
-        if self._ended(holder):
-            return float("inf")
-        return self._members.absent_for_s(holder.instance) - ABSENCE_GRACE_S
+    def _is_vacant(self, row: DutyRow) -> bool:
+        """Return whether nobody has a duty, as far as is known."""
+        if self._members.complete_for_s() < SETTLE_S:
+            return False
+        holder = row.holder
+        if holder is None or self._known_ended(holder):
+            return True
+        return self._members.absent_for_s(holder.instance) >= ABSENCE_GRACE_S
+
+    def _known_ended(self, holder: DutyHolder) -> bool:
+        return holder.instance == RESIGNED.instance or self._ended(holder)
 
     def _may_still_act_s(self, holder: DutyHolder | None) -> float:
-        if holder is None or self._vacant_for_s(holder) == float("inf"):
+        if holder is None or self._known_ended(holder):
             return 0.0
         absent_s = self._members.absent_for_s(holder.instance)
         return max(0.0, OUTAGE_AUTHORITY_S - absent_s)
@@ -255,6 +271,21 @@
         return member is not None and member.incarnation != holder.incarnation
 
     def _rank(self, row: DutyRow) -> int:
+        """Return how many members should rather take a duty, the least busy first."""
+        burdens = self._burdens()
         own = self._ctx.identity.instance
-        weight = rank_of(row.name, own)
-        return sum(rank_of(row.name, name) < weight for name in self._members.live())
+        place = (burdens[own], rank_of(row.name, own))
+        return sum(
+            (burdens[name], rank_of(row.name, name)) < place
+            for name in self._members.live()
+        )
+
+    def _burdens(self) -> Counter[str]:
+        """Return the weight of the duties of each instance, with those being taken."""
+        burdens: Counter[str] = Counter()
+        for row in self._rows.values():
+            if row.committing:
+                burdens[self._ctx.identity.instance] += row.weight
+            elif row.holder is not None and row.vacant_s is None:
+                burdens[row.holder.instance] += row.weight
+        return burdens
--- a/wagtailrill/keys/component.py
+++ b/wagtailrill/keys/component.py
@@ -9,6 +9,7 @@
 from ..core.orders import LoadReport
 from ..core.refusals import RefusalCode
 from ..declaration.models import Configuration
+from ..fleet.const import SERVICE_DUTY_WEIGHT
 from ..fleet.duties import Duties
 from ..fleet.members import Members
 from ..peer.registry import Envelope
@@ -84,7 +85,7 @@
         for name in keyed - self._rows.keys():
             row = ServiceRow(name, UsageTable(self._ctx))
             self._rows[name] = row
-            self._duties.register(DUTY_PREFIX + name, self)
+            self._duties.register(DUTY_PREFIX + name, self, SERVICE_DUTY_WEIGHT)
             self._read_table(row)
         for name in self._rows.keys() - keyed:
             self._duties.withdraw(DUTY_PREFIX + name)
--- a/wagtailrill/placement/component.py
+++ b/wagtailrill/placement/component.py
@@ -9,6 +9,7 @@
 from ..core.orders import AttemptResult, LoadReport
 from ..core.timer import TimerHandle
 from ..declaration.models import Configuration
+from ..fleet.const import SERVICE_DUTY_WEIGHT
 from ..fleet.duties import Duties
 from ..fleet.members import Members
 from ..keys.component import DUTY_PREFIX as KEYS_DUTY_PREFIX, KeyOwnership
@@ -98,7 +99,9 @@
             prefix = KEYS_DUTY_PREFIX if service.keyed else DUTY_PREFIX
             self._rows[service.name] = ServiceRow(prefix + service.name)
             if not service.keyed:
-                self._parts.duties.register(prefix + service.name, self)
+                self._parts.duties.register(
+                    prefix + service.name, self, SERVICE_DUTY_WEIGHT
+                )
         for name in self._rows.keys() - configuration.services.keys():
             self._parts.duties.withdraw(DUTY_PREFIX + name)
             del self._rows[name]
--- a/wagtailrill/placement/dispatcher.py
+++ b/wagtailrill/placement/dispatcher.py
@@ -13,6 +13,7 @@
 from ..servers.table import ServerTable
 from .const import (
     FORGET_AFTER_S,
+    PUMP_TRIES_MAX,
     RETRY_AFTER_MAX_S,
     RETRY_AFTER_MIN_S,
     SPARE_MAX,
@@ -189,12 +190,23 @@
         if not self._waiting:
             return
         self._waiting.sort(key=lambda waiting: waiting.rank)
-        placed: set[int] = set()
-        for ahead, waiting in enumerate(self._waiting):
-            if self._try(waiting, ahead - len(placed)):
-                placed.add(id(waiting))
-        if placed:
-            self._waiting = [w for w in self._waiting if id(w) not in placed]
+        if self._waiting[0].request.key_position == NO_KEY:
+            self._pump_anywhere()
+        else:
+            self._waiting = [w for w in self._waiting if not self._try(w, 0)]
+
+    def _pump_anywhere(self) -> None:
+        """Place requests that any server can run, as long as there is room."""
+        tried = 0
+        while tried < min(len(self._waiting), PUMP_TRIES_MAX) and self._has_room():
+            if self._try(self._waiting[tried], tried):
+                del self._waiting[tried]
+            else:
+                tried += 1
+
+    def _has_room(self) -> bool:
+        loads = map(self._loads.of, self._candidates(frozenset()))
+        return any(load.present() < load.slots for load in loads)
 
     def _try(self, waiting: Waiting, ahead: int) -> bool:
         """Place a request if there is room and nothing better to wait for."""
--- a/wagtailrill/rates/component.py
+++ b/wagtailrill/rates/component.py
@@ -7,6 +7,7 @@
 from ..core.context import Context
 from ..core.host import ComponentHost
 from ..declaration.models import Configuration
+from ..fleet.const import RATES_DUTY_WEIGHT
 from ..fleet.duties import Duties
 from ..fleet.members import Members
 from ..peer.registry import Envelope
@@ -58,7 +59,7 @@
         self.issuer.configure(limits)
         self.holder.configure(limits)
         for number in range(SHARDS):
-            self._duties.register(f"{DUTY_PREFIX}{number}", self)
+            self._duties.register(f"{DUTY_PREFIX}{number}", self, RATES_DUTY_WEIGHT)
 
     def take(self, organisation: str, on_result: Callable[[TakeResult], None]) -> None:
         """Admit a request now, or once a token has come."""
