--- /dev/null
+++ b/tests/platform/test_store_client.py
@@ -0,0 +1,217 @@
+"""Guards the client of the store against the published protocol, over HTTP."""
+
+import anyio
+import pytest
+
+from wagtailrill.platform.store_client import PlatformStore
+from wagtailrill.stand_ins.faults import Outage, StoreFaults
+from wagtailrill.stand_ins.http import async_serve
+from wagtailrill.stand_ins.store import StoreStandIn
+from wagtailrill.store.models import (
+    Commit,
+    Expected,
+    Get,
+    LeaseGrant,
+    LeaseRenew,
+    LeaseRevoke,
+    ListPrefix,
+    Put,
+    Removed,
+    StoreErrorKind,
+    WatchPrefix,
+)
+
+TIMEOUT_S = 0.3
+
+
+def run(scenario):
+    """Run a scenario with the stand-in and a client of it."""
+
+    async def async_main():
+        app = StoreStandIn()
+        async with (
+            async_serve(app) as address,
+            PlatformStore((address,), TIMEOUT_S) as store,
+        ):
+            return await scenario(app, store)
+
+    return anyio.run(async_main)
+
+
+def put(key, value=b"v", expected=None):
+    conditions = () if expected is None else (Expected(key, expected),)
+    return Commit(conditions, (Put(key, value),))
+
+
+def test_written_key_is_read_with_its_revision():
+    """Guards against values or revisions that change on the way."""
+
+    async def scenario(app, store):
+        written = (await store.async_call(put("a", b"\x00\xff"))).ok
+        return written, (await store.async_call(Get("a"))).ok.item
+
+    written, item = run(scenario)
+    assert (item.value, item.revision) == (b"\x00\xff", written.revision)
+
+
+def test_missing_key_is_no_error():
+    """Guards against an absent key that looks like an outage."""
+
+    async def scenario(app, store):
+        return (await store.async_call(Get("none"))).ok
+
+    assert run(scenario).item is None
+
+
+def test_condition_that_fails_shows_what_is_there():
+    """Guards against a lost write that its writer takes for done."""
+
+    async def scenario(app, store):
+        await store.async_call(put("a", b"1"))
+        return (await store.async_call(put("a", b"2", expected=0))).error
+
+    error = run(scenario)
+    assert error.kind is StoreErrorKind.CONFLICT
+    assert error.items[0].value == b"1"
+
+
+def test_long_prefix_is_read_page_by_page():
+    """Guards against keys beyond the first page that are never seen."""
+
+    async def scenario(app, store):
+        for number in range(700):
+            app.write(f"s/{number:04}", b"x")
+        found, after = [], ""
+        while True:
+            page = (await store.async_call(ListPrefix("s/", after))).ok
+            found += [item.key for item in page.items]
+            if not page.more:
+                return found
+            after = page.items[-1].key
+
+    assert run(scenario) == [f"s/{n:04}" for n in range(700)]
+
+
+def test_watch_returns_changes_and_removals():
+    """Guards against a change that is missed while nobody watches."""
+
+    async def scenario(app, store):
+        first = (await store.async_call(put("a/1"))).ok.revision
+        app.write("a/2", b"x")
+        app.write("a/1", None)
+        return (await store.async_call(WatchPrefix("a/", first, 1.0))).ok
+
+    changes = run(scenario)
+    assert [e.key for e in changes.events] == ["a/2", "a/1"]
+    assert isinstance(changes.events[1], Removed)
+
+
+def test_waiting_watch_is_woken_by_a_change():
+    """Guards against changes that are known only when the watch ends."""
+
+    async def scenario(app, store):
+        revision = (await store.async_call(put("a/1"))).ok.revision
+        async with anyio.create_task_group() as tasks:
+
+            async def async_change():
+                await anyio.sleep(0.1)
+                app.write("a/2", b"x")
+
+            tasks.start_soon(async_change)
+            with anyio.fail_after(2.0):
+                watched = await store.async_call(WatchPrefix("a/", revision, 10.0))
+        return watched.ok
+
+    assert [e.key for e in run(scenario).events] == ["a/2"]
+
+
+def test_forgotten_history_is_said():
+    """Guards against a watch that silently leaves changes out."""
+
+    async def scenario(app, store):
+        revision = (await store.async_call(put("a/1"))).ok.revision
+        app.write("a/2", b"x")
+        app.model.forget_history()
+        return (await store.async_call(WatchPrefix("a/", revision, 0.1))).error
+
+    assert run(scenario).kind is StoreErrorKind.COMPACTED
+
+
+def test_lease_removes_its_keys():
+    """Guards against a member that stays registered when it is lost."""
+
+    async def scenario(app, store):
+        lease = (await store.async_call(LeaseGrant(5.0))).ok
+        await store.async_call(Commit((), (Put("m", b"x", lease.lease_id),)))
+        renewed = (await store.async_call(LeaseRenew(lease.lease_id))).ok
+        before = (await store.async_call(Get("m"))).ok.item
+        await store.async_call(LeaseRevoke(lease.lease_id))
+        after = (await store.async_call(Get("m"))).ok.item
+        again = (await store.async_call(LeaseRenew(lease.lease_id))).error
+        return renewed.ttl_s, before.lease_id == lease.lease_id, after, again.kind
+
+    assert run(scenario) == (5.0, True, None, StoreErrorKind.LEASE_ENDED)
+
+
+@pytest.mark.parametrize("key", ["op/config", "servers/i-1"])
+def test_keys_of_others_are_not_written(key):
+    """Guards against a mistake that looks like an outage."""
+
+    async def scenario(app, store):
+        return (await store.async_call(put(key))).error
+
+    assert run(scenario).kind is StoreErrorKind.INVALID
+
+
+@pytest.mark.parametrize(
+    ("outage", "kind"),
+    [
+        (Outage.BUSY, StoreErrorKind.REFUSED),
+        (Outage.MANY, StoreErrorKind.REFUSED),
+        (Outage.SILENT, StoreErrorKind.NO_ANSWER),
+    ],
+)
+def test_outages_are_told_apart(outage, kind):
+    """Guards against a call that may take effect and counts as refused."""
+
+    async def scenario(app, store):
+        app.faults = StoreFaults(outage=outage)
+        error = (await store.async_call(put("a"))).error
+        app.faults = StoreFaults()
+        return error.kind, (await store.async_call(Get("a"))).is_ok()
+
+    assert run(scenario) == (kind, True)
+
+
+def test_write_whose_answer_is_lost_may_have_taken_effect():
+    """Guards against a write that is repeated as if nothing had happened."""
+
+    async def scenario(app, store):
+        app.faults = StoreFaults(lost_answer_probability=1.0)
+        error = (await store.async_call(put("a"))).error
+        app.faults = StoreFaults()
+        return error.kind, (await store.async_call(Get("a"))).ok.item is not None
+
+    assert run(scenario) == (StoreErrorKind.NO_ANSWER, True)
+
+
+def test_store_that_refuses_this_client_alone_is_an_outage_here():
+    """Guards against a client that waits for an outage of everybody."""
+
+    async def scenario(app, store):
+        app.faults = StoreFaults(outage=Outage.BUSY, clients=("127.0.0.1",))
+        refused = (await store.async_call(Get("a"))).is_error()
+        app.faults = StoreFaults(outage=Outage.BUSY, clients=("10.0.0.1",))
+        return refused, (await store.async_call(Get("a"))).is_ok()
+
+    assert run(scenario) == (True, True)
+
+
+def test_address_without_listener_is_no_answer():
+    """Guards against an exception where the store is away."""
+
+    async def async_main():
+        async with PlatformStore(("127.0.0.1:1",), TIMEOUT_S) as store:
+            return (await store.async_call(Get("a"))).error.kind
+
+    assert anyio.run(async_main) is StoreErrorKind.NO_ANSWER
--- a/tests/support.py
+++ b/tests/support.py
@@ -11,7 +11,7 @@
 
 def make_context(instance: str = "i-1", now_s: float = 100.0) -> Context:
     """Return the context of one instance in data centre `north`."""
-    ctx = Context(Identity(instance, 1, "north"), random.Random(1), Invariants())
+    ctx = Context(Identity(instance, 1, "north"), random.Random(instance), Invariants())
     ctx.set_time(now_s, 1_800_000_000.0)
     ctx.timers.advance(now_s)
     return ctx
