--- a/tests/rates/test_bucket.py
+++ b/tests/rates/test_bucket.py
@@ -45,6 +45,17 @@
     assert bucket.take(100, 10.0) == 5
 
 
+@given(rate=st.floats(0.1, 400.0), burst=st.floats(0.0, 400.0))
+def test_two_issuers_in_a_window_keep_the_bound_together(rate, burst):
+    """Guards against a successor that starts with full buckets and exceeds a limit."""
+    limit = Limit(rate, burst)
+    shaped = SETTINGS.shape(limit, 0.86, 0.08, bursts=2)
+    first, second = Bucket(shaped, 0.0, shaped.burst), Bucket(shaped, 2.0, shaped.burst)
+    taken = sum(first.take(10_000, n / 10) for n in range(20))
+    taken += sum(second.take(10_000, 2.0 + n / 10) for n in range(30))
+    assert taken <= SETTINGS.bound(limit) * 0.86 + 2.0
+
+
 def test_no_limit_stays_no_limit():
     """Guards against arithmetic with an infinite rate."""
     shaped = SETTINGS.shape(Limit(math.inf, math.inf), 0.5, 0.1)
--- a/tests/rates/test_rates.py
+++ b/tests/rates/test_rates.py
@@ -77,3 +77,37 @@
 
 def _issues(duty: str) -> bool:
     return duty.startswith("rates/")
+
+
+def test_all_processes_lost_at_once_leave_the_bound_and_serve_at_once(run):
+    """Guards against organisations that are refused after a loss of all instances.
+
+    On trouble-2 of pcb-gate 746 answers were 429 in the second after such a loss.
+    """
+    send(run, 6.0, WITHIN_PER_S, run.names)
+    for name in run.names:
+        run.kill(name)
+    run.fleet.run_until(run.now_s + 3.0)
+    for name in run.names:
+        run.fleet.start(name)
+    run.fleet.run_until(run.now_s + 1.0)
+    calls = send(run, 2.0, 5.0, ["i-1", "i-2"])
+    refused = [c for c in calls if c.refusal and c.refusal.status == 429]
+    assert len(refused) <= 1
+    assert most_in_window(run) <= RATES.bound(ORGANISATIONS["busy"])
+
+
+def test_full_start_is_allowed_once_in_a_window(run):
+    """Guards against issuers that are lost one after the other, each with full ones."""
+    for _ in range(3):
+        issuers = {n for n in run.fleet.nodes if any(_issues(d) for d in held(run, n))}
+        send(run, 0.5, 200.0, list(run.fleet.nodes))
+        for name in issuers:
+            run.kill(name)
+            run.fleet.start(name)
+    send(run, 4.0, 200.0, list(run.fleet.nodes))
+    assert most_in_window(run) <= RATES.bound(ORGANISATIONS["busy"])
+
+
+def held(run, name):
+    return run.router(name).duties.held()
--- a/tests/servers/test_table.py
+++ b/tests/servers/test_table.py
@@ -1,6 +1,15 @@
 """Guards what is known of the backend servers that are announced."""
 
+from expression import Error, Ok
+
 from tests.support import advance, entry, logged, make_context, make_table
+from wagtailrill.core.commands import CallBackend
+from wagtailrill.servers.control import (
+    CheckSameProcess,
+    ControlError,
+    ControlErrorKind,
+    Reachable,
+)
 from wagtailrill.servers.models import ServerState
 
 
@@ -41,6 +50,33 @@
     assert "server_warmth_trusted" in logged(ctx)
 
 
+def test_other_connections_that_stay_open_end_the_doubt():
+    """Guards against sound owners of keys that get nothing for a second.
+
+    On trouble-2 of nrra-gateway 810 requests were refused as if their keys moved.
+    """
+    ctx = make_context()
+    table = make_table(ctx, entry("s-1"))
+    row = table.rows["s-1"]
+    table.doubt_warmth(row, "lost")
+    (call,) = [c for c in ctx.commands if isinstance(c, CallBackend)]
+    assert isinstance(call.operation, CheckSameProcess)
+    ctx.backend_replied(call.call_id, Ok(Reachable()))
+    assert not table.is_cold(row)
+
+
+def test_doubt_stays_when_all_connections_were_lost():
+    """Guards against full load on a server that has crashed and started again."""
+    ctx = make_context()
+    table = make_table(ctx, entry("s-1"))
+    row = table.rows["s-1"]
+    table.doubt_warmth(row, "lost")
+    (call,) = [c for c in ctx.commands if isinstance(c, CallBackend)]
+    error = Error(ControlError(ControlErrorKind.NO_ANSWER))
+    ctx.backend_replied(call.call_id, error)
+    assert table.is_cold(row)
+
+
 def test_cold_server_is_warm_when_its_time_is_over():
     """Guards against servers that stay at a few requests for good."""
     ctx = make_context()
--- a/wagtailrill/core/log_events.py
+++ b/wagtailrill/core/log_events.py
@@ -36,6 +36,7 @@
     DUTY_TAKEN = "duty_taken"
     DUTY_LOST = "duty_lost"
     DUTY_RESIGNED = "duty_resigned"
+    TOKENS_STARTED = "tokens_started"
     KEYS_GRANTED = "keys_granted"
     KEYS_GRANT_FAILED = "keys_grant_failed"
     KEYS_RELEASED = "keys_released"
--- a/wagtailrill/gateway/backend_connection.py
+++ b/wagtailrill/gateway/backend_connection.py
@@ -51,6 +51,7 @@
         on_idle_close: Callable[["BackendConnection"], None],
     ) -> None:
         self.usable_until_s = float("inf")
+        self.opened_s = 0.0
         self.used_s = 0.0
         self.generation = 0
         self.transport: asyncio.Transport | None = None
--- a/wagtailrill/gateway/backend_pool.py
+++ b/wagtailrill/gateway/backend_pool.py
@@ -86,6 +86,14 @@
         self._idle.insert(0, conn)
         return True
 
+    def has_connection_from_before(self, time_s: float) -> bool:
+        """Return whether a connection is open that was opened before a loop time."""
+        busy = (running.conn for running in self._busy.values())
+        return any(
+            conn is not None and conn.open and conn.opened_s < time_s
+            for conn in (*self._idle, *busy)
+        )
+
     def cancel(self, attempt_id: int) -> None:
         """Abandon an order; its connection is closed."""
         running = self._busy.pop(attempt_id, None)
@@ -140,7 +148,7 @@
         except OSError:  # includes TimeoutError
             return None
         self.opened += 1
-        conn.used_s = self._loop.time()
+        conn.used_s = conn.opened_s = self._loop.time()
         return conn if conn.open else None
 
     def _send(self, running: RunningExchange, conn: BackendConnection) -> None:
--- a/wagtailrill/placement/component.py
+++ b/wagtailrill/placement/component.py
@@ -223,17 +223,17 @@
     def _place_alone(self, wanted: Wanted) -> Placed | NotPlaced:
         parts = self._parts
         server: ServerRow | None
+        moving = False
         if wanted.keyed and wanted.key_position is not None:
-            routes = parts.keys.routes(wanted.service)
-            server = parts.choice.known(routes.owner_of(wanted.key_position))
+            owner = parts.keys.routes(wanted.service).owner_of(wanted.key_position)
+            moving = owner not in parts.servers.rows
+            server = parts.choice.known(owner)
         else:
             server = parts.choice.choose(wanted.service, wanted.excluded)
             if server is None and wanted.excluded and not wanted.extra:
                 server = parts.choice.choose(wanted.service, frozenset())
         if server is None:
-            return NotPlaced(
-                wanted.keyed, wanted.keyed, 0.0, self._ctx.identity.instance
-            )
+            return NotPlaced(moving, wanted.keyed, 0.0, self._ctx.identity.instance)
         return Placed(server, Ticket("", 0))
 
     def _silent(self, number: int) -> None:
--- a/wagtailrill/rates/component.py
+++ b/wagtailrill/rates/component.py
@@ -6,19 +6,22 @@
 
 from ..core.context import Context
 from ..core.host import ComponentHost
+from ..core.log_events import LogName
 from ..declaration.models import Configuration
 from ..fleet.const import RATES_DUTY_WEIGHT
 from ..fleet.duties import Duties
 from ..fleet.members import Members
 from ..peer.registry import Envelope
 from ..requests.interfaces import TakeResult
-from .const import SHARDS, TICK_S
+from ..store.models import Commit, Expected, Leased, LeaseGrant, Put, StoreResult
+from .const import FULL_START_GUARD_S, SHARDS, TICK_S
 from .holder import Holder
 from .issuer import Issuer
 from .messages import TokenGrant, TokenRequest
 from .models import Limit, RateSettings
 
 DUTY_PREFIX = "rates/"
+FULL_START = "full-starts/"
 
 
 def duty_of(organisation: str) -> str:
@@ -33,6 +36,7 @@
         self, ctx: Context, members: Members, duties: Duties, cfg: RateSettings
     ) -> None:
         self._ctx = ctx
+        self._cfg = cfg
         self._duties = duties
         self.issuer = Issuer(ctx, cfg)
         self.holder = Holder(ctx, cfg, members.counted, self._ask)
@@ -47,6 +51,7 @@
 
     def apply_settings(self, cfg: RateSettings) -> None:
         """Replace the settings."""
+        self._cfg = cfg
         for part in (self.issuer, self.holder):
             part.apply_settings(cfg)
 
@@ -68,6 +73,28 @@
     def duty_taken(self, duty: str, fence: int, predecessor_may_act_s: float) -> None:
         """Begin to issue tokens."""
         self.issuer.begin(duty, predecessor_may_act_s)
+        ttl_s = self._cfg.window_s + FULL_START_GUARD_S
+        self._ctx.call_store(
+            LeaseGrant(ttl_s), lambda result: self._guard_leased(duty, fence, result)
+        )
+
+    def _guard_leased(self, duty: str, fence: int, result: StoreResult) -> None:
+        """Claim the one full start that is allowed in a window."""
+        leased = result.ok if result.is_ok() else None
+        if not isinstance(leased, Leased):
+            return  # the buckets stay empty at first, which is safe
+        key = self._members.key(FULL_START + duty)
+        put = Put(key, str(fence).encode(), leased.lease_id)
+        self._ctx.call_store(
+            Commit((Expected(key, 0),), (put,)),
+            lambda written: self._guard_written(duty, fence, written),
+        )
+
+    def _guard_written(self, duty: str, fence: int, result: StoreResult) -> None:
+        filled = result.is_ok() and self._duties.holds(duty)
+        self._ctx.log(LogName.TOKENS_STARTED, duty=duty, fence=fence, full=filled)
+        if filled:
+            self.issuer.fill(duty)
 
     def predecessor_stopped(self, duty: str) -> None:
         """Issue tokens at once."""
--- a/wagtailrill/rates/const.py
+++ b/wagtailrill/rates/const.py
@@ -23,6 +23,10 @@
 ISSUED_PART: Final = 0.86
 OWN_PART: Final = 0.08
 # Parts of what is issued, and of an instance's share, that may be used at once.
-ISSUED_BURST_PART: Final = 0.15
+ISSUED_BURST_PART: Final = 0.08
+# A new issuer may start with full buckets if none has done so for the window and the
+# time that tokens are kept, by a key of the store that ends with its lease.
+ISSUED_BURSTS: Final = 2
+FULL_START_GUARD_S: Final = 3.0
 OWN_BURST_PART: Final = 0.5
 TICK_S: Final = 0.2
--- a/wagtailrill/rates/issuer.py
+++ b/wagtailrill/rates/issuer.py
@@ -3,7 +3,7 @@
 import attrs
 
 from ..core.context import Context
-from .const import ISSUED_BURST_PART, ISSUED_PART
+from .const import ISSUED_BURST_PART, ISSUED_BURSTS, ISSUED_PART
 from .models import Bucket, Limit, RateSettings
 
 
@@ -15,6 +15,7 @@
     """
 
     issues_from_s: float
+    starts_full: bool = False
     buckets: dict[str, Bucket] = attrs.field(factory=dict)
 
 
@@ -22,7 +23,7 @@
     """Buckets of the duties that this instance has.
 
     A bucket starts empty, so that what a predecessor issued in the same window and
-    what this one issues keep the bound together.
+    what this one issues keep the bound together. Once in a window one may be filled.
     """
 
     def __init__(self, ctx: Context, cfg: RateSettings) -> None:
@@ -44,7 +45,7 @@
 
     def _apply(self) -> None:
         limits = {
-            name: self._cfg.shape(limit, ISSUED_PART, ISSUED_BURST_PART)
+            name: self._cfg.shape(limit, ISSUED_PART, ISSUED_BURST_PART, ISSUED_BURSTS)
             for name, limit in self._declared.items()
         }
         self._limits = limits
@@ -66,6 +67,15 @@
         if shard is not None:
             shard.issues_from_s = min(shard.issues_from_s, self._ctx.now_s)
 
+    def fill(self, duty: str) -> None:
+        """Fill the buckets of a duty, as they would be without a change of issuer."""
+        shard = self._shards.get(duty)
+        if shard is None:
+            return
+        shard.starts_full = True
+        for bucket in shard.buckets.values():
+            bucket.level = bucket.limit.burst
+
     def end(self, duty: str) -> None:
         """Issue no more for a duty."""
         self._shards.pop(duty, None)
@@ -96,5 +106,6 @@
         bucket = shard.buckets.get(name)
         if bucket is None:
             since_s = max(shard.issues_from_s, 0.0)
-            bucket = shard.buckets[name] = Bucket(limit, since_s)
+            level = limit.burst if shard.starts_full else 0.0
+            bucket = shard.buckets[name] = Bucket(limit, since_s, level)
         return bucket
--- a/wagtailrill/rates/models.py
+++ b/wagtailrill/rates/models.py
@@ -21,17 +21,19 @@
         declared = limit.rate_per_s * self.window_s + limit.burst
         return declared * (1.0 + self.excess) + self.allowance
 
-    def shape(self, limit: "Limit", part: float, burst_part: float) -> "Limit":
+    def shape(
+        self, limit: "Limit", part: float, burst_part: float, bursts: int = 1
+    ) -> "Limit":
         """Return the bucket that lets a part of the bound through in any window.
 
         A bucket gives at most its burst and its rate times the window, so a small
-        burst leaves a high rate.
+        burst leaves a high rate. The burst may be given `bursts` times in a window.
         """
         if math.isinf(limit.rate_per_s):
             return limit
         bound = self.bound(limit) * part
         burst = max(1.0, bound * burst_part)
-        return Limit(max(bound - burst, 0.0) / self.window_s, burst)
+        return Limit(max(bound - bursts * burst, 0.0) / self.window_s, burst)
 
 
 @attrs.frozen
--- a/wagtailrill/requests/models.py
+++ b/wagtailrill/requests/models.py
@@ -55,6 +55,7 @@
     claim_key: str | None = None
     claim_id: int = 0
     attempts: dict[int, Attempt] = attrs.field(factory=dict)
+    has_waited: bool = False
     # All attempts, with those that have ended.
     past: list[Attempt] = attrs.field(factory=list)
     runs: int = 0
--- a/wagtailrill/requests/request_log.py
+++ b/wagtailrill/requests/request_log.py
@@ -9,7 +9,7 @@
 from ..declaration.models import Configuration
 from ..placement.models import Placed
 from .checks import ArrivalChecks
-from .models import Attempt, RequestRow, RequestState
+from .models import Attempt, RequestRow
 
 Fields = dict[str, str | int | float]
 
@@ -65,8 +65,9 @@
         self.ctx.log(LogName.REQUEST_HEDGED, **self._fields(row), backend_server=server)
 
     def waits(self, row: RequestRow) -> None:
-        """Tell that a request waits because its key has no owner."""
-        if row.state is not RequestState.WAITING:
+        """Tell, once, that a request waits because its key has no owner."""
+        if not row.has_waited:
+            row.has_waited = True
             self.ctx.log(LogName.REQUEST_WAITS, **self._fields(row))
 
     def caller_left(self, row: RequestRow) -> None:
--- a/wagtailrill/runtime/driver.py
+++ b/wagtailrill/runtime/driver.py
@@ -45,6 +45,7 @@
 from ..peer.link import PeerLink
 from ..servers.control import (
     CheckReachable,
+    CheckSameProcess,
     ControlError,
     ControlErrorKind,
     ControlResult,
@@ -57,6 +58,8 @@
     "The request could not be handled; see the instance's log.",
     Ran.UNKNOWN,
 )
+# The end of a server's other connections is known this long after the first.
+CRASH_NOTICE_S = 0.04
 CONTROL_HEADERS = ((b"content-type", b"application/json"),)
 _LOG = structlog.get_logger()
 
@@ -233,6 +236,18 @@
             result = Ok(Reachable())
         self.dispatch(BackendReplied(command.call_id, result))
 
+    def _check_same_process(self, command: CallBackend) -> None:
+        opened_before_s = self._loop.time()
+
+        def check() -> None:
+            pool = self.pools.get(command.backend_server)
+            result: ControlResult = Error(ControlError(ControlErrorKind.NO_ANSWER))
+            if pool is not None and pool.has_connection_from_before(opened_before_s):
+                result = Ok(Reachable())
+            self.dispatch(BackendReplied(command.call_id, result))
+
+        self._loop.call_later(CRASH_NOTICE_S, check)
+
     async def _async_call_store(self, command: CallStore) -> None:
         result = await self._parts.store.async_call(command.operation)
         self._parts.metrics.record_store_call(
@@ -246,6 +261,9 @@
         if isinstance(operation, CheckReachable):
             self._spawn(self._async_check(command))
             return
+        if isinstance(operation, CheckSameProcess):
+            self._check_same_process(command)
+            return
         call = self._parts.control.encode(operation)
         # Attempts have positive numbers.
         attempt_id = -command.call_id
--- a/wagtailrill/servers/control.py
+++ b/wagtailrill/servers/control.py
@@ -36,7 +36,12 @@
     """Open a connection, which is kept for requests."""
 
 
-ControlOperation = GrantKeys | ReleaseKeys | CheckReachable
+@attrs.frozen
+class CheckSameProcess:
+    """Look whether connections from before now stay open: a crash ends all of them."""
+
+
+ControlOperation = GrantKeys | ReleaseKeys | CheckReachable | CheckSameProcess
 
 
 @attrs.frozen
--- a/wagtailrill/servers/table.py
+++ b/wagtailrill/servers/table.py
@@ -9,6 +9,7 @@
 from ..core.log_events import LogName
 from ..declaration.models import Configuration, Service
 from .const import GONE_KEPT_S
+from .control import CheckSameProcess, ControlResult
 from .models import ServerEntry, ServerRow, ServerState
 
 TableListener = Callable[[], None]
@@ -84,6 +85,15 @@
             self._ctx.log(
                 LogName.SERVER_WARMTH_DOUBTED, backend_server=row.name, reason=reason
             )
+            self._check_process(row, row.doubted_s)
+
+    def _check_process(self, row: ServerRow, doubted_s: float) -> None:
+        def on_checked(result: ControlResult) -> None:
+            still = row.doubted_revision is not None and row.doubted_s == doubted_s
+            if result.is_ok() and still:
+                self._trust(row, "other_connections_stay_open")
+
+        self._ctx.call_backend(row.name, CheckSameProcess(), on_checked)
 
     def answered(self, row: ServerRow, started_s: float) -> None:
         """Trust a server that has answered a request from before the doubt.
@@ -91,8 +101,13 @@
         A process that starts again loses all requests that it was running.
         """
         if row.doubted_revision is not None and started_s < row.doubted_s:
-            row.doubted_revision = None
-            self._ctx.log(LogName.SERVER_WARMTH_TRUSTED, backend_server=row.name)
+            self._trust(row, "earlier_request_answered")
+
+    def _trust(self, row: ServerRow, reason: str) -> None:
+        row.doubted_revision = None
+        self._ctx.log(
+            LogName.SERVER_WARMTH_TRUSTED, backend_server=row.name, reason=reason
+        )
 
     def _update_row(self, entry: ServerEntry) -> bool:
         row = self.rows.get(entry.name)
--- a/wagtailrill/stand_ins/virtual_servers.py
+++ b/wagtailrill/stand_ins/virtual_servers.py
@@ -12,6 +12,7 @@
 from ..core.orders import AttemptOutcome, AttemptResult, LoadReport, Order
 from ..servers.control import (
     CheckReachable,
+    CheckSameProcess,
     ControlError,
     ControlErrorKind,
     ControlResult,
@@ -26,6 +27,7 @@
 
 CONTROL_TIMEOUT_S = 0.5
 RELEASE_POLL_S = 0.01
+CRASH_NOTICE_S = 0.04
 OUTCOME_BY_REASON = {
     NotRun.SHED: AttemptOutcome.SHED,
     NotRun.FENCED: AttemptOutcome.MISDIRECTED,
@@ -190,6 +192,12 @@
             event = BackendReplied(command.call_id, result)
             self.fleet.deliver_to(row, event, delay_s)
 
+        if isinstance(command.operation, CheckSameProcess):
+            self.fleet.call_later(
+                CRASH_NOTICE_S, lambda: reply(self._same_process(server), 0.0)
+            )
+            return
+
         def arrive() -> None:
             not_sent = ControlError(ControlErrorKind.NOT_SENT)
             no_answer = ControlError(ControlErrorKind.NO_ANSWER)
@@ -215,6 +223,13 @@
 
         self.fleet.call_later(self._delay(), arrive)
 
+    def _same_process(self, server: VirtualServer | None) -> ControlResult:
+        """Return whether connections from before a loss would still be open."""
+        now_s = self.fleet.now_s
+        if server is None or server.down or server.model.started_s > now_s - 1.0:
+            return Error(ControlError(ControlErrorKind.NO_ANSWER))
+        return Ok(Reachable())
+
     def _carry_out(
         self,
         server: VirtualServer,
@@ -241,7 +256,7 @@
             fenced = ControlError(ControlErrorKind.FENCED)
             result: ControlResult = Ok(KeysGranted(load)) if granted else Error(fenced)
             reply(result, self._delay())
-        else:
+        elif isinstance(operation, ReleaseKeys):
             model.release(operation.first, operation.last, operation.fence, now_s)
             self._answer_release(server, operation, reply)
 
