Read the list of servers once for all instances

Change: the holder of a duty reads the list every 0.45 s; the others ask it for changes every 0.5 s, and read themselves when what they know is older than 1.4 s. An answer counts from the time of the question, so a delayed one makes nothing look fresh. A duty that was just taken counts in its holder's weight at once. Requests give way as late as before.

Ruled out: a watch on the entries, which would return with every heartbeat; lists every 1.4 s by everybody, which make leaving servers known too late when a call fails.

Tests of changes, losses and cuts pass.

--- a/wagtailrill/fleet/const.py
+++ b/wagtailrill/fleet/const.py
@@ -20,6 +20,7 @@
 # organisations.
 SERVICE_DUTY_WEIGHT: Final = 3
 RATES_DUTY_WEIGHT: Final = 1
+READER_DUTY_WEIGHT: Final = 1
 DUTY_TICK_S: Final = 0.1
 # After an outage in which leases ended, members register again within this time.
 ABSENCE_GRACE_S: Final = 0.4
--- a/wagtailrill/fleet/duties.py
+++ b/wagtailrill/fleet/duties.py
@@ -138,7 +138,7 @@
         self._learn(row, holder)
 
     def _learn(self, row: DutyRow, holder: DutyHolder) -> None:
-        row.holder = holder
+        row.holder, row.vacant_s = holder, None
         if row.held and holder.fence > row.fence:
             self._ctx.log(
                 LogName.DUTY_LOST,
@@ -202,7 +202,7 @@
             row.fence = committed.revision
             self._release(row)
             return
-        row.held, row.fence = True, committed.revision
+        row.held, row.fence, row.vacant_s = True, committed.revision, None
         self._ctx.log(
             LogName.DUTY_TAKEN,
             duty=row.name,
--- a/wagtailrill/placement/const.py
+++ b/wagtailrill/placement/const.py
@@ -14,13 +14,11 @@
 PUMP_TRIES_MAX: Final = 4
 # Requests beyond the slots of a server, so that a slot does not wait for a message.
 SPARE_MAX: Final = 1
-# A request counts as late when less than a slow one's time, as a multiple of the usual
-# one, is left until its target; it has then waited for some part of the target.
-SLOW_WORK_MARGIN: Final = 2.0
-WAIT_PART_MIN: Final = 0.2
-WAIT_PART_MAX: Final = 0.45
-# It is refused when less than the usual time, with this margin, is left altogether.
+# A request counts as late when less than its usual time, with this margin, is left
+# until its target; it has then waited for some part of the target.
 WORK_MARGIN: Final = 1.2
+WAIT_PART_MIN: Final = 0.3
+WAIT_PART_MAX: Final = 0.45
 # Part of the servers' rate that late requests may reckon with at least.
 SPARE_PART_MIN: Final = 0.05
 RETRY_AFTER_MIN_S: Final = 0.15
--- a/wagtailrill/placement/dispatcher.py
+++ b/wagtailrill/placement/dispatcher.py
@@ -16,7 +16,6 @@
     PUMP_TRIES_MAX,
     RETRY_AFTER_MAX_S,
     RETRY_AFTER_MIN_S,
-    SLOW_WORK_MARGIN,
     SPARE_MAX,
     SPARE_PART_MIN,
     WAIT_PART_MAX,
@@ -288,9 +287,8 @@
         now_s = self._ctx.now_s
         work_s = self._loads.work_s * WORK_MARGIN
         target_left_s = request.target_s - request.waited_s
-        slow_work_s = self._loads.work_s * SLOW_WORK_MARGIN
         soonest_s = request.target_s * WAIT_PART_MIN - request.waited_s
-        late_s = max(target_left_s - slow_work_s, soonest_s)
+        late_s = max(target_left_s - work_s, soonest_s)
         late_s = min(late_s, request.target_s * WAIT_PART_MAX - request.waited_s)
         hopeless_s = request.left_s - work_s
         return Waiting(
--- a/wagtailrill/router/messages.py
+++ b/wagtailrill/router/messages.py
@@ -8,6 +8,7 @@
 from ..peer.registry import MessageRegistry
 from ..placement.messages import register_messages as register_placement
 from ..rates.messages import register_messages as register_rates
+from ..servers.messages import register_messages as register_servers
 
 REGISTRARS: Final = (
     register_crash_guard,
@@ -15,6 +16,7 @@
     register_keys,
     register_rates,
     register_placement,
+    register_servers,
 )
 
 
--- a/wagtailrill/router/router.py
+++ b/wagtailrill/router/router.py
@@ -25,6 +25,7 @@
 from ..retries.extra_attempts import ExtraAttempts
 from ..servers.choice import ServerChoice
 from ..servers.discovery import Discovery, DiscoverySettings
+from ..servers.relay import EntryRelay
 from ..servers.table import ServerTable
 from ..servers.warmth import ColdAllowances
 from .models import Adapter, Allowances, DeclaredServers, RouterSettings
@@ -57,6 +58,11 @@
         self.keys = KeyOwnership(
             ctx, self.servers, self.members, self.duties, cfg.key_table_prefix
         )
+        self.relay = (
+            EntryRelay(ctx, self.duties, self.discovery, self.servers)
+            if self.discovery is not None
+            else None
+        )
         counted = self.members.counted
         allowances = cfg.allowances
         self.rates = Rates(ctx, self.members, self.duties, allowances.rates)
@@ -81,8 +87,6 @@
         self.ctx.set_time(now_s, wall_s)
         self.members.start()
         self.configuration.start()
-        if self.discovery is not None:
-            self.discovery.start()
         return self.step(None, now_s, wall_s)
 
     def step(self, event: Event | None, now_s: float, wall_s: float) -> list[Command]:
@@ -192,6 +196,8 @@
             self.pipeline,
         ):
             part.attach(self.host)
+        if self.relay is not None:
+            self.relay.attach(self.host)
         self.configuration.add_listener(self._configure)
         self.host.on_event(DrainRequested, self._drain)
 
--- a/wagtailrill/servers/const.py
+++ b/wagtailrill/servers/const.py
@@ -2,7 +2,12 @@
 
 from typing import Final
 
-LIST_INTERVAL_S: Final = 0.9
+# One instance reads the entries for all; the others ask it, and read themselves when
+# what they know is older than the age below.
+LIST_INTERVAL_S: Final = 0.45
+POLL_INTERVAL_S: Final = 0.5
+FALLBACK_AGE_S: Final = 1.4
+RELAY_TICK_S: Final = 0.05
 LIST_RETRY_S: Final = 0.3
 # After an outage of the store, servers that live write their entries again within
 # this time; entries that are still missing then are gone.
--- a/wagtailrill/servers/discovery.py
+++ b/wagtailrill/servers/discovery.py
@@ -9,7 +9,7 @@
 from ..core.context import Context
 from ..core.log_events import LogName
 from ..store.models import Item, Listed, ListPrefix, StoreError, StoreResult
-from .const import LIST_INTERVAL_S, LIST_RETRY_S, RETURN_GRACE_S
+from .const import LIST_RETRY_S, RETURN_GRACE_S
 from .models import ServerEntry
 
 OnEntries = Callable[[dict[str, ServerEntry]], None]
@@ -25,14 +25,17 @@
 
 @attrs.frozen
 class DiscoverySettings:
-    """Prefix of the entries, and seconds between two reads of them."""
+    """Prefix of the entries in the store."""
 
     prefix: str
-    interval_s: float = LIST_INTERVAL_S
 
 
 class Discovery:
-    """Lists the entries at an interval and keeps the last ones during an outage."""
+    """Reads the entries when told to, and keeps the last ones during an outage.
+
+    `confirmed_s` is when the read began that the present entries come from, or that of
+    another instance. `on_read` gets each list that was read here.
+    """
 
     def __init__(
         self,
@@ -48,15 +51,25 @@
         self._decoder = decoder
         self._on_entries = on_entries
         self._page: dict[str, ServerEntry] = {}
+        self.on_read: OnEntries = lambda entries: None
+        self._reading = False
+        self._retry_s = float("-inf")
         self._started_s = 0.0
         self._failing_since_s: float | None = None
         self._returned_s = float("-inf")
         self._invalid: frozenset[str] = frozenset()
         self._page_invalid: set[str] = set()
 
-    def start(self) -> None:
-        """Begin to read."""
-        self._list("")
+    def read(self) -> None:
+        """Read the entries, unless that is under way or has just failed."""
+        if not self._reading and self._ctx.now_s >= self._retry_s:
+            self._reading = True
+            self._list("")
+
+    def accept(self, entries: dict[str, ServerEntry], confirmed_s: float) -> None:
+        """Take over the entries that another instance has read."""
+        self.confirmed_s, self.entries = confirmed_s, entries
+        self._on_entries(entries)
 
     def _list(self, after: str) -> None:
         if not after:
@@ -76,9 +89,6 @@
             self._list(page.items[-1].key)
             return
         self._succeeded()
-        next_s = self._started_s + self._cfg.interval_s
-        delay_s = max(next_s - self._ctx.now_s, LIST_RETRY_S)
-        self._ctx.timers.call_later(delay_s, lambda: self._list(""))
 
     def _read(self, item: Item) -> None:
         decoded = self._decoder.decode(item)
@@ -96,6 +106,7 @@
 
     def _succeeded(self) -> None:
         now_s = self._ctx.now_s
+        self._reading = False
         if self._failing_since_s is not None:
             outage_s = now_s - self._failing_since_s
             self._failing_since_s = None
@@ -107,6 +118,7 @@
         self._invalid = frozenset(self._page_invalid)
         self.confirmed_s = self._started_s
         self.entries = self._page
+        self.on_read(self.entries)
         self._on_entries(self.entries)
 
     def _failed(self, error: StoreError) -> None:
@@ -118,5 +130,5 @@
                 message=error.message,
                 age_s=round(self._ctx.now_s - self.confirmed_s, 3),
             )
-        delay_s = LIST_RETRY_S * self._ctx.rng.uniform(0.7, 1.3)
-        self._ctx.timers.call_later(delay_s, lambda: self._list(""))
+        self._reading = False
+        self._retry_s = self._ctx.now_s + LIST_RETRY_S * self._ctx.rng.uniform(0.7, 1.3)
--- /dev/null
+++ b/wagtailrill/servers/messages.py
@@ -0,0 +1,47 @@
+"""Peer messages about the entries of backend servers."""
+
+from pathlib import Path
+from typing import Final
+
+import attrs
+
+from ..peer.registry import MessageRegistry
+from .models import ServerEntry
+
+
+@attrs.frozen
+class EntriesRequest:
+    """Asks the reader for what has changed since a version of its list.
+
+    `doubted` names servers whose entry the sender wants in any case.
+    """
+
+    number: int
+    reader_fence: int
+    version: int
+    doubted: tuple[str, ...]
+
+
+@attrs.frozen
+class EntriesAnswer:
+    """Changes up to `version`, or with `full` all entries.
+
+    `age_s` is how long ago the reader began to read the list from the store.
+    """
+
+    number: int
+    reader_fence: int
+    version: int
+    full: bool
+    age_s: float
+    entries: tuple[ServerEntry, ...]
+    gone: tuple[str, ...]
+
+
+SCHEMA_FILE: Final = Path(__file__).with_name("servers.capnp")
+MESSAGES: Final[dict[int, type]] = {140: EntriesRequest, 141: EntriesAnswer}
+
+
+def register_messages(registry: MessageRegistry) -> None:
+    """Register the messages of this package."""
+    registry.register(SCHEMA_FILE, MESSAGES)
--- /dev/null
+++ b/wagtailrill/servers/servers.capnp
@@ -0,0 +1,31 @@
+@0xc5a90d17e2b64f83;
+
+struct ServerEntry {
+  name @0 :Text;
+  service @1 :Text;
+  address @2 :Text;
+  dataCentre @3 :Text;
+  slots @4 :UInt32;
+  connectionsMax @5 :UInt32;
+  state @6 :Text;
+  startId @7 :Text;
+  coldLeftS @8 :Float64;
+  revision @9 :UInt64;
+}
+
+struct EntriesRequest {
+  number @0 :UInt64;
+  readerFence @1 :UInt64;
+  version @2 :UInt64;
+  doubted @3 :List(Text);
+}
+
+struct EntriesAnswer {
+  number @0 :UInt64;
+  readerFence @1 :UInt64;
+  version @2 :UInt64;
+  full @3 :Bool;
+  ageS @4 :Float64;
+  entries @5 :List(ServerEntry);
+  gone @6 :List(Text);
+}
