--- a/tests/servers/test_table.py
+++ b/tests/servers/test_table.py
@@ -77,6 +77,21 @@
     assert table.is_cold(row)
 
 
+def test_doubt_ends_by_itself_where_entries_never_change():
+    """Guards against declared servers that get nothing for good after one crash."""
+    ctx = make_context()
+    table = make_table(ctx, entry("s-1"))
+    row = table.rows["s-1"]
+    table.doubt_warmth(row, "lost")
+    advance(ctx, 2.5)
+    assert table.is_cold(row)
+    table.doubt_warmth(row, "connect_failed")
+    advance(ctx, 2.5)
+    assert table.is_cold(row)
+    advance(ctx, 1.0)
+    assert not table.is_cold(row)
+
+
 def test_cold_server_is_warm_when_its_time_is_over():
     """Guards against servers that stay at a few requests for good."""
     ctx = make_context()
--- a/wagtailrill/servers/const.py
+++ b/wagtailrill/servers/const.py
@@ -18,6 +18,10 @@
 COLD_ALLOWANCE_PART: Final = 0.9
 # The address of a server whose entry has ended is kept for this long.
 GONE_KEPT_S: Final = 15.0
+# A server that may have started again counts as cold this long, if its service does not
+# declare for how long servers stay cold, and this much longer.
+DOUBT_S: Final = 2.0
+DOUBT_MARGIN_S: Final = 1.0
 WORK_INITIAL_S: Final = 0.15
 WORK_STEP: Final = 0.02
 REPORT_AGE_S: Final = 0.6
--- a/wagtailrill/servers/table.py
+++ b/wagtailrill/servers/table.py
@@ -8,7 +8,7 @@
 from ..core.context import Context
 from ..core.log_events import LogName
 from ..declaration.models import Configuration, Service
-from .const import GONE_KEPT_S
+from .const import DOUBT_MARGIN_S, DOUBT_S, GONE_KEPT_S
 from .control import CheckSameProcess, ControlResult
 from .models import ServerEntry, ServerRow, ServerState
 
@@ -75,13 +75,24 @@
 
     def is_cold(self, row: ServerRow) -> bool:
         """Return whether a server is cold, or may be."""
-        return self._ctx.now_s < row.cold_until_s or row.doubted_revision is not None
+        now_s = self._ctx.now_s
+        doubted = row.doubted_revision is not None
+        return now_s < row.cold_until_s or (
+            doubted and now_s < self._doubted_until(row)
+        )
+
+    def _doubted_until(self, row: ServerRow) -> float:
+        """Return when a server that started again at the doubt would be warm."""
+        service = self._services.get(row.entry.service)
+        cold_start = service.cold_start if service is not None else None
+        duration_s = cold_start.duration_s if cold_start else DOUBT_S
+        return row.doubted_s + duration_s + DOUBT_MARGIN_S
 
     def doubt_warmth(self, row: ServerRow, reason: str) -> None:
         """Take a server for cold until its next entry: it may have started again."""
+        row.doubted_s = self._ctx.now_s
         if row.doubted_revision is None:
             row.doubted_revision = row.entry.revision
-            row.doubted_s = self._ctx.now_s
             self._ctx.log(
                 LogName.SERVER_WARMTH_DOUBTED, backend_server=row.name, reason=reason
             )
