--- a/tests/placement/test_dispatcher.py
+++ b/tests/placement/test_dispatcher.py
@@ -254,7 +254,7 @@
     bench.slow_down("slow", 3.0)
     numbers = [bench.ask() for _ in range(40)]
     assert sum(bench.verdict(n) is PlaceVerdict.QUEUED for n in numbers) > 4
-    # Urgent requests wait for the fast server meanwhile; the others are late at the end.
+    # Urgent requests wait for the fast server meanwhile; the others get late.
     for _ in range(6):
         advance(bench.ctx, 0.03)
         _ = [bench.ask(priority=0) for _ in range(6)]
