Let keyed requests wait for their owner, and split two long modules

Nobody else can run a keyed request.

Change: a keyed request waits as long as its place in the owner's queue allows. The dispatcher's rows, second attempts and requests without a usable owner have modules of their own.

Ruled out: the same for services without keys; others would wait longer there.

--- a/tests/placement/test_dispatcher.py
+++ b/tests/placement/test_dispatcher.py
@@ -184,6 +184,22 @@
     assert bench.verdict(numbers[3]) is PlaceVerdict.QUEUED
 
 
+def test_keyed_request_waits_for_a_busy_owner_as_long_as_it_can():
+    """Guards against refusals where no other server could run the request.
+
+    On trouble-2 of pcb-gate 596 night-summary were refused, half of them at once, since
+    their owner's requests took all of its rate.
+    """
+    bench = Bench(entry("s-1"), owners={7: "s-1"})
+    numbers = [bench.ask(key_position=7, target_s=0.8, left_s=1.6) for _ in range(12)]
+    verdicts = [bench.verdict(n) for n in numbers]
+    assert verdicts[3:] == [PlaceVerdict.QUEUED] * 9
+    for _ in range(4):
+        advance(bench.ctx, 0.1)
+        bench.dispatcher.tick()
+    assert PlaceVerdict.REFUSED not in [bench.verdict(n) for n in numbers]
+
+
 def test_request_for_a_moving_key_waits_for_a_short_move():
     """Guards against refusals during a move that ends soon."""
     bench = Bench(entry("s-1"), served_in_s=0.3)
--- a/wagtailrill/placement/dispatcher.py
+++ b/wagtailrill/placement/dispatcher.py
@@ -29,70 +29,11 @@
     PlaceRequest,
     PlaceVerdict,
 )
+from .queue import Assignment, Outlook, Reply, Waiting
 
-Reply = Callable[[PlaceAnswer], None]
 OwnerOf = Callable[[int], str]
 
 
-@attrs.define(eq=False)
-class Waiting:
-    """A request that waits for room.
-
-    From `late_from_s` on it cannot reach its target any more. Then it has a slot only
-    when no other request wants it, until `hopeless_from_s`.
-    """
-
-    request: PlaceRequest
-    asker: str
-    data_centre: str
-    reply: Reply
-    arrived_s: float
-    late_from_s: float
-    hopeless_from_s: float
-    excluded: frozenset[str]
-    late: bool = False
-
-    @property
-    def rank(self) -> tuple[bool, int, float]:
-        """Return the order in which requests are placed."""
-        first_s = self.arrived_s - self.request.waited_s
-        return self.late, self.request.priority, first_s
-
-
-@attrs.define(eq=False)
-class Assignment:
-    """A request that is at a backend server."""
-
-    load: ServerLoad
-    placed_s: float
-    until_s: float
-
-
-@attrs.frozen
-class Outlook:
-    """What a request can expect: the best server with room, and faster full ones.
-
-    `faster_per_s` is how many requests a second the faster ones begin, `fastest_s` the
-    shortest time on one of them.
-    """
-
-    best: ServerLoad | None
-    best_s: float
-    faster_per_s: float
-    fastest_s: float
-
-    def choice(self, waiting: Waiting, ahead: int) -> ServerLoad | None:
-        """Return the server for a request, None if it should wait.
-
-        It should wait if it would end sooner at a faster server, where `ahead` others
-        go first. A late request does not wait for that.
-        """
-        if waiting.late or waiting.request.extra or self.faster_per_s <= 0.0:
-            return self.best
-        wait_s = (ahead + 1) / self.faster_per_s
-        return None if wait_s + self.fastest_s < self.best_s else self.best
-
-
 @attrs.frozen
 class DispatcherParts:
     """What a dispatcher needs.
@@ -127,10 +68,7 @@
     ) -> None:
         """Answer a request at once, or when there is room."""
         waiting = self._waiting_of(request, asker, data_centre, reply)
-        owner = self._owner(waiting)
-        if owner is not None:
-            owner.demand.count(self._ctx.now_s)
-        elif not request.extra:
+        if not request.extra:
             self._demand.count(self._ctx.now_s)
         if self._try(waiting, self._ahead_of(waiting)):
             return
@@ -352,19 +290,21 @@
         return self._service_wait_s(waiting) if wait_s is None else wait_s
 
     def _late_wait_s(self, waiting: Waiting) -> float:
-        """Return how long a late request waits, by the room that others leave."""
-        now_s = self._ctx.now_s
-        if waiting.request.key_position == NO_KEY:
-            rate, used = self._service_rate(), self._demand.rate(now_s)
-            ahead = len(self._waiting)
-        else:
+        """Return how long a late request waits, by the room that others leave.
+
+        A key has one owner, so a request for it waits behind all others there: nobody
+        else can run it.
+        """
+        if waiting.request.key_position != NO_KEY:
             owner = self._owner(waiting)
             if owner is None:
                 return self._parts.served_in_s(waiting.request.key_position)
-            rate, used = 1.0 / self._loads.slot_s(owner), owner.demand.rate(now_s)
-            ahead = sum(self._owner(other) is owner for other in self._waiting)
+            ahead = owner.present() + 1.0 - owner.slots
+            ahead += sum(self._owner(other) is owner for other in self._waiting)
+            return ahead * self._loads.slot_s(owner)
+        rate, used = self._service_rate(), self._demand.rate(self._ctx.now_s)
         spare = max(rate - used, rate * SPARE_PART_MIN)
-        return (ahead + 1) / spare if spare > 0.0 else float("inf")
+        return (len(self._waiting) + 1) / spare if spare > 0.0 else float("inf")
 
     def _owner_wait_s(self, waiting: Waiting) -> float | None:
         """Return the wait for a key's owner, None if any server can be chosen."""
--- a/wagtailrill/requests/pipeline.py
+++ b/wagtailrill/requests/pipeline.py
@@ -34,8 +34,8 @@
     MISDIRECTED_PAUSE_S,
     USEFUL_TIME_MIN_S,
     WAIT_PART_OF_TARGET,
-    WAIT_TICK_S,
 )
+from .hedging import NOT_STARTED, Hedging, HedgingParts
 from .interfaces import KeyRouter, RateLimits, Retries, TakeResult
 from .models import Attempt, RequestCounters, RequestRow, RequestState, count
 from .refusals import (
@@ -49,15 +49,13 @@
     no_room,
 )
 from .request_log import RequestLog
+from .waiting import WaitingRequests
 
 # An attempt that failed like this may be repeated if the request is idempotent.
 REPEATED_IF_IDEMPOTENT = frozenset(
     {AttemptOutcome.LOST, AttemptOutcome.BAD_ANSWER, AttemptOutcome.FAILED}
 )
 
-# Reported for a placed request that is not sent.
-NOT_STARTED = AttemptResult(0, AttemptOutcome.CANCELLED, 0.0)
-
 
 @attrs.frozen
 class PipelineParts:
@@ -85,13 +83,24 @@
         self._ctx = parts.ctx
         self._log = RequestLog(parts.ctx, parts.checks)
         self._rows: dict[int, RequestRow] = {}
-        self._waiting: dict[int, RequestRow] = {}
-        self._ticking = False
+        self._waiting = WaitingRequests(parts.ctx, self._place)
         self._stops_at_s = float("inf")
         self._attempts = AttemptRunner(
             parts.ctx, parts.servers, parts.choice, self.counters, parts.instances
         )
         self._attempts.on_ended = self._attempt_ended
+        self._hedging = Hedging(
+            HedgingParts(
+                parts.ctx,
+                parts.retries,
+                parts.placement,
+                self._attempts,
+                self.counters,
+                self._log,
+                self._current,
+                self._wanted,
+            )
+        )
 
     def attach(self, host: ComponentHost) -> None:
         """Register the handlers of events."""
@@ -228,14 +237,15 @@
         if isinstance(result, Placed):
             if self._current(row):
                 self._attempts.start(row, result)
-                self._arm_hedge(row)
+                self._hedging.arm(row)
             else:
                 self._parts.placement.ended(row.service.name, result, NOT_STARTED)
             return
         if not self._current(row):
             return
         if result.may_wait and not self._waited_too_long(row):
-            self._wait(row)
+            self._log.waits(row)
+            self._waiting.add(row)
             return
         row.decided_by = result.decided_by
         row.wait_reason = (
@@ -257,26 +267,6 @@
             extra=extra,
         )
 
-    def _wait(self, row: RequestRow) -> None:
-        self._log.waits(row)
-        row.state = RequestState.WAITING
-        self._waiting[row.req.request_id] = row
-        if not self._ticking:
-            self._ticking = True
-            self._ctx.timers.call_later(WAIT_TICK_S, self._tick)
-
-    def _tick(self) -> None:
-        self._ticking = False
-        ordered = sorted(
-            self._waiting.values(), key=lambda row: (row.priority, row.arrived_s)
-        )
-        self._waiting.clear()
-        for row in ordered:
-            self._place(row)
-        if self._waiting and not self._ticking:
-            self._ticking = True
-            self._ctx.timers.call_later(WAIT_TICK_S, self._tick)
-
     def _waited_too_long(self, row: RequestRow) -> bool:
         waited_s = self._ctx.now_s - row.arrived_s
         return waited_s >= row.route.target_s * WAIT_PART_OF_TARGET
@@ -344,40 +334,6 @@
             return False
         return self._parts.retries.take(row.service.name)
 
-    def _arm_hedge(self, row: RequestRow) -> None:
-        if not row.route.idempotent or row.service.keyed or row.req.attempt:
-            return
-        delay_s = self._parts.retries.hedge_delay_s(row.service.name)
-        if delay_s is not None:
-            row.hedge_timer = self._ctx.timers.call_later(
-                delay_s, lambda: self._hedge(row)
-            )
-
-    def _hedge(self, row: RequestRow) -> None:
-        """Send a second attempt to another server."""
-        if not self._current(row) or len(row.attempts) != 1:
-            return
-        if row.runs + len(row.attempts) >= row.route.attempts_max:
-            return
-        if not self._parts.retries.may_take(row.service.name):
-            return
-        row.hedge_question = self._parts.placement.place(
-            self._wanted(row, extra=True),
-            lambda result: self._hedge_placed(row, result),
-        )
-
-    def _hedge_placed(self, row: RequestRow, result: Placed | NotPlaced) -> None:
-        row.hedge_question = 0
-        if isinstance(result, NotPlaced):
-            return
-        wanted = self._current(row) and len(row.attempts) == 1
-        if not wanted or not self._parts.retries.take(row.service.name):
-            self._parts.placement.ended(row.service.name, result, NOT_STARTED)
-            return
-        self.counters.hedges += 1
-        self._log.hedged(row, result)
-        self._attempts.start(row, result, hedge=True)
-
     # Ends
 
     def _answer(self, row: RequestRow, attempt: Attempt, result: AttemptResult) -> None:
@@ -407,7 +363,7 @@
 
     def _finish(self, row: RequestRow) -> None:
         self._rows.pop(row.req.request_id, None)
-        self._waiting.pop(row.req.request_id, None)
+        self._waiting.discard(row)
         if row.claim_id:
             end = ClaimEnd.UNKNOWN if row.may_have_run else ClaimEnd.NOT_RUN
             self._parts.claims.complete(row.claim_id, end)
--- a/wagtailrill/servers/load.py
+++ b/wagtailrill/servers/load.py
@@ -82,8 +82,6 @@
     failures_s: float = 0.0
     suspect_until_s: float = float("-inf")
     suspect_s: float = 0.0
-    # Requests that want just this server, as the owner of their keys.
-    demand: Demand = attrs.field(factory=Demand)
 
     def report(self, load: LoadReport, now_s: float) -> None:
         """Take in a load report."""
