--- a/tests/platform/test_program.py
+++ b/tests/platform/test_program.py
@@ -32,7 +32,8 @@
 SERVICES = {"desk": False, "box": False, "roll": True}
 KEY = b"Bearer k1"
 HOST_BY_PREFIX = {"/x/": b"a.example", "/y/": b"b.example", "/z/": b"b.example"}
-PATIENCE_S = 15.0
+# A bare start took 9 s beside twelve busy processes on six cores.
+PATIENCE_S = 60.0
 
 
 def free_port() -> int:
@@ -49,7 +50,7 @@
 ip = "127.0.0.1"
 internal_ports = [{ports["peer"]},{ports["peer"]}]
 heartbeat = "500ms"
-bounds = ["drain=2s","grace=2s","quota_over=0.1","quota_slack=20","budget_slack=20"]
+bounds = ["drain=2s","grace=10s","quota_over=0.1","quota_slack=20","budget_slack=20"]
 [zones]
 north = "sea"
 [listen]
