Log lost peers, and remove what nothing uses

Cause: a connection to another instance that failed was dropped without a line; the event that addresses may be old had no listener since the instance list is gone. Constants and properties of removed parts were left.

Change: one line when a peer is lost, with the reason, and one when it is reached again.

Ruled out: a line for each failed try, ten a second while a peer is away.

--- a/tests/peer/test_tcp.py
+++ b/tests/peer/test_tcp.py
@@ -1,8 +1,11 @@
 """Guards the peer transport against hostile input and lost connections."""
 
+import socket
+
 import anyio
 import attrs
 import pytest
+import structlog
 
 from wagtailrill.peer.const import FRAME_MAX_BYTES
 from wagtailrill.peer.errors import PeerDecodeError
@@ -115,3 +118,33 @@
 
     anyio.run(async_main)
     assert {e.message.text for e in received} == {"first", "second"}
+
+
+def test_lost_and_regained_peer_is_logged_once_each(registry):
+    """Guards against a cut between instances that the logs do not show."""
+
+    async def async_main():
+        codec = FrameCodec(registry, (b"secret",))
+        received = []
+        sender = PeerTransport(codec, lambda e: None)
+        receiver = PeerTransport(codec, received.append)
+        with socket.socket() as sock:
+            sock.bind(("127.0.0.1", 0))
+            port = sock.getsockname()[1]
+        sender.set_addresses({"b": f"127.0.0.1:{port}"})
+        with structlog.testing.capture_logs() as lines:
+            async with anyio.create_task_group() as tg:
+                tg.start_soon(sender.async_serve, "127.0.0.1", 0)
+                await anyio.sleep(0.05)
+                for number in range(4):
+                    sender.send(envelope(number))
+                    await anyio.sleep(0.15)
+                tg.start_soon(receiver.async_serve, "127.0.0.1", port)
+                with anyio.fail_after(20.0):
+                    while not received:
+                        sender.send(envelope(9))
+                        await anyio.sleep(0.05)
+                tg.cancel_scope.cancel()
+        return [line["event"] for line in lines]
+
+    assert anyio.run(async_main) == ["peer_lost", "peer_regained"]
--- a/wagtailrill/gateway/const.py
+++ b/wagtailrill/gateway/const.py
@@ -6,13 +6,7 @@
 CONTROL_TIMEOUT_S: Final = 0.25
 # Network devices between two hosts forget connections that are idle for minutes.
 CONNECTION_IDLE_MAX_S: Final = 10.0
-CONNECTION_AGE_MAX_S: Final = 60.0
-# Asking the kernel whether a connection was closed costs more than it saves right
-# after an answer came in on it.
-FRESH_S: Final = 0.02
 RESPONSE_MAX_BYTES: Final = 8_388_608
-# A caller that leaves is noticed only while its request takes longer than this.
-DISCONNECT_WATCH_DELAY_S: Final = 0.05
 CLEANUP_INTERVAL_S: Final = 0.25
 HOP_BY_HOP_HEADERS: Final = frozenset(
     {
--- a/wagtailrill/keys/models.py
+++ b/wagtailrill/keys/models.py
@@ -35,11 +35,6 @@
     fence: int = 0
     formers: tuple[Former, ...] = ()
 
-    @property
-    def width(self) -> int:
-        """Return the number of positions."""
-        return self.last - self.first + 1
-
 
 @attrs.frozen
 class KeyTable:
--- a/wagtailrill/organisations/const.py
+++ b/wagtailrill/organisations/const.py
@@ -3,7 +3,6 @@
 from typing import Final
 
 TENANT_KEY_HEADER: Final = b"x-tenant-key"
-RESERVED_HEADER_PREFIX: Final = b"wagtailrill-"
 KEY_ID_BYTES: Final = 8
 SECRET_BYTES: Final = 32
 SALT_BYTES: Final = 16
--- a/wagtailrill/peer/tcp.py
+++ b/wagtailrill/peer/tcp.py
@@ -5,6 +5,7 @@
 
 import anyio
 import attrs
+import structlog
 from anyio.abc import SocketStream, TaskGroup
 from anyio.streams.buffered import BufferedByteReceiveStream
 
@@ -29,6 +30,9 @@
 )
 
 
+_LOG = structlog.get_logger()
+
+
 @attrs.define
 class PeerCounters:
     """Counts of the transport, for metrics."""
@@ -44,12 +48,10 @@
 class PeerSender:
     """Sends frames to one instance; drops them while it cannot be reached."""
 
-    def __init__(
-        self, address: str, counters: PeerCounters, on_unreachable: Callable[[], None]
-    ) -> None:
+    def __init__(self, address: str, counters: PeerCounters) -> None:
         self.address = address
-        self._on_unreachable = on_unreachable
         self._counters = counters
+        self._lost = False
         self._send, self._receive = anyio.create_memory_object_stream[bytes](
             SEND_QUEUE_LENGTH
         )
@@ -71,18 +73,30 @@
         with self._scope:
             while True:
                 frame = await self._receive.receive()
+                reason = "silent_or_closed"
                 try:
                     await self._async_serve_connection(frame)
-                except* CONNECTION_ERRORS:
-                    pass
+                except* CONNECTION_ERRORS as group:
+                    reason = ", ".join(type(exc).__name__ for exc in group.exceptions)
                 self._counters.dropped_frames += 1
-                self._on_unreachable()
+                self._note_lost(reason)
                 await anyio.sleep(RECONNECT_DELAY_S)
 
+    def _note_lost(self, reason: str) -> None:
+        if not self._lost:
+            self._lost = True
+            _LOG.info("peer_lost", address=self.address, reason=reason)
+
+    def _note_connected(self) -> None:
+        if self._lost:
+            self._lost = False
+            _LOG.info("peer_regained", address=self.address)
+
     async def _async_serve_connection(self, frame: bytes) -> None:
         host, _, port = self.address.rpartition(":")
         with anyio.fail_after(CONNECT_TIMEOUT_S):
             stream = await anyio.connect_tcp(host, int(port))
+        self._note_connected()
         async with stream, anyio.create_task_group() as tg:
             progress = _Progress()
             tg.start_soon(self._async_watch, stream, progress, tg)
@@ -141,7 +155,6 @@
         self._senders: dict[str, PeerSender] = {}
         self._addresses: dict[str, str] = {}
         self._tasks: TaskGroup | None = None
-        self._stale = anyio.Event()
 
     def set_addresses(self, addresses: dict[str, str]) -> None:
         """Set the peer address of each instance."""
@@ -160,15 +173,6 @@
             return
         sender.offer(self._codec.encode(envelope))
 
-    async def async_wait_for_stale_address(self) -> None:
-        """Wait until a peer is unknown or cannot be reached at its address."""
-        await self._stale.wait()
-        self._stale = anyio.Event()
-
-    def note_stale_address(self) -> None:
-        """Tell that the addresses of peers may have changed."""
-        self._stale.set()
-
     async def async_serve(self, host: str, port: int) -> None:
         """Accept connections and hand on their messages until cancelled."""
         listener = await anyio.create_tcp_listener(local_host=host, local_port=port)
@@ -180,7 +184,7 @@
         sender = self._senders.get(instance)
         address = self._addresses.get(instance)
         if sender is None and address is not None and self._tasks is not None:
-            sender = PeerSender(address, self.counters, self.note_stale_address)
+            sender = PeerSender(address, self.counters)
             self._senders[instance] = sender
             self._tasks.start_soon(sender.async_run)
         return sender
@@ -213,8 +217,6 @@
             self.counters.rejected_frames += 1
             return
         self.counters.received_frames += 1
-        if envelope.sender not in self._addresses:
-            self.note_stale_address()
         self._receive(envelope)
 
 
--- a/wagtailrill/requests/waiting.py
+++ b/wagtailrill/requests/waiting.py
@@ -33,9 +33,7 @@
 
     def _tick(self) -> None:
         self._ticking = False
-        rows = sorted(
-            self._rows.values(), key=lambda row: (row.priority, row.arrived_s)
-        )
+        rows = sorted(self._rows.values(), key=_urgency)
         self._rows.clear()
         for row in rows:
             self._place(row)
--- a/wagtailrill/retries/const.py
+++ b/wagtailrill/retries/const.py
@@ -10,5 +10,3 @@
 SAMPLES_MAX: Final = 4000.0
 # The quantile is computed again after this many answers.
 QUANTILE_REFRESH_SAMPLES: Final = 64
-# Weight of the latest hedge in the expected duration of the next.
-HEDGE_WEIGHT: Final = 0.1
--- a/wagtailrill/retries/histogram.py
+++ b/wagtailrill/retries/histogram.py
@@ -19,7 +19,6 @@
 
     counts: list[float] = attrs.field(factory=lambda: [0.0] * BUCKET_COUNT)
     total: float = 0.0
-    sum_s: float = 0.0
     _fresh: int = 0
     _cached: dict[float, float] = attrs.field(factory=dict)
 
@@ -29,20 +28,14 @@
         bucket = int(math.log10(ratio) * BUCKETS_PER_DECADE)
         self.counts[min(bucket, BUCKET_COUNT - 1)] += 1.0
         self.total += 1.0
-        self.sum_s += latency_s
         self._fresh += 1
         if self.total >= SAMPLES_MAX:
             self.counts = [c / 2.0 for c in self.counts]
             self.total /= 2.0
-            self.sum_s /= 2.0
         if self._fresh >= QUANTILE_REFRESH_SAMPLES:
             self._fresh = 0
             self._cached.clear()
 
-    def mean_s(self) -> float:
-        """Return the mean in seconds, 0 without answers."""
-        return self.sum_s / self.total if self.total else 0.0
-
     def quantile_s(self, quantile: float) -> float:
         """Return the upper bound in seconds of the bucket that holds a quantile."""
         known = self._cached.get(quantile)
