--- a/tests/retries/test_extra_attempts.py
+++ b/tests/retries/test_extra_attempts.py
@@ -1,4 +1,4 @@
-"""Guards the budget of attempts beyond the first."""
+"""Tests the budget of extra attempts and the hedging delay."""
 
 from hypothesis import given, strategies as st
 
@@ -9,12 +9,12 @@
 CFG = ExtraAttemptSettings(share=0.2, allowance=12.0, window_s=10.0, part=0.8)
 
 
-def make(instances=("i-1", "i-2", "i-3")):
+def make_extra_attempts(instances=("i-1", "i-2", "i-3")):
     ctx = make_context()
     extra = ExtraAttempts(ctx, CFG, lambda: instances)
     services = tuple(
-        Service(name=name, routes=(), backend_servers=(), depends_on=needs)
-        for name, needs in (("box", ("roll",)), ("roll", ()))
+        Service(name=name, routes=(), backend_servers=(), depends_on=depends_on)
+        for name, depends_on in (("box", ("roll",)), ("roll", ()))
     )
     declaration = Declaration(
         deployment="d", data_centres=(), services=services, organisations=()
@@ -29,43 +29,43 @@
         max_size=300,
     )
 )
-def test_no_window_has_more_than_this_instances_part(steps):
-    """Guards against retries that add up to more than the fleet's budget."""
-    ctx, extra = make()
-    requests, extras = [], []
+def test_no_window_exceeds_this_instances_part_of_the_budget(steps):
+    """Guards against retries of all instances that exceed the fleet's budget."""
+    ctx, extra = make_extra_attempts()
+    requests_s, extras_s = [], []
     for kind, pause_s in steps:
         advance(ctx, pause_s)
         if kind == "request":
             extra.on_request("roll")
-            requests.append(ctx.now_s)
+            requests_s.append(ctx.now_s)
         elif extra.take("roll"):
-            extras.append(ctx.now_s)
-    for at_s in extras:
-        used = sum(at_s - CFG.window_s < t <= at_s for t in extras)
-        seen = sum(at_s - CFG.window_s < t <= at_s for t in requests)
-        assert used <= CFG.share * seen + CFG.allowance / 3
+            extras_s.append(ctx.now_s)
+    for at_s in extras_s:
+        extra_count = sum(at_s - CFG.window_s < t <= at_s for t in extras_s)
+        request_count = sum(at_s - CFG.window_s < t <= at_s for t in requests_s)
+        assert extra_count <= CFG.share * request_count + CFG.allowance / 3
 
 
-def test_part_of_a_small_fleet_is_larger():
-    """Guards against a part that does not follow the number of instances."""
-    _, alone = make(("i-1",))
-    _, many = make(tuple(f"i-{n}" for n in range(12)))
-    assert sum(alone.take("roll") for _ in range(20)) > sum(
-        many.take("roll") for _ in range(20)
+def test_instance_of_a_small_fleet_gets_a_larger_part():
+    """Guards against a part that does not depend on the number of instances."""
+    _, small_fleet = make_extra_attempts(("i-1",))
+    _, large_fleet = make_extra_attempts(tuple(f"i-{n}" for n in range(12)))
+    assert sum(small_fleet.take("roll") for _ in range(20)) > sum(
+        large_fleet.take("roll") for _ in range(20)
     )
 
 
-def test_exhausted_dependency_stops_extra_attempts():
-    """Guards against retries that keep a service in trouble."""
-    _, extra = make(("i-1",))
+def test_exhausted_budget_of_a_dependency_stops_extra_attempts():
+    """Guards against retries that keep a dependency overloaded."""
+    _, extra = make_extra_attempts(("i-1",))
     while extra.take("roll"):
         pass
     assert not extra.may_take("box")
 
 
-def test_hedge_waits_for_enough_answers_and_follows_them():
-    """Guards against hedges after a guess."""
-    _, extra = make()
+def test_hedge_delay_needs_enough_answers_and_follows_their_latency():
+    """Guards against hedges after a delay that no measured latency supports."""
+    _, extra = make_extra_attempts()
     assert extra.hedge_delay_s("roll") is None
     for _ in range(200):
         extra.record("roll", 0.1)
--- a/wagtailrill/placement/__init__.py
+++ b/wagtailrill/placement/__init__.py
@@ -1,1 +1,1 @@
-"""Places requests on backend servers with the knowledge of all instances."""
+"""Assigns requests to backend servers with fleet-wide knowledge of their load."""
--- a/wagtailrill/placement/component.py
+++ b/wagtailrill/placement/component.py
@@ -1,4 +1,4 @@
-"""Placement of one instance: asks the dispatcher, and is one for some services."""
+"""Finds the backend server for each request; acts as dispatcher for some services."""
 
 import itertools
 
@@ -20,8 +20,8 @@
 from ..servers.table import ServerTable
 from .const import (
     ANSWER_TIMEOUT_S,
-    SILENCE_PAUSE_S,
-    SILENT_ANSWERS_MAX,
+    CONSECUTIVE_TIMEOUTS_MAX,
+    LOCAL_CHOICE_PERIOD_S,
     TICK_S,
 )
 from .dispatcher import Dispatcher, DispatcherParts
@@ -33,34 +33,38 @@
     PlaceRequest,
     PlaceVerdict,
 )
-from .models import NotPlaced, OnPlaced, Placed, Ticket, Wanted
+from .models import NotPlaced, Placed, PlacementCallback, Ticket, Wanted
 
 DUTY_PREFIX = "place/"
 
 
 @attrs.define(eq=False)
-class Question:
-    """A request for which the dispatcher has been asked."""
+class PendingQuery:
+    """A query that was sent to a dispatcher and is not resolved yet."""
 
-    wanted: Wanted
+    query: Wanted
     dispatcher: str
-    on_placed: OnPlaced
+    on_result: PlacementCallback
     timer: TimerHandle | None = None
 
 
 @attrs.define(eq=False)
-class ServiceRow:
-    """What this instance knows of a service's dispatcher."""
+class ServiceState:
+    """State of the placement of one service on this instance.
+
+    `dispatcher` is set while this instance holds the duty. Until `local_until_s` this
+    instance chooses servers itself without asking the dispatcher.
+    """
 
     duty: str
-    silent: int = 0
-    alone_until_s: float = float("-inf")
+    consecutive_timeouts: int = 0
+    local_until_s: float = float("-inf")
     dispatcher: Dispatcher | None = None
 
 
 @attrs.frozen
 class PlacementParts:
-    """The components that placement uses."""
+    """Components that placement uses."""
 
     ctx: Context
     servers: ServerTable
@@ -73,122 +77,144 @@
 class Placement:
     """Finds the backend server for a request.
 
-    One instance places all requests of a service, since it alone knows what is at each
-    server. When it does not answer, an instance chooses by what it has seen itself.
+    One instance, the dispatcher, places all requests of a service, since only it knows
+    all requests at each server. If it does not answer, an instance chooses a server by
+    its own view of the servers.
     """
 
     def __init__(self, parts: PlacementParts) -> None:
         self._parts = parts
         self._ctx = parts.ctx
-        self._rows: dict[str, ServiceRow] = {}
-        self._questions: dict[int, Question] = {}
+        self._services: dict[str, ServiceState] = {}
+        self._pending: dict[int, PendingQuery] = {}
         self._numbers = itertools.count(1)
         parts.ctx.timers.subscribe(TICK_S, self._tick)
 
     def attach(self, host: ComponentHost) -> None:
-        """Register the handlers of messages."""
+        """Register the handlers of peer messages."""
         host.on_messages([PlaceRequest], self._on_request)
         host.on_messages([PlaceAnswer], self._on_answer)
         host.on_messages([PlaceEnd], self._on_end)
 
     def configure(self, configuration: Configuration) -> None:
-        """Take part in the duties of the services."""
+        """Register for the duties of new services and withdraw from removed ones.
+
+        For keyed services the duty of key ownership is used, which registers itself.
+        """
         for service in configuration.services.values():
-            if service.name in self._rows:
+            if service.name in self._services:
                 continue
             prefix = KEYS_DUTY_PREFIX if service.keyed else DUTY_PREFIX
-            self._rows[service.name] = ServiceRow(prefix + service.name)
+            self._services[service.name] = ServiceState(prefix + service.name)
             if not service.keyed:
                 self._parts.duties.register(
                     prefix + service.name, self, SERVICE_DUTY_WEIGHT
                 )
-        for name in self._rows.keys() - configuration.services.keys():
+        for name in self._services.keys() - configuration.services.keys():
             self._parts.duties.withdraw(DUTY_PREFIX + name)
-            del self._rows[name]
+            del self._services[name]
 
     def duty_taken(self, duty: str, fence: int, predecessor_may_act_s: float) -> None:
-        """Begin to place requests; what a predecessor does is no harm."""
+        """Do nothing: the dispatcher is created on first use.
+
+        A predecessor that still places requests does no harm, so it is not waited for.
+        """
 
     def predecessor_stopped(self, duty: str) -> None:
-        """Take no notice: a predecessor does no harm."""
+        """Do nothing: a predecessor that still places requests does no harm."""
 
     def duty_lost(self, duty: str) -> None:
-        """Stop placing requests."""
+        """Do nothing: the next tick drops the dispatcher."""
+
+    def estimate_capacity(self, server: ServerRow) -> Capacity:
+        """Return the usual capacity of a server, in requests per second.
 
-    def capacity_of(self, server: ServerRow) -> Capacity:
-        """Return what a server can run, as far as is known here."""
-        dispatcher = self._dispatcher(server.entry.service)
+        An instance that is not the dispatcher of its service returns its slots.
+        """
+        dispatcher = self._get_dispatcher(server.entry.service)
         if dispatcher is None:
             return Capacity(server.name, float(server.entry.slots))
-        return dispatcher.capacity_of(server)
+        return dispatcher.estimate_capacity(server)
 
-    def heard_s(self, backend_server: str) -> float:
-        """Return when a server last reported its load with an answer."""
+    def get_last_report_s(self, backend_server: str) -> float:
+        """Return the monotonic time of a server's last load report with an answer.
+
+        The time is minus infinity if none is known here.
+        """
         server = self._parts.servers.rows.get(backend_server)
-        dispatcher = self._dispatcher(server.entry.service) if server else None
+        dispatcher = self._get_dispatcher(server.entry.service) if server else None
         if server is None or dispatcher is None:
             return float("-inf")
-        return dispatcher.heard_s(server)
+        return dispatcher.get_last_report_s(server)
 
-    def load_reported(self, backend_server: str, load: LoadReport) -> None:
-        """Take in a load that a server reported with another answer."""
+    def record_load(self, backend_server: str, load: LoadReport) -> None:
+        """Record a load report that did not come with the answer to a request."""
         server = self._parts.servers.rows.get(backend_server)
         if server is not None:
-            dispatcher = self._dispatcher(server.entry.service)
+            dispatcher = self._get_dispatcher(server.entry.service)
             if dispatcher is not None:
-                dispatcher.load_reported(server, load)
+                dispatcher.record_load(server, load)
+
+    def place(self, query: Wanted, on_result: PlacementCallback) -> int:
+        """Find a server and call `on_result`, before returning or later.
 
-    def place(self, wanted: Wanted, on_placed: OnPlaced) -> int:
-        """Call back with a server, now or later; return the question's number."""
-        row = self._rows.get(wanted.service)
-        holder = self._parts.duties.holder(row.duty) if row is not None else None
+        Return the number by which the query can be cancelled, 0 if it is already
+        resolved.
+        """
+        state = self._services.get(query.service)
+        holder = self._parts.duties.holder(state.duty) if state is not None else None
         if (
-            row is None
+            state is None
             or holder is None
             or not holder.instance
-            or self._ctx.now_s < row.alone_until_s
+            or self._ctx.now_s < state.local_until_s
         ):
-            on_placed(self._place_alone(wanted))
+            on_result(self._place_locally(query))
             return 0
         number = next(self._numbers)
-        question = Question(wanted, holder.instance, on_placed)
-        self._questions[number] = question
-        question.timer = self._ctx.timers.call_later(
-            ANSWER_TIMEOUT_S, lambda: self._silent(number)
+        pending = PendingQuery(query, holder.instance, on_result)
+        self._pending[number] = pending
+        pending.timer = self._ctx.timers.call_later(
+            ANSWER_TIMEOUT_S, lambda: self._on_timeout(number)
         )
         position = NO_KEY
-        if wanted.keyed and wanted.key_position is not None:
-            position = wanted.key_position
+        if query.keyed and query.key_position is not None:
+            position = query.key_position
         request = PlaceRequest(
             number=number,
-            service=wanted.service,
+            service=query.service,
             key_position=position,
-            priority=wanted.priority,
-            waited_s=wanted.waited_s,
-            target_s=wanted.target_s,
-            left_s=wanted.left_s,
-            excluded=tuple(wanted.excluded),
-            extra=wanted.extra,
+            priority=query.priority,
+            waited_s=query.waited_s,
+            target_s=query.target_s,
+            left_s=query.left_s,
+            excluded=tuple(query.excluded),
+            extra=query.extra,
         )
         self._ctx.send(holder.instance, request)
         return number
 
     def cancel(self, number: int, service: str) -> None:
-        """Tell that a request is not wanted any more."""
-        question = self._questions.pop(number, None)
-        if question is None:
+        """Cancel a query that is not resolved yet, and tell its dispatcher."""
+        pending = self._pending.pop(number, None)
+        if pending is None:
             return
-        if question.timer is not None:
-            question.timer.cancel()
-        self._send_end(question.dispatcher, number, service)
+        if pending.timer is not None:
+            pending.timer.cancel()
+        self._send_end(pending.dispatcher, number, service)
 
     def ended(self, service: str, placed: Placed, result: AttemptResult) -> None:
-        """Report the end of a request to the one that placed it."""
+        """Report the end of an attempt to the dispatcher that placed it.
+
+        If this instance chose the server itself, the present dispatcher is told.
+        """
         ticket = placed.ticket
         dispatcher = ticket.dispatcher
         if not dispatcher:
-            row = self._rows.get(service)
-            holder = self._parts.duties.holder(row.duty) if row is not None else None
+            state = self._services.get(service)
+            holder = (
+                self._parts.duties.holder(state.duty) if state is not None else None
+            )
             dispatcher = holder.instance if holder is not None else ""
         if dispatcher:
             self._send_end(
@@ -218,82 +244,86 @@
             ),
         )
 
-    # Asking
+    # Asking the dispatcher
 
-    def _place_alone(self, wanted: Wanted) -> Placed | NotPlaced:
+    def _place_locally(self, query: Wanted) -> Placed | NotPlaced:
         parts = self._parts
         server: ServerRow | None
         moving = False
-        if wanted.keyed and wanted.key_position is not None:
-            owner = parts.keys.routes(wanted.service).owner_of(wanted.key_position)
+        if query.keyed and query.key_position is not None:
+            owner = parts.keys.routes(query.service).owner_of(query.key_position)
             moving = owner not in parts.servers.rows
             server = parts.choice.known(owner)
         else:
-            server = parts.choice.choose(wanted.service, wanted.excluded)
-            if server is None and wanted.excluded and not wanted.extra:
-                server = parts.choice.choose(wanted.service, frozenset())
+            server = parts.choice.choose(query.service, query.excluded)
+            if server is None and query.excluded and not query.extra:
+                server = parts.choice.choose(query.service, frozenset())
         if server is None:
-            return NotPlaced(moving, wanted.keyed, 0.0, self._ctx.identity.instance)
+            return NotPlaced(moving, query.keyed, 0.0, self._ctx.identity.instance)
         return Placed(server, Ticket("", 0))
 
-    def _silent(self, number: int) -> None:
-        question = self._questions.pop(number, None)
-        if question is None:
+    def _on_timeout(self, number: int) -> None:
+        pending = self._pending.pop(number, None)
+        if pending is None:
             return
-        row = self._rows.get(question.wanted.service)
-        if row is not None:
-            row.silent += 1
-            if row.silent >= SILENT_ANSWERS_MAX:
-                row.alone_until_s = self._ctx.now_s + SILENCE_PAUSE_S
-        self._send_end(question.dispatcher, number, question.wanted.service)
-        question.on_placed(self._place_alone(question.wanted))
+        state = self._services.get(pending.query.service)
+        if state is not None:
+            state.consecutive_timeouts += 1
+            if state.consecutive_timeouts >= CONSECUTIVE_TIMEOUTS_MAX:
+                state.local_until_s = self._ctx.now_s + LOCAL_CHOICE_PERIOD_S
+        self._send_end(pending.dispatcher, number, pending.query.service)
+        pending.on_result(self._place_locally(pending.query))
 
     def _on_answer(self, envelope: Envelope) -> None:
         answer: PlaceAnswer = envelope.message
-        question = self._questions.get(answer.number)
-        if question is None or envelope.sender != question.dispatcher:
+        pending = self._pending.get(answer.number)
+        if pending is None or envelope.sender != pending.dispatcher:
             return
-        row = self._rows.get(question.wanted.service)
-        if row is not None:
-            row.silent = 0
-        if question.timer is not None:
-            question.timer.cancel()
+        state = self._services.get(pending.query.service)
+        if state is not None:
+            state.consecutive_timeouts = 0
+        if pending.timer is not None:
+            pending.timer.cancel()
         if answer.verdict is PlaceVerdict.QUEUED:
-            left_s = question.wanted.left_s
-            question.timer = self._ctx.timers.call_later(
-                left_s, lambda: self._silent(answer.number)
+            left_s = pending.query.left_s
+            pending.timer = self._ctx.timers.call_later(
+                left_s, lambda: self._on_timeout(answer.number)
             )
             return
-        del self._questions[answer.number]
-        question.on_placed(self._read(answer, question))
+        del self._pending[answer.number]
+        pending.on_result(self._resolve_answer(answer, pending))
 
-    def _read(self, answer: PlaceAnswer, question: Question) -> Placed | NotPlaced:
+    def _resolve_answer(
+        self, answer: PlaceAnswer, pending: PendingQuery
+    ) -> Placed | NotPlaced:
         if answer.verdict is PlaceVerdict.NOT_HERE:
-            return self._place_alone(question.wanted)
+            return self._place_locally(pending.query)
         if answer.verdict is not PlaceVerdict.PLACED:
             moving = answer.verdict is PlaceVerdict.MOVING
-            return NotPlaced(moving, False, answer.retry_after_s, question.dispatcher)
+            return NotPlaced(moving, False, answer.retry_after_s, pending.dispatcher)
         server = self._parts.choice.known(answer.backend_server)
         if server is None:
-            # Unknown here, or cold and this instance has used its share.
+            # The server is unknown here, or it is cold and this instance has already
+            # used its share of the requests allowed there.
             self._send_end(
-                question.dispatcher,
+                pending.dispatcher,
                 answer.number,
-                question.wanted.service,
+                pending.query.service,
                 answer.backend_server,
             )
-            return self._place_alone(question.wanted)
-        return Placed(server, Ticket(question.dispatcher, answer.number))
+            return self._place_locally(pending.query)
+        return Placed(server, Ticket(pending.dispatcher, answer.number))
 
-    # Dispatching
+    # Acting as dispatcher
 
-    def _dispatcher(self, service: str) -> Dispatcher | None:
-        row = self._rows.get(service)
-        if row is None or not self._parts.duties.holds(row.duty):
+    def _get_dispatcher(self, service: str) -> Dispatcher | None:
+        """Return the dispatcher of a service, None unless its duty is held here."""
+        state = self._services.get(service)
+        if state is None or not self._parts.duties.holds(state.duty):
             return None
-        if row.dispatcher is None:
+        if state.dispatcher is None:
             parts = self._parts
-            row.dispatcher = Dispatcher(
+            state.dispatcher = Dispatcher(
                 DispatcherParts(
                     parts.ctx,
                     parts.servers,
@@ -302,7 +332,7 @@
                     lambda position: parts.keys.served_in_s(service, position),
                 )
             )
-        return row.dispatcher
+        return state.dispatcher
 
     def _on_request(self, envelope: Envelope) -> None:
         request: PlaceRequest = envelope.message
@@ -310,7 +340,7 @@
         def reply(answer: PlaceAnswer) -> None:
             self._ctx.send(envelope.sender, answer, envelope.incarnation)
 
-        dispatcher = self._dispatcher(request.service)
+        dispatcher = self._get_dispatcher(request.service)
         if dispatcher is None:
             reply(PlaceAnswer(request.number, PlaceVerdict.NOT_HERE, "", 0.0))
             return
@@ -320,19 +350,19 @@
             data_centre = member.data_centre
         if request.key_position != NO_KEY:
             self._parts.keys.record(request.service, request.key_position)
-        dispatcher.place(request, envelope.sender, data_centre, reply)
+        dispatcher.place_request(request, envelope.sender, data_centre, reply)
 
     def _on_end(self, envelope: Envelope) -> None:
         end: PlaceEnd = envelope.message
-        dispatcher = self._dispatcher(end.service)
+        dispatcher = self._get_dispatcher(end.service)
         if dispatcher is not None:
-            dispatcher.ended(end, envelope.sender)
+            dispatcher.record_end(end, envelope.sender)
 
     def _tick(self) -> None:
-        for name, row in self._rows.items():
-            if row.dispatcher is None:
+        for name, state in self._services.items():
+            if state.dispatcher is None:
                 continue
-            if self._dispatcher(name) is None:
-                row.dispatcher = None
+            if self._get_dispatcher(name) is None:
+                state.dispatcher = None
             else:
-                row.dispatcher.tick()
+                state.dispatcher.tick()
--- a/wagtailrill/placement/const.py
+++ b/wagtailrill/placement/const.py
@@ -2,22 +2,27 @@
 
 from typing import Final
 
-# Without an answer within this time an instance chooses by its own knowledge.
+# An instance that gets no answer from the dispatcher within this time chooses a
+# server itself.
 ANSWER_TIMEOUT_S: Final = 0.03
-# Questions in a row without an answer, after which an instance chooses alone.
-SILENT_ANSWERS_MAX: Final = 2
-SILENCE_PAUSE_S: Final = 0.5
-# An assignment whose end was not reported counts for so long after its deadline.
-FORGET_AFTER_S: Final = 0.5
+# After this many timeouts in a row an instance does not ask the dispatcher for
+# LOCAL_CHOICE_PERIOD_S.
+CONSECUTIVE_TIMEOUTS_MAX: Final = 2
+LOCAL_CHOICE_PERIOD_S: Final = 0.5
+# An assigned request whose end was not reported still counts for this long after its
+# deadline.
+UNREPORTED_END_GRACE_S: Final = 0.5
 TICK_S: Final = 0.02
-# Requests beyond the slots of a server, so that a slot does not wait for a message.
-SPARE_MAX: Final = 1
-# A request counts as late when less than its usual time, with this margin, is left
-# until its target; it has then waited for some part of the target.
-WORK_MARGIN: Final = 1.2
-WAIT_PART_MIN: Final = 0.3
-WAIT_PART_MAX: Final = 0.45
-# Part of the servers' rate that late requests may reckon with at least.
-SPARE_PART_MIN: Final = 0.05
+# Requests that a key's owner gets beyond its slots, so that a slot that becomes free
+# need not wait for a message to the dispatcher and back.
+OVERCOMMIT_REQUESTS_MAX: Final = 1
+# A request counts as late when the time left until its target is less than the usual
+# request time multiplied by this margin, but not before it has waited for
+# LATE_WAIT_RATIO_MIN of its target, and at the latest after LATE_WAIT_RATIO_MAX of it.
+REQUEST_TIME_MARGIN_RATIO: Final = 1.2
+LATE_WAIT_RATIO_MIN: Final = 0.3
+LATE_WAIT_RATIO_MAX: Final = 0.45
+# Late requests are assumed to get at least this share of the servers' total rate.
+SPARE_RATE_RATIO_MIN: Final = 0.05
 RETRY_AFTER_MIN_S: Final = 0.15
 RETRY_AFTER_MAX_S: Final = 1.0
--- a/wagtailrill/placement/dispatcher.py
+++ b/wagtailrill/placement/dispatcher.py
@@ -1,4 +1,4 @@
-"""Places the requests of one service while this instance has its duty."""
+"""Places the requests of one service on the instance that holds the service's duty."""
 
 from collections.abc import Callable
 from statistics import median_low
@@ -12,14 +12,14 @@
 from ..servers.models import ServerRow
 from ..servers.table import ServerTable
 from .const import (
-    FORGET_AFTER_S,
+    LATE_WAIT_RATIO_MAX,
+    LATE_WAIT_RATIO_MIN,
+    OVERCOMMIT_REQUESTS_MAX,
+    REQUEST_TIME_MARGIN_RATIO,
     RETRY_AFTER_MAX_S,
     RETRY_AFTER_MIN_S,
-    SPARE_MAX,
-    SPARE_PART_MIN,
-    WAIT_PART_MAX,
-    WAIT_PART_MIN,
-    WORK_MARGIN,
+    SPARE_RATE_RATIO_MIN,
+    UNREPORTED_END_GRACE_S,
 )
 from .messages import (
     NO_KEY,
@@ -29,72 +29,74 @@
     PlaceRequest,
     PlaceVerdict,
 )
-from .queue import Assignment, Outlook, Reply, Waiting
+from .queue import AssignedRequest, PendingRequest, Reply, ServerOptions
 
-OwnerOf = Callable[[int], str]
+FindOwner = Callable[[int], str]
 
 
 @attrs.frozen
 class DispatcherParts:
-    """What a dispatcher needs.
+    """Dependencies of a dispatcher.
 
-    For keyed services `owner_of` returns who holds a position, empty for nobody, and
-    `served_in_s` about how long that lasts.
+    For keyed services `find_owner` returns the name of the server that owns a key
+    position, empty if none does. `estimate_unowned_s` returns in about how many seconds
+    a position without an owner has one again.
     """
 
     ctx: Context
     servers: ServerTable
     service: str
-    owner_of: OwnerOf
-    served_in_s: Callable[[int], float]
+    find_owner: FindOwner
+    estimate_unowned_s: Callable[[int], float]
 
 
 class Dispatcher:
-    """Knows what is at each server, and lets requests wait here for a free slot.
+    """Tracks the requests at each server and queues requests until a slot is free.
 
-    All of it is a hint: a server refuses what it has no room for.
+    Its view of the servers may be out of date: each server itself refuses requests
+    beyond its capacity.
     """
 
     def __init__(self, parts: DispatcherParts) -> None:
         self._parts = parts
         self._ctx = parts.ctx
         self._loads = LoadTable(parts.ctx)
-        self._assignments: dict[tuple[str, int], Assignment] = {}
-        self._waiting: list[Waiting] = []
+        self._assigned_requests: dict[tuple[str, int], AssignedRequest] = {}
+        self._queue: list[PendingRequest] = []
         self._demand = Demand()
 
-    def place(
-        self, request: PlaceRequest, asker: str, data_centre: str, reply: Reply
+    def place_request(
+        self, request: PlaceRequest, sender: str, data_centre: str, reply: Reply
     ) -> None:
-        """Answer a request at once, or when there is room."""
-        waiting = self._waiting_of(request, asker, data_centre, reply)
+        """Place or refuse a request at once, or queue it and answer again later."""
+        pending = self._make_pending(request, sender, data_centre, reply)
         if not request.extra:
             self._demand.count(self._ctx.now_s)
-        if self._try(waiting, self._ahead_of(waiting)):
+        if self._try_to_place(pending, self._count_ahead(pending)):
             return
         if request.extra:
-            self._refuse(waiting)
+            self._refuse_request(pending)
             return
-        if not self._worth_waiting(waiting):
-            self._place_late(waiting)
+        if not self._can_place_in_time(pending):
+            self._place_late(pending)
             return
-        self._waiting.append(waiting)
+        self._queue.append(pending)
         reply(PlaceAnswer(request.number, PlaceVerdict.QUEUED, "", 0.0))
 
-    def ended(self, end: PlaceEnd, asker: str) -> None:
-        """Take in the end of a request, or that it is not wanted any more."""
-        assignment = self._assignments.pop((asker, end.number), None)
-        if assignment is not None:
-            assignment.load.assigned -= 1
+    def record_end(self, end: PlaceEnd, sender: str) -> None:
+        """Record that a request has ended or was cancelled, and place queued ones."""
+        assigned = self._assigned_requests.pop((sender, end.number), None)
+        if assigned is not None:
+            assigned.load.assigned -= 1
         if not end.backend_server:
-            self._waiting = [
-                w
-                for w in self._waiting
-                if (w.asker, w.request.number) != (asker, end.number)
+            self._queue = [
+                p
+                for p in self._queue
+                if (p.sender, p.request.number) != (sender, end.number)
             ]
-            self._pump()
+            self._place_queued()
             return
-        load = self._load(end.backend_server)
+        load = self._find_load(end.backend_server)
         if load is None:
             return
         report = None
@@ -102,144 +104,154 @@
             report = LoadReport(end.running, end.waiting, load.slots, end.slowness)
         outcome = AttemptOutcome(end.outcome)
         self._loads.ended(load, outcome, end.latency_s, report)
-        self._pump()
+        self._place_queued()
 
-    def capacity_of(self, row: ServerRow) -> Capacity:
-        """Return what a server can usually run."""
+    def estimate_capacity(self, row: ServerRow) -> Capacity:
+        """Return the usual capacity of a server, in requests per second."""
         load = self._loads.of(row)
         slowness = self._loads.usual_slowness(load)
-        rate = load.slots / (self._loads.work_s * slowness)
-        return Capacity(load.name, rate, slowness)
+        rate_per_s = load.slots / (self._loads.work_s * slowness)
+        return Capacity(load.name, rate_per_s, slowness)
 
-    def heard_s(self, row: ServerRow) -> float:
-        """Return when a server last reported its load with an answer."""
+    def get_last_report_s(self, row: ServerRow) -> float:
+        """Return the monotonic time of a server's last load report with an answer."""
         return self._loads.of(row).answered_s
 
-    def load_reported(self, row: ServerRow, load: LoadReport) -> None:
-        """Take in a load that a server reported beside an answer to a request."""
+    def record_load(self, row: ServerRow, load: LoadReport) -> None:
+        """Record a load report that did not come with the answer to a request."""
         self._loads.of(row).report(load, self._ctx.now_s)
 
     def tick(self) -> None:
-        """Forget what is overdue, and refuse what has waited too long."""
+        """Drop overdue assignments; place or refuse requests that waited too long."""
         now_s = self._ctx.now_s
-        self._check_assignments(now_s)
-        for waiting in list(self._waiting):
-            becomes_late = not waiting.late and now_s >= waiting.late_from_s
-            waiting.late |= becomes_late
-            if now_s >= waiting.hopeless_from_s or (
-                becomes_late and not self._worth_waiting(waiting)
+        self._expire_assigned(now_s)
+        for pending in list(self._queue):
+            becomes_late = not pending.late and now_s >= pending.late_from_s
+            pending.late |= becomes_late
+            if now_s >= pending.latest_start_s or (
+                becomes_late and not self._can_place_in_time(pending)
             ):
-                self._waiting.remove(waiting)
-                self._place_late(waiting)
-        self._pump()
+                self._queue.remove(pending)
+                self._place_late(pending)
+        self._place_queued()
 
-    def _check_assignments(self, now_s: float) -> None:
-        """Drop overdue assignments, and learn how old those of each server are."""
+    def _expire_assigned(self, now_s: float) -> None:
+        """Drop overdue requests, and update the median age of those at each server."""
         ages_s: dict[int, list[float]] = {}
-        for key, assignment in list(self._assignments.items()):
-            load = assignment.load
-            if now_s >= assignment.until_s:
+        for key, assigned in list(self._assigned_requests.items()):
+            load = assigned.load
+            if now_s >= assigned.expires_s:
                 load.assigned -= 1
-                del self._assignments[key]
+                del self._assigned_requests[key]
                 continue
-            ages_s.setdefault(id(load), []).append(now_s - assignment.placed_s)
+            ages_s.setdefault(id(load), []).append(now_s - assigned.placed_s)
         for load in self._loads.all():
-            ages = ages_s.get(id(load))
-            load.usual_age_s = median_low(ages) if ages else 0.0
+            server_ages_s = ages_s.get(id(load))
+            load.usual_age_s = median_low(server_ages_s) if server_ages_s else 0.0
 
-    def _pump(self) -> None:
-        """Place waiting requests where there is room, the most urgent first."""
-        if not self._waiting:
+    def _place_queued(self) -> None:
+        """Place queued requests on servers with free slots, in the order of rank."""
+        if not self._queue:
             return
-        self._waiting.sort(key=lambda waiting: waiting.rank)
-        if self._waiting[0].request.key_position == NO_KEY:
-            self._pump_anywhere()
+        self._queue.sort(key=lambda pending: pending.rank)
+        if self._queue[0].request.key_position == NO_KEY:
+            self._place_queued_without_keys()
         else:
-            self._waiting = [w for w in self._waiting if not self._try(w, 0)]
-
-    def _pump_anywhere(self) -> None:
-        """Place requests that any server can run, as long as there is room."""
-        left: list[Waiting] = []
-        outlooks: dict[str, Outlook] = {}
-        for number, waiting in enumerate(self._waiting):
-            if waiting.excluded:
-                placed = self._try(waiting, len(left))
+            self._queue = [p for p in self._queue if not self._try_to_place(p, 0)]
+
+    def _place_queued_without_keys(self) -> None:
+        """Place queued requests that any server can run while slots are free."""
+        still_queued: list[PendingRequest] = []
+        options_by_data_centre: dict[str, ServerOptions] = {}
+        for index, pending in enumerate(self._queue):
+            if pending.excluded:
+                placed = self._try_to_place(pending, len(still_queued))
             else:
-                outlook = outlooks.get(waiting.data_centre)
-                if outlook is None:
-                    outlook = self._outlook(waiting.data_centre, frozenset())
-                    outlooks[waiting.data_centre] = outlook
-                if outlook.best is None:
-                    left += self._waiting[number:]
+                options = options_by_data_centre.get(pending.data_centre)
+                if options is None:
+                    options = self._find_options(pending.data_centre, frozenset())
+                    options_by_data_centre[pending.data_centre] = options
+                if options.best is None:
+                    still_queued += self._queue[index:]
                     break
-                load = outlook.choice(waiting, len(left))
+                load = options.choose_server(pending, len(still_queued))
                 placed = load is not None
                 if load is not None:
-                    self._assign(waiting, load)
+                    self._assign_server(pending, load)
             if placed:
-                outlooks.clear()
+                options_by_data_centre.clear()
             else:
-                left.append(waiting)
-        self._waiting = left
-
-    def _try(self, waiting: Waiting, ahead: int) -> bool:
-        """Place a request if there is room and nothing better to wait for."""
-        if waiting.request.key_position == NO_KEY:
-            outlook = self._outlook(waiting.data_centre, waiting.excluded)
-            load = outlook.choice(waiting, ahead)
+                still_queued.append(pending)
+        self._queue = still_queued
+
+    def _try_to_place(self, pending: PendingRequest, ahead_count: int) -> bool:
+        """Place a request unless it has to wait for a slot or for a faster server."""
+        if pending.request.key_position == NO_KEY:
+            options = self._find_options(pending.data_centre, pending.excluded)
+            load = options.choose_server(pending, ahead_count)
         else:
-            load = self._owner(waiting)
-            if load is not None and load.present() >= load.slots + SPARE_MAX:
+            load = self._find_owner_load(pending)
+            if (
+                load is not None
+                and load.present() >= load.slots + OVERCOMMIT_REQUESTS_MAX
+            ):
                 return False
         if load is None:
             return False
-        self._assign(waiting, load)
+        self._assign_server(pending, load)
         return True
 
-    def _place_late(self, waiting: Waiting) -> None:
+    def _place_late(self, pending: PendingRequest) -> None:
         """Use any free slot for a request that should not wait, or refuse it."""
-        waiting.late = True
-        if not self._try(waiting, 0):
-            self._refuse(waiting)
+        pending.late = True
+        if not self._try_to_place(pending, 0):
+            self._refuse_request(pending)
 
-    def _assign(self, waiting: Waiting, load: ServerLoad) -> None:
-        request = waiting.request
+    def _assign_server(self, pending: PendingRequest, load: ServerLoad) -> None:
+        request = pending.request
         load.assigned += 1
-        until_s = self._ctx.now_s + request.left_s + FORGET_AFTER_S
-        self._assignments[waiting.asker, request.number] = Assignment(
-            load, self._ctx.now_s, until_s
+        expires_s = self._ctx.now_s + request.left_s + UNREPORTED_END_GRACE_S
+        self._assigned_requests[pending.sender, request.number] = AssignedRequest(
+            load, self._ctx.now_s, expires_s
         )
-        waiting.reply(PlaceAnswer(request.number, PlaceVerdict.PLACED, load.name, 0.0))
+        pending.reply(PlaceAnswer(request.number, PlaceVerdict.PLACED, load.name, 0.0))
 
-    def _owner(self, waiting: Waiting) -> ServerLoad | None:
-        position = waiting.request.key_position
-        name = self._parts.owner_of(position) if position != NO_KEY else ""
+    def _find_owner_load(self, pending: PendingRequest) -> ServerLoad | None:
+        position = pending.request.key_position
+        name = self._parts.find_owner(position) if position != NO_KEY else ""
         row = self._parts.servers.rows.get(name)
         if row is None or not self._parts.servers.may_be_used(row):
             return None
         return self._loads.of(row)
 
-    def _outlook(self, data_centre: str, excluded: frozenset[str]) -> Outlook:
-        """Return what a request from a data centre can expect now."""
+    def _find_options(
+        self, data_centre: str, excluded: frozenset[str]
+    ) -> ServerOptions:
+        """Return the present server options for requests from a data centre."""
         best: ServerLoad | None = None
-        best_s = float("inf")
+        best_cost_s = float("inf")
         full: list[tuple[ServerLoad, float]] = []
-        for row in self._candidates(excluded):
+        for row in self._list_candidates(excluded):
             load = self._loads.of(row)
             cost_s = self._loads.cost_s(load, data_centre)
             if load.present() >= load.slots:
                 full.append((load, cost_s))
-            elif cost_s < best_s:
-                best, best_s = load, cost_s
-        faster = [(load, cost_s) for load, cost_s in full if cost_s < best_s]
-        return Outlook(
+            elif cost_s < best_cost_s:
+                best, best_cost_s = load, cost_s
+        faster = [(load, cost_s) for load, cost_s in full if cost_s < best_cost_s]
+        return ServerOptions(
             best,
-            best_s,
+            best_cost_s,
             sum(1.0 / self._loads.slot_s(load) for load, _ in faster),
             min((cost_s for _, cost_s in faster), default=float("inf")),
         )
 
-    def _candidates(self, excluded: frozenset[str]) -> list[ServerRow]:
+    def _list_candidates(self, excluded: frozenset[str]) -> list[ServerRow]:
+        """Return the servers to choose from.
+
+        Cold, excluded and recently unreachable servers are left out unless no others
+        remain.
+        """
         servers = self._parts.servers
         rows = [
             row
@@ -255,97 +267,109 @@
         ]
         return usable or [r for r in warm if r.name not in excluded] or warm
 
-    def _waiting_of(
-        self, request: PlaceRequest, asker: str, data_centre: str, reply: Reply
-    ) -> Waiting:
+    def _make_pending(
+        self, request: PlaceRequest, sender: str, data_centre: str, reply: Reply
+    ) -> PendingRequest:
         now_s = self._ctx.now_s
-        work_s = self._loads.work_s * WORK_MARGIN
+        request_time_s = self._loads.work_s * REQUEST_TIME_MARGIN_RATIO
         target_left_s = request.target_s - request.waited_s
-        soonest_s = request.target_s * WAIT_PART_MIN - request.waited_s
-        late_s = max(target_left_s - work_s, soonest_s)
-        late_s = min(late_s, request.target_s * WAIT_PART_MAX - request.waited_s)
-        hopeless_s = request.left_s - work_s
-        return Waiting(
+        late_in_min_s = request.target_s * LATE_WAIT_RATIO_MIN - request.waited_s
+        late_in_s = max(target_left_s - request_time_s, late_in_min_s)
+        late_in_s = min(
+            late_in_s, request.target_s * LATE_WAIT_RATIO_MAX - request.waited_s
+        )
+        latest_start_in_s = request.left_s - request_time_s
+        return PendingRequest(
             request,
-            asker,
+            sender,
             data_centre,
             reply,
             now_s,
-            now_s + min(late_s, hopeless_s),
-            now_s + hopeless_s,
+            now_s + min(late_in_s, latest_start_in_s),
+            now_s + latest_start_in_s,
             frozenset(request.excluded),
-            late_s <= 0.0,
+            late_in_s <= 0.0,
         )
 
-    def _worth_waiting(self, waiting: Waiting) -> bool:
-        """Return whether a request can be expected to be placed in time."""
+    def _can_place_in_time(self, pending: PendingRequest) -> bool:
+        """Return whether a request is expected to be placed before its limits."""
         now_s = self._ctx.now_s
-        if not waiting.late and now_s + self._wait_s(waiting) < waiting.late_from_s:
+        if (
+            not pending.late
+            and now_s + self._estimate_wait_s(pending) < pending.late_from_s
+        ):
             return True
-        return now_s + self._late_wait_s(waiting) < waiting.hopeless_from_s
+        return now_s + self._estimate_late_wait_s(pending) < pending.latest_start_s
 
-    def _wait_s(self, waiting: Waiting) -> float:
-        """Return how long requests of a rank wait until they are placed."""
-        wait_s = self._owner_wait_s(waiting)
-        return self._service_wait_s(waiting) if wait_s is None else wait_s
+    def _estimate_wait_s(self, pending: PendingRequest) -> float:
+        """Return how long a request of this rank waits until it is placed."""
+        wait_s = self._estimate_owner_wait_s(pending)
+        return self._estimate_service_wait_s(pending) if wait_s is None else wait_s
 
-    def _late_wait_s(self, waiting: Waiting) -> float:
-        """Return how long a late request waits, by the room that others leave.
+    def _estimate_late_wait_s(self, pending: PendingRequest) -> float:
+        """Return how long a late request waits for capacity that others leave unused.
 
-        A key has one owner, so a request for it waits behind all others there: nobody
-        else can run it.
+        Only the owner of a key can run a request for it, so such a request waits behind
+        all other requests for that owner.
         """
-        if waiting.request.key_position != NO_KEY:
-            owner = self._owner(waiting)
+        if pending.request.key_position != NO_KEY:
+            owner = self._find_owner_load(pending)
             if owner is None:
-                return self._parts.served_in_s(waiting.request.key_position)
-            ahead = owner.present() + 1.0 - owner.slots
-            ahead += sum(self._owner(other) is owner for other in self._waiting)
-            return ahead * self._loads.slot_s(owner)
-        rate, used = self._service_rate(), self._demand.rate(self._ctx.now_s)
-        spare = max(rate - used, rate * SPARE_PART_MIN)
-        return (len(self._waiting) + 1) / spare if spare > 0.0 else float("inf")
-
-    def _owner_wait_s(self, waiting: Waiting) -> float | None:
-        """Return the wait for a key's owner, None if any server can be chosen."""
-        position = waiting.request.key_position
+                return self._parts.estimate_unowned_s(pending.request.key_position)
+            ahead_count = owner.present() + 1.0 - owner.slots
+            ahead_count += sum(
+                self._find_owner_load(other) is owner for other in self._queue
+            )
+            return ahead_count * self._loads.slot_s(owner)
+        rate_per_s, demand_per_s = (
+            self._estimate_service_rate_per_s(),
+            self._demand.rate(self._ctx.now_s),
+        )
+        spare_per_s = max(rate_per_s - demand_per_s, rate_per_s * SPARE_RATE_RATIO_MIN)
+        return (
+            (len(self._queue) + 1) / spare_per_s if spare_per_s > 0.0 else float("inf")
+        )
+
+    def _estimate_owner_wait_s(self, pending: PendingRequest) -> float | None:
+        """Return the wait for a key's owner, or None for a request without a key."""
+        position = pending.request.key_position
         if position == NO_KEY:
             return None
-        load = self._owner(waiting)
+        load = self._find_owner_load(pending)
         if load is None:
-            return self._parts.served_in_s(position)
-        ahead = load.present() + 1.0 - load.slots
-        ahead += sum(
-            self._owner(other) is load and other.rank <= waiting.rank
-            for other in self._waiting
+            return self._parts.estimate_unowned_s(position)
+        ahead_count = load.present() + 1.0 - load.slots
+        ahead_count += sum(
+            self._find_owner_load(other) is load and other.rank <= pending.rank
+            for other in self._queue
         )
-        return ahead * self._loads.slot_s(load)
+        return ahead_count * self._loads.slot_s(load)
 
-    def _service_wait_s(self, waiting: Waiting) -> float:
-        rate = self._service_rate()
-        if rate <= 0.0:
+    def _estimate_service_wait_s(self, pending: PendingRequest) -> float:
+        rate_per_s = self._estimate_service_rate_per_s()
+        if rate_per_s <= 0.0:
             return float("inf")
-        return (self._ahead_of(waiting) + 1) / rate
+        return (self._count_ahead(pending) + 1) / rate_per_s
 
-    def _ahead_of(self, waiting: Waiting) -> int:
-        return sum(other.rank <= waiting.rank for other in self._waiting)
+    def _count_ahead(self, pending: PendingRequest) -> int:
+        return sum(other.rank <= pending.rank for other in self._queue)
 
-    def _service_rate(self) -> float:
-        """Return the requests per second that all servers can begin."""
+    def _estimate_service_rate_per_s(self) -> float:
+        """Return how many requests per second all servers together can start."""
         return sum(
             1.0 / self._loads.slot_s(self._loads.of(row))
-            for row in self._candidates(frozenset())
+            for row in self._list_candidates(frozenset())
         )
 
-    def _refuse(self, waiting: Waiting) -> None:
-        request = waiting.request
+    def _refuse_request(self, pending: PendingRequest) -> None:
+        request = pending.request
         verdict = PlaceVerdict.REFUSED
-        if request.key_position != NO_KEY and self._owner(waiting) is None:
+        if request.key_position != NO_KEY and self._find_owner_load(pending) is None:
             verdict = PlaceVerdict.MOVING
-        wait_s = self._wait_s(waiting)
+        wait_s = self._estimate_wait_s(pending)
         retry_after_s = min(max(wait_s, RETRY_AFTER_MIN_S), RETRY_AFTER_MAX_S)
-        waiting.reply(PlaceAnswer(request.number, verdict, "", retry_after_s))
+        pending.reply(PlaceAnswer(request.number, verdict, "", retry_after_s))
 
-    def _load(self, name: str) -> ServerLoad | None:
+    def _find_load(self, name: str) -> ServerLoad | None:
         row = self._parts.servers.rows.get(name)
         return self._loads.of(row) if row is not None else None
--- a/wagtailrill/placement/messages.py
+++ b/wagtailrill/placement/messages.py
@@ -1,4 +1,4 @@
-"""Peer messages about the placement of requests."""
+"""Peer messages between an instance that places a request and the dispatcher."""
 
 import enum
 from pathlib import Path
@@ -13,12 +13,12 @@
 
 
 class PlaceVerdict(enum.StrEnum):
-    """Answer to a request for a backend server."""
+    """A dispatcher's answer to a `PlaceRequest`."""
 
     PLACED = "placed"
     QUEUED = "queued"  # another answer follows
-    REFUSED = "refused"  # there is no room soon
-    MOVING = "moving"  # the key has no owner now
+    REFUSED = "refused"  # no server is expected to be free in time
+    MOVING = "moving"  # the key has no owner at present
     NOT_HERE = "not_here"  # the receiver does not place requests of the service
 
 
@@ -26,8 +26,11 @@
 class PlaceRequest:
     """Asks for a backend server; times in seconds.
 
-    `extra` asks for a second server for a request that already runs: there must be
-    room now.
+    `number` identifies the request at its sender. `waited_s` counts from the request's
+    arrival, `target_s` is its target latency and `left_s` the time until its deadline.
+    `extra` asks for a second server for a request that already runs; such a request is
+    placed at once or refused, never queued. `key_position` is `NO_KEY` for services
+    without keys.
     """
 
     number: int
@@ -43,7 +46,7 @@
 
 @attrs.frozen
 class PlaceAnswer:
-    """The backend server for a request, or why there is none."""
+    """The backend server assigned to a request, or the reason why there is none."""
 
     number: int
     verdict: PlaceVerdict
@@ -53,10 +56,10 @@
 
 @attrs.frozen
 class PlaceEnd:
-    """A request has left a backend server, or is not wanted any more.
+    """Reports that a request has left a backend server or was cancelled.
 
-    `number` is 0 when the sender chose the server itself. `running` and `waiting` are
-    what the server reported, `NO_REPORT` if it did not.
+    `number` is 0 if the sender chose the server itself. `running` and `waiting` are the
+    numbers of requests that the server reported, `NO_REPORT` if it reported none.
     """
 
     number: int
@@ -74,5 +77,5 @@
 
 
 def register_messages(registry: MessageRegistry) -> None:
-    """Register the messages of this package."""
+    """Register the peer messages of placement."""
     registry.register(SCHEMA_FILE, MESSAGES)
--- a/wagtailrill/placement/models.py
+++ b/wagtailrill/placement/models.py
@@ -1,4 +1,4 @@
-"""Models of placement."""
+"""Placement queries and results that the request pipeline exchanges with placement."""
 
 from collections.abc import Callable
 
@@ -9,7 +9,12 @@
 
 @attrs.frozen
 class Wanted:
-    """A request that needs a backend server; times in seconds."""
+    """A request that needs a backend server; times in seconds.
+
+    `waited_s` counts from the request's arrival, `target_s` is its target latency and
+    `left_s` the time until its deadline. `excluded` are servers already tried; with
+    `extra` the server is for a hedge.
+    """
 
     service: str
     keyed: bool
@@ -24,7 +29,10 @@
 
 @attrs.frozen
 class Ticket:
-    """Who has placed a request; `dispatcher` is empty for this instance itself."""
+    """Identifies a placement by its dispatcher and the number of the request there.
+
+    `dispatcher` is empty if this instance chose the server itself.
+    """
 
     dispatcher: str
     number: int
@@ -32,7 +40,7 @@
 
 @attrs.frozen
 class Placed:
-    """The backend server for a request."""
+    """The backend server assigned to a request."""
 
     server: ServerRow
     ticket: Ticket
@@ -40,10 +48,10 @@
 
 @attrs.frozen
 class NotPlaced:
-    """There is no backend server for a request now.
+    """No backend server is available for a request now.
 
-    `moving` says that the key has no owner; with `may_wait` another look soon may find
-    one. `decided_by` is the instance that has looked.
+    `moving` is true if the key has no owner at present, `may_wait` if it makes sense to
+    try again soon. `decided_by` is the instance that looked for a server.
     """
 
     moving: bool
@@ -52,4 +60,4 @@
     decided_by: str
 
 
-OnPlaced = Callable[[Placed | NotPlaced], None]
+PlacementCallback = Callable[[Placed | NotPlaced], None]
--- a/wagtailrill/placement/queue.py
+++ b/wagtailrill/placement/queue.py
@@ -1,4 +1,4 @@
-"""Rows of a dispatcher: requests that wait, and those that are at a server."""
+"""Records of a dispatcher: pending and assigned requests, and server options."""
 
 from collections.abc import Callable
 
@@ -11,59 +11,68 @@
 
 
 @attrs.define(eq=False)
-class Waiting:
-    """A request that waits for room.
+class PendingRequest:
+    """A request that has no backend server yet.
 
-    From `late_from_s` on it cannot reach its target any more. Then it has a slot only
-    when no other request wants it, until `hopeless_from_s`.
+    From `late_from_s` on it is not expected to reach its target latency; it then gets a
+    slot only when no request that is not late can use it. From `latest_start_s` on it
+    cannot end before its deadline. Both are monotonic times.
     """
 
     request: PlaceRequest
-    asker: str
+    sender: str
     data_centre: str
     reply: Reply
     arrived_s: float
     late_from_s: float
-    hopeless_from_s: float
+    latest_start_s: float
     excluded: frozenset[str]
     late: bool = False
 
     @property
     def rank(self) -> tuple[bool, int, float]:
-        """Return the order in which requests are placed."""
-        first_s = self.arrived_s - self.request.waited_s
-        return self.late, self.request.priority, first_s
+        """Return the sort key for the order in which requests are placed."""
+        caller_arrived_s = self.arrived_s - self.request.waited_s
+        return self.late, self.request.priority, caller_arrived_s
 
 
 @attrs.define(eq=False)
-class Assignment:
-    """A request that is at a backend server."""
+class AssignedRequest:
+    """A request that was assigned to a backend server and has not ended.
+
+    `expires_s` is the monotonic time from which it no longer counts, even if its end
+    was not reported.
+    """
 
     load: ServerLoad
     placed_s: float
-    until_s: float
+    expires_s: float
 
 
 @attrs.frozen
-class Outlook:
-    """What a request can expect: the best server with room, and faster full ones.
+class ServerOptions:
+    """The best server with a free slot, and the faster servers that are full.
 
-    `faster_per_s` is how many requests a second the faster ones begin, `fastest_s` the
-    shortest time on one of them.
+    `best_cost_s` is the expected time of a request on the best server, and
+    `fastest_cost_s` the shortest one on a faster, full server. The faster servers
+    together start `faster_rate_per_s` requests per second.
     """
 
     best: ServerLoad | None
-    best_s: float
-    faster_per_s: float
-    fastest_s: float
-
-    def choice(self, waiting: Waiting, ahead: int) -> ServerLoad | None:
-        """Return the server for a request, None if it should wait.
-
-        It should wait if it would end sooner at a faster server, where `ahead` others
-        go first. A late request does not wait for that.
+    best_cost_s: float
+    faster_rate_per_s: float
+    fastest_cost_s: float
+
+    def choose_server(
+        self, pending: PendingRequest, ahead_count: int
+    ) -> ServerLoad | None:
+        """Return the server for a request, or None if it should wait.
+
+        It should wait if it would end sooner on a faster server, where `ahead_count`
+        other requests go first. Late requests and extra attempts never wait for a
+        faster server.
         """
-        if waiting.late or waiting.request.extra or self.faster_per_s <= 0.0:
+        if pending.late or pending.request.extra or self.faster_rate_per_s <= 0.0:
             return self.best
-        wait_s = (ahead + 1) / self.faster_per_s
-        return None if wait_s + self.fastest_s < self.best_s else self.best
+        wait_s = (ahead_count + 1) / self.faster_rate_per_s
+        return None if wait_s + self.fastest_cost_s < self.best_cost_s else self.best
--- a/wagtailrill/retries/__init__.py
+++ b/wagtailrill/retries/__init__.py
@@ -1,1 +1,1 @@
-"""Retry and hedge budgets."""
+"""Budgets of retries and hedges, and the delay after which a request is hedged."""
--- a/wagtailrill/retries/extra_attempts.py
+++ b/wagtailrill/retries/extra_attempts.py
@@ -1,4 +1,4 @@
-"""Budget of attempts beyond the first, and when a second one pays."""
+"""Budget of retries and hedges, and the hedging delay; used by the request pipeline."""
 
 from collections import deque
 from collections.abc import Callable
@@ -12,11 +12,13 @@
 
 @attrs.frozen
 class ExtraAttemptSettings:
-    """Bounds of extra attempts for the whole fleet.
+    """Fleet-wide limits of extra attempts, that is of retries and hedges.
 
-    In any `window_s` a service may get `share` times its requests plus `allowance`
-    extra attempts. `part` of that is used, since instances count apart. A request is
-    hedged when it takes longer than `hedge_quantile` of the answers.
+    In any window of `window_s` seconds a service may get `share` times its requests
+    plus `allowance` extra attempts. Only the fraction `part` of that is used, since
+    each instance counts its own requests and attempts. A request is hedged when it
+    takes longer than the quantile `hedge_quantile` of latencies, once there are
+    `hedge_samples_min` of them.
     """
 
     share: float = 0.1
@@ -29,94 +31,98 @@
 
 @attrs.define
 class ServiceAttempts:
-    """Counts of one service in the present window; `depends_on` are all it needs."""
+    """Requests and extra attempts of one service in the current window.
+
+    `depends_on` are its direct and indirect dependencies. The deques hold monotonic
+    times in seconds.
+    """
 
     depends_on: tuple[str, ...] = ()
     histogram: LatencyHistogram = attrs.field(factory=LatencyHistogram)
-    requests_s: deque[float] = attrs.field(factory=deque)
-    extra_s: deque[float] = attrs.field(factory=deque)
+    request_times_s: deque[float] = attrs.field(factory=deque)
+    extra_times_s: deque[float] = attrs.field(factory=deque)
 
-    def expire(self, before_s: float) -> None:
-        """Drop what lies before the window."""
-        for times in (self.requests_s, self.extra_s):
-            while times and times[0] < before_s:
-                times.popleft()
+    def drop_before(self, window_start_s: float) -> None:
+        """Drop the times before the start of the window."""
+        for times_s in (self.request_times_s, self.extra_times_s):
+            while times_s and times_s[0] < window_start_s:
+                times_s.popleft()
 
 
 class ExtraAttempts:
-    """Keeps the extra attempts of this instance within its part of the budget."""
+    """Limits the extra attempts of this instance to its part of the fleet's budget."""
 
     def __init__(
         self,
         ctx: Context,
         cfg: ExtraAttemptSettings,
-        instances: Callable[[], tuple[str, ...]],
+        list_instances: Callable[[], tuple[str, ...]],
     ) -> None:
         self._ctx = ctx
         self._cfg = cfg
-        self._instances = instances
-        self._rows: dict[str, ServiceAttempts] = {}
+        self._list_instances = list_instances
+        self._services: dict[str, ServiceAttempts] = {}
 
     def apply_settings(self, cfg: ExtraAttemptSettings) -> None:
         """Replace the settings."""
         self._cfg = cfg
 
     def configure(self, configuration: Configuration) -> None:
-        """Apply a configuration; counts of services that stay are kept."""
-        self._rows = {
-            name: self._rows.get(name) or ServiceAttempts()
+        """Apply a configuration; services that it keeps retain their counts."""
+        self._services = {
+            name: self._services.get(name) or ServiceAttempts()
             for name in configuration.services
         }
-        for name, row in self._rows.items():
-            row.depends_on = _transitive(configuration, name)
+        for name, attempts in self._services.items():
+            attempts.depends_on = _find_dependencies(configuration, name)
 
     def on_request(self, service: str) -> None:
         """Count a caller's request."""
-        row = self._rows.get(service)
-        if row is not None:
-            row.requests_s.append(self._ctx.now_s)
-            row.expire(self._ctx.now_s - self._cfg.window_s)
+        attempts = self._services.get(service)
+        if attempts is not None:
+            attempts.request_times_s.append(self._ctx.now_s)
+            attempts.drop_before(self._ctx.now_s - self._cfg.window_s)
 
     def may_take(self, service: str) -> bool:
         """Return whether the budget has room for one extra attempt."""
-        row = self._rows.get(service)
-        if row is None or not self._has_room(row):
+        attempts = self._services.get(service)
+        if attempts is None or not self._has_budget(attempts):
             return False
-        # More attempts would add load to a dependency that is in trouble.
-        dependencies = (self._rows.get(name) for name in row.depends_on)
-        return all(other is None or self._has_room(other) for other in dependencies)
+        # Extra attempts would add load to a dependency that has used up its budget.
+        dependencies = (self._services.get(name) for name in attempts.depends_on)
+        return all(other is None or self._has_budget(other) for other in dependencies)
 
     def take(self, service: str) -> bool:
         """Take one extra attempt from the budget; return whether there was one."""
         if not self.may_take(service):
             return False
-        self._rows[service].extra_s.append(self._ctx.now_s)
+        self._services[service].extra_times_s.append(self._ctx.now_s)
         return True
 
     def record(self, service: str, latency_s: float) -> None:
-        """Take in the latency of an answer."""
-        row = self._rows.get(service)
-        if row is not None:
-            row.histogram.record(latency_s)
+        """Record the latency of an answer in seconds."""
+        attempts = self._services.get(service)
+        if attempts is not None:
+            attempts.histogram.record_latency(latency_s)
 
     def hedge_delay_s(self, service: str) -> float | None:
         """Return after how many seconds to hedge a request, None for never."""
-        row = self._rows.get(service)
-        if row is None or row.histogram.total < self._cfg.hedge_samples_min:
+        attempts = self._services.get(service)
+        if attempts is None or attempts.histogram.total < self._cfg.hedge_samples_min:
             return None
-        return row.histogram.quantile_s(self._cfg.hedge_quantile)
+        return attempts.histogram.get_quantile_s(self._cfg.hedge_quantile)
 
-    def _has_room(self, row: ServiceAttempts) -> bool:
-        row.expire(self._ctx.now_s - self._cfg.window_s)
-        return len(row.extra_s) + 1 <= self._budget(row)
+    def _has_budget(self, attempts: ServiceAttempts) -> bool:
+        attempts.drop_before(self._ctx.now_s - self._cfg.window_s)
+        return len(attempts.extra_times_s) + 1 <= self._compute_budget(attempts)
 
-    def _budget(self, row: ServiceAttempts) -> float:
+    def _compute_budget(self, attempts: ServiceAttempts) -> float:
         cfg = self._cfg
-        allowance = cfg.allowance / max(len(self._instances()), 1)
-        return cfg.part * (cfg.share * len(row.requests_s) + allowance)
+        allowance = cfg.allowance / max(len(self._list_instances()), 1)
+        return cfg.part * (cfg.share * len(attempts.request_times_s) + allowance)
 
 
-def _transitive(configuration: Configuration, service: str) -> tuple[str, ...]:
+def _find_dependencies(configuration: Configuration, service: str) -> tuple[str, ...]:
     """Return the direct and indirect dependencies of a service."""
     found: dict[str, None] = {}
     pending = [service]
--- a/wagtailrill/router/__init__.py
+++ b/wagtailrill/router/__init__.py
@@ -1,1 +1,1 @@
-"""Decisions of one instance, composed of its components."""
+"""Composes the components of one instance into a router without I/O."""
--- a/wagtailrill/router/messages.py
+++ b/wagtailrill/router/messages.py
@@ -1,4 +1,4 @@
-"""Registry of all peer messages."""
+"""Registry of the peer messages of all components; used by the runtime."""
 
 from typing import Final
 
@@ -21,7 +21,7 @@
 
 
 def make_registry() -> MessageRegistry:
-    """Return a registry with the messages of every component."""
+    """Return a registry with the peer messages of every component."""
     registry = MessageRegistry()
     for register in REGISTRARS:
         register(registry)
--- a/wagtailrill/router/models.py
+++ b/wagtailrill/router/models.py
@@ -1,4 +1,4 @@
-"""Settings of one instance's decisions and how its environment is read."""
+"""Settings of a router, and its adapter to the environment that it runs in."""
 
 from collections.abc import Callable
 
@@ -18,7 +18,7 @@
 
 @attrs.frozen
 class Allowances:
-    """What the whole fleet may do, as far as the environment sets it."""
+    """Fleet-wide limits that the environment sets."""
 
     rates: RateSettings = attrs.field(factory=RateSettings)
     cold: ColdSettings = attrs.field(factory=ColdSettings)
@@ -27,9 +27,10 @@
 
 @attrs.frozen
 class RouterSettings:
-    """Settings of one instance's decisions.
+    """Settings of one instance's router.
 
-    The prefixes are those of the store's keys that this deployment writes.
+    `key_table_prefix` and `claim_prefix` are prefixes of the store keys that this
+    deployment writes.
     """
 
     identity: Identity
@@ -41,7 +42,7 @@
 
 @attrs.frozen
 class DiscoveredServers:
-    """Backend servers that announce themselves under a prefix of the store."""
+    """Backend servers that register themselves under a key prefix of the store."""
 
     prefix: str
     decoder: EntryDecoder
@@ -49,17 +50,18 @@
 
 @attrs.frozen
 class DeclaredServers:
-    """Backend servers that the configuration names."""
+    """Backend servers that are listed in the configuration, by name."""
 
     entries: Callable[[Configuration], dict[str, ServerEntry]]
 
 
 @attrs.frozen
 class Adapter:
-    """How the environment of the instance is read.
+    """Reads the configuration, servers and tenant keys of one kind of environment.
 
-    `reserved_header` tells which headers of callers are not passed on. With
-    `needs_idempotency_key` a request that is not idempotent has to carry a key.
+    `reserved_header` returns whether a caller's header is not forwarded. With
+    `needs_idempotency_key` a request that is not idempotent must carry an idempotency
+    key.
     """
 
     configurations: ConfigurationDecoder
--- a/wagtailrill/router/router.py
+++ b/wagtailrill/router/router.py
@@ -1,4 +1,4 @@
-"""One instance without its I/O."""
+"""Composes the components of one instance; the runtime does the I/O for it."""
 
 import math
 import random
@@ -32,9 +32,9 @@
 
 
 class Router:
-    """Takes events and times, returns commands.
+    """Takes events and the time, and returns the commands to carry out.
 
-    Several routers can run in one process, each stepped by its owner.
+    It does no I/O and reads no clock, so several routers can run in one process.
     """
 
     def __init__(
@@ -52,38 +52,50 @@
         self._adapter = adapter
         self.configuration = ConfigurationFollower(ctx, adapter.configurations)
         self.servers = ServerTable(ctx)
-        self.discovery = self._discovery(ctx, adapter)
+        self.discovery = self._make_discovery(ctx, adapter)
         self.members = Members(ctx, cfg.fleet)
         self.duties = Duties(ctx, self.members)
         self.keys = KeyOwnership(
             ctx, self.servers, self.members, self.duties, cfg.key_table_prefix
         )
-        self.relay = (
+        self.entry_relay = (
             EntryRelay(ctx, self.duties, self.discovery, self.servers)
             if self.discovery is not None
             else None
         )
-        counted = self.members.counted
+        list_counted = self.members.counted
         allowances = cfg.allowances
         self.rates = Rates(ctx, self.members, self.duties, allowances.rates)
-        self.cold = ColdAllowances(ctx, self.servers, allowances.cold, counted)
-        self.retries = ExtraAttempts(ctx, allowances.extra_attempts, counted)
-        self.choice = ServerChoice(ctx, self.servers, self.cold)
+        self.cold_allowances = ColdAllowances(
+            ctx, self.servers, allowances.cold, list_counted
+        )
+        self.retries = ExtraAttempts(ctx, allowances.extra_attempts, list_counted)
+        self.server_choice = ServerChoice(ctx, self.servers, self.cold_allowances)
         self.placement = Placement(
             PlacementParts(
-                ctx, self.servers, self.choice, self.keys, self.members, self.duties
+                ctx,
+                self.servers,
+                self.server_choice,
+                self.keys,
+                self.members,
+                self.duties,
             )
         )
-        self.keys.capacity_of = self.placement.capacity_of
-        self.keys.on_load = self.placement.load_reported
-        self.keys.heard_s = self.placement.heard_s
-        self.guard = CrashGuard(ctx, self.servers, lambda: tuple(self.members.live()))
+        self.keys.capacity_of = self.placement.estimate_capacity
+        self.keys.on_load = self.placement.record_load
+        self.keys.heard_s = self.placement.get_last_report_s
+        self.crash_guard = CrashGuard(
+            ctx, self.servers, lambda: tuple(self.members.live())
+        )
         self.claims = Claims(ctx, self.members, cfg.claim_prefix)
-        self.pipeline = Pipeline(self._pipeline_parts())
-        self._attach()
+        self.pipeline = Pipeline(self._make_pipeline_parts())
+        self._attach_components()
 
     def start(self, now_s: float, wall_s: float) -> list[Command]:
-        """Begin to read the store; return the first commands."""
+        """Start to read the store; return the first commands to carry out.
+
+        `now_s` is monotonic time and `wall_s` Unix time, both in seconds.
+        """
         self.ctx.set_time(now_s, wall_s)
         self.members.start()
         self.configuration.start()
@@ -97,13 +109,13 @@
         return self.host.step(event, now_s, wall_s)
 
     def next_due_s(self) -> float | None:
-        """Return the monotonic time of the next timer in seconds."""
+        """Return the monotonic time of the next timer in seconds, None without one."""
         return self.host.next_due_s()
 
     def apply_allowances(self, allowances: Allowances) -> None:
-        """Apply allowances that have changed while the instance runs."""
+        """Apply allowances that changed while the instance was running."""
         self.rates.apply_settings(allowances.rates)
-        self.cold.apply_settings(allowances.cold)
+        self.cold_allowances.apply_settings(allowances.cold)
         self.retries.apply_settings(allowances.extra_attempts)
 
     def ready(self) -> bool:
@@ -111,7 +123,7 @@
         return not self.draining and self.configuration.current is not None
 
     def address_of(self, backend_server: str) -> str | None:
-        """Return the address of a backend server."""
+        """Return the address of a backend server, None if it is unknown."""
         return self.servers.address_of(backend_server)
 
     def status(self) -> dict[str, Any]:
@@ -136,7 +148,7 @@
         }
 
     def gauges(self) -> dict[str, float]:
-        """Return figures for the metrics: ages of what is known, and shares."""
+        """Return the finite gauges for the metrics by name: ages and counts."""
         now_s = self.ctx.now_s
         gauges = {
             "configuration_age_s": now_s - self.configuration.confirmed_s,
@@ -152,20 +164,21 @@
         return {name: value for name, value in gauges.items() if math.isfinite(value)}
 
     def explain_key(self, service: str, key: str) -> dict[str, Any] | None:
-        """Return who holds a key, since when and by whom, None if it is not keyed.
+        """Return who owns a key and since when, None if the service is not keyed.
 
-        A number from 0 to 65,535 stands for itself, another text is hashed.
+        A number from 0 to 65,535 is taken as a key position; any other text is hashed
+        to one.
         """
         return self.keys.explain(service, position_of(key))
 
-    def _discovery(self, ctx: Context, adapter: Adapter) -> Discovery | None:
+    def _make_discovery(self, ctx: Context, adapter: Adapter) -> Discovery | None:
         servers = adapter.servers
         if isinstance(servers, DeclaredServers):
             return None
         cfg = DiscoverySettings(servers.prefix)
         return Discovery(ctx, cfg, servers.decoder, self.servers.update)
 
-    def _pipeline_parts(self) -> PipelineParts:
+    def _make_pipeline_parts(self) -> PipelineParts:
         adapter = self._adapter
         return PipelineParts(
             ctx=self.ctx,
@@ -178,30 +191,30 @@
             limits=self.rates,
             router=self.keys,
             servers=self.servers,
-            choice=self.choice,
+            choice=self.server_choice,
             retries=self.retries,
             placement=self.placement,
-            guard=self.guard,
+            guard=self.crash_guard,
             claims=self.claims,
             instances=self.members.counted,
         )
 
-    def _attach(self) -> None:
-        for part in (
+    def _attach_components(self) -> None:
+        for component in (
             self.duties,
             self.keys,
             self.rates,
             self.placement,
-            self.guard,
+            self.crash_guard,
             self.pipeline,
         ):
-            part.attach(self.host)
-        if self.relay is not None:
-            self.relay.attach(self.host)
-        self.configuration.add_listener(self._configure)
-        self.host.on_event(DrainRequested, self._drain)
+            component.attach(self.host)
+        if self.entry_relay is not None:
+            self.entry_relay.attach(self.host)
+        self.configuration.add_listener(self._apply_configuration)
+        self.host.on_event(DrainRequested, self._start_drain)
 
-    def _drain(self, event: DrainRequested) -> None:
+    def _start_drain(self, event: DrainRequested) -> None:
         if self.draining:
             return
         self.draining = True
@@ -214,17 +227,17 @@
         self.duties.resign()
         self.members.stop()
 
-    def _configure(self, configuration: Configuration) -> None:
-        for part in (
+    def _apply_configuration(self, configuration: Configuration) -> None:
+        for component in (
             self.servers,
-            self.cold,
+            self.cold_allowances,
             self.retries,
             self.keys,
             self.rates,
             self.placement,
             self.pipeline,
         ):
-            part.configure(configuration)
+            component.configure(configuration)
         servers = self._adapter.servers
         if isinstance(servers, DeclaredServers):
             self.servers.update(servers.entries(configuration))
