Rename type aliases of placement and finish a rename in its tests

Folders: wagtailrill/placement, wagtailrill/router, tests/placement. Two docstrings of the router are clearer.

Reply -> ReplyCallback, FindOwner -> OwnerLookup, Placement._numbers -> _query_numbers

--- a/tests/placement/test_dispatcher.py
+++ b/tests/placement/test_dispatcher.py
@@ -74,9 +74,9 @@
 
     def slow_down_server(self, name: str, slowness: float) -> None:
         row = self.servers.rows[name]
-        self.dispatcher.load_reported(row, LoadReport(0, 0, 2, slowness))
+        self.dispatcher.record_load(row, LoadReport(0, 0, 2, slowness))
         advance(self.ctx, 0.2)
-        self.dispatcher.load_reported(row, LoadReport(0, 0, 2, slowness))
+        self.dispatcher.record_load(row, LoadReport(0, 0, 2, slowness))
 
 
 def test_requests_fill_the_slots_and_then_wait():
--- a/wagtailrill/placement/component.py
+++ b/wagtailrill/placement/component.py
@@ -87,7 +87,7 @@
         self._ctx = parts.ctx
         self._services: dict[str, ServiceState] = {}
         self._pending: dict[int, PendingQuery] = {}
-        self._numbers = itertools.count(1)
+        self._query_numbers = itertools.count(1)
         parts.ctx.timers.subscribe(TICK_S, self._tick)
 
     def attach(self, host: ComponentHost) -> None:
@@ -171,7 +171,7 @@
         ):
             on_result(self._place_locally(query))
             return 0
-        number = next(self._numbers)
+        number = next(self._query_numbers)
         pending = PendingQuery(query, holder.instance, on_result)
         self._pending[number] = pending
         pending.timer = self._ctx.timers.call_later(
--- a/wagtailrill/placement/dispatcher.py
+++ b/wagtailrill/placement/dispatcher.py
@@ -29,9 +29,9 @@
     PlaceRequest,
     PlaceVerdict,
 )
-from .queue import AssignedRequest, PendingRequest, Reply, ServerOptions
+from .queue import AssignedRequest, PendingRequest, ReplyCallback, ServerOptions
 
-FindOwner = Callable[[int], str]
+OwnerLookup = Callable[[int], str]
 
 
 @attrs.frozen
@@ -46,7 +46,7 @@
     ctx: Context
     servers: ServerTable
     service: str
-    find_owner: FindOwner
+    find_owner: OwnerLookup
     estimate_unowned_s: Callable[[int], float]
 
 
@@ -66,7 +66,7 @@
         self._demand = Demand()
 
     def place_request(
-        self, request: PlaceRequest, sender: str, data_centre: str, reply: Reply
+        self, request: PlaceRequest, sender: str, data_centre: str, reply: ReplyCallback
     ) -> None:
         """Place or refuse a request at once, or queue it and answer again later."""
         pending = self._make_pending(request, sender, data_centre, reply)
@@ -268,7 +268,7 @@
         return usable or [r for r in warm if r.name not in excluded] or warm
 
     def _make_pending(
-        self, request: PlaceRequest, sender: str, data_centre: str, reply: Reply
+        self, request: PlaceRequest, sender: str, data_centre: str, reply: ReplyCallback
     ) -> PendingRequest:
         now_s = self._ctx.now_s
         request_time_s = self._loads.work_s * REQUEST_TIME_MARGIN_RATIO
--- a/wagtailrill/placement/queue.py
+++ b/wagtailrill/placement/queue.py
@@ -7,7 +7,7 @@
 from ..servers.load import ServerLoad
 from .messages import PlaceAnswer, PlaceRequest
 
-Reply = Callable[[PlaceAnswer], None]
+ReplyCallback = Callable[[PlaceAnswer], None]
 
 
 @attrs.define(eq=False)
@@ -22,7 +22,7 @@
     request: PlaceRequest
     sender: str
     data_centre: str
-    reply: Reply
+    reply: ReplyCallback
     arrived_s: float
     late_from_s: float
     latest_start_s: float
--- a/wagtailrill/router/router.py
+++ b/wagtailrill/router/router.py
@@ -127,7 +127,7 @@
         return self.servers.address_of(backend_server)
 
     def status(self) -> dict[str, Any]:
-        """Return the state of this instance for operators."""
+        """Return the state of this instance for the admin interface."""
         configuration = self.configuration.current
         counters = self.pipeline.counters
         return {
@@ -164,8 +164,9 @@
         return {name: value for name, value in gauges.items() if math.isfinite(value)}
 
     def explain_key(self, service: str, key: str) -> dict[str, Any] | None:
-        """Return who owns a key and since when, None if the service is not keyed.
+        """Return who owns a key, since when and which instance grants it.
 
+        The result is None if the service is not keyed.
         A number from 0 to 65,535 is taken as a key position; any other text is hashed
         to one.
         """
