Rename names of placement, retries and router that other folders use

Only names and the texts that mention them change; the other folders are requests, runtime, native, platform and tests/runs.

placement: Wanted -> PlacementQuery, Placed -> ServerAssignment, NotPlaced -> NoServerAvailable, Ticket -> PlacementRef, Placed.ticket -> placement_ref, NotPlaced.moving -> key_moving, Placement.place -> find_server, Placement.cancel -> cancel_query, Placement.ended -> report_end retries: ExtraAttempts -> ExtraAttemptBudget; there and in requests.Retries: on_request -> count_request, may_take -> has_budget, take -> take_attempt, record -> record_latency, hedge_delay_s -> get_hedge_delay_s router: Adapter -> EnvironmentAdapter, Adapter.configurations -> configuration_decoder, Adapter.reserved_header -> is_reserved_header, DeclaredServers.entries -> list_entries, Router.ready -> is_ready, Router.status -> get_status, Router.gauges -> collect_gauges

--- a/tests/runs/deployment.py
+++ b/tests/runs/deployment.py
@@ -25,7 +25,11 @@
 from wagtailrill.organisations.keys import OpaqueKeyForm
 from wagtailrill.platform import wire
 from wagtailrill.platform.discovery import PlatformServerEntries
-from wagtailrill.router.models import Adapter, DiscoveredServers, RouterSettings
+from wagtailrill.router.models import (
+    DiscoveredServers,
+    EnvironmentAdapter,
+    RouterSettings,
+)
 from wagtailrill.router.router import Router
 from wagtailrill.stand_ins.server_model import ServerModelSettings
 from wagtailrill.stand_ins.virtual_fleet import VirtualFleet
@@ -231,7 +235,7 @@
             "claims/",
             ALLOWANCES,
         )
-        adapter = Adapter(
+        adapter = EnvironmentAdapter(
             self._configurations,
             DiscoveredServers(wire.SERVER_PREFIX, PlatformServerEntries()),
             OpaqueKeyForm(),
--- a/wagtailrill/native/assembly.py
+++ b/wagtailrill/native/assembly.py
@@ -11,7 +11,7 @@
 from ..observability.tracer import NoTracing, Tracing
 from ..organisations.keys import NamedKeyForm
 from ..platform.store_client import PlatformStore
-from ..router.models import Adapter, DeclaredServers, RouterSettings
+from ..router.models import DeclaredServers, EnvironmentAdapter, RouterSettings
 from ..runtime.const import INCARNATION_BITS
 from ..runtime.process import ProcessSettings, Surroundings
 from ..settings.models import InstanceSettings
@@ -36,11 +36,11 @@
             key_table_prefix=f"{prefix}/keys/",
             claim_prefix=f"{prefix}/claims/",
         ),
-        adapter=Adapter(
-            configurations=NativeConfigurations(cfg.deployment),
+        adapter=EnvironmentAdapter(
+            configuration_decoder=NativeConfigurations(cfg.deployment),
             servers=DeclaredServers(declared_servers),
             key_form=NamedKeyForm(),
-            reserved_header=backends.reserved,
+            is_reserved_header=backends.reserved,
             needs_idempotency_key=True,
         ),
         surroundings=Surroundings(
--- a/wagtailrill/placement/component.py
+++ b/wagtailrill/placement/component.py
@@ -33,7 +33,13 @@
     PlaceRequest,
     PlaceVerdict,
 )
-from .models import NotPlaced, Placed, PlacementCallback, Ticket, Wanted
+from .models import (
+    NoServerAvailable,
+    PlacementCallback,
+    PlacementQuery,
+    PlacementRef,
+    ServerAssignment,
+)
 
 DUTY_PREFIX = "place/"
 
@@ -42,7 +48,7 @@
 class PendingQuery:
     """A query that was sent to a dispatcher and is not resolved yet."""
 
-    query: Wanted
+    query: PlacementQuery
     dispatcher: str
     on_result: PlacementCallback
     timer: TimerHandle | None = None
@@ -155,7 +161,7 @@
             if dispatcher is not None:
                 dispatcher.record_load(server, load)
 
-    def place(self, query: Wanted, on_result: PlacementCallback) -> int:
+    def find_server(self, query: PlacementQuery, on_result: PlacementCallback) -> int:
         """Find a server and call `on_result`, before returning or later.
 
         Return the number by which the query can be cancelled, 0 if it is already
@@ -194,7 +200,7 @@
         self._ctx.send(holder.instance, request)
         return number
 
-    def cancel(self, number: int, service: str) -> None:
+    def cancel_query(self, number: int, service: str) -> None:
         """Cancel a query that is not resolved yet, and tell its dispatcher."""
         pending = self._pending.pop(number, None)
         if pending is None:
@@ -203,13 +209,15 @@
             pending.timer.cancel()
         self._send_end(pending.dispatcher, number, service)
 
-    def ended(self, service: str, placed: Placed, result: AttemptResult) -> None:
+    def report_end(
+        self, service: str, placed: ServerAssignment, result: AttemptResult
+    ) -> None:
         """Report the end of an attempt to the dispatcher that placed it.
 
         If this instance chose the server itself, the present dispatcher is told.
         """
-        ticket = placed.ticket
-        dispatcher = ticket.dispatcher
+        placement_ref = placed.placement_ref
+        dispatcher = placement_ref.dispatcher
         if not dispatcher:
             state = self._services.get(service)
             holder = (
@@ -218,7 +226,11 @@
             dispatcher = holder.instance if holder is not None else ""
         if dispatcher:
             self._send_end(
-                dispatcher, ticket.number, service, placed.server.name, result
+                dispatcher,
+                placement_ref.number,
+                service,
+                placed.server.name,
+                result,
             )
 
     def _send_end(
@@ -246,7 +258,9 @@
 
     # Asking the dispatcher
 
-    def _place_locally(self, query: Wanted) -> Placed | NotPlaced:
+    def _place_locally(
+        self, query: PlacementQuery
+    ) -> ServerAssignment | NoServerAvailable:
         parts = self._parts
         server: ServerRow | None
         moving = False
@@ -259,8 +273,10 @@
             if server is None and query.excluded and not query.extra:
                 server = parts.choice.choose(query.service, frozenset())
         if server is None:
-            return NotPlaced(moving, query.keyed, 0.0, self._ctx.identity.instance)
-        return Placed(server, Ticket("", 0))
+            return NoServerAvailable(
+                moving, query.keyed, 0.0, self._ctx.identity.instance
+            )
+        return ServerAssignment(server, PlacementRef("", 0))
 
     def _on_timeout(self, number: int) -> None:
         pending = self._pending.pop(number, None)
@@ -295,12 +311,14 @@
 
     def _resolve_answer(
         self, answer: PlaceAnswer, pending: PendingQuery
-    ) -> Placed | NotPlaced:
+    ) -> ServerAssignment | NoServerAvailable:
         if answer.verdict is PlaceVerdict.NOT_HERE:
             return self._place_locally(pending.query)
         if answer.verdict is not PlaceVerdict.PLACED:
             moving = answer.verdict is PlaceVerdict.MOVING
-            return NotPlaced(moving, False, answer.retry_after_s, pending.dispatcher)
+            return NoServerAvailable(
+                moving, False, answer.retry_after_s, pending.dispatcher
+            )
         server = self._parts.choice.known(answer.backend_server)
         if server is None:
             # The server is unknown here, or it is cold and this instance has already
@@ -312,7 +330,7 @@
                 answer.backend_server,
             )
             return self._place_locally(pending.query)
-        return Placed(server, Ticket(pending.dispatcher, answer.number))
+        return ServerAssignment(server, PlacementRef(pending.dispatcher, answer.number))
 
     # Acting as dispatcher
 
--- a/wagtailrill/placement/models.py
+++ b/wagtailrill/placement/models.py
@@ -8,7 +8,7 @@
 
 
 @attrs.frozen
-class Wanted:
+class PlacementQuery:
     """A request that needs a backend server; times in seconds.
 
     `waited_s` counts from the request's arrival, `target_s` is its target latency and
@@ -28,7 +28,7 @@
 
 
 @attrs.frozen
-class Ticket:
+class PlacementRef:
     """Identifies a placement by its dispatcher and the number of the request there.
 
     `dispatcher` is empty if this instance chose the server itself.
@@ -39,25 +39,25 @@
 
 
 @attrs.frozen
-class Placed:
+class ServerAssignment:
     """The backend server assigned to a request."""
 
     server: ServerRow
-    ticket: Ticket
+    placement_ref: PlacementRef
 
 
 @attrs.frozen
-class NotPlaced:
+class NoServerAvailable:
     """No backend server is available for a request now.
 
-    `moving` is true if the key has no owner at present, `may_wait` if it makes sense to
-    try again soon. `decided_by` is the instance that looked for a server.
+    `key_moving` is true if the key has no owner at present, `may_wait` if it makes
+    sense to try again soon. `decided_by` is the instance that looked for a server.
     """
 
-    moving: bool
+    key_moving: bool
     may_wait: bool
     retry_after_s: float
     decided_by: str
 
 
-PlacementCallback = Callable[[Placed | NotPlaced], None]
+PlacementCallback = Callable[[ServerAssignment | NoServerAvailable], None]
--- a/wagtailrill/platform/assembly.py
+++ b/wagtailrill/platform/assembly.py
@@ -15,7 +15,12 @@
 from ..organisations.keys import OpaqueKeyForm
 from ..rates.models import RateSettings
 from ..retries.extra_attempts import ExtraAttemptSettings
-from ..router.models import Adapter, Allowances, DiscoveredServers, RouterSettings
+from ..router.models import (
+    Allowances,
+    DiscoveredServers,
+    EnvironmentAdapter,
+    RouterSettings,
+)
 from ..runtime.const import INCARNATION_BITS
 from ..runtime.process import ProcessSettings, Surroundings
 from ..servers.warmth import ColdSettings
@@ -90,11 +95,11 @@
             claim_prefix=wire.CLAIM_PREFIX,
             allowances=allowances_of(cfg.bounds),
         ),
-        adapter=Adapter(
-            configurations=PlatformConfigurations(cfg.data_centres),
+        adapter=EnvironmentAdapter(
+            configuration_decoder=PlatformConfigurations(cfg.data_centres),
             servers=DiscoveredServers(wire.SERVER_PREFIX, PlatformServerEntries()),
             key_form=OpaqueKeyForm(),
-            reserved_header=backends.reserved,
+            is_reserved_header=backends.reserved,
         ),
         surroundings=Surroundings(
             store=PlatformStore((cfg.store_address,), STORE_TIMEOUT_S),
--- a/wagtailrill/requests/attempts.py
+++ b/wagtailrill/requests/attempts.py
@@ -7,7 +7,7 @@
 from ..core.context import Context
 from ..core.events import AttemptEnded
 from ..core.orders import AttemptOutcome, AttemptResult, Order
-from ..placement.models import Placed
+from ..placement.models import ServerAssignment
 from ..servers.choice import ServerChoice
 from ..servers.models import ServerRow
 from ..servers.table import ServerTable
@@ -50,7 +50,9 @@
         self._attempt_ids = itertools.count(1)
         self._by_id: dict[int, tuple[RequestRow, Attempt]] = {}
 
-    def start(self, row: RequestRow, placed: Placed, hedge: bool = False) -> None:
+    def start(
+        self, row: RequestRow, placed: ServerAssignment, hedge: bool = False
+    ) -> None:
         """Send a request to the backend server that was chosen for it."""
         self._ctx.invariants.check(
             row.route.idempotent or not row.may_have_run,
--- a/wagtailrill/requests/hedging.py
+++ b/wagtailrill/requests/hedging.py
@@ -7,7 +7,7 @@
 from ..core.context import Context
 from ..core.orders import AttemptOutcome, AttemptResult
 from ..placement.component import Placement
-from ..placement.models import NotPlaced, Placed, Wanted
+from ..placement.models import NoServerAvailable, PlacementQuery, ServerAssignment
 from .attempts import AttemptRunner
 from .interfaces import Retries
 from .models import RequestCounters, RequestRow
@@ -28,7 +28,7 @@
     counters: RequestCounters
     log: RequestLog
     current: Callable[[RequestRow], bool]
-    wanted: Callable[[RequestRow, bool], Wanted]
+    wanted: Callable[[RequestRow, bool], PlacementQuery]
 
 
 class Hedging:
@@ -41,7 +41,7 @@
         """Hedge a request when it takes longer than usual."""
         if not row.route.idempotent or row.service.keyed or row.req.attempt:
             return
-        delay_s = self._parts.retries.hedge_delay_s(row.service.name)
+        delay_s = self._parts.retries.get_hedge_delay_s(row.service.name)
         if delay_s is not None:
             row.hedge_timer = self._parts.ctx.timers.call_later(
                 delay_s, lambda: self._hedge(row)
@@ -53,20 +53,22 @@
             return
         if row.runs + len(row.attempts) >= row.route.attempts_max:
             return
-        if not parts.retries.may_take(row.service.name):
+        if not parts.retries.has_budget(row.service.name):
             return
-        row.hedge_question = parts.placement.place(
+        row.hedge_question = parts.placement.find_server(
             parts.wanted(row, True), lambda result: self._placed(row, result)
         )
 
-    def _placed(self, row: RequestRow, result: Placed | NotPlaced) -> None:
+    def _placed(
+        self, row: RequestRow, result: ServerAssignment | NoServerAvailable
+    ) -> None:
         parts = self._parts
         row.hedge_question = 0
-        if isinstance(result, NotPlaced):
+        if isinstance(result, NoServerAvailable):
             return
         wanted = parts.current(row) and len(row.attempts) == 1
-        if not wanted or not parts.retries.take(row.service.name):
-            parts.placement.ended(row.service.name, result, NOT_STARTED)
+        if not wanted or not parts.retries.take_attempt(row.service.name):
+            parts.placement.report_end(row.service.name, result, NOT_STARTED)
             return
         parts.counters.hedges += 1
         parts.log.hedged(row, result)
--- a/wagtailrill/requests/interfaces.py
+++ b/wagtailrill/requests/interfaces.py
@@ -50,22 +50,22 @@
 class Retries(Protocol):
     """Budgets of extra attempts."""
 
-    def on_request(self, service: str) -> None:
+    def count_request(self, service: str) -> None:
         """Count a request."""
         ...
 
-    def may_take(self, service: str) -> bool:
+    def has_budget(self, service: str) -> bool:
         """Return whether the budget has room for one extra attempt."""
         ...
 
-    def take(self, service: str) -> bool:
+    def take_attempt(self, service: str) -> bool:
         """Take one extra attempt from the budget, if there is one."""
         ...
 
-    def record(self, service: str, latency_s: float) -> None:
+    def record_latency(self, service: str, latency_s: float) -> None:
         """Learn the latency of an answer."""
         ...
 
-    def hedge_delay_s(self, service: str) -> float | None:
+    def get_hedge_delay_s(self, service: str) -> float | None:
         """Return after how long a second attempt may be made, None for never."""
         ...
--- a/wagtailrill/requests/models.py
+++ b/wagtailrill/requests/models.py
@@ -9,7 +9,7 @@
 from ..core.timer import TimerHandle
 from ..declaration.models import Route, Service
 from ..organisations.models import Tenant
-from ..placement.models import Placed
+from ..placement.models import ServerAssignment
 
 
 class RequestState(enum.Enum):
@@ -27,7 +27,7 @@
     """One attempt at a request on a backend server."""
 
     attempt_id: int
-    placed: Placed
+    placed: ServerAssignment
     started_s: float
     hedge: bool = False
     outcome: AttemptOutcome | None = None
--- a/wagtailrill/requests/pipeline.py
+++ b/wagtailrill/requests/pipeline.py
@@ -24,7 +24,7 @@
 from ..crash_guard.models import request_fingerprint
 from ..declaration.models import Configuration
 from ..placement.component import Placement
-from ..placement.models import NotPlaced, Placed, Wanted
+from ..placement.models import NoServerAvailable, PlacementQuery, ServerAssignment
 from ..servers.choice import ServerChoice
 from ..servers.table import ServerTable
 from .attempts import NOT_RUN_OUTCOMES, AttemptRunner
@@ -131,7 +131,7 @@
             return
         self._rows[req.request_id] = row
         count(self.counters.requests, row.service.name)
-        self._parts.retries.on_request(row.service.name)
+        self._parts.retries.count_request(row.service.name)
         row.deadline_timer = self._ctx.timers.call_at(
             row.deadline_s, lambda: self._deadline(row)
         )
@@ -228,18 +228,20 @@
             return
         row.state = RequestState.PLACING
         row.question = 0
-        row.question = self._parts.placement.place(
+        row.question = self._parts.placement.find_server(
             self._wanted(row), lambda result: self._placed(row, result)
         )
 
-    def _placed(self, row: RequestRow, result: Placed | NotPlaced) -> None:
+    def _placed(
+        self, row: RequestRow, result: ServerAssignment | NoServerAvailable
+    ) -> None:
         row.question = 0
-        if isinstance(result, Placed):
+        if isinstance(result, ServerAssignment):
             if self._current(row):
                 self._attempts.start(row, result)
                 self._hedging.arm(row)
             else:
-                self._parts.placement.ended(row.service.name, result, NOT_STARTED)
+                self._parts.placement.report_end(row.service.name, result, NOT_STARTED)
             return
         if not self._current(row):
             return
@@ -249,13 +251,15 @@
             return
         row.decided_by = result.decided_by
         row.wait_reason = (
-            RefusalCode.KEY_MOVING if result.moving else RefusalCode.NO_BACKEND_SERVER
+            RefusalCode.KEY_MOVING
+            if result.key_moving
+            else RefusalCode.NO_BACKEND_SERVER
         )
         self._refuse(row, no_room(row.wait_reason, result.retry_after_s))
 
-    def _wanted(self, row: RequestRow, extra: bool = False) -> Wanted:
+    def _wanted(self, row: RequestRow, extra: bool = False) -> PlacementQuery:
         now_s = self._ctx.now_s
-        return Wanted(
+        return PlacementQuery(
             service=row.service.name,
             keyed=row.service.keyed,
             key_position=row.key_position,
@@ -294,9 +298,9 @@
     def _record(self, row: RequestRow, attempt: Attempt, result: AttemptResult) -> None:
         """Tell the other components how an attempt ended."""
         parts, service = self._parts, row.service
-        parts.placement.ended(service.name, attempt.placed, result)
+        parts.placement.report_end(service.name, attempt.placed, result)
         if result.outcome is AttemptOutcome.ANSWERED:
-            parts.retries.record(service.name, result.latency_s)
+            parts.retries.record_latency(service.name, result.latency_s)
             if parts.guard.has_suspects():
                 parts.guard.answered(self._fingerprint(row))
         elif result.outcome is AttemptOutcome.LOST:
@@ -332,7 +336,7 @@
             return False
         if row.deadline_s - self._ctx.now_s < USEFUL_TIME_MIN_S or row.req.attempt:
             return False
-        return self._parts.retries.take(row.service.name)
+        return self._parts.retries.take_attempt(row.service.name)
 
     # Ends
 
@@ -370,7 +374,7 @@
             row.claim_id = 0
         for question in (row.question, row.hedge_question):
             if question:
-                self._parts.placement.cancel(question, row.service.name)
+                self._parts.placement.cancel_query(question, row.service.name)
         for timer in (row.deadline_timer, row.hedge_timer):
             if timer is not None:
                 timer.cancel()
--- a/wagtailrill/requests/request_log.py
+++ b/wagtailrill/requests/request_log.py
@@ -7,7 +7,7 @@
 from ..core.orders import CallerRequest
 from ..core.refusals import Ran, Refusal, RefusalCode
 from ..declaration.models import Configuration
-from ..placement.models import Placed
+from ..placement.models import ServerAssignment
 from .checks import ArrivalChecks
 from .models import Attempt, RequestRow
 
@@ -59,7 +59,7 @@
         """Tell that a request goes to another server."""
         self.ctx.log(LogName.REQUEST_RETRIED, **self._fields(row), outcome=outcome)
 
-    def hedged(self, row: RequestRow, placed: Placed) -> None:
+    def hedged(self, row: RequestRow, placed: ServerAssignment) -> None:
         """Tell that a second server is asked while the first has not answered."""
         server = placed.server.name
         self.ctx.log(LogName.REQUEST_HEDGED, **self._fields(row), backend_server=server)
@@ -117,6 +117,6 @@
 def _attempt(attempt: Attempt) -> str:
     """Return server, outcome, seconds and the instance that chose the server."""
     outcome = attempt.outcome.value if attempt.outcome is not None else "running"
-    placed_by = attempt.placed.ticket.dispatcher or "own_choice"
+    placed_by = attempt.placed.placement_ref.dispatcher or "own_choice"
     name = attempt.placed.server.name
     return f"{name}:{outcome}:{attempt.latency_s:.3f}:{placed_by}"
--- a/wagtailrill/retries/extra_attempts.py
+++ b/wagtailrill/retries/extra_attempts.py
@@ -49,7 +49,7 @@
                 times_s.popleft()
 
 
-class ExtraAttempts:
+class ExtraAttemptBudget:
     """Limits the extra attempts of this instance to its part of the fleet's budget."""
 
     def __init__(
@@ -76,14 +76,14 @@
         for name, attempts in self._services.items():
             attempts.depends_on = _find_dependencies(configuration, name)
 
-    def on_request(self, service: str) -> None:
+    def count_request(self, service: str) -> None:
         """Count a caller's request."""
         attempts = self._services.get(service)
         if attempts is not None:
             attempts.request_times_s.append(self._ctx.now_s)
             attempts.drop_before(self._ctx.now_s - self._cfg.window_s)
 
-    def may_take(self, service: str) -> bool:
+    def has_budget(self, service: str) -> bool:
         """Return whether the budget has room for one extra attempt."""
         attempts = self._services.get(service)
         if attempts is None or not self._has_budget(attempts):
@@ -92,20 +92,20 @@
         dependencies = (self._services.get(name) for name in attempts.depends_on)
         return all(other is None or self._has_budget(other) for other in dependencies)
 
-    def take(self, service: str) -> bool:
+    def take_attempt(self, service: str) -> bool:
         """Take one extra attempt from the budget; return whether there was one."""
-        if not self.may_take(service):
+        if not self.has_budget(service):
             return False
         self._services[service].extra_times_s.append(self._ctx.now_s)
         return True
 
-    def record(self, service: str, latency_s: float) -> None:
+    def record_latency(self, service: str, latency_s: float) -> None:
         """Record the latency of an answer in seconds."""
         attempts = self._services.get(service)
         if attempts is not None:
             attempts.histogram.record_latency(latency_s)
 
-    def hedge_delay_s(self, service: str) -> float | None:
+    def get_hedge_delay_s(self, service: str) -> float | None:
         """Return after how many seconds to hedge a request, None for never."""
         attempts = self._services.get(service)
         if attempts is None or attempts.histogram.total < self._cfg.hedge_samples_min:
--- a/wagtailrill/router/models.py
+++ b/wagtailrill/router/models.py
@@ -52,20 +52,20 @@
 class DeclaredServers:
     """Backend servers that are listed in the configuration, by name."""
 
-    entries: Callable[[Configuration], dict[str, ServerEntry]]
+    list_entries: Callable[[Configuration], dict[str, ServerEntry]]
 
 
 @attrs.frozen
-class Adapter:
+class EnvironmentAdapter:
     """Reads the configuration, servers and tenant keys of one kind of environment.
 
-    `reserved_header` returns whether a caller's header is not forwarded. With
+    `is_reserved_header` returns whether a caller's header is not forwarded. With
     `needs_idempotency_key` a request that is not idempotent must carry an idempotency
     key.
     """
 
-    configurations: ConfigurationDecoder
+    configuration_decoder: ConfigurationDecoder
     servers: DiscoveredServers | DeclaredServers
     key_form: KeyForm
-    reserved_header: Callable[[bytes], bool]
+    is_reserved_header: Callable[[bytes], bool]
     needs_idempotency_key: bool = False
--- a/wagtailrill/router/router.py
+++ b/wagtailrill/router/router.py
@@ -22,13 +22,13 @@
 from ..rates.component import Rates
 from ..requests.checks import ArrivalChecks, position_of
 from ..requests.pipeline import Pipeline, PipelineParts
-from ..retries.extra_attempts import ExtraAttempts
+from ..retries.extra_attempts import ExtraAttemptBudget
 from ..servers.choice import ServerChoice
 from ..servers.discovery import Discovery, DiscoverySettings
 from ..servers.relay import EntryRelay
 from ..servers.table import ServerTable
 from ..servers.warmth import ColdAllowances
-from .models import Adapter, Allowances, DeclaredServers, RouterSettings
+from .models import Allowances, DeclaredServers, EnvironmentAdapter, RouterSettings
 
 
 class Router:
@@ -40,7 +40,7 @@
     def __init__(
         self,
         cfg: RouterSettings,
-        adapter: Adapter,
+        adapter: EnvironmentAdapter,
         rng: random.Random,
         invariants: Invariants,
     ) -> None:
@@ -50,7 +50,7 @@
         self.host = ComponentHost(ctx)
         self.draining = False
         self._adapter = adapter
-        self.configuration = ConfigurationFollower(ctx, adapter.configurations)
+        self.configuration = ConfigurationFollower(ctx, adapter.configuration_decoder)
         self.servers = ServerTable(ctx)
         self.discovery = self._make_discovery(ctx, adapter)
         self.members = Members(ctx, cfg.fleet)
@@ -69,7 +69,7 @@
         self.cold_allowances = ColdAllowances(
             ctx, self.servers, allowances.cold, list_counted
         )
-        self.retries = ExtraAttempts(ctx, allowances.extra_attempts, list_counted)
+        self.retries = ExtraAttemptBudget(ctx, allowances.extra_attempts, list_counted)
         self.server_choice = ServerChoice(ctx, self.servers, self.cold_allowances)
         self.placement = Placement(
             PlacementParts(
@@ -118,7 +118,7 @@
         self.cold_allowances.apply_settings(allowances.cold)
         self.retries.apply_settings(allowances.extra_attempts)
 
-    def ready(self) -> bool:
+    def is_ready(self) -> bool:
         """Return whether the load balancer should send requests here."""
         return not self.draining and self.configuration.current is not None
 
@@ -126,14 +126,14 @@
         """Return the address of a backend server, None if it is unknown."""
         return self.servers.address_of(backend_server)
 
-    def status(self) -> dict[str, Any]:
+    def get_status(self) -> dict[str, Any]:
         """Return the state of this instance for the admin interface."""
         configuration = self.configuration.current
         counters = self.pipeline.counters
         return {
             "instance": self.cfg.identity.instance,
             "data_centre": self.cfg.identity.data_centre,
-            "ready": self.ready(),
+            "ready": self.is_ready(),
             "draining": self.draining,
             "configuration_version": configuration.version if configuration else 0,
             "members": list(self.members.counted()),
@@ -147,7 +147,7 @@
             "invariant_violations": dict(self.ctx.invariants.violations),
         }
 
-    def gauges(self) -> dict[str, float]:
+    def collect_gauges(self) -> dict[str, float]:
         """Return the finite gauges for the metrics by name: ages and counts."""
         now_s = self.ctx.now_s
         gauges = {
@@ -172,7 +172,9 @@
         """
         return self.keys.explain(service, position_of(key))
 
-    def _make_discovery(self, ctx: Context, adapter: Adapter) -> Discovery | None:
+    def _make_discovery(
+        self, ctx: Context, adapter: EnvironmentAdapter
+    ) -> Discovery | None:
         servers = adapter.servers
         if isinstance(servers, DeclaredServers):
             return None
@@ -186,7 +188,7 @@
             checks=ArrivalChecks(
                 self.ctx,
                 TenantKeys(adapter.key_form),
-                adapter.reserved_header,
+                adapter.is_reserved_header,
                 adapter.needs_idempotency_key,
             ),
             limits=self.rates,
@@ -241,4 +243,4 @@
             component.configure(configuration)
         servers = self._adapter.servers
         if isinstance(servers, DeclaredServers):
-            self.servers.update(servers.entries(configuration))
+            self.servers.update(servers.list_entries(configuration))
--- a/wagtailrill/runtime/admin.py
+++ b/wagtailrill/runtime/admin.py
@@ -55,7 +55,7 @@
         await send({"type": "http.response.body", "body": answer.body})
 
     def _health(self, query: dict[str, str]) -> AdminAnswer:
-        ready = self.router.ready()
+        ready = self.router.is_ready()
         return _json(200 if ready else 503, {"ready": ready})
 
     def _metrics(self, query: dict[str, str]) -> AdminAnswer:
@@ -63,7 +63,7 @@
         return AdminAnswer(200, content, content_type.encode())
 
     def _status(self, query: dict[str, str]) -> AdminAnswer:
-        return _json(200, self.router.status())
+        return _json(200, self.router.get_status())
 
     def _explain_key(self, query: dict[str, str]) -> AdminAnswer:
         service, key = query.get("service", ""), query.get("key", "")
--- a/wagtailrill/runtime/process.py
+++ b/wagtailrill/runtime/process.py
@@ -24,7 +24,7 @@
 from ..peer.frame import FrameCodec
 from ..peer.tcp import PeerTransport
 from ..router.messages import make_registry
-from ..router.models import Adapter, Allowances, RouterSettings
+from ..router.models import Allowances, EnvironmentAdapter, RouterSettings
 from ..router.router import Router
 from ..store.models import Store
 from .admin import AdminApplication
@@ -61,7 +61,7 @@
     """
 
     router: RouterSettings
-    adapter: Adapter
+    adapter: EnvironmentAdapter
     surroundings: Surroundings
     caller_address: str
     peer_address: str
@@ -145,11 +145,11 @@
             self.codec.secrets = (secret,)
 
     def _gauges(self) -> Mapping[str, float]:
-        status = self.router.status()
+        status = self.router.get_status()
         gauges = {n: float(v) for n, v in status.items() if isinstance(v, bool | int)}
         return {
             **gauges,
-            **self.router.gauges(),
+            **self.router.collect_gauges(),
             "caller_connections": len(self.callers.connections),
             "log_lines_left_out": self.events.left_out,
             "log_lines_dropped": self._writer.dropped,
