--- a/tests/keys/test_granter.py
+++ b/tests/keys/test_granter.py
@@ -1,4 +1,4 @@
-"""Guards the assignment of keys by the granter, on the virtual clock."""
+"""Tests the assignment of keys by the granter, on the virtual clock."""
 
 import pytest
 
@@ -14,39 +14,39 @@
     return deployment
 
 
-def owner_of(run: Deployment, position: int = POSITION) -> str:
+def find_owner(run: Deployment, position: int = POSITION) -> str:
     (owner,) = run.servers.holders(position, "roll")
     return owner
 
 
-def served_after_s(run: Deployment, position: int, limit_s: float) -> float:
-    """Return after how many seconds a request for a key is answered."""
+def measure_wait_s(run: Deployment, position: int, limit_s: float) -> float:
+    """Return the seconds until a request for a key is answered."""
     start_s = run.now_s
     while run.now_s - start_s < limit_s:
         call = run.call("i-3", service="roll", position=position)
         run.fleet.run_until(run.now_s + 0.1)
         if call.answered:
             return run.now_s - start_s
-    pytest.fail(f"not served within {limit_s} s")
+    pytest.fail(f"key not served within {limit_s} s")
 
 
 @pytest.mark.parametrize("position", [1, 20_000, 65_000])
 def test_keys_of_a_silent_owner_are_served_again_within_four_seconds(run, position):
-    """Guards against ranges that are given up one by one.
+    """All segments of a silent owner must be reassigned together, not one by one.
 
-    Each range of a frozen owner was asked twice, two calls of half a second at a time,
-    so the last one of thirty was lost after seven seconds and more.
+    Each segment of a frozen owner was granted twice, in two concurrent calls of half a
+    second, so the last of thirty was reassigned after more than seven seconds.
     """
-    run.servers.by_name[owner_of(run, position)].frozen = True
-    assert served_after_s(run, position, 6.0) <= 4.3
+    run.servers.by_name[find_owner(run, position)].frozen = True
+    assert measure_wait_s(run, position, 6.0) <= 4.3
 
 
 def test_silent_owner_is_not_given_its_keys_again(run):
-    """Guards against keys that a silent owner loses and gets by turns."""
-    silent = owner_of(run)
+    """A silent owner must not alternately lose its keys and get them again."""
+    silent = find_owner(run)
     run.servers.by_name[silent].frozen = True
     frozen_s = run.now_s
-    # It is tried again only later.
+    # It may get keys again only after this.
     run.fleet.run_until(frozen_s + 4.0)
     moves = [f for at_s, _, f in run.logged("keys_moved") if at_s > frozen_s]
     assert moves
@@ -54,9 +54,9 @@
     assert sum(m["former_owner"] == m["owner"] for m in moves) == 0
 
 
-def test_owner_that_comes_back_gets_keys_again(run):
-    """Guards against a server that is left out for good after a pause."""
-    silent = owner_of(run)
+def test_owner_that_answers_again_gets_keys_again(run):
+    """A server must not be excluded for ever after a pause."""
+    silent = find_owner(run)
     server = run.servers.by_name[silent]
     server.frozen = True
     run.fleet.run_until(run.now_s + 5.0)
@@ -69,7 +69,7 @@
 
 
 def test_loss_of_the_granter_interrupts_no_key(run):
-    """Guards against grants that end before a successor extends them."""
+    """Grants must not expire before the successor renews them."""
     granter = next(n for n in run.names if run.router(n).duties.holds("keys/roll"))
     run.kill(granter)
     callers = [n for n in run.names if n != granter]
@@ -84,39 +84,41 @@
 
 
 def test_new_process_of_an_owner_gets_its_keys_with_a_higher_token(run):
-    """Guards against a grant of a former process that a new one takes over."""
-    owner = owner_of(run)
-    before = run.router("i-1").explain_key("roll", str(POSITION))
+    """A new process must not continue with the grant of a former one."""
+    owner = find_owner(run)
+    explained_before = run.router("i-1").explain_key("roll", str(POSITION))
     run.servers.crash(run.servers.by_name[owner], 0.3)
     run.fleet.run_until(run.now_s + 5.0)
     assert len(run.servers.holders(POSITION, "roll")) == 1
     granter = next(n for n in run.names if run.router(n).duties.holds("keys/roll"))
-    after = run.router(granter).explain_key("roll", str(POSITION))
-    assert before is not None
-    assert after is not None
-    assert after["state"] == "serving"
+    explained_after = run.router(granter).explain_key("roll", str(POSITION))
+    assert explained_before is not None
+    assert explained_after is not None
+    assert explained_after["state"] == "serving"
     moves = [f for _, _, f in run.logged("keys_moved")]
     fences = [m["fence"] for m in moves]
     assert len(fences) == len(set(fences))
 
 
 def test_leaving_owner_gets_nothing_while_nobody_can_move_its_keys(run):
-    """Guards against requests at a server that said two seconds ago that it leaves.
+    """A server must get no requests more than 2 s after announcing that it leaves.
 
-    On trouble-1 of nrra-gateway the granter could not reach the store, and its
-    successor took over 2.2 s after the server had said so.
+    On day trouble-1 of nrra-gateway the granter could not reach the store, and its
+    successor took over 2.2 s after the announcement.
     """
     granter = next(n for n in run.names if run.router(n).duties.holds("keys/roll"))
-    owner = owner_of(run)
+    owner = find_owner(run)
     run.fleet.store.unreachable.add(granter)
     run.fleet.run_until(run.now_s + 0.1)
     run.servers.leave(run.servers.by_name[owner], after_s=5.0)
-    left_s = run.now_s
-    while run.now_s < left_s + 4.0:
+    announced_s = run.now_s
+    while run.now_s < announced_s + 4.0:
         for name in run.names:
             run.call(name, service="roll", position=POSITION)
         run.fleet.run_until(run.now_s + 0.05)
-    late = [
-        e for e in run.servers.executions if e.server == owner and e.at_s > left_s + 2.0
+    late_executions = [
+        e
+        for e in run.servers.executions
+        if e.server == owner and e.at_s > announced_s + 2.0
     ]
-    assert late == []
+    assert late_executions == []
--- a/tests/keys/test_planner.py
+++ b/tests/keys/test_planner.py
@@ -1,4 +1,4 @@
-"""Guards the choice of which server gets which keys."""
+"""Tests the planning of which server owns which keys."""
 
 from collections import Counter
 from itertools import pairwise
@@ -11,19 +11,19 @@
     Capacity,
     Holding,
     LoadMap,
-    Loads,
     Move,
-    divide,
-    rebalance,
+    ServerLoads,
+    plan_assignment,
+    plan_rebalancing,
 )
 
-EVEN = LoadMap({})
+UNKNOWN_LOAD = LoadMap({})
 CAPACITIES = [Capacity(f"s-{n}", 25.0, 1.0) for n in range(4)]
-MOVES_MAX = 12
+MOVES_PER_PLAN_MAX = 12
 
 
-def applied(holdings: list[Holding], moves: list[Move]) -> list[Holding]:
-    """Return the holdings after some moves."""
+def apply_moves(holdings: list[Holding], moves: list[Move]) -> list[Holding]:
+    """Return the holdings after the moves."""
     for move in moves:
         after: list[Holding] = []
         for h in holdings:
@@ -40,15 +40,15 @@
     return holdings
 
 
-def first_holdings(capacities: list[Capacity]) -> list[Holding]:
+def assign_all_keys(capacities: list[Capacity]) -> list[Holding]:
     """Return what the servers hold after the first assignment."""
-    moves = divide([(0, KEY_POSITIONS - 1)], [], capacities, EVEN)
+    moves = plan_assignment([(0, KEY_POSITIONS - 1)], [], capacities, UNKNOWN_LOAD)
     return [Holding(m.first, m.last, m.target) for m in moves]
 
 
 def test_first_assignment_covers_all_keys_once():
-    """Guards against positions without an owner after the first assignment."""
-    holdings = first_holdings(CAPACITIES)
+    """No position may lack an owner after the first assignment, or have two."""
+    holdings = assign_all_keys(CAPACITIES)
     assert holdings[0].first == 0
     assert holdings[-1].last == KEY_POSITIONS - 1
     assert all(a.last + 1 == b.first for a, b in pairwise(holdings))
@@ -57,68 +57,71 @@
 
 
 def test_hot_key_goes_to_the_only_server_that_can_run_it():
-    """Guards against a hot key with an owner that is too slow."""
+    """A hot key must not stay with an owner that is too slow for it."""
     capacities = [*CAPACITIES, Capacity("fast", 60.0, 0.5)]
     holdings = [
         h if h.owner != "fast" else Holding(h.first, h.last, "s-0")
-        for h in first_holdings(capacities)
+        for h in assign_all_keys(capacities)
     ]
     holdings[-1] = Holding(holdings[-1].first, holdings[-1].last, "fast")
     load = LoadMap({1000: 45.0, 40_000: 5.0, 50_000: 5.0})
-    moves = rebalance(holdings, capacities, load, MOVES_MAX)
-    owner = next(h.owner for h in applied(holdings, moves) if h.first <= 1000 <= h.last)
+    moves = plan_rebalancing(holdings, capacities, load, MOVES_PER_PLAN_MAX)
+    owner = next(
+        h.owner for h in apply_moves(holdings, moves) if h.first <= 1000 <= h.last
+    )
     assert owner == "fast"
 
 
 def test_first_shares_do_not_stop_other_moves():
-    """Guards against a busy owner that is not relieved while new servers join.
+    """A busy owner must be relieved while new servers join.
 
-    A first share was taken from the server that had got one, round after round.
+    In each round of the plan, a first share was taken from the server that had just
+    got one.
     """
-    holdings = first_holdings(CAPACITIES)
+    holdings = assign_all_keys(CAPACITIES)
     position = holdings[0].first + 5
     load = LoadMap({position: 22.0, holdings[4].first + 9: 20.0})
     joined = [*CAPACITIES, Capacity("new-1", 25.0, 1.0), Capacity("new-2", 25.0, 1.0)]
-    moves = rebalance(holdings, joined, load, MOVES_MAX)
-    after = applied(holdings, moves)
+    moves = plan_rebalancing(holdings, joined, load, MOVES_PER_PLAN_MAX)
+    after = apply_moves(holdings, moves)
     assert {"new-1", "new-2"} <= {h.owner for h in after}
-    loads = Loads.of(after, joined, load)
+    loads = ServerLoads.from_holdings(after, joined, load)
     assert max(loads.loads.values()) < 30.0
 
 
 def test_server_without_keys_gets_the_least_loaded_part_of_a_busy_owner():
-    """Guards against a first share that hands a hot key to an untried server."""
-    holdings = first_holdings(CAPACITIES[:2])
+    """A first share must not give a hot key to a server without measured load."""
+    holdings = assign_all_keys(CAPACITIES[:2])
     hot = holdings[0].first
     load = LoadMap({hot: 20.0})
     slow = Capacity("slow", 5.0, 5.0)
-    moves = rebalance(holdings, [*CAPACITIES[:2], slow], load, 1)
+    moves = plan_rebalancing(holdings, [*CAPACITIES[:2], slow], load, 1)
     assert moves[0].target == "slow"
     assert not moves[0].first <= hot <= moves[0].last
 
 
 def test_servers_keep_their_only_holding():
-    """Guards against servers that hand one holding round among themselves."""
+    """Servers must not pass their only holding on to servers without keys."""
     holdings = [Holding(0, 32_767, "s-0"), Holding(32_768, 65_535, "s-1")]
-    moves = rebalance(holdings, CAPACITIES[:3], EVEN, MOVES_MAX)
+    moves = plan_rebalancing(holdings, CAPACITIES[:3], UNKNOWN_LOAD, MOVES_PER_PLAN_MAX)
     assert moves == []
 
 
 def test_light_load_moves_nothing():
-    """Guards against keys that change hands, at a price, for no gain."""
-    holdings = first_holdings(CAPACITIES)
+    """Moves cost something, so keys must not move without a gain."""
+    holdings = assign_all_keys(CAPACITIES)
     load = LoadMap({position: 0.5 for position in range(0, KEY_POSITIONS, 2048)})
-    assert rebalance(holdings, CAPACITIES, load, MOVES_MAX) == []
+    assert plan_rebalancing(holdings, CAPACITIES, load, MOVES_PER_PLAN_MAX) == []
 
 
 def test_unmovable_holdings_stay():
-    """Guards against a second move of keys that are just moving."""
+    """Keys that are being moved must not be moved again."""
     holdings = [
         Holding(h.first, h.last, h.owner, movable=False)
-        for h in first_holdings(CAPACITIES)
+        for h in assign_all_keys(CAPACITIES)
     ]
     load = LoadMap({100: 90.0})
-    assert rebalance(holdings, CAPACITIES, load, MOVES_MAX) == []
+    assert plan_rebalancing(holdings, CAPACITIES, load, MOVES_PER_PLAN_MAX) == []
 
 
 @given(
@@ -128,19 +131,21 @@
     slowness=st.lists(st.floats(0.3, 3.0), min_size=2, max_size=8),
 )
 def test_moves_settle_and_never_raise_the_requests_in_progress(rates, slowness):
-    """Guards against plans that move keys back and forth for ever."""
+    """Plans must not move keys back and forth for ever."""
     capacities = [Capacity(f"s-{n}", 25.0 / s, s) for n, s in enumerate(slowness)]
     load = LoadMap(rates)
-    holdings = first_holdings(capacities)
-    costs = []
+    holdings = assign_all_keys(capacities)
+    totals = []
     for _ in range(30):
-        moves = rebalance(holdings, capacities, load, MOVES_MAX)
+        moves = plan_rebalancing(holdings, capacities, load, MOVES_PER_PLAN_MAX)
         if not moves:
             break
-        holdings = applied(holdings, moves)
-        loads = Loads.of(holdings, capacities, load)
-        costs.append(sum(c.cost(loads.loads[c.name]) for c in capacities))
+        holdings = apply_moves(holdings, moves)
+        loads = ServerLoads.from_holdings(holdings, capacities, load)
+        totals.append(
+            sum(c.estimate_in_progress(loads.loads[c.name]) for c in capacities)
+        )
     else:
         pytest.fail("the plan does not settle")
-    # First shares come with the first round and may cost a little.
-    assert all(b <= a for a, b in pairwise(costs))
+    # The first round has the first shares, which may add requests in progress.
+    assert all(b <= a for a, b in pairwise(totals))
--- a/wagtailrill/keys/__init__.py
+++ b/wagtailrill/keys/__init__.py
@@ -1,1 +1,1 @@
-"""Owners of the keys of keyed services."""
+"""Assignment of the keys of keyed services to backend servers."""
--- a/wagtailrill/keys/component.py
+++ b/wagtailrill/keys/component.py
@@ -1,4 +1,7 @@
-"""Key ownership of one instance: routes for requests, and the granter's duty."""
+"""Routes requests of keyed services to key owners and takes part in granter duties.
+
+Used by the request pipeline and by placement; the duty holder assigns the keys.
+"""
 
 from collections.abc import Callable
 
@@ -17,8 +20,13 @@
 from ..servers.models import ServerRow
 from ..servers.table import ServerTable
 from ..store.models import Found, Get, StoreResult
-from .const import ANNOUNCE_INTERVAL_S, PUBLISH_INTERVAL_S, SILENCE_S, TICK_S
-from .granter import Granter, GranterParts
+from .const import (
+    ANNOUNCE_INTERVAL_S,
+    GRANTER_SILENCE_MAX_S,
+    PUBLISH_INTERVAL_S,
+    TICK_INTERVAL_S,
+)
+from .granter import Granter, GranterDependencies
 from .messages import KeyRoutesNotice, KeyRoutesRequest, KeyRoutesUpdate
 from .models import NO_ROUTES, KeyRoutes, KeyTable, SegmentRow, SegmentState
 from .planner import Capacity
@@ -26,28 +34,36 @@
 
 DUTY_PREFIX = "keys/"
 ROUTED_STATES = frozenset({SegmentState.SERVING})
-ASK_INTERVAL_S = 0.1
+ROUTES_REQUEST_INTERVAL_S = 0.1
 
 
 @attrs.define(eq=False)
 class ServiceRow:
-    """One keyed service: routes and, with the duty, usage and granter."""
+    """State of one keyed service; `granter` is set while this instance has the duty.
+
+    `last_heard_s` is when the granter was last heard of or the table last read.
+    `sequence` numbers the granter's routes within one term of the duty. Times are
+    monotonic.
+    """
 
     name: str
     usage: UsageTable
     routes: KeyRoutes = NO_ROUTES
-    heard_s: float = float("-inf")
-    asked_s: float = float("-inf")
-    reading: bool = False
+    last_heard_s: float = float("-inf")
+    last_request_s: float = float("-inf")
+    read_pending: bool = False
     granter: Granter | None = None
     sequence: int = 0
     published_sequence: int = 0
     published_s: float = float("-inf")
-    changed: bool = False
+    segments_changed: bool = False
 
 
 class KeyOwnership:
-    """Implements `KeyRouter`, and `DutyListener` for the duty of each service."""
+    """Knows the owners of all keyed services' keys and assigns them under a duty.
+
+    Implements `KeyRouter`, and `DutyListener` for the duty of each service.
+    """
 
     def __init__(
         self,
@@ -63,24 +79,24 @@
         self._duties = duties
         self._table_prefix = table_prefix
         self._rows: dict[str, ServiceRow] = {}
-        self.capacity_of: Callable[[ServerRow], Capacity] = _unknown_capacity
+        self.capacity_of: Callable[[ServerRow], Capacity] = _assume_capacity
         self.on_load: Callable[[str, LoadReport], None] = lambda name, load: None
         self.heard_s: Callable[[str], float] = lambda name: float("-inf")
-        ctx.timers.subscribe(TICK_S, self._tick)
-        ctx.timers.subscribe(ANNOUNCE_INTERVAL_S, self._announce)
+        ctx.timers.subscribe(TICK_INTERVAL_S, self._run_granters)
+        ctx.timers.subscribe(ANNOUNCE_INTERVAL_S, self._announce_routes)
 
     def attach(self, host: ComponentHost) -> None:
-        """Register the handlers of messages."""
+        """Register the handlers of peer messages."""
         handlers: dict[type, Callable[[Envelope], None]] = {
-            KeyRoutesUpdate: self._on_update,
-            KeyRoutesRequest: self._on_request,
-            KeyRoutesNotice: self._on_notice,
+            KeyRoutesUpdate: self._on_routes_update,
+            KeyRoutesRequest: self._on_routes_request,
+            KeyRoutesNotice: self._on_routes_notice,
         }
         for cls, handler in handlers.items():
             host.on_messages([cls], handler)
 
     def configure(self, configuration: Configuration) -> None:
-        """Take part in the duties of the keyed services."""
+        """Register for the duties of the configured keyed services."""
         keyed = {s.name for s in configuration.services.values() if s.keyed}
         for name in keyed - self._rows.keys():
             row = ServiceRow(name, UsageTable(self._ctx))
@@ -94,7 +110,7 @@
     # Routes
 
     def owner(self, service: str, position: int) -> KeyOwner | RefusalCode:
-        """Return the owner of a key, or why there is none now."""
+        """Return the owner of a key, or the refusal if it has none now."""
         row = self._rows.get(service)
         name = row.routes.owner_of(position) if row is not None else ""
         if not name or name not in self._servers.rows:
@@ -102,31 +118,37 @@
         return KeyOwner(name)
 
     def record(self, service: str, position: int) -> None:
-        """Count a request for a key, if this instance assigns the keys."""
+        """Count a request for a key in the usage of a keyed service."""
         row = self._rows.get(service)
         if row is not None:
-            row.usage.record(position)
+            row.usage.count_request(position)
 
     def misdirected(self, service: str, position: int, backend_server: str) -> None:
-        """Ask for newer routes, since a server does not hold a key."""
+        """Request newer routes after a server has reported that it lacks a key."""
         row = self._rows.get(service)
         if row is not None:
-            self._ask(row)
+            self._request_routes(row)
 
     def routes(self, service: str) -> KeyRoutes:
-        """Return the routes of a service."""
+        """Return the routes of a service, `NO_ROUTES` if it is not keyed."""
         row = self._rows.get(service)
         return row.routes if row is not None else NO_ROUTES
 
     def served_in_s(self, service: str, position: int) -> float:
-        """Return about how long a key has no owner, 0 if nobody here knows."""
+        """Return about how many seconds a key stays without an owner.
+
+        It is 0 if this instance does not have the duty.
+        """
         row = self._rows.get(service)
         if row is None or row.granter is None:
             return 0.0
-        return row.granter.served_in_s(position)
+        return row.granter.estimate_wait_s(position)
 
     def explain(self, service: str, position: int) -> dict[str, str | int] | None:
-        """Return what this instance knows of a key, None for other services."""
+        """Return the owner and version of the routes, None if the service is not keyed.
+
+        The duty holder adds the state of the segment.
+        """
         row = self._rows.get(service)
         if row is None:
             return None
@@ -141,14 +163,17 @@
             "sequence": routes.sequence,
         }
         if row.granter is not None:
-            explanation |= row.granter.explain(position)
+            explanation |= row.granter.explain_position(position)
         return explanation
 
-    def _ask(self, row: ServiceRow) -> None:
+    def _request_routes(self, row: ServiceRow) -> None:
         holder = self._duties.holder(DUTY_PREFIX + row.name)
-        if holder is None or self._ctx.now_s - row.asked_s < ASK_INTERVAL_S:
+        if (
+            holder is None
+            or self._ctx.now_s - row.last_request_s < ROUTES_REQUEST_INTERVAL_S
+        ):
             return
-        row.asked_s = self._ctx.now_s
+        row.last_request_s = self._ctx.now_s
         routes = row.routes
         self._ctx.send(
             holder.instance,
@@ -156,58 +181,58 @@
         )
 
     def _read_table(self, row: ServiceRow) -> None:
-        if row.reading:
+        if row.read_pending:
             return
-        row.reading = True
-        key = self._table_prefix + row.name
+        row.read_pending = True
+        table_key = self._table_prefix + row.name
 
         def on_read(result: StoreResult) -> None:
-            row.reading = False
-            row.heard_s = self._ctx.now_s
+            row.read_pending = False
+            row.last_heard_s = self._ctx.now_s
             found = result.ok if result.is_ok() else None
             if not isinstance(found, Found) or found.item is None:
                 return
-            table = KeyTable.from_bytes(found.item.value)
-            if table.is_ok():
-                self._accept(row, _routes_of_table(table.ok))
+            parsed = KeyTable.from_bytes(found.item.value)
+            if parsed.is_ok():
+                self._accept_routes(row, _build_routes(parsed.ok))
 
-        self._ctx.call_store(Get(key), on_read)
+        self._ctx.call_store(Get(table_key), on_read)
 
-    def _accept(self, row: ServiceRow, routes: KeyRoutes) -> None:
+    def _accept_routes(self, row: ServiceRow, routes: KeyRoutes) -> None:
         if routes.is_newer_than(row.routes):
             row.routes = routes
 
     # Messages
 
-    def _on_update(self, envelope: Envelope) -> None:
+    def _on_routes_update(self, envelope: Envelope) -> None:
         update: KeyRoutesUpdate = envelope.message
         row = self._rows.get(update.service)
         if row is None or not update.starts or update.starts[0] != 0:
             return
-        row.heard_s = self._ctx.now_s
+        row.last_heard_s = self._ctx.now_s
         names = update.names
         owners = tuple(names[i] if i < len(names) else "" for i in update.owners)
         if len(owners) == len(update.starts):
             routes = KeyRoutes(
                 update.starts, owners, update.duty_fence, update.sequence
             )
-            self._accept(row, routes)
+            self._accept_routes(row, routes)
 
-    def _on_request(self, envelope: Envelope) -> None:
+    def _on_routes_request(self, envelope: Envelope) -> None:
         request: KeyRoutesRequest = envelope.message
         row = self._rows.get(request.service)
         if row is None or row.granter is None:
             return
         known = KeyRoutes((0,), ("",), request.duty_fence, request.sequence)
         if row.routes.is_newer_than(known):
-            self._ctx.send(envelope.sender, _update_of(row.name, row.routes))
+            self._ctx.send(envelope.sender, _build_update(row.name, row.routes))
 
-    def _on_notice(self, envelope: Envelope) -> None:
+    def _on_routes_notice(self, envelope: Envelope) -> None:
         notice: KeyRoutesNotice = envelope.message
         row = self._rows.get(notice.service)
         if row is None:
             return
-        row.heard_s = self._ctx.now_s
+        row.last_heard_s = self._ctx.now_s
         known = row.routes
         if (notice.duty_fence, notice.sequence) > (known.duty_fence, known.sequence):
             request = KeyRoutesRequest(row.name, known.duty_fence, known.sequence)
@@ -220,24 +245,24 @@
         row = self._rows[duty.removeprefix(DUTY_PREFIX)]
         row.sequence = row.published_sequence = 0
 
-        def changed() -> None:
-            row.changed = True
+        def mark_changed() -> None:
+            row.segments_changed = True
 
-        parts = GranterParts(
+        deps = GranterDependencies(
             self._ctx,
             self._servers,
             row.name,
             self._table_prefix + row.name,
             lambda server: self.capacity_of(server),
             lambda: self._duties.holds(duty),
-            changed,
+            mark_changed,
             lambda name, load: self.on_load(name, load),
             lambda name: self.heard_s(name),
         )
-        row.granter = Granter(parts, row.usage, fence, predecessor_may_act_s)
+        row.granter = Granter(deps, row.usage, fence, predecessor_may_act_s)
 
     def predecessor_stopped(self, duty: str) -> None:
-        """Learn that the predecessor does not act any more."""
+        """Pass on to the granter that its predecessor has stopped."""
         row = self._rows.get(duty.removeprefix(DUTY_PREFIX))
         if row is not None and row.granter is not None:
             row.granter.predecessor_stopped()
@@ -249,42 +274,46 @@
             row.granter.stop()
             row.granter = None
 
-    def _tick(self) -> None:
+    def _run_granters(self) -> None:
+        """Run the granters of held duties and publish their changed routes.
+
+        For other services the table is read when the granter has been silent.
+        """
         for row in self._rows.values():
             if row.granter is not None:
                 row.granter.tick()
-                if row.changed and row.granter.loaded:
-                    row.changed = False
-                    self._apply(row, row.granter.rows)
+                if row.segments_changed and row.granter.table_loaded:
+                    row.segments_changed = False
+                    self._update_routes(row, row.granter.rows)
                 if self._ctx.now_s >= row.published_s + PUBLISH_INTERVAL_S:
-                    self._publish(row)
-            elif self._ctx.now_s - row.heard_s > SILENCE_S:
+                    self._publish_routes(row)
+            elif self._ctx.now_s - row.last_heard_s > GRANTER_SILENCE_MAX_S:
                 self._read_table(row)
 
-    def _publish(self, row: ServiceRow) -> None:
-        """Tell the members the routes if they have changed."""
+    def _publish_routes(self, row: ServiceRow) -> None:
+        """Send the routes to the live members if they have changed."""
         if row.published_sequence == row.sequence:
             return
         row.published_sequence, row.published_s = row.sequence, self._ctx.now_s
-        update = _update_of(row.name, row.routes)
+        update = _build_update(row.name, row.routes)
         for name in self._members.live():
             self._ctx.send(name, update)
 
-    def _apply(self, row: ServiceRow, segments: list[SegmentRow]) -> None:
+    def _update_routes(self, row: ServiceRow, segment_rows: list[SegmentRow]) -> None:
         row.sequence += 1
         holder = self._duties.holder(DUTY_PREFIX + row.name)
         starts: list[int] = []
         owners: list[str] = []
-        for segment in segments:
-            routed = segment.state in ROUTED_STATES
-            owner = segment.segment.owner if routed else ""
+        for segment_row in segment_rows:
+            routed = segment_row.state in ROUTED_STATES
+            owner = segment_row.segment.owner if routed else ""
             if not owners or owners[-1] != owner:
-                starts.append(segment.segment.first)
+                starts.append(segment_row.segment.first)
                 owners.append(owner)
         fence = holder.fence if holder is not None else 0
         row.routes = KeyRoutes(tuple(starts), tuple(owners), fence, row.sequence)
 
-    def _announce(self) -> None:
+    def _announce_routes(self) -> None:
         for row in self._rows.values():
             if row.granter is not None:
                 routes = row.routes
@@ -293,11 +322,11 @@
                     self._ctx.send(name, notice)
 
 
-def _unknown_capacity(server: ServerRow) -> Capacity:
+def _assume_capacity(server: ServerRow) -> Capacity:
     return Capacity(server.name, float(server.entry.slots))
 
 
-def _routes_of_table(table: KeyTable) -> KeyRoutes:
+def _build_routes(table: KeyTable) -> KeyRoutes:
     return KeyRoutes(
         tuple(segment.first for segment in table.segments),
         tuple(segment.owner for segment in table.segments),
@@ -306,14 +335,14 @@
     )
 
 
-def _update_of(service: str, routes: KeyRoutes) -> KeyRoutesUpdate:
+def _build_update(service: str, routes: KeyRoutes) -> KeyRoutesUpdate:
     names = sorted(set(routes.owners))
-    index = {name: number for number, name in enumerate(names)}
+    indexes = {name: number for number, name in enumerate(names)}
     return KeyRoutesUpdate(
         service,
         routes.duty_fence,
         routes.sequence,
         routes.starts,
-        tuple(index[owner] for owner in routes.owners),
+        tuple(indexes[owner] for owner in routes.owners),
         tuple(names),
     )
--- a/wagtailrill/keys/const.py
+++ b/wagtailrill/keys/const.py
@@ -3,39 +3,40 @@
 from typing import Final
 
 KEY_POSITIONS: Final = 65_536
-# A lost granter's successor renews the grants before they end: the member lease of
-# 2.0 s, the takeover and one renewal fit into this time.
-GRANT_S: Final = 3.6
-GRANT_RENEW_S: Final = 0.7
-GRANT_RETRY_S: Final = 0.25
-RELEASE_RETRY_S: Final = 0.5
-STORE_RETRY_S: Final = 0.25
-# Backend servers' clocks may run this part slow.
-SERVER_CLOCK_BOUND: Final = 0.02
+# Covers a member lease of 2.0 s, the takeover of the duty and one renewal, so that a
+# lost granter's successor renews the grants before they end.
+GRANT_DURATION_S: Final = 3.6
+GRANT_RENEWAL_INTERVAL_S: Final = 0.7
+GRANT_RETRY_INTERVAL_S: Final = 0.25
+RELEASE_RETRY_INTERVAL_S: Final = 0.5
+STORE_RETRY_DELAY_S: Final = 0.25
+# Backend servers' clocks may run slow by up to this ratio.
+SERVER_CLOCK_DRIFT_MAX_RATIO: Final = 0.02
 GRANT_MARGIN_S: Final = 0.05
-# An owner counts as lost after so many failed grants in a row, if it has answered
-# nothing else for the time below.
+# An owner counts as lost after this many failed grants in a row, provided that it has
+# answered nothing else for `OWNER_SILENCE_MAX_S`.
 GRANT_FAILURES_MAX: Final = 2
-OWNER_SILENT_S: Final = 1.0
-OWNER_RETRY_S: Final = 4.0
-# Grants to one server at a time: each needs a connection of its own.
-CALLS_MAX: Final = 2
-# Positions that lie side by side are given out in stripes, since busy keys lie close
-# to one another.
-STRIPES: Final = 128
-# The very first assignment waits until no server has joined for so long.
-SETTLE_S: Final = 1.5
-SETTLE_MAX_S: Final = 5.0
-TICK_S: Final = 0.05
+OWNER_SILENCE_MAX_S: Final = 1.0
+OWNER_RETRY_DELAY_S: Final = 4.0
+# Concurrent grant calls to one server: each needs a connection of its own.
+GRANT_CALLS_PER_SERVER_MAX: Final = 2
+# Adjacent positions are assigned in stripes, since busy keys lie close to one another.
+STRIPE_COUNT: Final = 128
+# The very first assignment waits until no server has joined for this time.
+FIRST_ASSIGNMENT_QUIET_S: Final = 1.5
+FIRST_ASSIGNMENT_WAIT_MAX_S: Final = 5.0
+TICK_INTERVAL_S: Final = 0.05
 PLAN_INTERVAL_S: Final = 0.3
-USAGE_DECAY_S: Final = 1.5
-# A key that has become hot is seen after so long, if enough requests for it came.
-USAGE_FAST_DECAY_S: Final = 0.4
-FAST_SAMPLES_MIN: Final = 5.0
-# Lower rates of a position are forgotten, in requests/s.
-USAGE_RATE_MIN: Final = 0.02
+# Time constants of the exponentially decayed request rates. The fast rate detects a
+# key that has become hot, once enough requests for it have come.
+USAGE_SLOW_TIME_CONSTANT_S: Final = 1.5
+USAGE_FAST_TIME_CONSTANT_S: Final = 0.4
+USAGE_FAST_REQUESTS_MIN: Final = 5.0
+# Positions with a lower rate are dropped from the usage table.
+USAGE_RATE_MIN_PER_S: Final = 0.02
 ANNOUNCE_INTERVAL_S: Final = 1.0
-# Members use routes only while the granter does not answer them.
+# Minimum time between updates: members use the published routes only while the granter
+# does not answer them.
 PUBLISH_INTERVAL_S: Final = 1.0
-# Without word of the granter for so long, the table is read from the store.
-SILENCE_S: Final = 2.5
+# After this time without a message from the granter, the table is read from the store.
+GRANTER_SILENCE_MAX_S: Final = 2.5
--- a/wagtailrill/keys/granter.py
+++ b/wagtailrill/keys/granter.py
@@ -1,4 +1,7 @@
-"""Assigns the keys of one service while this instance has the duty."""
+"""Assigns the keys of one service to backend servers while this instance has the duty.
+
+Created by `KeyOwnership` for each duty that the instance takes.
+"""
 
 from collections.abc import Callable
 
@@ -9,154 +12,175 @@
 from ..core.orders import LoadReport
 from ..servers.models import ServerRow
 from ..servers.table import ServerTable
-from .const import PLAN_INTERVAL_S, SETTLE_MAX_S, SETTLE_S
-from .grants import HELD_S, GrantParts, Grants
+from .const import (
+    FIRST_ASSIGNMENT_QUIET_S,
+    FIRST_ASSIGNMENT_WAIT_MAX_S,
+    PLAN_INTERVAL_S,
+)
+from .grants import GRANT_HELD_MAX_S, GrantDependencies, GrantManager
 from .models import (
-    Former,
-    FormerRow,
+    FormerOwner,
+    FormerOwnerRow,
     KeyTable,
     Segment,
     SegmentRow,
     SegmentState,
 )
-from .planner import ASSUMED_USE, Capacity, Holding, LoadMap, Move, divide, rebalance
+from .planner import (
+    ASSUMED_UTILISATION_RATIO,
+    Capacity,
+    Holding,
+    LoadMap,
+    Move,
+    plan_assignment,
+    plan_rebalancing,
+)
 from .table_store import TableStore
 from .usage import UsageTable
 
-MOVES_MAX = 12
-# Keys that have just moved stay for this long.
-MOVE_PAUSE_S = 2.0
-# A release waits for the work that runs on the keys.
-USUAL_MOVE_S = 0.3
+MOVES_PER_PLAN_MAX = 12
+# Keys that have just moved are not moved again for this time.
+MOVE_COOLDOWN_S = 2.0
+# A release waits for the requests that run on the keys.
+TYPICAL_MOVE_DURATION_S = 0.3
 
 
 @attrs.frozen
-class GranterParts:
-    """What a granter needs; `may_act` tells whether the duty is still held.
+class GranterDependencies:
+    """Dependencies of `Granter`.
 
-    `capacity_of` returns what a server can run, `heard_s` when it last answered.
+    `estimate_capacity` returns what a server can run, `holds_duty` whether the duty is
+    still held, and `get_last_answer_s` when a server last answered a request.
     """
 
     ctx: Context
     servers: ServerTable
     service: str
-    key: str
-    capacity_of: Callable[[ServerRow], Capacity]
-    may_act: Callable[[], bool]
-    on_change: Callable[[], None]
-    on_load: Callable[[str, LoadReport], None]
-    heard_s: Callable[[str], float]
+    table_key: str
+    estimate_capacity: Callable[[ServerRow], Capacity]
+    holds_duty: Callable[[], bool]
+    on_segments_changed: Callable[[], None]
+    on_load_report: Callable[[str, LoadReport], None]
+    get_last_answer_s: Callable[[str], float]
 
 
 class Granter:
-    """Keeps the table of segments in the store and carries it out at the servers.
+    """Plans the owners of segments, stores the table and grants the keys.
 
-    A change is written before any server is asked, so that a successor knows every
-    process that may hold keys. Nothing is done before a first write, which bars the
-    writes of a predecessor.
+    A change is written before any server is called, so that a successor knows every
+    process that may hold keys. Nothing is done before the first write, which makes the
+    writes of a predecessor fail.
     """
 
     def __init__(
-        self, parts: GranterParts, usage: UsageTable, duty_fence: int, wait_s: float
+        self,
+        deps: GranterDependencies,
+        usage: UsageTable,
+        duty_fence: int,
+        predecessor_may_act_s: float,
     ) -> None:
         self.rows: list[SegmentRow] = []
-        self.loaded = False
-        self._parts = parts
-        self._ctx = parts.ctx
+        self.table_loaded = False
+        self._deps = deps
+        self._ctx = deps.ctx
         self._usage = usage
-        self._predecessor_until_s = parts.ctx.now_s + wait_s
-        self._planned_s = self._began_s = parts.ctx.now_s
+        self._predecessor_may_act_until_s = deps.ctx.now_s + predecessor_may_act_s
+        self._last_plan_s = self._started_s = deps.ctx.now_s
         self._stopped = False
-        self._first = False
-        self._grants = Grants(
-            GrantParts(
-                parts.ctx,
-                parts.servers,
-                parts.service,
-                lambda: not self._stopped and parts.may_act(),
-                parts.on_change,
-                parts.on_load,
-                parts.heard_s,
-                self._grant_next,
+        self._is_first_assignment = False
+        self._grants = GrantManager(
+            GrantDependencies(
+                deps.ctx,
+                deps.servers,
+                deps.service,
+                lambda: not self._stopped and deps.holds_duty(),
+                deps.on_segments_changed,
+                deps.on_load_report,
+                deps.get_last_answer_s,
+                self._renew_oldest_grant,
             )
         )
-        self._store = TableStore(
-            parts.ctx, parts.service, parts.key, duty_fence, self._taken_over
+        self._table_store = TableStore(
+            deps.ctx, deps.service, deps.table_key, duty_fence, self._on_taken_over
         )
-        self._store.take_over()
+        self._table_store.take_over_table()
 
     def stop(self) -> None:
-        """Call and write nothing more."""
+        """Make no further calls or writes."""
         self._stopped = True
-        self._store.stop()
+        self._table_store.stop()
 
     def predecessor_stopped(self) -> None:
-        """Learn that the predecessor does not act any more."""
+        """Shorten the waits for grants: the predecessor makes no more of them."""
         now_s = self._ctx.now_s
-        self._predecessor_until_s = min(self._predecessor_until_s, now_s)
-        latest_s = now_s + HELD_S
+        self._predecessor_may_act_until_s = min(
+            self._predecessor_may_act_until_s, now_s
+        )
+        latest_s = now_s + GRANT_HELD_MAX_S
         for row in self.rows:
             row.held_until_s = min(row.held_until_s, latest_s)
             for former in row.formers:
                 former.held_until_s = min(former.held_until_s, latest_s)
 
     def tick(self) -> None:
-        """Run the systems over all segments."""
-        if self._stopped or not self.loaded or not self._parts.may_act():
+        """Process all segments, and write the table if some get new owners."""
+        if self._stopped or not self.table_loaded or not self._deps.holds_duty():
             return
-        # Those that wait longest go first, since a server is asked little by little.
-        for row in sorted(self.rows, key=lambda row: row.sent_s):
-            self._grants.run(row)
-        if self._store.writing:
+        # Calls per server are limited, so the oldest grants are renewed first.
+        for row in sorted(self.rows, key=lambda row: row.grant_sent_s):
+            self._grants.process_segment(row)
+        if self._table_store.write_pending:
             return
-        changed = self._leave_lost_owners()
-        if self._settled():
-            changed += self._assign_vacant()
-        if self._ctx.now_s - self._planned_s >= PLAN_INTERVAL_S:
-            self._planned_s = self._ctx.now_s
-            changed += self._rebalance()
+        changed = self._reassign_lost_segments()
+        if self._is_ready_to_assign():
+            changed += self._assign_vacant_segments()
+        if self._ctx.now_s - self._last_plan_s >= PLAN_INTERVAL_S:
+            self._last_plan_s = self._ctx.now_s
+            changed += self._rebalance_segments()
         if changed:
-            self._write(changed)
+            self._write_targets(changed)
 
-    def _grant_next(self, owner: str) -> None:
-        """Extend the grant of a server that waits longest."""
+    def _renew_oldest_grant(self, owner: str) -> None:
+        """Process the segment of a server whose grant was sent longest ago."""
         rows = [row for row in self.rows if row.segment.owner == owner]
         if rows:
-            self._grants.run(min(rows, key=lambda row: row.sent_s))
+            self._grants.process_segment(min(rows, key=lambda row: row.grant_sent_s))
 
-    def served_in_s(self, position: int) -> float:
-        """Return about how long a key is without an owner that can be asked."""
+    def estimate_wait_s(self, position: int) -> float:
+        """Return about how many seconds pass until an owner serves a position."""
         for row in self.rows:
             if row.segment.first <= position <= row.segment.last:
-                return self._vacant_s(row)
-        return USUAL_MOVE_S
+                return self._estimate_row_wait_s(row)
+        return TYPICAL_MOVE_DURATION_S
 
-    def _vacant_s(self, row: SegmentRow) -> float:
+    def _estimate_row_wait_s(self, row: SegmentRow) -> float:
         if row.state is SegmentState.SERVING:
             return 0.0
         waits_s = [
             former.held_until_s - self._ctx.now_s
             for former in row.formers
-            if not former.done and self._cannot_release(former)
+            if not former.keys_freed and self._must_wait_for_expiry(former)
         ]
-        return max(waits_s, default=0.0) + USUAL_MOVE_S
+        return max(waits_s, default=0.0) + TYPICAL_MOVE_DURATION_S
 
-    def _cannot_release(self, former: FormerRow) -> bool:
-        return former.failed or former.former.owner not in self._parts.servers.rows
+    def _must_wait_for_expiry(self, former: FormerOwnerRow) -> bool:
+        return (
+            former.release_failed or former.process.owner not in self._deps.servers.rows
+        )
 
-    def explain(self, position: int) -> dict[str, str | int]:
-        """Return what the granter knows of a key."""
+    def explain_position(self, position: int) -> dict[str, str | int]:
+        """Return the state of the segment of a position, empty if none is loaded."""
         for row in self.rows:
             segment = row.segment
             if segment.first <= position <= segment.last:
-                held_s = round(self._ctx.now_s - row.moved_s, 3)
+                since_move_s = round(self._ctx.now_s - row.moved_s, 3)
                 return {
                     "state": row.state.value,
                     "owner": segment.owner,
                     "fence": segment.fence,
                     "first": segment.first,
                     "last": segment.last,
-                    "since_s": str(held_s)
+                    "since_s": str(since_move_s)
                     if row.moved_s > 0
                     else "before the takeover",
                 }
@@ -164,33 +188,41 @@
 
     # Store
 
-    def _taken_over(self, table: KeyTable) -> None:
-        self._first = table.fence == 0
-        until_s = max(self._predecessor_until_s, self._ctx.now_s) + HELD_S
-        self.rows = [_row_of(segment, until_s) for segment in table.segments]
-        self.loaded = True
-        self._parts.on_change()
+    def _on_taken_over(self, table: KeyTable) -> None:
+        self._is_first_assignment = table.fence == 0
+        held_until_s = (
+            max(self._predecessor_may_act_until_s, self._ctx.now_s) + GRANT_HELD_MAX_S
+        )
+        self.rows = [_build_row(segment, held_until_s) for segment in table.segments]
+        self.table_loaded = True
+        self._deps.on_segments_changed()
 
-    def _write(self, rows: list[SegmentRow]) -> None:
+    def _write_targets(self, rows: list[SegmentRow]) -> None:
         """Write the table with the targets of some rows as owners."""
-        fence = self._store.fence
+        fence = self._table_store.fence
         segments: dict[int, Segment] = {}
         for row in rows:
-            server = self._parts.servers.rows[row.target]
+            server = self._deps.servers.rows[row.target]
             fence += 1
             segments[id(row)] = attrs.evolve(
                 row.segment,
                 owner=server.name,
                 start_id=server.entry.start_id,
                 fence=fence,
-                formers=_formers_of(row, server, self._ctx.now_s),
+                formers=_list_former_owners(row, server, self._ctx.now_s),
             )
         table = KeyTable(
-            tuple(segments.get(id(row)) or _kept(row) for row in self.rows), fence
+            tuple(
+                segments.get(id(row)) or _build_unmoved_segment(row)
+                for row in self.rows
+            ),
+            fence,
+        )
+        self._table_store.write_table(
+            table, lambda written: self._on_targets_written(written, rows, segments)
         )
-        self._store.write(table, lambda written: self._apply(written, rows, segments))
 
-    def _apply(
+    def _on_targets_written(
         self, written: bool, rows: list[SegmentRow], segments: dict[int, Segment]
     ) -> None:
         if not written:
@@ -199,90 +231,93 @@
             return
         for row in rows:
             self._begin_move(row, segments[id(row)])
-        self._parts.on_change()
+        self._deps.on_segments_changed()
 
     def _begin_move(self, row: SegmentRow, segment: Segment) -> None:
-        former, row.segment = row.segment, segment
-        known = {f.former: f for f in row.formers if not f.done}
+        former_segment, row.segment = row.segment, segment
+        known = {f.process: f for f in row.formers if not f.keys_freed}
         row.formers = [
-            known.get(name) or FormerRow(name, row.held_until_s)
-            for name in segment.formers
+            known.get(process) or FormerOwnerRow(process, row.held_until_s)
+            for process in segment.formers
         ]
         row.state = SegmentState.RELEASING
-        row.target, row.handover, row.failures = "", "", 0
-        row.lost = row.calling = False
+        row.target, row.handover, row.grant_failures = "", "", 0
+        row.grant_refused = row.call_pending = False
         row.held_until_s = float("-inf")
         row.moved_s = self._ctx.now_s
-        capacity = self._parts.capacity_of(self._parts.servers.rows[segment.owner])
+        capacity = self._deps.estimate_capacity(self._deps.servers.rows[segment.owner])
         self._ctx.log(
             LogName.KEYS_MOVED,
-            service=self._parts.service,
+            service=self._deps.service,
             first=segment.first,
             last=segment.last,
-            former_owner=former.owner,
+            former_owner=former_segment.owner,
             owner=segment.owner,
             fence=segment.fence,
-            revision=self._store.revision,
-            requests_per_s=round(self._usage.rate(segment.first, segment.last), 2),
-            owner_requests_per_s=round(self._owned_rate(segment.owner), 2),
+            revision=self._table_store.revision,
+            requests_per_s=round(self._usage.sum_rates(segment.first, segment.last), 2),
+            owner_requests_per_s=round(self._sum_owner_rates(segment.owner), 2),
             owner_capacity_per_s=round(capacity.requests_per_s, 2),
             owner_slowness=round(capacity.slowness, 2),
         )
-        self._grants.run(row)
+        self._grants.process_segment(row)
 
-    def _owned_rate(self, server: str) -> float:
+    def _sum_owner_rates(self, owner: str) -> float:
         return sum(
-            self._usage.rate(row.segment.first, row.segment.last)
+            self._usage.sum_rates(row.segment.first, row.segment.last)
             for row in self.rows
-            if row.segment.owner == server
+            if row.segment.owner == owner
         )
 
-    # Systems that choose rows for the next write
+    # Choice of rows for the next write
 
-    def _leave_lost_owners(self) -> list[SegmentRow]:
-        lost = [row for row in self.rows if row.segment.owner and self._lost(row)]
-        return self._divide(lost)
+    def _reassign_lost_segments(self) -> list[SegmentRow]:
+        lost = [
+            row for row in self.rows if row.segment.owner and self._is_owner_lost(row)
+        ]
+        return self._assign_rows(lost)
 
-    def _lost(self, row: SegmentRow) -> bool:
-        servers = self._parts.servers
+    def _is_owner_lost(self, row: SegmentRow) -> bool:
+        servers = self._deps.servers
         server = servers.rows.get(row.segment.owner)
         return (
-            row.lost
-            or self._grants.owner_silent(row.segment.owner)
+            row.grant_refused
+            or self._grants.is_owner_silent(row.segment.owner)
             or server is None
             or server.entry.start_id != row.segment.start_id
             or not servers.accepts_work(server)
         )
 
-    def _assign_vacant(self) -> list[SegmentRow]:
+    def _assign_vacant_segments(self) -> list[SegmentRow]:
         vacant = [row for row in self.rows if row.state is SegmentState.VACANT]
-        return self._divide(vacant)
+        return self._assign_rows(vacant)
 
-    def _divide(self, rows: list[SegmentRow]) -> list[SegmentRow]:
+    def _assign_rows(self, rows: list[SegmentRow]) -> list[SegmentRow]:
+        """Set targets for the positions of some rows; return the rows to write."""
         if not rows:
             return []
-        lost = {id(row) for row in rows}
-        moves = divide(
+        row_ids = {id(row) for row in rows}
+        moves = plan_assignment(
             [(row.segment.first, row.segment.last) for row in rows],
-            [self._holding(row) for row in self.rows if id(row) not in lost],
-            self._capacities(),
-            self._load_map(),
+            [self._build_holding(row) for row in self.rows if id(row) not in row_ids],
+            self._list_capacities(),
+            self._build_load_map(),
         )
-        return [piece for move in moves for piece in self._cut_out(move)]
-
-    def _rebalance(self) -> list[SegmentRow]:
-        moves = rebalance(
-            [self._holding(row) for row in self.rows],
-            self._capacities(),
-            self._load_map(),
-            MOVES_MAX,
+        return [part for move in moves for part in self._split_rows(move)]
+
+    def _rebalance_segments(self) -> list[SegmentRow]:
+        moves = plan_rebalancing(
+            [self._build_holding(row) for row in self.rows],
+            self._list_capacities(),
+            self._build_load_map(),
+            MOVES_PER_PLAN_MAX,
         )
-        return [piece for move in moves for piece in self._cut_out(move)]
+        return [part for move in moves for part in self._split_rows(move)]
 
-    def _cut_out(self, move: Move) -> list[SegmentRow]:
-        """Return the rows that make up a move, cut off from the rest of theirs."""
+    def _split_rows(self, move: Move) -> list[SegmentRow]:
+        """Split the rows at the bounds of a move; return those inside, with targets."""
         rows: list[SegmentRow] = []
-        found: list[SegmentRow] = []
+        moved: list[SegmentRow] = []
         for row in self.rows:
             first, last = row.segment.first, row.segment.last
             if last < move.first or first > move.last:
@@ -291,83 +326,91 @@
             inner = row
             if first < move.first or last > move.last:
                 if first < move.first:
-                    rows.append(row.piece(first, move.first - 1))
-                inner = row.piece(max(first, move.first), min(last, move.last))
+                    rows.append(row.copy_part(first, move.first - 1))
+                inner = row.copy_part(max(first, move.first), min(last, move.last))
             inner.target = move.target
             rows.append(inner)
-            found.append(inner)
+            moved.append(inner)
             if last > move.last:
-                rows.append(row.piece(move.last + 1, last))
+                rows.append(row.copy_part(move.last + 1, last))
         self.rows = rows
-        return found
+        return moved
 
-    def _settled(self) -> bool:
+    def _is_ready_to_assign(self) -> bool:
         """Return whether the first assignment need not wait for more servers."""
-        if not self._first:
+        if not self._is_first_assignment:
             return True
         now_s = self._ctx.now_s
-        rows = self._parts.servers.by_service.get(self._parts.service, ())
-        newest_s = max((row.joined_s for row in rows), default=now_s)
-        waited_s = now_s - self._began_s
-        return now_s - newest_s >= SETTLE_S or waited_s >= SETTLE_MAX_S
+        rows = self._deps.servers.by_service.get(self._deps.service, ())
+        last_joined_s = max((row.joined_s for row in rows), default=now_s)
+        waited_s = now_s - self._started_s
+        return (
+            now_s - last_joined_s >= FIRST_ASSIGNMENT_QUIET_S
+            or waited_s >= FIRST_ASSIGNMENT_WAIT_MAX_S
+        )
 
-    def _holding(self, row: SegmentRow) -> Holding:
+    def _build_holding(self, row: SegmentRow) -> Holding:
         movable = (
             row.state is SegmentState.SERVING
-            and not row.calling
-            and self._ctx.now_s - row.moved_s >= MOVE_PAUSE_S
+            and not row.call_pending
+            and self._ctx.now_s - row.moved_s >= MOVE_COOLDOWN_S
         )
         segment = row.segment
         return Holding(segment.first, segment.last, segment.owner, movable)
 
-    def _capacities(self) -> list[Capacity]:
+    def _list_capacities(self) -> list[Capacity]:
         return [
-            self._parts.capacity_of(row)
-            for row in self._parts.servers.by_service.get(self._parts.service, ())
-            if self._may_own(row)
+            self._deps.estimate_capacity(row)
+            for row in self._deps.servers.by_service.get(self._deps.service, ())
+            if self._may_own_keys(row)
         ]
 
-    def _may_own(self, server: ServerRow) -> bool:
-        servers = self._parts.servers
-        if not servers.accepts_work(server) or self._grants.owner_silent(server.name):
+    def _may_own_keys(self, server: ServerRow) -> bool:
+        servers = self._deps.servers
+        if not servers.accepts_work(server) or self._grants.is_owner_silent(
+            server.name
+        ):
             return False
         return not servers.is_cold(server) or all(
             servers.is_cold(row)
-            for row in servers.by_service.get(self._parts.service, ())
+            for row in servers.by_service.get(self._deps.service, ())
         )
 
-    def _load_map(self) -> LoadMap:
-        rates = self._usage.rates()
-        if rates or not self._first:
+    def _build_load_map(self) -> LoadMap:
+        rates = self._usage.collect_rates()
+        if rates or not self._is_first_assignment:
             return LoadMap(rates)
-        # Before the first requests the servers' reports tell how fast they are.
-        capacity = sum(c.requests_per_s for c in self._capacities())
-        return LoadMap({}, ASSUMED_USE * capacity)
+        # Before the first requests the capacities come from the servers' load reports.
+        total_per_s = sum(c.requests_per_s for c in self._list_capacities())
+        return LoadMap({}, ASSUMED_UTILISATION_RATIO * total_per_s)
 
 
-def _row_of(segment: Segment, until_s: float) -> SegmentRow:
-    """Return the row of a stored segment, whose grants may last until a time."""
+def _build_row(segment: Segment, held_until_s: float) -> SegmentRow:
+    """Return the row of a stored segment whose grants expire by `held_until_s`."""
     if not segment.owner:
         return SegmentRow(segment)
-    formers = [FormerRow(former, until_s) for former in segment.formers]
+    formers = [FormerOwnerRow(former, held_until_s) for former in segment.formers]
     state = SegmentState.RELEASING if formers else SegmentState.SERVING
-    return SegmentRow(segment, state, held_until_s=until_s, formers=formers)
+    return SegmentRow(segment, state, held_until_s=held_until_s, formers=formers)
 
 
-def _undone(row: SegmentRow) -> tuple[Former, ...]:
-    return tuple(former.former for former in row.formers if not former.done)
+def _list_pending_formers(row: SegmentRow) -> tuple[FormerOwner, ...]:
+    """Return the former owners that may still hold the keys of a row."""
+    return tuple(former.process for former in row.formers if not former.keys_freed)
 
 
-def _kept(row: SegmentRow) -> Segment:
-    """Return what is stored of a row that does not change owners."""
-    return attrs.evolve(row.segment, formers=_undone(row))
+def _build_unmoved_segment(row: SegmentRow) -> Segment:
+    """Return the segment to store for a row that keeps its owner."""
+    return attrs.evolve(row.segment, formers=_list_pending_formers(row))
 
 
-def _formers_of(row: SegmentRow, server: ServerRow, now_s: float) -> tuple[Former, ...]:
-    """Return who may still hold the keys of a row that goes to a server."""
-    formers = _undone(row)
+def _list_former_owners(
+    row: SegmentRow, server: ServerRow, now_s: float
+) -> tuple[FormerOwner, ...]:
+    """Return who may still hold the keys of a row that moves to a server."""
+    formers = _list_pending_formers(row)
     segment = row.segment
     if segment.owner and row.held_until_s > now_s:
-        formers += (Former(segment.owner, segment.start_id),)
-    own = Former(server.name, server.entry.start_id)
-    return tuple(former for former in formers if former != own)
+        formers += (FormerOwner(segment.owner, segment.start_id),)
+    new_owner = FormerOwner(server.name, server.entry.start_id)
+    return tuple(former for former in formers if former != new_owner)
--- a/wagtailrill/keys/grants.py
+++ b/wagtailrill/keys/grants.py
@@ -1,4 +1,7 @@
-"""Grants and releases of one service's segments at backend servers."""
+"""Grants one service's segments to backend servers and has former owners release them.
+
+Used by the granter.
+"""
 
 from collections import Counter
 from collections.abc import Callable
@@ -19,194 +22,211 @@
 )
 from ..servers.table import ServerTable
 from .const import (
-    CALLS_MAX,
+    GRANT_CALLS_PER_SERVER_MAX,
+    GRANT_DURATION_S,
     GRANT_FAILURES_MAX,
     GRANT_MARGIN_S,
-    GRANT_RENEW_S,
-    GRANT_RETRY_S,
-    GRANT_S,
-    OWNER_RETRY_S,
-    OWNER_SILENT_S,
-    RELEASE_RETRY_S,
-    SERVER_CLOCK_BOUND,
+    GRANT_RENEWAL_INTERVAL_S,
+    GRANT_RETRY_INTERVAL_S,
+    OWNER_RETRY_DELAY_S,
+    OWNER_SILENCE_MAX_S,
+    RELEASE_RETRY_INTERVAL_S,
+    SERVER_CLOCK_DRIFT_MAX_RATIO,
 )
-from .models import FormerRow, Segment, SegmentRow, SegmentState
+from .models import FormerOwnerRow, Segment, SegmentRow, SegmentState
 
-HELD_S = GRANT_S * (1.0 + SERVER_CLOCK_BOUND) + GRANT_MARGIN_S
-CallResult = Result[object, ControlError]
+GRANT_HELD_MAX_S = (
+    GRANT_DURATION_S * (1.0 + SERVER_CLOCK_DRIFT_MAX_RATIO) + GRANT_MARGIN_S
+)
+ControlResult = Result[object, ControlError]
 
 
 @attrs.frozen
-class GrantParts:
-    """What the calls need.
+class GrantDependencies:
+    """Dependencies of `GrantManager`.
 
-    `may_act` tells whether the duty is still held, `heard_s` when a server last
-    answered a request. `on_free` is called when another grant may go to a server.
+    `may_call` returns whether the duty is still held, `get_last_answer_s` when a server
+    last answered a request. `on_call_slot_freed` is called with the name of a server
+    that can take another grant call.
     """
 
     ctx: Context
     servers: ServerTable
     service: str
-    may_act: Callable[[], bool]
-    on_change: Callable[[], None]
-    on_load: Callable[[str, LoadReport], None]
-    heard_s: Callable[[str], float]
-    on_free: Callable[[str], None]
+    may_call: Callable[[], bool]
+    on_segments_changed: Callable[[], None]
+    on_load_report: Callable[[str, LoadReport], None]
+    get_last_answer_s: Callable[[str], float]
+    on_call_slot_freed: Callable[[str], None]
 
 
-class Grants:
-    """Calls the owners of segments and follows what the answers mean.
+class GrantManager:
+    """Calls the owners of segments and updates the segments by their answers.
 
-    Former owners are asked to release the keys under the new token, which bars every
-    grant of an older one, however late it is carried out.
+    Former owners are asked to release the keys under the new fencing token, so that
+    they refuse every grant with an older one, however late it arrives.
     """
 
-    def __init__(self, parts: GrantParts) -> None:
-        self._parts = parts
-        self._ctx = parts.ctx
-        self._calls: Counter[str] = Counter()
-        self._heard_s: dict[str, float] = {}
-        # Grants to each owner that failed one after the other.
-        self._failures: Counter[str] = Counter()
-        self._failed_s: dict[str, float] = {}
+    def __init__(self, deps: GrantDependencies) -> None:
+        self._deps = deps
+        self._ctx = deps.ctx
+        self._open_calls: Counter[str] = Counter()
+        self._last_grant_s: dict[str, float] = {}
+        # Consecutive failed grants by owner.
+        self._grant_failures: Counter[str] = Counter()
+        self._last_failure_s: dict[str, float] = {}
         self._handlers: dict[SegmentState, Callable[[SegmentRow], None]] = {
-            SegmentState.RELEASING: self._release,
-            SegmentState.GRANTING: self._grant_if_due,
-            SegmentState.SERVING: self._grant_if_due,
+            SegmentState.RELEASING: self._release_keys,
+            SegmentState.GRANTING: self._grant_keys_if_due,
+            SegmentState.SERVING: self._grant_keys_if_due,
         }
 
-    def run(self, row: SegmentRow) -> None:
-        """Do what is due for a segment."""
+    def process_segment(self, row: SegmentRow) -> None:
+        """Make the grant and release calls that are due for a segment."""
         handler = self._handlers.get(row.state)
         if handler is not None:
             handler(row)
 
     # Grants
 
-    def _grant_if_due(self, row: SegmentRow) -> None:
-        interval_s = GRANT_RETRY_S if row.failures else GRANT_RENEW_S
-        if row.state is SegmentState.GRANTING and not row.failures:
+    def _grant_keys_if_due(self, row: SegmentRow) -> None:
+        interval_s = (
+            GRANT_RETRY_INTERVAL_S if row.grant_failures else GRANT_RENEWAL_INTERVAL_S
+        )
+        if row.state is SegmentState.GRANTING and not row.grant_failures:
             interval_s = 0.0
         segment = row.segment
         if (
-            row.calling
-            or self._ctx.now_s - row.sent_s < interval_s
-            or self._calls[segment.owner] >= CALLS_MAX
-            or not self._parts.may_act()
+            row.call_pending
+            or self._ctx.now_s - row.grant_sent_s < interval_s
+            or self._open_calls[segment.owner] >= GRANT_CALLS_PER_SERVER_MAX
+            or not self._deps.may_call()
         ):
             return
-        row.calling = True
-        row.sent_s = self._ctx.now_s
-        self._calls[segment.owner] += 1
-        former_until_s = row.held_until_s
-        row.held_until_s = self._ctx.now_s + HELD_S
+        row.call_pending = True
+        row.grant_sent_s = self._ctx.now_s
+        self._open_calls[segment.owner] += 1
+        previous_held_until_s = row.held_until_s
+        row.held_until_s = self._ctx.now_s + GRANT_HELD_MAX_S
         self._ctx.call_backend(
             segment.owner,
             GrantKeys(
-                segment.first, segment.last, segment.fence, GRANT_S, row.handover
+                segment.first,
+                segment.last,
+                segment.fence,
+                GRANT_DURATION_S,
+                row.handover,
+            ),
+            lambda result: self._on_grant_result(
+                row, segment, result, previous_held_until_s
             ),
-            lambda result: self._granted(row, segment, result, former_until_s),
         )
 
-    def _granted(
+    def _on_grant_result(
         self,
         row: SegmentRow,
         segment: Segment,
-        result: CallResult,
-        former_until_s: float,
+        result: ControlResult,
+        previous_held_until_s: float,
     ) -> None:
-        self._calls[segment.owner] -= 1
-        current = row.segment is segment
-        if current:
-            row.calling = False
+        self._open_calls[segment.owner] -= 1
+        is_current = row.segment is segment
+        if is_current:
+            row.call_pending = False
         if result.is_error():
-            if current:
-                self._grant_failed(row, result.error, former_until_s)
+            if is_current:
+                self._on_grant_failed(row, result.error, previous_held_until_s)
             return
-        self._heard_s[segment.owner] = self._ctx.now_s
-        self._failures[segment.owner] = 0
+        self._last_grant_s[segment.owner] = self._ctx.now_s
+        self._grant_failures[segment.owner] = 0
         granted = result.ok
         assert isinstance(granted, KeysGranted)
         if granted.load is not None:
-            self._parts.on_load(segment.owner, granted.load)
-        self._parts.on_free(segment.owner)
-        if not current:
+            self._deps.on_load_report(segment.owner, granted.load)
+        self._deps.on_call_slot_freed(segment.owner)
+        if not is_current:
             return
-        row.failures = 0
+        row.grant_failures = 0
         if row.state is SegmentState.GRANTING:
             row.state = SegmentState.SERVING
             row.handover = ""
-            self._log(LogName.KEYS_GRANTED, row, segment.owner)
-            self._parts.on_change()
+            self._log_segment(LogName.KEYS_GRANTED, row, segment.owner)
+            self._deps.on_segments_changed()
 
-    def _grant_failed(
-        self, row: SegmentRow, error: ControlError, former_until_s: float
+    def _on_grant_failed(
+        self, row: SegmentRow, error: ControlError, previous_held_until_s: float
     ) -> None:
-        row.failures += 1
-        self._failures[row.segment.owner] += 1
-        self._failed_s[row.segment.owner] = self._ctx.now_s
+        row.grant_failures += 1
+        self._grant_failures[row.segment.owner] += 1
+        self._last_failure_s[row.segment.owner] = self._ctx.now_s
         if error.kind is not ControlErrorKind.NO_ANSWER:
-            row.held_until_s = former_until_s
-        self._log(
+            row.held_until_s = previous_held_until_s
+        self._log_segment(
             LogName.KEYS_GRANT_FAILED,
             row,
             row.segment.owner,
             kind=error.kind.value,
-            failures=row.failures,
+            failures=row.grant_failures,
         )
         refused = error.kind in (ControlErrorKind.FENCED, ControlErrorKind.REFUSED)
-        # The next write gives the keys to another server, or a new token.
-        row.lost = row.lost or refused
+        # The next write assigns the keys to another server or under a new token.
+        row.grant_refused = row.grant_refused or refused
 
-    def owner_silent(self, owner: str) -> bool:
-        """Return whether an owner has not been heard of for some time.
+    def is_owner_silent(self, owner: str) -> bool:
+        """Return whether grants to an owner fail and it has not answered for a while.
 
-        All its keys are lost then: asking for each range would take seconds. It may get
-        keys again after `OWNER_RETRY_S`.
+        A silent owner loses all its keys at once: a failed grant for each segment would
+        take seconds. It may get keys again after `OWNER_RETRY_DELAY_S`.
         """
-        if self._failures[owner] < GRANT_FAILURES_MAX:
+        if self._grant_failures[owner] < GRANT_FAILURES_MAX:
             return False
-        if self._ctx.now_s - self._failed_s[owner] >= OWNER_RETRY_S:
-            self._failures[owner] = 0
+        if self._ctx.now_s - self._last_failure_s[owner] >= OWNER_RETRY_DELAY_S:
+            self._grant_failures[owner] = 0
             return False
-        heard_s = max(
-            self._heard_s.get(owner, float("-inf")), self._parts.heard_s(owner)
+        last_answer_s = max(
+            self._last_grant_s.get(owner, float("-inf")),
+            self._deps.get_last_answer_s(owner),
         )
-        return self._ctx.now_s - heard_s >= OWNER_SILENT_S
+        return self._ctx.now_s - last_answer_s >= OWNER_SILENCE_MAX_S
 
     # Releases
 
-    def _release(self, row: SegmentRow) -> None:
+    def _release_keys(self, row: SegmentRow) -> None:
         for former in row.formers:
-            if not former.done:
-                self._check_former(row, former)
-        if all(former.done for former in row.formers):
+            if not former.keys_freed:
+                self._check_former_owner(row, former)
+        if all(former.keys_freed for former in row.formers):
             row.state = SegmentState.GRANTING
-            row.sent_s = float("-inf")
-            self._grant_if_due(row)
+            row.grant_sent_s = float("-inf")
+            self._grant_keys_if_due(row)
 
-    def _check_former(self, row: SegmentRow, former: FormerRow) -> None:
+    def _check_former_owner(self, row: SegmentRow, former: FormerOwnerRow) -> None:
         now_s = self._ctx.now_s
-        server = self._parts.servers.rows.get(former.former.owner)
-        if server is not None and server.entry.start_id != former.former.start_id:
-            former.done = True  # that process has ended
+        server = self._deps.servers.rows.get(former.process.owner)
+        if server is not None and server.entry.start_id != former.process.start_id:
+            former.keys_freed = True  # that process has ended
         elif now_s >= former.held_until_s:
-            former.done = True
-        elif not former.calling and now_s - former.asked_s >= RELEASE_RETRY_S:
-            former.calling, former.asked_s = True, now_s
+            former.keys_freed = True
+        elif (
+            not former.call_pending
+            and now_s - former.release_sent_s >= RELEASE_RETRY_INTERVAL_S
+        ):
+            former.call_pending, former.release_sent_s = True, now_s
             segment = row.segment
             self._ctx.call_backend(
-                former.former.owner,
+                former.process.owner,
                 ReleaseKeys(segment.first, segment.last, segment.fence),
-                lambda result: self._released(row, former, result),
+                lambda result: self._on_release_result(row, former, result),
             )
 
-    def _released(self, row: SegmentRow, former: FormerRow, result: CallResult) -> None:
-        former.calling = False
-        owner = former.former.owner
+    def _on_release_result(
+        self, row: SegmentRow, former: FormerOwnerRow, result: ControlResult
+    ) -> None:
+        former.call_pending = False
+        owner = former.process.owner
         if result.is_error():
-            former.failed = True
-            self._log(
+            former.release_failed = True
+            self._log_segment(
                 LogName.KEYS_RELEASE_FAILED,
                 row,
                 owner,
@@ -214,26 +234,28 @@
                 held_for_s=round(former.held_until_s - self._ctx.now_s, 3),
             )
             if result.error.kind is ControlErrorKind.REFUSED:
-                former.done = True  # another process has the address
+                former.keys_freed = True  # another process has the address
             return
         released = result.ok
         assert isinstance(released, KeysReleased)
-        former.done = True
+        former.keys_freed = True
         row.handover = row.handover or released.handover
-        self._log(LogName.KEYS_RELEASED, row, owner, handover=bool(released.handover))
-        self.run(row)
+        self._log_segment(
+            LogName.KEYS_RELEASED, row, owner, handover=bool(released.handover)
+        )
+        self.process_segment(row)
 
-    def _log(
+    def _log_segment(
         self,
-        name: LogName,
+        event: LogName,
         row: SegmentRow,
         backend_server: str,
         **fields: str | float | bool,
     ) -> None:
         segment = row.segment
         self._ctx.log(
-            name,
-            service=self._parts.service,
+            event,
+            service=self._deps.service,
             backend_server=backend_server,
             first=segment.first,
             last=segment.last,
--- a/wagtailrill/keys/messages.py
+++ b/wagtailrill/keys/messages.py
@@ -1,4 +1,4 @@
-"""Peer messages about the owners of keys."""
+"""Peer messages that distribute the owners of keys, sent by `KeyOwnership`."""
 
 from pathlib import Path
 from typing import Final
@@ -10,7 +10,11 @@
 
 @attrs.frozen
 class KeyRoutesUpdate:
-    """Owners by position; `owners` are indexes into `names`, where "" is nobody."""
+    """Owners by position range.
+
+    Range `i` begins at position `starts[i]`; `owners[i]` is the index of its owner in
+    `names`, where "" stands for no owner.
+    """
 
     service: str
     duty_fence: int
@@ -22,7 +26,7 @@
 
 @attrs.frozen
 class KeyRoutesRequest:
-    """Asks the granter for the routes; names those that the sender has."""
+    """Asks the granter for its routes; carries the version that the sender has."""
 
     service: str
     duty_fence: int
@@ -31,7 +35,7 @@
 
 @attrs.frozen
 class KeyRoutesNotice:
-    """The granter's newest routes, so that members notice a lost update."""
+    """Version of the granter's newest routes, so that members detect a lost update."""
 
     service: str
     duty_fence: int
--- a/wagtailrill/keys/models.py
+++ b/wagtailrill/keys/models.py
@@ -1,4 +1,4 @@
-"""Models of key ownership."""
+"""Data of key ownership: the stored key table, the granter's state, and routes."""
 
 import enum
 import json
@@ -12,8 +12,8 @@
 
 
 @attrs.frozen
-class Former:
-    """A process that may still hold keys which have been given to another."""
+class FormerOwner:
+    """A server process that may still hold keys which another one now owns."""
 
     owner: str
     start_id: str
@@ -21,11 +21,11 @@
 
 @attrs.frozen
 class Segment:
-    """Positions from `first` to `last`, both included, and who holds them.
+    """Positions from `first` to `last`, both included, and their owner.
 
-    `start_id` is the process start that was granted the keys, `fence` the fencing
-    token of the grant. An empty `owner` holds nothing. The owner is asked only when
-    all `formers` have given the keys up.
+    `start_id` identifies the server process that was granted the keys, and `fence` is
+    the fencing token of the grant. An empty `owner` means that nobody owns the keys.
+    The owner is granted the keys only after all `formers` have ceased to hold them.
     """
 
     first: int
@@ -33,15 +33,15 @@
     owner: str = ""
     start_id: str = ""
     fence: int = 0
-    formers: tuple[Former, ...] = ()
+    formers: tuple[FormerOwner, ...] = ()
 
 
 @attrs.frozen
 class KeyTable:
     """All segments of a service in order, without gaps.
 
-    `fence` is the highest token that was ever used, and `duty_fence` that of the duty
-    under which the table was written.
+    `fence` is the highest fencing token that was ever used, and `duty_fence` the
+    fencing token of the duty under which the table was written.
     """
 
     segments: tuple[Segment, ...]
@@ -59,17 +59,21 @@
 
     @classmethod
     def from_bytes(cls, content: bytes) -> "Result[KeyTable, str]":
-        """Return the table, or why it is malformed."""
+        """Parse the stored form; the error says why it is malformed."""
         try:
             document = json.loads(content)
-            segments = tuple(_segment(*fields) for fields in document["segments"])
+            segments = tuple(_parse_segment(*items) for items in document["segments"])
             table = cls(segments, int(document["fence"]), int(document["duty_fence"]))
         except (ValueError, KeyError, TypeError) as exc:
             return Error(f"malformed key table: {exc}")
-        return Ok(table) if table.covers_all() else Error("the table has gaps")
-
-    def covers_all(self) -> bool:
-        """Return whether the segments hold each position once, in order."""
+        return (
+            Ok(table)
+            if table.covers_all_positions()
+            else Error("segments of the key table have gaps or overlap")
+        )
+
+    def covers_all_positions(self) -> bool:
+        """Return whether the segments contain each position once, in order."""
         expected = 0
         for segment in self.segments:
             if segment.first != expected or segment.last < segment.first:
@@ -78,7 +82,7 @@
         return expected == KEY_POSITIONS
 
 
-def _segment(
+def _parse_segment(
     first: int, last: int, owner: str, start_id: str, fence: int, formers: Any
 ) -> Segment:
     return Segment(
@@ -87,7 +91,10 @@
         str(owner),
         str(start_id),
         int(fence),
-        tuple(Former(str(name), str(former)) for name, former in formers),
+        tuple(
+            FormerOwner(str(former_owner), str(former_start_id))
+            for former_owner, former_start_id in formers
+        ),
     )
 
 
@@ -95,56 +102,66 @@
 
 
 class SegmentState(enum.Enum):
-    """What the granter does with a segment."""
+    """Progress of a segment from its former owners to its owner."""
 
-    VACANT = "vacant"  # nobody was ever given it
-    RELEASING = "releasing"  # former owners give its keys up, or their grants end
+    VACANT = "vacant"  # never assigned
+    RELEASING = "releasing"  # former owners release its keys, or their grants expire
     GRANTING = "granting"  # not yet confirmed by its owner
     SERVING = "serving"
 
 
 @attrs.define(eq=False)
-class FormerRow:
-    """A former owner with the time at which its grant has ended at the latest."""
+class FormerOwnerRow:
+    """The granter's state of the release by a former owner; times are monotonic.
+
+    `held_until_s` is the latest time at which its grant expires. `keys_freed` means
+    that it no longer holds the keys: it released them, its grant expired or its
+    process ended. `call_pending` concerns calls to release.
+    """
 
-    former: Former
+    process: FormerOwner
     held_until_s: float
-    asked_s: float = float("-inf")
-    calling: bool = False
-    failed: bool = False
-    done: bool = False
+    release_sent_s: float = float("-inf")
+    call_pending: bool = False
+    release_failed: bool = False
+    keys_freed: bool = False
 
 
 @attrs.define(eq=False)
 class SegmentRow:
-    """A segment with the granter's knowledge of its grant; times are monotonic.
+    """A segment with the granter's state of its grant; times are monotonic.
 
-    `held_until_s` is the time at which the owner's grant has ended at the latest,
-    `target` the server that is to get the keys with the next write.
+    `held_until_s` is the latest time at which the owner's grant expires, `target` the
+    server that becomes the owner with the next write of the table, and `handover` what
+    the former owner returned for the new one. `call_pending` concerns calls to grant.
     """
 
     segment: Segment
     state: SegmentState = SegmentState.VACANT
     target: str = ""
     handover: str = ""
-    sent_s: float = float("-inf")
+    grant_sent_s: float = float("-inf")
     held_until_s: float = float("-inf")
     moved_s: float = float("-inf")
-    failures: int = 0
-    lost: bool = False
-    calling: bool = False
-    formers: list[FormerRow] = attrs.field(factory=list)
+    grant_failures: int = 0
+    grant_refused: bool = False
+    call_pending: bool = False
+    formers: list[FormerOwnerRow] = attrs.field(factory=list)
 
-    def piece(self, first: int, last: int) -> "SegmentRow":
-        """Return a row for a part of the segment with the same knowledge."""
+    def copy_part(self, first: int, last: int) -> "SegmentRow":
+        """Return a row for a part of the segment, with the same state."""
         segment = attrs.evolve(self.segment, first=first, last=last)
-        formers = [attrs.evolve(former, calling=False) for former in self.formers]
-        return attrs.evolve(self, segment=segment, calling=False, formers=formers)
+        formers = [attrs.evolve(former, call_pending=False) for former in self.formers]
+        return attrs.evolve(self, segment=segment, call_pending=False, formers=formers)
 
 
 @attrs.frozen
 class KeyRoutes:
-    """Owners by position as members use them; an empty owner cannot be asked now."""
+    """Owners by position range, for routing; no requests go to an empty owner.
+
+    Range `i` begins at position `starts[i]` and belongs to `owners[i]`. Routes are
+    versioned by the pair of `duty_fence` and `sequence`.
+    """
 
     starts: tuple[int, ...]
     owners: tuple[str, ...]
@@ -156,7 +173,7 @@
         return self.owners[bisect_right(self.starts, position) - 1]
 
     def is_newer_than(self, other: "KeyRoutes") -> bool:
-        """Return whether these routes replace others."""
+        """Return whether these routes have a later version than others."""
         return (self.duty_fence, self.sequence) > (other.duty_fence, other.sequence)
 
 
--- a/wagtailrill/keys/planner.py
+++ b/wagtailrill/keys/planner.py
@@ -1,4 +1,7 @@
-"""Plans which backend server holds which keys."""
+"""Plans which backend server owns which key positions; used by the granter.
+
+A plan minimises the estimated number of requests in progress at all servers.
+"""
 
 from bisect import bisect_left, bisect_right
 from collections import Counter
@@ -7,33 +10,35 @@
 
 import attrs
 
-from .const import KEY_POSITIONS, STRIPES
-
-# Part of the requests for keys that are not busy which counts as spread evenly.
-EVEN_PART = 0.3
-BUSY_PER_S = 4.0
-# Without measured requests the servers are taken to be used this much.
-ASSUMED_USE = 0.3
-# A move has to lower the requests in progress, in units of a request's usual time, by
-# more than this, and by more than the requests for the keys that wait meanwhile.
-GAIN_MIN = 0.4
+from .const import KEY_POSITIONS, STRIPE_COUNT
+
+# Part of the rate of keys that are not busy which counts as spread over all positions.
+EVEN_SPREAD_RATIO = 0.3
+BUSY_RATE_MIN_PER_S = 4.0
+# Assumed utilisation of the servers while no requests have been measured.
+ASSUMED_UTILISATION_RATIO = 0.3
+# A move must reduce the requests in progress by more than this plus the costs below.
+# The unit is a request's usual time.
+MOVE_GAIN_MIN = 0.4
+# Stands for the requests that wait while their keys move, per request/s moved.
 MOVE_COST_PER_REQUEST = 0.2
-# Keys that change hands have a price of their own.
+# Cost of moving all keys; a move costs its share of the positions.
 MOVE_COST_ALL_KEYS = 35.0
-# Only the busiest keys of a server are considered.
-HOLDINGS_TRIED = 4
-TARGETS_TRIED = 8
-SOURCES_TRIED = 4
-# Parts of a server's load that are tried as moves, and how exactly a run has them.
-RUN_PARTS = (0.15, 0.4)
-RUN_LEAST = 0.6
-RUN_MOST = 1.4
-STRIPE_POSITIONS = KEY_POSITIONS // STRIPES
+# Only the busiest holdings of a server are considered.
+HOLDINGS_TRIED_MAX = 4
+TARGETS_TRIED_MAX = 8
+SOURCES_TRIED_MAX = 4
+# Shares of a server's load that are tried as moves, and the accepted deviation of a
+# run's load from such a share.
+RUN_LOAD_RATIOS = (0.15, 0.4)
+RUN_LOAD_MIN_RATIO = 0.6
+RUN_LOAD_MAX_RATIO = 1.4
+STRIPE_POSITIONS = KEY_POSITIONS // STRIPE_COUNT
 
 
 @attrs.frozen
 class Holding:
-    """Positions that a server holds; only movable ones may be given away."""
+    """Positions `first` to `last`, inclusive, of one owner; moved only if `movable`."""
 
     first: int
     last: int
@@ -43,34 +48,36 @@
 
 @attrs.frozen
 class Capacity:
-    """What a server can do: requests per second when all slots are used.
+    """What a server can run: requests per second when all slots are used.
 
-    `slowness` is how long it takes for one request, 1.0 as usual.
+    `slowness` is the service time of a request relative to the usual time, 1.0.
     """
 
     name: str
     requests_per_s: float
     slowness: float = 1.0
 
-    def cost(self, load: float) -> float:
+    def estimate_in_progress(self, load_per_s: float) -> float:
         """Return the requests in progress, in units of a request's usual time."""
-        return load * self.time(load)
+        return load_per_s * self.estimate_time(load_per_s)
 
-    def time(self, load: float) -> float:
-        """Return how long a request takes, with the wait for a slot.
+    def estimate_time(self, load_per_s: float) -> float:
+        """Return the time of a request with its wait for a slot, in usual times.
 
-        The shape is that of a queue with several servers: short waits up to a use of
-        0.8, and long ones near 1.
+        The shape is that of a queue with several servers: short waits up to a
+        utilisation of 0.8, and long ones near 1.
         """
-        use = load / max(self.requests_per_s, 1e-3)
-        if use >= 1.0:
-            return self.slowness * (11.0 + 20.0 * (use - 1.0))
-        return self.slowness * (1.0 + use**6 / (3.0 * (1.0 - use) + 0.1))
+        utilisation = load_per_s / max(self.requests_per_s, 1e-3)
+        if utilisation >= 1.0:
+            return self.slowness * (11.0 + 20.0 * (utilisation - 1.0))
+        return self.slowness * (
+            1.0 + utilisation**6 / (3.0 * (1.0 - utilisation) + 0.1)
+        )
 
 
 @attrs.frozen
 class Move:
-    """Positions to be given to another server."""
+    """Positions `first` to `last`, inclusive, that the server `target` is to own."""
 
     first: int
     last: int
@@ -78,205 +85,237 @@
 
 
 class LoadMap:
-    """Requests per second by position.
+    """Request rates by position.
 
-    A part of the requests for keys that are not busy counts as spread evenly, since
-    few requests tell little of a key. Without any requests `assumed` requests per
-    second are spread evenly.
+    A part of the rate of keys that are not busy counts as spread over all positions,
+    since few requests say little about a key. Without measured rates,
+    `assumed_per_s` requests per second are spread over all positions. `is_known` is
+    False without either.
     """
 
-    def __init__(self, rates: Mapping[int, float], assumed: float = 0.0) -> None:
-        self.known = bool(rates) or assumed > 0.0
+    def __init__(self, rates: Mapping[int, float], assumed_per_s: float = 0.0) -> None:
+        self.is_known = bool(rates) or assumed_per_s > 0.0
         self._positions = sorted(rates)
         self._rates = {
-            p: rate if rate >= BUSY_PER_S else rate * (1.0 - EVEN_PART)
+            p: rate if rate >= BUSY_RATE_MIN_PER_S else rate * (1.0 - EVEN_SPREAD_RATIO)
             for p, rate in rates.items()
         }
-        known = [self._rates[p] for p in self._positions]
-        self._sums = [0.0, *accumulate(known)]
-        even = sum(rates.values()) - self._sums[-1] if rates else assumed
-        self._even = even / KEY_POSITIONS
+        ordered_rates = [self._rates[p] for p in self._positions]
+        self._cumulative_rates = [0.0, *accumulate(ordered_rates)]
+        even_per_s = (
+            sum(rates.values()) - self._cumulative_rates[-1] if rates else assumed_per_s
+        )
+        self._even_per_position = even_per_s / KEY_POSITIONS
 
-    def load(self, first: int, last: int) -> float:
-        """Return the requests per second of some positions."""
+    def sum_load(self, first: int, last: int) -> float:
+        """Return the requests per second of the positions `first` to `last`."""
         start = bisect_left(self._positions, first)
         end = bisect_right(self._positions, last)
-        return self._sums[end] - self._sums[start] + (last - first + 1) * self._even
+        return (
+            self._cumulative_rates[end]
+            - self._cumulative_rates[start]
+            + (last - first + 1) * self._even_per_position
+        )
 
-    def between(self, first: int, last: int) -> Sequence[int]:
+    def list_positions(self, first: int, last: int) -> Sequence[int]:
         """Return the measured positions of a range, in order."""
         start = bisect_left(self._positions, first)
         return self._positions[start : bisect_right(self._positions, last)]
 
-    def rate(self, position: int) -> float:
-        """Return the measured requests per second of a position."""
+    def get_rate(self, position: int) -> float:
+        """Return the requests per second of a measured position, without even load."""
         return self._rates[position]
 
-    def densest(self, first: int, last: int, wanted: float) -> tuple[int, int] | None:
+    def find_densest_run(
+        self, first: int, last: int, wanted_per_s: float
+    ) -> tuple[int, int] | None:
         """Return the narrowest run of measured positions with about the load wanted."""
-        positions = self.between(first, last)
+        positions = self.list_positions(first, last)
         best: tuple[int, int] | None = None
-        start, load = 0, 0.0
+        start, load_per_s = 0, 0.0
         for position in positions:
-            load += self._rates[position]
-            while load > wanted * RUN_MOST and positions[start] <= position:
-                load -= self._rates[positions[start]]
+            load_per_s += self._rates[position]
+            while (
+                load_per_s > wanted_per_s * RUN_LOAD_MAX_RATIO
+                and positions[start] <= position
+            ):
+                load_per_s -= self._rates[positions[start]]
                 start += 1
-            if load < wanted * RUN_LEAST:
+            if load_per_s < wanted_per_s * RUN_LOAD_MIN_RATIO:
                 continue
             run = (positions[start], position)
             if best is None or run[1] - run[0] < best[1] - best[0]:
                 best = run
         return best
 
-    def hottest(self, first: int, last: int) -> int | None:
-        """Return the position with the most requests."""
-        positions = self.between(first, last)
-        return max(positions, key=self.rate) if positions else None
+    def find_hottest(self, first: int, last: int) -> int | None:
+        """Return the measured position of a range with the most requests."""
+        positions = self.list_positions(first, last)
+        return max(positions, key=self.get_rate) if positions else None
 
 
 @attrs.define
-class Loads:
-    """Loads by server while moves are planned."""
+class ServerLoads:
+    """Requests per second by server, updated while moves are planned."""
 
     capacities: dict[str, Capacity]
     loads: dict[str, float]
 
     @classmethod
-    def of(
+    def from_holdings(
         cls,
         holdings: Iterable[Holding],
         capacities: Sequence[Capacity],
-        load: LoadMap,
-    ) -> "Loads":
-        """Return the loads of what the servers hold."""
+        load_map: LoadMap,
+    ) -> "ServerLoads":
+        """Return the loads by the servers' holdings; unknown owners are left out."""
         loads = cls({c.name: c for c in capacities}, {c.name: 0.0 for c in capacities})
         for holding in holdings:
             if holding.owner in loads.loads:
-                loads.loads[holding.owner] += load.load(holding.first, holding.last)
+                loads.loads[holding.owner] += load_map.sum_load(
+                    holding.first, holding.last
+                )
         return loads
 
-    def added_cost(self, name: str, more: float) -> float:
+    def estimate_added(self, name: str, added_per_s: float) -> float:
         """Return the requests in progress that more load would add at a server."""
-        capacity, load = self.capacities[name], self.loads[name]
-        return capacity.cost(load + more) - capacity.cost(load)
-
-    def cheapest(self, more: float, names: Iterable[str]) -> str:
-        """Return the server where more load adds least."""
-        return min(names, key=lambda name: (self.added_cost(name, more), name))
+        capacity, load_per_s = self.capacities[name], self.loads[name]
+        return capacity.estimate_in_progress(
+            load_per_s + added_per_s
+        ) - capacity.estimate_in_progress(load_per_s)
+
+    def find_cheapest(self, added_per_s: float, names: Iterable[str]) -> str:
+        """Return the server where more load adds the fewest requests in progress."""
+        return min(
+            names, key=lambda name: (self.estimate_added(name, added_per_s), name)
+        )
 
-    def slowest(self, names: Iterable[str]) -> list[str]:
-        """Return the servers with most requests in progress for their load."""
+    def list_slowest(self, names: Iterable[str]) -> list[str]:
+        """Return the servers with the longest request times, the longest first."""
 
-        def time(name: str) -> float:
-            return self.capacities[name].time(self.loads[name])
+        def estimate_time(name: str) -> float:
+            return self.capacities[name].estimate_time(self.loads[name])
 
-        return sorted(names, key=lambda name: (-time(name), name))[:SOURCES_TRIED]
+        return sorted(names, key=lambda name: (-estimate_time(name), name))[
+            :SOURCES_TRIED_MAX
+        ]
 
-    def least_used(self, but: str) -> list[str]:
-        """Return the servers with most room, but one."""
-        names = [name for name in self.capacities if name != but]
-        names.sort(key=lambda name: (self.added_cost(name, 1.0), name))
-        return names[:TARGETS_TRIED]
+    def list_least_used(self, excluded: str) -> list[str]:
+        """Return the servers where a request adds least, except one server."""
+        names = [name for name in self.capacities if name != excluded]
+        names.sort(key=lambda name: (self.estimate_added(name, 1.0), name))
+        return names[:TARGETS_TRIED_MAX]
 
-    def move(self, amount: float, target: str, source: str = "") -> None:
-        """Count load at another server."""
-        self.loads[target] += amount
+    def move_load(self, moved_per_s: float, target: str, source: str = "") -> None:
+        """Add load to `target` and subtract it from `source`, unless that is empty."""
+        self.loads[target] += moved_per_s
         if source:
-            self.loads[source] -= amount
+            self.loads[source] -= moved_per_s
 
 
-def divide(
+def plan_assignment(
     vacant: Sequence[tuple[int, int]],
     holdings: Iterable[Holding],
     capacities: Sequence[Capacity],
-    load: LoadMap,
+    load_map: LoadMap,
 ) -> list[Move]:
-    """Return who gets positions that nobody holds, stripe by stripe."""
+    """Return moves that assign positions without an owner, stripe by stripe.
+
+    `vacant` has pairs of first and last positions. Without servers nothing is assigned.
+    """
     if not capacities:
         return []
-    if not load.known:
-        load = LoadMap({}, ASSUMED_USE * sum(c.requests_per_s for c in capacities))
-    loads = Loads.of(holdings, capacities, load)
+    if not load_map.is_known:
+        load_map = LoadMap(
+            {}, ASSUMED_UTILISATION_RATIO * sum(c.requests_per_s for c in capacities)
+        )
+    loads = ServerLoads.from_holdings(holdings, capacities, load_map)
     moves: list[Move] = []
     for start, last in vacant:
         for first in range(start, last + 1, STRIPE_POSITIONS):
             end = min(last, first + STRIPE_POSITIONS - 1)
-            amount = load.load(first, end)
-            target = loads.cheapest(amount, loads.capacities)
+            added_per_s = load_map.sum_load(first, end)
+            target = loads.find_cheapest(added_per_s, loads.capacities)
             moves.append(Move(first, end, target))
-            loads.move(amount, target)
+            loads.move_load(added_per_s, target)
     return moves
 
 
-def rebalance(
+def plan_rebalancing(
     holdings: Sequence[Holding],
     capacities: Sequence[Capacity],
-    load: LoadMap,
+    load_map: LoadMap,
     moves_max: int,
 ) -> list[Move]:
-    """Return moves that lower the number of waiting requests, the best ones first."""
+    """Return at most `moves_max` moves that reduce the requests in progress.
+
+    Servers without keys get some first; then the move with the greatest gain comes
+    first.
+    """
     if len(capacities) < 2:
         return []
-    loads = Loads.of(holdings, capacities, load)
-    moves = _first_shares(holdings, loads, load)[:moves_max]
+    loads = ServerLoads.from_holdings(holdings, capacities, load_map)
+    moves = _plan_first_shares(holdings, loads, load_map)[:moves_max]
     rest = [h for h in holdings if h.movable and h.owner in loads.loads]
     for move in moves:
-        rest = _without(rest, move)
-    if not load.known:
+        rest = _remove_moved(rest, move)
+    if not load_map.is_known:
         return moves
     while len(moves) < moves_max:
-        best = _best_move(rest, loads, load)
+        best = _find_best_move(rest, loads, load_map)
         if best is None:
             break
         source, move = best
         moves.append(move)
-        loads.move(load.load(move.first, move.last), move.target, source)
-        rest = _without(rest, move)
+        loads.move_load(load_map.sum_load(move.first, move.last), move.target, source)
+        rest = _remove_moved(rest, move)
     return moves
 
 
-def _best_move(
-    holdings: Sequence[Holding], loads: Loads, load: LoadMap
+def _find_best_move(
+    holdings: Sequence[Holding], loads: ServerLoads, load_map: LoadMap
 ) -> tuple[str, Move] | None:
-    """Return the source and the move that relieves most, None if none is worth it."""
+    """Return the source and the move with the greatest gain, None if none pays."""
     best: tuple[str, Move] | None = None
-    best_gain = GAIN_MIN
-    for source in loads.slowest({h.owner for h in holdings}):
-        targets = loads.least_used(but=source)
-        for first, last in _runs(source, holdings, loads, load):
-            moved = load.load(first, last)
-            target = loads.cheapest(moved, targets)
-            gain = -loads.added_cost(source, -moved) - loads.added_cost(target, moved)
-            gain -= moved * MOVE_COST_PER_REQUEST
+    best_gain = MOVE_GAIN_MIN
+    for source in loads.list_slowest({h.owner for h in holdings}):
+        targets = loads.list_least_used(excluded=source)
+        for first, last in _generate_runs(source, holdings, loads, load_map):
+            moved_per_s = load_map.sum_load(first, last)
+            target = loads.find_cheapest(moved_per_s, targets)
+            gain = -loads.estimate_added(source, -moved_per_s) - loads.estimate_added(
+                target, moved_per_s
+            )
+            gain -= moved_per_s * MOVE_COST_PER_REQUEST
             gain -= MOVE_COST_ALL_KEYS * (last - first + 1) / KEY_POSITIONS
             if gain > best_gain:
                 best, best_gain = (source, Move(first, last, target)), gain
     return best
 
 
-def _runs(
-    source: str, holdings: Sequence[Holding], loads: Loads, load: LoadMap
+def _generate_runs(
+    source: str, holdings: Sequence[Holding], loads: ServerLoads, load_map: LoadMap
 ) -> Iterable[tuple[int, int]]:
-    """Yield runs of a server's keys that could be moved."""
-    held = loads.loads[source]
+    """Yield first and last positions of a server's keys that could be moved."""
+    source_per_s = loads.loads[source]
     own = [h for h in holdings if h.owner == source]
-    own.sort(key=lambda h: load.load(h.first, h.last), reverse=True)
-    for holding in own[:HOLDINGS_TRIED]:
+    own.sort(key=lambda h: load_map.sum_load(h.first, h.last), reverse=True)
+    for holding in own[:HOLDINGS_TRIED_MAX]:
         yield holding.first, holding.last
-        if load.load(holding.first, holding.last) < BUSY_PER_S:
-            continue  # each range has a grant of its own, so only busy ones are cut
-        hottest = load.hottest(holding.first, holding.last)
-        if hottest is not None and load.rate(hottest) >= BUSY_PER_S:
+        if load_map.sum_load(holding.first, holding.last) < BUSY_RATE_MIN_PER_S:
+            continue  # each segment needs its own grant, so only busy ones are split
+        hottest = load_map.find_hottest(holding.first, holding.last)
+        if hottest is not None and load_map.get_rate(hottest) >= BUSY_RATE_MIN_PER_S:
             yield hottest, hottest
-        for part in RUN_PARTS:
-            wanted = max(held * part, BUSY_PER_S)
-            run = load.densest(holding.first, holding.last, wanted)
+        for ratio in RUN_LOAD_RATIOS:
+            wanted_per_s = max(source_per_s * ratio, BUSY_RATE_MIN_PER_S)
+            run = load_map.find_densest_run(holding.first, holding.last, wanted_per_s)
             if run is not None:
                 yield run
 
 
-def _without(holdings: Sequence[Holding], move: Move) -> list[Holding]:
+def _remove_moved(holdings: Sequence[Holding], move: Move) -> list[Holding]:
+    """Return the holdings without the positions of a move."""
     rest: list[Holding] = []
     for holding in holdings:
         if holding.last < move.first or holding.first > move.last:
@@ -289,39 +328,40 @@
     return rest
 
 
-def _first_shares(
-    holdings: Sequence[Holding], loads: Loads, load: LoadMap
+def _plan_first_shares(
+    holdings: Sequence[Holding], loads: ServerLoads, load_map: LoadMap
 ) -> list[Move]:
     """Return moves that give servers without keys their first ones.
 
-    Owners that have several holdings give one up, the most loaded owner first.
+    Only owners with several holdings give one up, the most loaded owner first. It gives
+    up a part of its least loaded holding.
     """
     counts = Counter(holding.owner for holding in holdings)
     moves: list[Move] = []
-    given: set[int] = set()
+    taken: set[int] = set()
     for name in loads.capacities:
         if counts[name]:
             continue
         movable = [
             h
             for h in holdings
-            if h.movable and counts[h.owner] > 1 and h.first not in given
+            if h.movable and counts[h.owner] > 1 and h.first not in taken
         ]
         if not movable:
             break
         owner = max(movable, key=lambda h: loads.loads.get(h.owner, 0.0)).owner
         source = min(
             (h for h in movable if h.owner == owner),
-            key=lambda h: load.load(h.first, h.last),
+            key=lambda h: load_map.sum_load(h.first, h.last),
         )
         last = min(source.last, source.first + STRIPE_POSITIONS - 1)
         moves.append(Move(source.first, last, name))
-        given.add(source.first)
+        taken.add(source.first)
         counts[source.owner] -= 1
         counts[name] += 1
-        amount = load.load(source.first, last)
+        moved_per_s = load_map.sum_load(source.first, last)
         if source.owner in loads.loads:
-            loads.move(amount, name, source.owner)
+            loads.move_load(moved_per_s, name, source.owner)
         else:
-            loads.move(amount, name)
+            loads.move_load(moved_per_s, name)
     return moves
--- a/wagtailrill/keys/table_store.py
+++ b/wagtailrill/keys/table_store.py
@@ -1,4 +1,4 @@
-"""The key table of one service in the store, written by one granter."""
+"""Reads and writes the key table of one service in the store for its granter."""
 
 from collections.abc import Callable
 
@@ -16,61 +16,63 @@
     StoreErrorKind,
     StoreResult,
 )
-from .const import STORE_RETRY_S
+from .const import STORE_RETRY_DELAY_S
 from .models import EMPTY_TABLE, KeyTable
 
 OnWritten = Callable[[bool], None]
 
 
 class TableStore:
-    """Reads and writes the table under the condition that nobody else has written.
+    """Stores the table under the condition that nobody else has written it.
 
-    `fence` is the highest token of the table, `revision` its revision in the store.
+    `fence` is the highest fencing token of the table, `revision` its revision in the
+    store. While `write_pending` is set, no other write may begin.
     """
 
     def __init__(
         self,
         ctx: Context,
         service: str,
-        key: str,
+        table_key: str,
         duty_fence: int,
         on_taken_over: Callable[[KeyTable], None],
     ) -> None:
         self.fence = 0
         self.revision = 0
-        self.writing = False
+        self.write_pending = False
         self._ctx = ctx
         self._service = service
-        self._key = key
+        self._table_key = table_key
         self._duty_fence = duty_fence
         self._on_taken_over = on_taken_over
         self._stopped = False
 
     def stop(self) -> None:
-        """Take no notice of answers any more."""
+        """Ignore all further answers of the store."""
         self._stopped = True
 
-    def take_over(self) -> None:
-        """Read the table and write it again, so that a predecessor cannot write."""
-        self.writing = True
-        self._ctx.call_store(Get(self._key), self._on_read)
+    def take_over_table(self) -> None:
+        """Read the table and write it back, so that a predecessor's writes fail."""
+        self.write_pending = True
+        self._ctx.call_store(Get(self._table_key), self._on_takeover_read)
 
-    def write(self, table: KeyTable, on_written: OnWritten) -> None:
-        """Write a table; `on_written` tells whether it is in the store."""
-        self.writing = True
+    def write_table(self, table: KeyTable, on_written: OnWritten) -> None:
+        """Write a table; `on_written` receives whether it is in the store."""
+        self.write_pending = True
         table = attrs.evolve(table, duty_fence=self._duty_fence)
         commit = Commit(
-            (Expected(self._key, self.revision),), (Put(self._key, table.to_bytes()),)
+            (Expected(self._table_key, self.revision),),
+            (Put(self._table_key, table.to_bytes()),),
         )
         self._ctx.call_store(
-            commit, lambda result: self._on_commit(result, table, on_written)
+            commit, lambda result: self._on_commit_result(result, table, on_written)
         )
 
-    def _on_read(self, result: StoreResult) -> None:
+    def _on_takeover_read(self, result: StoreResult) -> None:
         if self._stopped:
             return
         if result.is_error():
-            self._ctx.timers.call_later(STORE_RETRY_S, self.take_over)
+            self._ctx.timers.call_later(STORE_RETRY_DELAY_S, self.take_over_table)
             return
         found = result.ok
         assert isinstance(found, Found)
@@ -78,22 +80,24 @@
         self.revision = 0
         if found.item is not None:
             self.revision = found.item.revision
-            read = KeyTable.from_bytes(found.item.value)
-            if read.is_ok():
-                table = read.ok
+            parsed = KeyTable.from_bytes(found.item.value)
+            if parsed.is_ok():
+                table = parsed.ok
             else:
                 self._ctx.log(
                     LogName.KEY_TABLE_INVALID,
                     service=self._service,
                     revision=self.revision,
-                    reason=read.error,
+                    reason=parsed.error,
                 )
         self.fence = table.fence
-        self.write(table, lambda written: self._on_marked(written, table))
+        self.write_table(
+            table, lambda written: self._on_takeover_written(written, table)
+        )
 
-    def _on_marked(self, written: bool, table: KeyTable) -> None:
+    def _on_takeover_written(self, written: bool, table: KeyTable) -> None:
         if not written:
-            self._ctx.timers.call_later(STORE_RETRY_S, self.take_over)
+            self._ctx.timers.call_later(STORE_RETRY_DELAY_S, self.take_over_table)
             return
         self._ctx.log(
             LogName.KEY_TABLE_READ,
@@ -104,7 +108,7 @@
         )
         self._on_taken_over(table)
 
-    def _on_commit(
+    def _on_commit_result(
         self, result: StoreResult, table: KeyTable, on_written: OnWritten
     ) -> None:
         if self._stopped:
@@ -112,7 +116,7 @@
         if result.is_ok():
             committed = result.ok
             assert isinstance(committed, Committed)
-            self._written(committed.revision, table, on_written)
+            self._finish_write(committed.revision, table, on_written)
             return
         error = result.error
         self._ctx.log(
@@ -123,39 +127,43 @@
             revision=self.revision,
         )
         if error.kind is StoreErrorKind.REFUSED:
-            self.writing = False
+            self.write_pending = False
             on_written(False)
         else:
-            # It may have taken effect, or somebody else has written.
-            self._read_back(table, on_written)
+            # The commit may have taken effect, or another instance has written.
+            self._check_commit(table, on_written)
+
+    def _check_commit(self, table: KeyTable, on_written: OnWritten) -> None:
+        """Read the table back to learn the outcome of a commit."""
 
-    def _read_back(self, table: KeyTable, on_written: OnWritten) -> None:
         def on_read(result: StoreResult) -> None:
             if self._stopped:
                 return
             if result.is_error():
                 self._ctx.timers.call_later(
-                    STORE_RETRY_S, lambda: self._read_back(table, on_written)
+                    STORE_RETRY_DELAY_S, lambda: self._check_commit(table, on_written)
                 )
                 return
             found = result.ok
             assert isinstance(found, Found)
             item = found.item
             if item is not None and item.value == table.to_bytes():
-                self._written(item.revision, table, on_written)
+                self._finish_write(item.revision, table, on_written)
             elif (item.revision if item is not None else 0) == self.revision:
-                # The commit may still be carried out. Tokens of it are not used
+                # The commit may still take effect. Its fencing tokens are not used
                 # again, and the next write makes its condition fail.
                 self.fence = table.fence
-                self.writing = False
+                self.write_pending = False
                 on_written(False)
             else:
                 on_written(False)
-                self.take_over()
+                self.take_over_table()
 
-        self._ctx.call_store(Get(self._key), on_read)
+        self._ctx.call_store(Get(self._table_key), on_read)
 
-    def _written(self, revision: int, table: KeyTable, on_written: OnWritten) -> None:
-        self.writing = False
+    def _finish_write(
+        self, revision: int, table: KeyTable, on_written: OnWritten
+    ) -> None:
+        self.write_pending = False
         self.revision, self.fence = revision, table.fence
         on_written(True)
--- a/wagtailrill/keys/usage.py
+++ b/wagtailrill/keys/usage.py
@@ -1,4 +1,4 @@
-"""Requests by position of the keys of one service."""
+"""Measures the request rate of each key position of one service for the granter."""
 
 import math
 
@@ -6,68 +6,79 @@
 
 from ..core.context import Context
 from .const import (
-    FAST_SAMPLES_MIN,
-    USAGE_DECAY_S,
-    USAGE_FAST_DECAY_S,
-    USAGE_RATE_MIN,
+    USAGE_FAST_REQUESTS_MIN,
+    USAGE_FAST_TIME_CONSTANT_S,
+    USAGE_RATE_MIN_PER_S,
+    USAGE_SLOW_TIME_CONSTANT_S,
 )
 
 
 @attrs.define(eq=False, slots=True)
 class PositionUsage:
-    """Decayed requests per second of one position, over a longer and a shorter time."""
+    """Exponentially decayed request rates of one position, slow and fast."""
 
     updated_s: float
     slow_per_s: float = 0.0
     fast_per_s: float = 0.0
 
-    def count(self, now_s: float) -> None:
-        """Count a request."""
-        self.decay(now_s)
-        self.slow_per_s += 1.0 / USAGE_DECAY_S
-        self.fast_per_s += 1.0 / USAGE_FAST_DECAY_S
+    def count_request(self, now_s: float) -> None:
+        """Add a request to both rates."""
+        self.decay_rates(now_s)
+        self.slow_per_s += 1.0 / USAGE_SLOW_TIME_CONSTANT_S
+        self.fast_per_s += 1.0 / USAGE_FAST_TIME_CONSTANT_S
 
-    def decay(self, now_s: float) -> None:
-        """Let the rates fall as far as no request has come."""
+    def decay_rates(self, now_s: float) -> None:
+        """Decay both rates by the time since the last update."""
         elapsed_s = now_s - self.updated_s
         if elapsed_s > 0.0:
             self.updated_s = now_s
-            self.slow_per_s *= math.exp(-elapsed_s / USAGE_DECAY_S)
-            self.fast_per_s *= math.exp(-elapsed_s / USAGE_FAST_DECAY_S)
+            self.slow_per_s *= math.exp(-elapsed_s / USAGE_SLOW_TIME_CONSTANT_S)
+            self.fast_per_s *= math.exp(-elapsed_s / USAGE_FAST_TIME_CONSTANT_S)
 
-    def rate(self) -> float:
-        """Return requests per second; a key that has become hot shows at once."""
-        if self.fast_per_s * USAGE_FAST_DECAY_S < FAST_SAMPLES_MIN:
+    def estimate_rate(self) -> float:
+        """Return requests per second.
+
+        The fast rate counts only after enough requests, so that a key that has become
+        hot is detected early and a few requests by chance are not.
+        """
+        if self.fast_per_s * USAGE_FAST_TIME_CONSTANT_S < USAGE_FAST_REQUESTS_MIN:
             return self.slow_per_s
         return max(self.slow_per_s, self.fast_per_s)
 
 
 class UsageTable:
-    """Decayed requests per second by position."""
+    """Decayed request rates by key position."""
 
     def __init__(self, ctx: Context) -> None:
         self._ctx = ctx
-        self._rows: dict[int, PositionUsage] = {}
+        self._usage_by_position: dict[int, PositionUsage] = {}
 
-    def record(self, position: int) -> None:
-        """Count a request."""
-        row = self._rows.get(position)
-        if row is None:
-            row = self._rows[position] = PositionUsage(self._ctx.now_s)
-        row.count(self._ctx.now_s)
+    def count_request(self, position: int) -> None:
+        """Count a request for a position."""
+        usage = self._usage_by_position.get(position)
+        if usage is None:
+            usage = self._usage_by_position[position] = PositionUsage(self._ctx.now_s)
+        usage.count_request(self._ctx.now_s)
 
-    def rates(self) -> dict[int, float]:
-        """Return requests per second by position, and forget rare ones."""
+    def collect_rates(self) -> dict[int, float]:
+        """Return requests per second by position, and drop rarely used positions."""
         now_s = self._ctx.now_s
-        for row in self._rows.values():
-            row.decay(now_s)
-        self._rows = {
-            position: row
-            for position, row in self._rows.items()
-            if row.slow_per_s >= USAGE_RATE_MIN
+        for usage in self._usage_by_position.values():
+            usage.decay_rates(now_s)
+        self._usage_by_position = {
+            position: usage
+            for position, usage in self._usage_by_position.items()
+            if usage.slow_per_s >= USAGE_RATE_MIN_PER_S
+        }
+        return {
+            position: usage.estimate_rate()
+            for position, usage in self._usage_by_position.items()
         }
-        return {position: row.rate() for position, row in self._rows.items()}
 
-    def rate(self, first: int, last: int) -> float:
-        """Return requests per second of a range of positions."""
-        return sum(r for p, r in self.rates().items() if first <= p <= last)
+    def sum_rates(self, first: int, last: int) -> float:
+        """Return requests per second of the positions `first` to `last`, inclusive."""
+        return sum(
+            rate
+            for position, rate in self.collect_rates().items()
+            if first <= position <= last
+        )
