Rename names of key ownership that other folders use

In wagtailrill/keys, with their uses in wagtailrill/placement and wagtailrill/router. The names follow those of placement for the same things.

Renamed (old -> new): KeyRoutes.owner_of -> find_owner; KeyOwnership.capacity_of -> estimate_capacity; KeyOwnership.on_load -> on_load_report; KeyOwnership.heard_s -> get_last_report_s; KeyOwnership.routes -> get_routes; KeyOwnership.served_in_s -> estimate_unowned_s; KeyOwnership.record -> count_request; KeyOwnership.explain -> explain_key. Inside keys: Granter.estimate_wait_s -> estimate_unowned_s; get_last_answer_s -> get_last_report_s.

--- a/wagtailrill/keys/component.py
+++ b/wagtailrill/keys/component.py
@@ -62,7 +62,8 @@
 class KeyOwnership:
     """Knows the owners of all keyed services' keys and assigns them under a duty.
 
-    Implements `KeyRouter`, and `DutyListener` for the duty of each service.
+    Implements `KeyRouter`, and `DutyListener` for the duty of each service. The router
+    connects `estimate_capacity`, `on_load_report` and `get_last_report_s` to placement.
     """
 
     def __init__(
@@ -79,9 +80,9 @@
         self._duties = duties
         self._table_prefix = table_prefix
         self._rows: dict[str, ServiceRow] = {}
-        self.capacity_of: Callable[[ServerRow], Capacity] = _assume_capacity
-        self.on_load: Callable[[str, LoadReport], None] = lambda name, load: None
-        self.heard_s: Callable[[str], float] = lambda name: float("-inf")
+        self.estimate_capacity: Callable[[ServerRow], Capacity] = _assume_capacity
+        self.on_load_report: Callable[[str, LoadReport], None] = lambda name, load: None
+        self.get_last_report_s: Callable[[str], float] = lambda name: float("-inf")
         ctx.timers.subscribe(TICK_INTERVAL_S, self._run_granters)
         ctx.timers.subscribe(ANNOUNCE_INTERVAL_S, self._announce_routes)
 
@@ -112,12 +113,12 @@
     def owner(self, service: str, position: int) -> KeyOwner | RefusalCode:
         """Return the owner of a key, or the refusal if it has none now."""
         row = self._rows.get(service)
-        name = row.routes.owner_of(position) if row is not None else ""
+        name = row.routes.find_owner(position) if row is not None else ""
         if not name or name not in self._servers.rows:
             return RefusalCode.KEY_MOVING
         return KeyOwner(name)
 
-    def record(self, service: str, position: int) -> None:
+    def count_request(self, service: str, position: int) -> None:
         """Count a request for a key in the usage of a keyed service."""
         row = self._rows.get(service)
         if row is not None:
@@ -129,12 +130,12 @@
         if row is not None:
             self._request_routes(row)
 
-    def routes(self, service: str) -> KeyRoutes:
+    def get_routes(self, service: str) -> KeyRoutes:
         """Return the routes of a service, `NO_ROUTES` if it is not keyed."""
         row = self._rows.get(service)
         return row.routes if row is not None else NO_ROUTES
 
-    def served_in_s(self, service: str, position: int) -> float:
+    def estimate_unowned_s(self, service: str, position: int) -> float:
         """Return about how many seconds a key stays without an owner.
 
         It is 0 if this instance does not have the duty.
@@ -142,9 +143,9 @@
         row = self._rows.get(service)
         if row is None or row.granter is None:
             return 0.0
-        return row.granter.estimate_wait_s(position)
+        return row.granter.estimate_unowned_s(position)
 
-    def explain(self, service: str, position: int) -> dict[str, str | int] | None:
+    def explain_key(self, service: str, position: int) -> dict[str, str | int] | None:
         """Return the owner and version of the routes, None if the service is not keyed.
 
         The duty holder adds the state of the segment.
@@ -157,7 +158,7 @@
         explanation: dict[str, str | int] = {
             "service": service,
             "position": position,
-            "owner": routes.owner_of(position),
+            "owner": routes.find_owner(position),
             "granter": holder.instance if holder is not None else "",
             "duty_fence": routes.duty_fence,
             "sequence": routes.sequence,
@@ -253,11 +254,11 @@
             self._servers,
             row.name,
             self._table_prefix + row.name,
-            lambda server: self.capacity_of(server),
+            lambda server: self.estimate_capacity(server),
             lambda: self._duties.holds(duty),
             mark_changed,
-            lambda name, load: self.on_load(name, load),
-            lambda name: self.heard_s(name),
+            lambda name, load: self.on_load_report(name, load),
+            lambda name: self.get_last_report_s(name),
         )
         row.granter = Granter(deps, row.usage, fence, predecessor_may_act_s)
 
--- a/wagtailrill/keys/granter.py
+++ b/wagtailrill/keys/granter.py
@@ -50,7 +50,8 @@
     """Dependencies of `Granter`.
 
     `estimate_capacity` returns what a server can run, `holds_duty` whether the duty is
-    still held, and `get_last_answer_s` when a server last answered a request.
+    still held, and `get_last_report_s` the monotonic time of a server's last load
+    report with an answer.
     """
 
     ctx: Context
@@ -61,7 +62,7 @@
     holds_duty: Callable[[], bool]
     on_segments_changed: Callable[[], None]
     on_load_report: Callable[[str, LoadReport], None]
-    get_last_answer_s: Callable[[str], float]
+    get_last_report_s: Callable[[str], float]
 
 
 class Granter:
@@ -96,7 +97,7 @@
                 lambda: not self._stopped and deps.holds_duty(),
                 deps.on_segments_changed,
                 deps.on_load_report,
-                deps.get_last_answer_s,
+                deps.get_last_report_s,
                 self._renew_oldest_grant,
             )
         )
@@ -146,14 +147,14 @@
         if rows:
             self._grants.process_segment(min(rows, key=lambda row: row.grant_sent_s))
 
-    def estimate_wait_s(self, position: int) -> float:
+    def estimate_unowned_s(self, position: int) -> float:
         """Return about how many seconds pass until an owner serves a position."""
         for row in self.rows:
             if row.segment.first <= position <= row.segment.last:
-                return self._estimate_row_wait_s(row)
+                return self._estimate_row_unowned_s(row)
         return TYPICAL_MOVE_DURATION_S
 
-    def _estimate_row_wait_s(self, row: SegmentRow) -> float:
+    def _estimate_row_unowned_s(self, row: SegmentRow) -> float:
         if row.state is SegmentState.SERVING:
             return 0.0
         waits_s = [
--- a/wagtailrill/keys/grants.py
+++ b/wagtailrill/keys/grants.py
@@ -45,9 +45,9 @@
 class GrantDependencies:
     """Dependencies of `GrantManager`.
 
-    `may_call` returns whether the duty is still held, `get_last_answer_s` when a server
-    last answered a request. `on_call_slot_freed` is called with the name of a server
-    that can take another grant call.
+    `may_call` returns whether the duty is still held, `get_last_report_s` the monotonic
+    time of a server's last load report with an answer. `on_call_slot_freed` is called
+    with the name of a server that can take another grant call.
     """
 
     ctx: Context
@@ -56,7 +56,7 @@
     may_call: Callable[[], bool]
     on_segments_changed: Callable[[], None]
     on_load_report: Callable[[str, LoadReport], None]
-    get_last_answer_s: Callable[[str], float]
+    get_last_report_s: Callable[[str], float]
     on_call_slot_freed: Callable[[str], None]
 
 
@@ -185,7 +185,7 @@
             return False
         last_answer_s = max(
             self._last_grant_s.get(owner, float("-inf")),
-            self._deps.get_last_answer_s(owner),
+            self._deps.get_last_report_s(owner),
         )
         return self._ctx.now_s - last_answer_s >= OWNER_SILENCE_MAX_S
 
--- a/wagtailrill/keys/models.py
+++ b/wagtailrill/keys/models.py
@@ -168,7 +168,7 @@
     duty_fence: int = 0
     sequence: int = 0
 
-    def owner_of(self, position: int) -> str:
+    def find_owner(self, position: int) -> str:
         """Return the owner of a position, empty if there is none."""
         return self.owners[bisect_right(self.starts, position) - 1]
 
--- a/wagtailrill/placement/component.py
+++ b/wagtailrill/placement/component.py
@@ -265,7 +265,7 @@
         server: ServerRow | None
         moving = False
         if query.keyed and query.key_position is not None:
-            owner = parts.keys.routes(query.service).owner_of(query.key_position)
+            owner = parts.keys.get_routes(query.service).find_owner(query.key_position)
             moving = owner not in parts.servers.rows
             server = parts.choice.known(owner)
         else:
@@ -346,8 +346,10 @@
                     parts.ctx,
                     parts.servers,
                     service,
-                    lambda position: parts.keys.routes(service).owner_of(position),
-                    lambda position: parts.keys.served_in_s(service, position),
+                    lambda position: parts.keys.get_routes(service).find_owner(
+                        position
+                    ),
+                    lambda position: parts.keys.estimate_unowned_s(service, position),
                 )
             )
         return state.dispatcher
@@ -367,7 +369,7 @@
         if member is not None:
             data_centre = member.data_centre
         if request.key_position != NO_KEY:
-            self._parts.keys.record(request.service, request.key_position)
+            self._parts.keys.count_request(request.service, request.key_position)
         dispatcher.place_request(request, envelope.sender, data_centre, reply)
 
     def _on_end(self, envelope: Envelope) -> None:
--- a/wagtailrill/router/router.py
+++ b/wagtailrill/router/router.py
@@ -81,9 +81,9 @@
                 self.duties,
             )
         )
-        self.keys.capacity_of = self.placement.estimate_capacity
-        self.keys.on_load = self.placement.record_load
-        self.keys.heard_s = self.placement.get_last_report_s
+        self.keys.estimate_capacity = self.placement.estimate_capacity
+        self.keys.on_load_report = self.placement.record_load
+        self.keys.get_last_report_s = self.placement.get_last_report_s
         self.crash_guard = CrashGuard(
             ctx, self.servers, lambda: tuple(self.members.live())
         )
@@ -170,7 +170,7 @@
         A number from 0 to 65,535 is taken as a key position; any other text is hashed
         to one.
         """
-        return self.keys.explain(service, position_of(key))
+        return self.keys.explain_key(service, position_of(key))
 
     def _make_discovery(
         self, ctx: Context, adapter: EnvironmentAdapter
