--- a/wagtailrill/requests/models.py
+++ b/wagtailrill/requests/models.py
@@ -58,7 +58,8 @@
     # Set if the request must be claimed before it is sent.
     idempotency_key: str | None = None
     claim_id: int = 0
-    running_attempts: dict[int, Attempt] = attrs.field(factory=dict)
+    # Attempts that have not ended, by attempt ID.
+    attempts: dict[int, Attempt] = attrs.field(factory=dict)
     wait_logged: bool = False
     # All attempts, running and ended.
     attempt_history: list[Attempt] = attrs.field(factory=list)
@@ -87,7 +88,7 @@
     @property
     def may_have_run(self) -> bool:
         """Return whether a backend server may have run the request."""
-        return self.possible_runs > 0 or bool(self.running_attempts)
+        return self.possible_runs > 0 or bool(self.attempts)
 
 
 @attrs.define
