--- a/wagtailrill/requests/attempts.py
+++ b/wagtailrill/requests/attempts.py
@@ -69,7 +69,7 @@
         )
         attempt = Attempt(next(self._attempt_ids), placed, self._ctx.now_s, is_hedge)
         row.state = RequestState.RUNNING
-        row.running_attempts[attempt.attempt_id] = attempt
+        row.attempts[attempt.attempt_id] = attempt
         row.attempt_history.append(attempt)
         row.tried_servers |= {placed.server.name}
         self._running_by_id[attempt.attempt_id] = (row, attempt)
@@ -78,7 +78,7 @@
 
     def cancel_attempts(self, row: RequestRow) -> None:
         """Cancel the attempts at a request that are still running."""
-        for attempt_id in row.running_attempts:
+        for attempt_id in row.attempts:
             self._ctx.emit(CancelAttempt(attempt_id))
 
     def count_running(self) -> int:
@@ -89,7 +89,7 @@
         """Handle the end of an attempt."""
         result = event.result
         row, attempt = self._running_by_id.pop(result.attempt_id)
-        row.running_attempts.pop(result.attempt_id, None)
+        row.attempts.pop(result.attempt_id, None)
         increment_counter(self._counters.attempts, result.outcome.value)
         attempt.outcome, attempt.latency_s = result.outcome, result.latency_s
         if result.outcome not in NOT_RUN_OUTCOMES:
--- a/wagtailrill/requests/hedging.py
+++ b/wagtailrill/requests/hedging.py
@@ -53,9 +53,9 @@
 
     def _request_placement(self, row: RequestRow) -> None:
         deps = self._deps
-        if not deps.is_open(row) or len(row.running_attempts) != 1:
+        if not deps.is_open(row) or len(row.attempts) != 1:
             return
-        if row.possible_runs + len(row.running_attempts) >= row.route.attempts_max:
+        if row.possible_runs + len(row.attempts) >= row.route.attempts_max:
             return
         if not deps.retry_budget.has_budget(row.service.name):
             return
@@ -71,7 +71,7 @@
         row.hedge_placement_id = 0
         if isinstance(result, NoServerAvailable):
             return
-        still_useful = deps.is_open(row) and len(row.running_attempts) == 1
+        still_useful = deps.is_open(row) and len(row.attempts) == 1
         if not still_useful or not deps.retry_budget.take_attempt(row.service.name):
             deps.placement.report_end(row.service.name, result, NOT_SENT)
             return
--- a/wagtailrill/requests/pipeline.py
+++ b/wagtailrill/requests/pipeline.py
@@ -298,7 +298,7 @@
             return
         if outcome is AttemptOutcome.ANSWERED:
             self._answer_request(row, attempt, result)
-        elif row.running_attempts or self._refuse_if_blocked(row):
+        elif row.attempts or self._refuse_if_blocked(row):
             return  # another attempt still runs, or the request was refused
         elif self._may_retry(row, outcome):
             self._retry_request(row, outcome)
@@ -414,7 +414,7 @@
         row = self._rows.get(event.request_id)
         # The attempts of a claimed request go on, as its answer is stored for a
         # repeated delivery.
-        if row is None or (row.claim_id and row.running_attempts):
+        if row is None or (row.claim_id and row.attempts):
             return
         self._log.log_caller_left(row)
         self._attempts.cancel_attempts(row)
