Rename names of requests and claims that other folders use

Folders: wagtailrill/requests, wagtailrill/claims, and their uses in keys, rates, router and tests/load_tool.

TakeResult -> RateLimitResult, RateLimits.take and Rates.take -> take_token, KeyRouter.owner and KeyOwnership.owner -> find_owner, KeyRouter.misdirected and KeyOwnership.misdirected -> report_misdirection, Pipeline.stop_at -> set_stop_time, Pipeline.open_requests -> count_open_requests, PipelineParts -> PipelineDependencies with limits -> rate_limits, router -> key_router, choice -> server_choice, retries -> retry_budget, guard -> crash_guard, instances -> list_instances, Router._make_pipeline_parts -> _make_pipeline_dependencies, position_of -> parse_key_position, issued_ms -> parse_uuid7_time_ms.

--- a/tests/load_tool/test_plan.py
+++ b/tests/load_tool/test_plan.py
@@ -4,7 +4,7 @@
 
 import attrs
 
-from wagtailrill.claims.models import issued_ms
+from wagtailrill.claims.models import parse_uuid7_time_ms
 from wagtailrill.declaration.parse import parse
 from wagtailrill.load_tool.models import LoadResult, LoadSettings
 from wagtailrill.load_tool.plan import make_plan
@@ -43,7 +43,7 @@
     assert len({p.idempotency_key for p in keys}) == len(keys)
     for planned in keys:
         expected_ms = int((1000 + planned.at_s) * 1000)
-        assert issued_ms(planned.idempotency_key) == expected_ms
+        assert parse_uuid7_time_ms(planned.idempotency_key) == expected_ms
 
 
 def test_percentiles():
--- a/wagtailrill/claims/models.py
+++ b/wagtailrill/claims/models.py
@@ -133,7 +133,7 @@
     UNKNOWN = "unknown"
 
 
-def issued_ms(key: str) -> int | None:
+def parse_uuid7_time_ms(key: str) -> int | None:
     """Return the Unix time in milliseconds in a UUIDv7, None for any other text."""
     if len(key) != UUID_TEXT_LENGTH:
         return None
--- a/wagtailrill/keys/component.py
+++ b/wagtailrill/keys/component.py
@@ -110,7 +110,7 @@
 
     # Routes
 
-    def owner(self, service: str, position: int) -> KeyOwner | RefusalCode:
+    def find_owner(self, service: str, position: int) -> KeyOwner | RefusalCode:
         """Return the owner of a key, or the refusal if it has none now."""
         row = self._rows.get(service)
         name = row.routes.find_owner(position) if row is not None else ""
@@ -124,7 +124,9 @@
         if row is not None:
             row.usage.count_request(position)
 
-    def misdirected(self, service: str, position: int, backend_server: str) -> None:
+    def report_misdirection(
+        self, service: str, position: int, backend_server: str
+    ) -> None:
         """Request newer routes after a server has reported that it lacks a key."""
         row = self._rows.get(service)
         if row is not None:
--- a/wagtailrill/rates/component.py
+++ b/wagtailrill/rates/component.py
@@ -12,7 +12,7 @@
 from ..fleet.duties import Duties
 from ..fleet.members import Members
 from ..peer.registry import Envelope
-from ..requests.interfaces import TakeResult
+from ..requests.interfaces import RateLimitResult
 from ..store.models import Commit, Expected, Leased, LeaseGrant, Put, StoreResult
 from .const import FULL_START_GUARD_S, SHARDS, TICK_S
 from .holder import Holder
@@ -66,7 +66,9 @@
         for number in range(SHARDS):
             self._duties.register(f"{DUTY_PREFIX}{number}", self, RATES_DUTY_WEIGHT)
 
-    def take(self, organisation: str, on_result: Callable[[TakeResult], None]) -> None:
+    def take_token(
+        self, organisation: str, on_result: Callable[[RateLimitResult], None]
+    ) -> None:
         """Admit a request now, or once a token has come."""
         self.holder.take(organisation, on_result)
 
--- a/wagtailrill/rates/holder.py
+++ b/wagtailrill/rates/holder.py
@@ -7,7 +7,7 @@
 import attrs
 
 from ..core.context import Context
-from ..requests.interfaces import TakeResult
+from ..requests.interfaces import RateLimitResult
 from .const import (
     AHEAD_S,
     DEMAND_DECAY_S,
@@ -24,8 +24,8 @@
 from .messages import TokenGrant
 from .models import Bucket, Limit, RateSettings
 
-OnResult = Callable[[TakeResult], None]
-ADMITTED = TakeResult(True)
+OnResult = Callable[[RateLimitResult], None]
+ADMITTED = RateLimitResult(True)
 
 
 @attrs.define(eq=False)
@@ -116,7 +116,7 @@
         """Admit a request now, or once a token has come."""
         purse = self._purses.get(organisation)
         if purse is None:
-            on_result(TakeResult(False, RETRY_AFTER_MAX_S, "unknown_organisation"))
+            on_result(RateLimitResult(False, RETRY_AFTER_MAX_S, "unknown_organisation"))
             return
         if math.isinf(purse.limit.rate_per_s):
             on_result(ADMITTED)
@@ -212,7 +212,7 @@
         retry_after_s = min(max(wait_s, RETRY_AFTER_MIN_S), RETRY_AFTER_MAX_S)
         # Without an issuer only the own share of this instance counts.
         decided_by = "issuer" if now_s < purse.denied_until_s else "own_share"
-        on_result(TakeResult(False, retry_after_s, decided_by))
+        on_result(RateLimitResult(False, retry_after_s, decided_by))
 
     def _own_limit(self, limit: Limit) -> Limit:
         part = OWN_PART / max(len(self._instances()), 1)
--- a/wagtailrill/requests/checks.py
+++ b/wagtailrill/requests/checks.py
@@ -5,7 +5,7 @@
 import attrs
 import xxhash
 
-from ..claims.models import issued_ms
+from ..claims.models import parse_uuid7_time_ms
 from ..core.context import Context
 from ..core.orders import CallerRequest
 from ..core.refusals import Refusal
@@ -114,7 +114,7 @@
     if req.idempotency_key is None:
         return None
     key = req.idempotency_key.decode("latin-1").lower()
-    return None if issued_ms(key) is None else key
+    return None if parse_uuid7_time_ms(key) is None else key
 
 
 def _get_key_position(req: CallerRequest, match: RouteMatch) -> int | None:
@@ -128,7 +128,7 @@
     return xxhash.xxh3_64_intdigest(key) % KEY_POSITIONS
 
 
-def position_of(key: str) -> int:
+def parse_key_position(key: str) -> int:
     """Return the position of a key that an operator gave.
 
     A number below `KEY_POSITIONS` is the position itself; any other text is hashed.
--- a/wagtailrill/requests/interfaces.py
+++ b/wagtailrill/requests/interfaces.py
@@ -9,7 +9,7 @@
 
 
 @attrs.frozen
-class TakeResult:
+class RateLimitResult:
     """Whether a request is within its organisation's rate limit.
 
     If not, `retry_after_s` says when to send it again and `decided_by` which component
@@ -24,7 +24,9 @@
 class RateLimits(Protocol):
     """Rate limits of organisations across the fleet."""
 
-    def take(self, organisation: str, on_result: Callable[[TakeResult], None]) -> None:
+    def take_token(
+        self, organisation: str, on_result: Callable[[RateLimitResult], None]
+    ) -> None:
         """Take a token; `on_result` is called at once or when the issuer answers."""
         ...
 
@@ -39,11 +41,13 @@
 class KeyRouter(Protocol):
     """Finds the owners of the keys of keyed services."""
 
-    def owner(self, service: str, position: int) -> KeyOwner | RefusalCode:
+    def find_owner(self, service: str, position: int) -> KeyOwner | RefusalCode:
         """Return the owner of a key, or the refusal code while it has none."""
         ...
 
-    def misdirected(self, service: str, position: int, backend_server: str) -> None:
+    def report_misdirection(
+        self, service: str, position: int, backend_server: str
+    ) -> None:
         """Report that a backend server does not own the key that was sent to it."""
         ...
 
--- a/wagtailrill/requests/pipeline.py
+++ b/wagtailrill/requests/pipeline.py
@@ -12,7 +12,7 @@
     StoredAnswer,
     Verdict,
     compute_request_digest,
-    issued_ms,
+    parse_uuid7_time_ms,
 )
 from ..core.commands import AnswerRequest, RefuseRequest, ReplayAnswer
 from ..core.context import Context
@@ -36,7 +36,7 @@
     TIME_LEFT_MIN_S,
 )
 from .hedging import NOT_SENT, Hedging, HedgingDependencies
-from .interfaces import KeyRouter, RateLimits, RetryBudget, TakeResult
+from .interfaces import KeyRouter, RateLimitResult, RateLimits, RetryBudget
 from .models import (
     Attempt,
     RequestCounters,
@@ -64,26 +64,26 @@
 
 
 @attrs.frozen
-class PipelineParts:
+class PipelineDependencies:
     """The components that requests pass through."""
 
     ctx: Context
     checks: ArrivalChecks
-    limits: RateLimits
-    router: KeyRouter
+    rate_limits: RateLimits
+    key_router: KeyRouter
     servers: ServerTable
-    choice: ServerChoice
-    retries: RetryBudget
+    server_choice: ServerChoice
+    retry_budget: RetryBudget
     placement: Placement
-    guard: CrashGuard
+    crash_guard: CrashGuard
     claims: Claims
-    instances: Callable[[], tuple[str, ...]]
+    list_instances: Callable[[], tuple[str, ...]]
 
 
 class Pipeline:
     """Table of the open requests of this instance; moves each to its next step."""
 
-    def __init__(self, deps: PipelineParts) -> None:
+    def __init__(self, deps: PipelineDependencies) -> None:
         self.counters = RequestCounters()
         self._deps = deps
         self._ctx = deps.ctx
@@ -92,13 +92,17 @@
         self._waiting = WaitingRequests(deps.ctx, self._request_placement)
         self._stops_at_s = float("inf")
         self._attempts = AttemptRunner(
-            deps.ctx, deps.servers, deps.choice, self.counters, deps.instances
+            deps.ctx,
+            deps.servers,
+            deps.server_choice,
+            self.counters,
+            deps.list_instances,
         )
         self._attempts.on_attempt_ended = self._handle_attempt_result
         self._hedging = Hedging(
             HedgingDependencies(
                 deps.ctx,
-                deps.retries,
+                deps.retry_budget,
                 deps.placement,
                 self._attempts,
                 self.counters,
@@ -118,11 +122,11 @@
         """Apply a configuration."""
         self._deps.checks.configure(configuration)
 
-    def stop_at(self, stops_at_s: float) -> None:
+    def set_stop_time(self, stops_at_s: float) -> None:
         """Refuse new requests whose deadline is after this monotonic time."""
         self._stops_at_s = stops_at_s
 
-    def open_requests(self) -> int:
+    def count_open_requests(self) -> int:
         """Return the number of requests without an answer."""
         return len(self._rows)
 
@@ -137,7 +141,7 @@
             return
         self._rows[req.request_id] = row
         increment_counter(self.counters.requests, row.service.name)
-        self._deps.retries.count_request(row.service.name)
+        self._deps.retry_budget.count_request(row.service.name)
         row.deadline_timer = self._ctx.timers.call_at(
             row.deadline_s, lambda: self._handle_deadline(row)
         )
@@ -153,14 +157,14 @@
 
     def _take_token(self, row: RequestRow) -> None:
         if self._is_open(row):
-            self._deps.limits.take(
+            self._deps.rate_limits.take_token(
                 row.organisation,
                 lambda result: self._handle_token_result(row, result),
             )
 
     def _refuse_if_blocked(self, row: RequestRow) -> bool:
         """Refuse a request that crashes backend servers; return whether it is one."""
-        guard = self._deps.guard
+        guard = self._deps.crash_guard
         if not guard.has_suspects():
             return False
         if guard.is_blocked(self._get_fingerprint(row)):
@@ -173,7 +177,7 @@
             row.fingerprint = compute_request_fingerprint(row.organisation, row.req)
         return row.fingerprint
 
-    def _handle_token_result(self, row: RequestRow, result: TakeResult) -> None:
+    def _handle_token_result(self, row: RequestRow, result: RateLimitResult) -> None:
         if not self._is_open(row):
             return
         if result.admitted:
@@ -199,7 +203,7 @@
         row.claim_id = self._deps.claims.create_claim(
             ClaimKey(row.organisation, row.service.name, row.idempotency_key),
             compute_request_digest(row.req),
-            issued_ms(row.idempotency_key) or 0,
+            parse_uuid7_time_ms(row.idempotency_key) or 0,
             lambda result: self._handle_claim_result(row, result),
         )
 
@@ -314,16 +318,16 @@
         deps, service = self._deps, row.service
         deps.placement.report_end(service.name, attempt.placed, result)
         if result.outcome is AttemptOutcome.ANSWERED:
-            deps.retries.record_latency(service.name, result.latency_s)
-            if deps.guard.has_suspects():
-                deps.guard.record_answer(self._get_fingerprint(row))
+            deps.retry_budget.record_latency(service.name, result.latency_s)
+            if deps.crash_guard.has_suspects():
+                deps.crash_guard.record_answer(self._get_fingerprint(row))
         elif result.outcome is AttemptOutcome.LOST:
-            deps.guard.record_connection_loss(
+            deps.crash_guard.record_connection_loss(
                 self._get_fingerprint(row), attempt.placed.server
             )
         elif result.outcome is AttemptOutcome.MISDIRECTED and service.keyed:
             assert row.key_position is not None
-            deps.router.misdirected(
+            deps.key_router.report_misdirection(
                 service.name, row.key_position, attempt.placed.server.name
             )
 
@@ -355,7 +359,7 @@
             return False
         if row.deadline_s - self._ctx.now_s < TIME_LEFT_MIN_S or row.req.attempt:
             return False
-        return self._deps.retries.take_attempt(row.service.name)
+        return self._deps.retry_budget.take_attempt(row.service.name)
 
     # Ends of requests
 
--- a/wagtailrill/router/router.py
+++ b/wagtailrill/router/router.py
@@ -20,8 +20,8 @@
 from ..organisations.keys import TenantKeys
 from ..placement.component import Placement, PlacementParts
 from ..rates.component import Rates
-from ..requests.checks import ArrivalChecks, position_of
-from ..requests.pipeline import Pipeline, PipelineParts
+from ..requests.checks import ArrivalChecks, parse_key_position
+from ..requests.pipeline import Pipeline, PipelineDependencies
 from ..retries.extra_attempts import ExtraAttemptBudget
 from ..servers.choice import ServerChoice
 from ..servers.discovery import Discovery, DiscoverySettings
@@ -88,7 +88,7 @@
             ctx, self.servers, lambda: tuple(self.members.live())
         )
         self.claims = Claims(ctx, self.members, cfg.claim_prefix)
-        self.pipeline = Pipeline(self._make_pipeline_parts())
+        self.pipeline = Pipeline(self._make_pipeline_dependencies())
         self._attach_components()
 
     def start(self, now_s: float, wall_s: float) -> list[Command]:
@@ -139,7 +139,7 @@
             "members": list(self.members.counted()),
             "duties": list(self.duties.held()),
             "backend_servers": len(self.servers.rows),
-            "open_requests": self.pipeline.open_requests(),
+            "open_requests": self.pipeline.count_open_requests(),
             "refusals": dict(counters.refusals),
             "attempts": dict(counters.attempts),
             "retries": counters.retries,
@@ -170,7 +170,7 @@
         A number from 0 to 65,535 is taken as a key position; any other text is hashed
         to one.
         """
-        return self.keys.explain_key(service, position_of(key))
+        return self.keys.explain_key(service, parse_key_position(key))
 
     def _make_discovery(
         self, ctx: Context, adapter: EnvironmentAdapter
@@ -181,9 +181,9 @@
         cfg = DiscoverySettings(servers.prefix)
         return Discovery(ctx, cfg, servers.decoder, self.servers.update)
 
-    def _make_pipeline_parts(self) -> PipelineParts:
+    def _make_pipeline_dependencies(self) -> PipelineDependencies:
         adapter = self._adapter
-        return PipelineParts(
+        return PipelineDependencies(
             ctx=self.ctx,
             checks=ArrivalChecks(
                 self.ctx,
@@ -191,15 +191,15 @@
                 adapter.is_reserved_header,
                 adapter.needs_idempotency_key,
             ),
-            limits=self.rates,
-            router=self.keys,
+            rate_limits=self.rates,
+            key_router=self.keys,
             servers=self.servers,
-            choice=self.server_choice,
-            retries=self.retries,
+            server_choice=self.server_choice,
+            retry_budget=self.retries,
             placement=self.placement,
-            guard=self.crash_guard,
+            crash_guard=self.crash_guard,
             claims=self.claims,
-            instances=self.members.counted,
+            list_instances=self.members.counted,
         )
 
     def _attach_components(self) -> None:
@@ -223,10 +223,10 @@
         self.draining = True
         self.ctx.log(
             LogName.DRAIN_STARTED,
-            open_requests=self.pipeline.open_requests(),
+            open_requests=self.pipeline.count_open_requests(),
             duties=",".join(self.duties.held()),
         )
-        self.pipeline.stop_at(self.ctx.now_s + event.stop_in_s)
+        self.pipeline.set_stop_time(self.ctx.now_s + event.stop_in_s)
         self.duties.resign()
         self.members.stop()
 
