--- a/tests/fleet/test_duties.py
+++ b/tests/fleet/test_duties.py
@@ -1,4 +1,4 @@
-"""Guards that one instance has a duty at a time, on the virtual clock."""
+"""Tests that one instance at a time holds each duty, on the virtual clock."""
 
 import pytest
 
@@ -15,72 +15,72 @@
     return deployment
 
 
-def holders(run):
+def list_holders(run):
     return [n for n in run.fleet.nodes if run.router(n).duties.holds(DUTY)]
 
 
-def taken_after_s(run, former, limit_s=20.0):
-    """Return after how many seconds another instance has the duty."""
+def measure_takeover_s(run, former_holder, limit_s=20.0):
+    """Return the seconds until another instance holds the duty."""
     start_s = run.now_s
     while run.now_s - start_s < limit_s:
         run.fleet.run_until(run.now_s + 0.05)
-        if any(name != former for name in holders(run)):
+        if any(name != former_holder for name in list_holders(run)):
             return run.now_s - start_s
-    pytest.fail("nobody takes the duty")
+    pytest.fail("no other instance takes the duty")
 
 
-def test_one_instance_has_each_duty(run):
-    """Guards against two granters after a common start."""
-    assert len(holders(run)) == 1
+def test_each_duty_has_one_holder(run):
+    """Guards against two granters after all instances start together."""
+    assert len(list_holders(run)) == 1
 
 
 def test_lost_holder_is_replaced_within_three_seconds(run):
-    """Guards against grants that end since nobody extends them."""
-    (former,) = holders(run)
+    """Guards against grants that expire since no instance extends them."""
+    (former,) = list_holders(run)
     run.kill(former)
-    assert taken_after_s(run, former) < 3.0
+    assert measure_takeover_s(run, former) < 3.0
 
 
 def test_planned_stop_hands_over_at_once(run):
     """Guards against a gap of a whole lease at each rolling restart."""
-    (former,) = holders(run)
+    (former,) = list_holders(run)
     run.fleet.deliver(former, DrainRequested(5.0), 0.0)
-    assert taken_after_s(run, former) < 0.6
+    assert measure_takeover_s(run, former) < 0.6
 
 
 def test_restarted_holder_takes_its_duty_without_waiting_for_its_lease(run):
-    """Guards against a wait for a process that is known to have ended."""
-    (former,) = holders(run)
+    """Guards against waiting for a process that is known to have ended."""
+    (former,) = list_holders(run)
     run.kill(former)
     run.fleet.start(former)
     start_s = run.now_s
-    while not holders(run):
+    while not list_holders(run):
         run.fleet.run_until(run.now_s + 0.05)
         assert run.now_s - start_s < 1.5
 
 
 def test_holder_keeps_its_duty_while_the_store_is_down(run):
     """Guards against keys without a granter during an outage of the store."""
-    (former,) = holders(run)
+    (former,) = list_holders(run)
     run.fleet.store.down = True
     run.fleet.run_until(run.now_s + 7.0)
-    assert holders(run) == [former]
+    assert list_holders(run) == [former]
     run.fleet.store.down = False
     run.fleet.store.model.pause_leases(7.0)
     run.fleet.run_until(run.now_s + 4.0)
-    assert len(holders(run)) == 1
+    assert len(list_holders(run)) == 1
 
 
 def test_holder_that_alone_cannot_reach_the_store_stops(run):
-    """Guards against a granter that goes on beside its successor."""
-    (former,) = holders(run)
+    """Guards against a granter that continues next to its successor."""
+    (former,) = list_holders(run)
     run.fleet.store.unreachable.add(former)
-    taken_after_s(run, former)
+    measure_takeover_s(run, former)
     run.fleet.run_until(run.now_s + 1.0)
-    assert former not in holders(run)
+    assert former not in list_holders(run)
 
 
-def test_all_processes_lost_at_once_come_back(run):
+def test_duties_recover_after_the_loss_of_all_processes(run):
     """Guards against a fleet that waits for a majority that never returns."""
     for name in list(run.fleet.nodes):
         run.kill(name)
@@ -88,7 +88,7 @@
     for name in run.names:
         run.fleet.start(name)
     start_s = run.now_s
-    while not holders(run):
+    while not list_holders(run):
         run.fleet.run_until(run.now_s + 0.05)
         assert run.now_s - start_s < 3.0
     run.fleet.run_until(run.now_s + 1.0)
@@ -98,7 +98,7 @@
     assert all(call.answered for call in calls)
 
 
-def test_one_instance_left_takes_everything(run):
+def test_last_instance_takes_all_duties(run):
     """Guards against duties that only several instances can take."""
     for name in run.names[1:]:
         run.kill(name)
@@ -110,10 +110,10 @@
 
 
 def test_duties_are_spread_over_the_instances():
-    """Guards against one instance that does all the work and answers nobody in time.
+    """Guards against one instance that holds all duties and is overloaded by them.
 
-    On scale-1 of pcb-gate one of ten machines had the duties of all three services;
-    the others had no answer of it and refused 2,069 requests for their rate.
+    On scale-1 of pcb-gate one of ten machines had the duties of all three services; the
+    others got no answer from it and refused 2,069 requests by their rate limits.
     """
     for seed in range(5):
         run = Deployment(seed, instances=10)
--- a/tests/servers/test_table.py
+++ b/tests/servers/test_table.py
@@ -1,4 +1,4 @@
-"""Guards what is known of the backend servers that are announced."""
+"""Tests the table of the announced backend servers."""
 
 from expression import Error, Ok
 
@@ -13,8 +13,8 @@
 from wagtailrill.servers.models import ServerState
 
 
-def test_server_that_starts_again_under_its_name_is_another_one():
-    """Guards against load, keys and warmth that a new process inherits."""
+def test_server_restarted_under_the_same_name_gets_a_new_row():
+    """Guards against a new process that inherits load, keys and warmth."""
     ctx = make_context()
     table = make_table(ctx, entry("s-1"))
     before = table.rows["s-1"]
@@ -23,7 +23,7 @@
 
 
 def test_lost_connection_makes_a_server_count_as_cold_until_its_next_entry():
-    """Guards against a restarted server that gets full load before it is announced."""
+    """Guards against full load on a restarted server before its new entry is read."""
     ctx = make_context()
     table = make_table(ctx, entry("s-1"))
     row = table.rows["s-1"]
@@ -35,7 +35,7 @@
 
 
 def test_answer_to_an_earlier_request_ends_the_doubt():
-    """Guards against sound servers that are left out for each lost answer."""
+    """Guards against healthy servers that count as cold after each lost answer."""
     ctx = make_context()
     table = make_table(ctx, entry("s-1"))
     row = table.rows["s-1"]
@@ -51,9 +51,9 @@
 
 
 def test_other_connections_that_stay_open_end_the_doubt():
-    """Guards against sound owners of keys that get nothing for a second.
+    """Guards against healthy owners of keys that get no requests for a second.
 
-    On trouble-2 of nrra-gateway 810 requests were refused as if their keys moved.
+    On trouble-2 of nrra-gateway 810 requests were refused as if their keys were moving.
     """
     ctx = make_context()
     table = make_table(ctx, entry("s-1"))
@@ -66,7 +66,7 @@
 
 
 def test_doubt_stays_when_all_connections_were_lost():
-    """Guards against full load on a server that has crashed and started again."""
+    """Guards against full load on a server that has crashed and restarted."""
     ctx = make_context()
     table = make_table(ctx, entry("s-1"))
     row = table.rows["s-1"]
@@ -77,8 +77,8 @@
     assert table.is_cold(row)
 
 
-def test_doubt_ends_by_itself_where_entries_never_change():
-    """Guards against declared servers that get nothing for good after one crash."""
+def test_doubt_expires_where_entries_never_change():
+    """Guards against declared servers that stay cold forever after one crash."""
     ctx = make_context()
     table = make_table(ctx, entry("s-1"))
     row = table.rows["s-1"]
@@ -92,8 +92,8 @@
     assert not table.is_cold(row)
 
 
-def test_cold_server_is_warm_when_its_time_is_over():
-    """Guards against servers that stay at a few requests for good."""
+def test_cold_server_is_warm_after_its_cold_time():
+    """Guards against servers that stay limited to a few requests forever."""
     ctx = make_context()
     table = make_table(ctx, entry("s-1", cold_left_s=3.0))
     row = table.rows["s-1"]
@@ -103,13 +103,13 @@
 
 
 def test_leaving_server_takes_no_work():
-    """Guards against requests to a server that is about to end."""
+    """Guards against requests to a server that is about to stop."""
     table = make_table(make_context(), entry("s-1", state=ServerState.LEAVING))
     assert not table.accepts_work(table.rows["s-1"])
 
 
-def test_address_of_a_server_that_is_gone_is_kept_for_some_time():
-    """Guards against keys that cannot be asked back from a server without entry."""
+def test_address_of_a_removed_server_is_kept_for_some_time():
+    """Guards against keys that cannot be released by a server without an entry."""
     ctx = make_context()
     table = make_table(ctx, entry("s-1"))
     table.update({})
--- a/wagtailrill/fleet/__init__.py
+++ b/wagtailrill/fleet/__init__.py
@@ -1,1 +1,1 @@
-"""Instances of a deployment, and the duties that one of them has at a time."""
+"""Membership of the instances of a deployment, and duties with one holder each."""
--- a/wagtailrill/fleet/const.py
+++ b/wagtailrill/fleet/const.py
@@ -1,26 +1,26 @@
-"""Constants of the fleet."""
+"""Constants of the fleet's membership and duties."""
 
 from typing import Final
 
-# A lost instance's duties are free after this time.
+# The duties of a lost instance become vacant after this time.
 LEASE_TTL_S: Final = 2.0
-LEASE_RENEW_S: Final = 0.6
-LEASE_RETRY_S: Final = 0.25
-# A duty goes on without the store for this long after the lease, since an outage of
-# the store lets nobody else take it either.
-OUTAGE_AUTHORITY_S: Final = 8.0
-# Clocks that count a lease run at most this part too fast or too slow.
-CLOCK_RATE_BOUND: Final = 0.02
-# An instance that vanished from the store may still run for this long.
-VANISHED_COUNTS_S: Final = 12.0
-# Instances that start together see each other before they take duties.
-SETTLE_S: Final = 0.3
+LEASE_RENEW_INTERVAL_S: Final = 0.6
+LEASE_RETRY_DELAY_S: Final = 0.25
+# During an outage of the store a holder keeps its duties for this long after its lease
+# ended, since no other instance can take them either.
+OUTAGE_DUTY_EXTENSION_S: Final = 8.0
+# The clocks that time a lease deviate from real time by at most this ratio.
+CLOCK_DRIFT_MAX_RATIO: Final = 0.02
+# An instance whose key vanished from the store may still run for this long.
+VANISHED_MEMBER_RETENTION_S: Final = 12.0
+# Instances that start together see each other's keys before they take duties.
+START_SETTLE_S: Final = 0.3
 RANK_DELAY_S: Final = 0.2
-# Work of a duty: one that places all requests of a service, or issues tokens of some
-# organisations.
+# Relative load of a duty: one that places all requests of a service, one that issues
+# rate limit tokens for a group of organisations, and one that reads the server list.
 SERVICE_DUTY_WEIGHT: Final = 3
 RATES_DUTY_WEIGHT: Final = 1
 READER_DUTY_WEIGHT: Final = 1
 DUTY_TICK_S: Final = 0.1
 # After an outage in which leases ended, members register again within this time.
-ABSENCE_GRACE_S: Final = 0.4
+REREGISTRATION_GRACE_S: Final = 0.4
--- a/wagtailrill/fleet/members.py
+++ b/wagtailrill/fleet/members.py
@@ -1,4 +1,7 @@
-"""Registers this instance in the store and knows the others."""
+"""Registers this instance in the store under a lease, and tracks the other instances.
+
+The router and all components that divide work among instances use it.
+"""
 
 from collections.abc import Callable
 
@@ -21,20 +24,31 @@
     StoreResult,
 )
 from .const import (
-    CLOCK_RATE_BOUND,
-    LEASE_RENEW_S,
-    LEASE_RETRY_S,
+    CLOCK_DRIFT_MAX_RATIO,
+    LEASE_RENEW_INTERVAL_S,
+    LEASE_RETRY_DELAY_S,
     LEASE_TTL_S,
-    VANISHED_COUNTS_S,
+    VANISHED_MEMBER_RETENTION_S,
+)
+from .models import (
+    DUTIES_PREFIX,
+    MEMBERS_PREFIX,
+    SECRET_NAME,
+    FleetSettings,
+    Member,
+    read_member,
 )
-from .models import DUTIES, MEMBERS, SECRET, FleetSettings, Member, read_member
 
 SECRET_BYTES = 32
 MembersListener = Callable[[], None]
 
 
 class Members:
-    """Keeps a lease with this instance's key, and a copy of the fleet's keys."""
+    """Keeps the lease on this instance's key, and a mirror of the fleet's keys.
+
+    `lease_until_s` is when the lease ends at the earliest, on this instance's clock.
+    `secret` is shared by all instances, and empty until it is known.
+    """
 
     def __init__(self, ctx: Context, cfg: FleetSettings) -> None:
         self.lease_id = 0
@@ -42,159 +56,170 @@
         self.secret = b""
         self._ctx = ctx
         self._cfg = cfg
-        self._own = Member(
+        self._own_member = Member(
             ctx.identity.instance,
             ctx.identity.incarnation,
             cfg.peer_address,
             ctx.identity.data_centre,
         )
         self._members: dict[str, Member] = {}
-        self._complete_s = float("inf")
-        self._vanished_s: dict[str, float] = {}
+        self._complete_since_s = float("inf")
+        self._vanished_since_s: dict[str, float] = {}
         self._listeners: list[MembersListener] = []
-        self._registered = False
+        self._is_registered = False
         self._registered_revision = 0
         self._renewal: TimerHandle | None = None
-        self._stopped = False
+        self._is_stopped = False
         self._failing_since_s: float | None = None
         self.mirror = PrefixMirror(ctx, MirrorSettings(cfg.prefix), self._on_change)
 
     def start(self) -> None:
-        """Register this instance and begin to follow the others."""
+        """Register this instance and begin to watch the others."""
         self.mirror.start()
-        self._grant()
+        self._request_lease()
 
     def add_listener(self, listener: MembersListener) -> None:
-        """Add a receiver of changes of the fleet's keys."""
+        """Add a callback that is called after each change of the fleet's keys."""
         self._listeners.append(listener)
 
-    def key(self, part: str) -> str:
-        """Return the store key of a part of the fleet's keys."""
-        return self._cfg.prefix + part
+    def key(self, name: str) -> str:
+        """Return the full store key of a name below the fleet's prefix."""
+        return self._cfg.prefix + name
 
     def live(self) -> dict[str, Member]:
-        """Return the registered members by instance, without this one."""
+        """Return the other registered members by instance name."""
         return self._members
 
     def counted(self) -> tuple[str, ...]:
-        """Return all instances that may be running, sorted, with this one.
+        """Return the sorted names of all instances that may run, including this one.
 
-        Fixed shares of the fleet's allowances are divided by these.
+        Fleet-wide allowances are divided into fixed shares by their number.
         """
         now_s = self._ctx.now_s
-        names = {self._own.instance, *self._members}
+        names = {self._own_member.instance, *self._members}
         names |= {
             name
-            for name, since_s in self._vanished_s.items()
-            if now_s - since_s < VANISHED_COUNTS_S
+            for name, since_s in self._vanished_since_s.items()
+            if now_s - since_s < VANISHED_MEMBER_RETENTION_S
         }
         return tuple(sorted(names))
 
-    def complete_for_s(self) -> float:
-        """Return for how long the fleet's keys have been known, -1 if they are not."""
+    def get_complete_duration_s(self) -> float:
+        """Return for how many seconds the mirror has been complete, -1 if it is not."""
         if not self.mirror.complete:
             return -1.0
-        return self._ctx.now_s - self._complete_s
+        return self._ctx.now_s - self._complete_since_s
 
-    def absent_for_s(self, instance: str) -> float:
-        """Return for how long an instance has not been registered, -1 if it is."""
+    def get_absence_s(self, instance: str) -> float:
+        """Return for how many seconds an instance has not been registered.
+
+        The result is -1 if it is registered, or while the mirror is not complete.
+        """
         if instance in self._members or not self.mirror.complete:
             return -1.0
-        since_s = self._vanished_s.get(instance, self._complete_s)
+        since_s = self._vanished_since_s.get(instance, self._complete_since_s)
         return self._ctx.now_s - since_s
 
-    def lease_valid(self) -> bool:
-        """Return whether this instance's lease has not ended."""
-        return self._registered and self._ctx.now_s < self.lease_until_s
+    def is_lease_valid(self) -> bool:
+        """Return whether this instance is registered and its lease has not ended."""
+        return self._is_registered and self._ctx.now_s < self.lease_until_s
 
-    def store_answers(self) -> bool:
-        """Return whether the last renewal was answered."""
+    def is_store_answering(self) -> bool:
+        """Return whether the store answered the last renewal of the lease."""
         return self._failing_since_s is None
 
     def stop(self) -> None:
-        """End the lease: the process stops."""
-        self._stopped = True
+        """Revoke the lease, since the process stops."""
+        self._is_stopped = True
         if self.lease_id:
             self._ctx.call_store(LeaseRevoke(self.lease_id), lambda result: None)
 
     # Lease
 
-    def _grant(self) -> None:
-        self._registered = False
+    def _request_lease(self) -> None:
+        self._is_registered = False
         sent_s = self._ctx.now_s
         self._ctx.call_store(
-            LeaseGrant(LEASE_TTL_S), lambda result: self._granted(result, sent_s)
+            LeaseGrant(LEASE_TTL_S),
+            lambda result: self._on_lease_granted(result, sent_s),
         )
 
-    def _granted(self, result: StoreResult, sent_s: float) -> None:
+    def _on_lease_granted(self, result: StoreResult, sent_s: float) -> None:
         if result.is_error():
-            self._retry(result.error, self._grant)
+            self._retry_later(result.error, self._request_lease)
             return
         leased = result.ok
         assert isinstance(leased, Leased)
         self.lease_id = leased.lease_id
-        self._extend(leased.ttl_s, sent_s)
-        self._register()
+        self._extend_lease(leased.ttl_s, sent_s)
+        self._register_member()
 
-    def _register(self) -> None:
+    def _register_member(self) -> None:
         put = Put(
-            self.key(MEMBERS + self._own.instance), self._own.to_bytes(), self.lease_id
+            self.key(MEMBERS_PREFIX + self._own_member.instance),
+            self._own_member.to_bytes(),
+            self.lease_id,
         )
         self._ctx.call_store(Commit((), (put,)), self._on_registered)
 
     def _on_registered(self, result: StoreResult) -> None:
         if result.is_error():
             ended = result.error.kind is StoreErrorKind.LEASE_ENDED
-            self._retry(result.error, self._grant if ended else self._register)
+            self._retry_later(
+                result.error, self._request_lease if ended else self._register_member
+            )
             return
         committed = result.ok
         assert isinstance(committed, Committed)
-        self._registered = True
+        self._is_registered = True
         self._registered_revision = committed.revision
-        self._answered()
-        self._renew_later(LEASE_RENEW_S)
+        self._record_store_answer()
+        self._schedule_renewal(LEASE_RENEW_INTERVAL_S)
 
-    def _renew_later(self, delay_s: float) -> None:
+    def _schedule_renewal(self, delay_s: float) -> None:
         if self._renewal is not None:
             self._renewal.cancel()
-        self._renewal = self._ctx.timers.call_later(delay_s, self._renew)
+        self._renewal = self._ctx.timers.call_later(delay_s, self._renew_lease)
 
-    def _renew(self) -> None:
-        if self._stopped:
+    def _renew_lease(self) -> None:
+        if self._is_stopped:
             return
         sent_s = self._ctx.now_s
         self._ctx.call_store(
-            LeaseRenew(self.lease_id), lambda result: self._renewed(result, sent_s)
+            LeaseRenew(self.lease_id),
+            lambda result: self._on_lease_renewed(result, sent_s),
         )
 
-    def _renewed(self, result: StoreResult, sent_s: float) -> None:
+    def _on_lease_renewed(self, result: StoreResult, sent_s: float) -> None:
         if result.is_error():
             if result.error.kind is StoreErrorKind.LEASE_ENDED:
                 self.lease_until_s = float("-inf")
                 self._ctx.log(LogName.MEMBER_LEASE_ENDED, lease=self.lease_id)
-                self._grant()
-                self._notify()
+                self._request_lease()
+                self._notify_listeners()
                 return
-            self._retry(result.error, self._renew)
+            self._retry_later(result.error, self._renew_lease)
             return
         leased = result.ok
         assert isinstance(leased, Leased)
-        self._extend(leased.ttl_s, sent_s)
-        self._answered()
-        self._renew_later(max(0.0, sent_s + LEASE_RENEW_S - self._ctx.now_s))
+        self._extend_lease(leased.ttl_s, sent_s)
+        self._record_store_answer()
+        self._schedule_renewal(
+            max(0.0, sent_s + LEASE_RENEW_INTERVAL_S - self._ctx.now_s)
+        )
 
-    def _extend(self, ttl_s: float, sent_s: float) -> None:
-        self.lease_until_s = sent_s + ttl_s * (1.0 - CLOCK_RATE_BOUND)
+    def _extend_lease(self, ttl_s: float, sent_s: float) -> None:
+        self.lease_until_s = sent_s + ttl_s * (1.0 - CLOCK_DRIFT_MAX_RATIO)
 
-    def _retry(self, error: StoreError, again: Callable[[], None]) -> None:
+    def _retry_later(self, error: StoreError, call: Callable[[], None]) -> None:
         if self._failing_since_s is None:
             self._failing_since_s = self._ctx.now_s
             self._ctx.log(
                 LogName.STORE_LOST, kind=error.kind.value, message=error.message
             )
-        self._ctx.timers.call_later(LEASE_RETRY_S, again)
+        self._ctx.timers.call_later(LEASE_RETRY_DELAY_S, call)
 
-    def _answered(self) -> None:
+    def _record_store_answer(self) -> None:
         if self._failing_since_s is not None:
             outage_s = self._ctx.now_s - self._failing_since_s
             self._failing_since_s = None
@@ -203,18 +228,18 @@
     # Other instances
 
     def _on_change(self, keys: frozenset[str]) -> None:
-        self._complete_s = min(self._complete_s, self._ctx.now_s)
-        prefix = self.key(MEMBERS)
+        self._complete_since_s = min(self._complete_since_s, self._ctx.now_s)
+        prefix = self.key(MEMBERS_PREFIX)
         members = {}
         for key, item in self.mirror.items.items():
             member = read_member(item) if key.startswith(prefix) else None
-            if member is not None and member.instance != self._own.instance:
+            if member is not None and member.instance != self._own_member.instance:
                 members[member.instance] = member
         for name in self._members.keys() - members.keys():
-            self._vanished_s[name] = self._ctx.now_s
+            self._vanished_since_s[name] = self._ctx.now_s
             self._ctx.log(LogName.MEMBER_VANISHED, member=name)
         for name, member in members.items():
-            self._vanished_s.pop(name, None)
+            self._vanished_since_s.pop(name, None)
             if self._members.get(name) != member:
                 self._ctx.log(
                     LogName.MEMBER_JOINED,
@@ -224,19 +249,21 @@
                 )
         self._members = members
         self._check_own_key()
-        self._learn_secret()
-        self._notify()
+        self._read_or_create_secret()
+        self._notify_listeners()
 
     def _check_own_key(self) -> None:
-        """Register again when the key was lost, as after a lapse in an outage."""
-        item = self.mirror.items.get(self.key(MEMBERS + self._own.instance))
-        seen = self.mirror.revision >= self._registered_revision
-        if self._registered and not self._stopped and item is None and seen:
-            self._registered = False
-            self._register()
-
-    def _learn_secret(self) -> None:
-        key = self.key(SECRET)
+        """Register again if the own key is gone, as after a lease lost in an outage."""
+        item = self.mirror.items.get(
+            self.key(MEMBERS_PREFIX + self._own_member.instance)
+        )
+        is_current = self.mirror.revision >= self._registered_revision
+        if self._is_registered and not self._is_stopped and item is None and is_current:
+            self._is_registered = False
+            self._register_member()
+
+    def _read_or_create_secret(self) -> None:
+        key = self.key(SECRET_NAME)
         item = self.mirror.items.get(key)
         if item is not None:
             self.secret = item.value
@@ -246,14 +273,14 @@
                 Commit((Expected(key, 0),), (put,)), lambda result: None
             )
 
-    def _notify(self) -> None:
+    def _notify_listeners(self) -> None:
         for listener in self._listeners:
             listener()
 
-    def item(self, part: str) -> Item | None:
-        """Return a key of the fleet as it was last seen."""
-        return self.mirror.items.get(self.key(part))
+    def get_item(self, name: str) -> Item | None:
+        """Return the mirrored item of a name below the fleet's prefix, if present."""
+        return self.mirror.items.get(self.key(name))
 
-    def duty_key(self, duty: str) -> str:
+    def build_duty_key(self, duty: str) -> str:
         """Return the store key of a duty."""
-        return self.key(DUTIES + duty)
+        return self.key(DUTIES_PREFIX + duty)
--- a/wagtailrill/fleet/messages.py
+++ b/wagtailrill/fleet/messages.py
@@ -1,4 +1,4 @@
-"""Peer messages about duties."""
+"""Peer messages by which holders of duties replace each other."""
 
 from pathlib import Path
 from typing import Final
@@ -10,7 +10,7 @@
 
 @attrs.frozen
 class DutyAnnouncement:
-    """The sender has taken a duty; `fence` is its token."""
+    """The sender has taken a duty; `fence` is its fencing token."""
 
     duty: str
     fence: int
@@ -18,7 +18,7 @@
 
 @attrs.frozen
 class DutyStopped:
-    """The sender does not act for a duty under a token below `fence`."""
+    """The sender no longer acts for a duty under a fencing token below `fence`."""
 
     duty: str
     fence: int
--- a/wagtailrill/fleet/models.py
+++ b/wagtailrill/fleet/models.py
@@ -1,4 +1,4 @@
-"""Models of instances and duties."""
+"""Models of members and duty holders, and their values in the store."""
 
 import json
 from typing import Any, Protocol
@@ -8,14 +8,14 @@
 
 from ..store.models import Item
 
-MEMBERS = "members/"
-DUTIES = "duties/"
-SECRET = "secret"
+MEMBERS_PREFIX = "members/"
+DUTIES_PREFIX = "duties/"
+SECRET_NAME = "secret"
 
 
 @attrs.frozen
 class FleetSettings:
-    """Prefix of the fleet's keys in the store and this instance's peer address."""
+    """Key prefix of the fleet in the store, and the peer address of this instance."""
 
     prefix: str
     peer_address: str
@@ -23,7 +23,7 @@
 
 @attrs.frozen
 class Member:
-    """One process of the deployment; `address` takes peer messages."""
+    """One process of the deployment; `address` receives peer messages."""
 
     instance: str
     incarnation: int
@@ -31,31 +31,34 @@
     data_centre: str
 
     def to_bytes(self) -> bytes:
-        """Return the value of the member's key."""
+        """Return the stored value of the member's key."""
         return json.dumps(attrs.asdict(self)).encode()
 
 
 @attrs.frozen
 class DutyHolder:
-    """The process that has a duty; `fence` rises with each change of holder."""
+    """The process that holds a duty.
+
+    `fence` is the fencing token, which rises with each change of holder.
+    """
 
     instance: str
     incarnation: int
     fence: int
 
     def to_bytes(self) -> bytes:
-        """Return the value of the duty's key."""
+        """Return the stored value of the duty's key."""
         fields = {"instance": self.instance, "incarnation": self.incarnation}
         return json.dumps(fields).encode()
 
 
-# Named as the holder of a duty that was given up.
-RESIGNED = DutyHolder("", 0, 0)
+# Stored as the holder of a duty that was released.
+RESIGNED_HOLDER = DutyHolder("", 0, 0)
 
 
 def read_member(item: Item) -> Member | None:
-    """Return the member of a key, None if the value is malformed."""
-    fields = _fields(item)
+    """Return the member stored in an item, None if the value is malformed."""
+    fields = _decode_fields(item)
     try:
         return Member(
             str(fields["instance"]),
@@ -68,8 +71,8 @@
 
 
 def read_holder(item: Item) -> DutyHolder | None:
-    """Return the holder that a duty's key names, None if the value is malformed."""
-    fields = _fields(item)
+    """Return the duty holder stored in an item, None if the value is malformed."""
+    fields = _decode_fields(item)
     try:
         return DutyHolder(
             str(fields["instance"]), int(fields["incarnation"]), item.revision
@@ -78,7 +81,7 @@
         return None
 
 
-def _fields(item: Item) -> dict[str, Any]:
+def _decode_fields(item: Item) -> dict[str, Any]:
     try:
         fields = json.loads(item.value)
     except ValueError:
@@ -86,22 +89,22 @@
     return fields if isinstance(fields, dict) else {}
 
 
-def rank_of(name: str, instance: str) -> int:
-    """Return a hash by which instances are ordered for a name (rendezvous hashing)."""
+def hash_rank(name: str, instance: str) -> int:
+    """Return the hash that orders instances for a name (rendezvous hashing)."""
     return xxhash.xxh3_64_intdigest(f"{name}\0{instance}".encode())
 
 
 class DutyListener(Protocol):
-    """Does the work of a duty."""
+    """Does the work of a duty while this instance holds it."""
 
     def duty_taken(self, duty: str, fence: int, predecessor_may_act_s: float) -> None:
-        """Begin; a predecessor may still act for so many seconds."""
+        """Begin the work; a predecessor may still act for `predecessor_may_act_s`."""
         ...
 
     def predecessor_stopped(self, duty: str) -> None:
-        """Learn that the predecessor does not act any more."""
+        """Note that the predecessor no longer acts."""
         ...
 
     def duty_lost(self, duty: str) -> None:
-        """Stop at once."""
+        """Stop the work at once."""
         ...
--- a/wagtailrill/servers/__init__.py
+++ b/wagtailrill/servers/__init__.py
@@ -1,1 +1,1 @@
-"""Backend servers: which there are, what they bear, and the choice of one."""
+"""Backend servers: discovery, load estimates, warm-up, and the choice of one."""
--- a/wagtailrill/servers/choice.py
+++ b/wagtailrill/servers/choice.py
@@ -1,4 +1,7 @@
-"""Choice of a backend server by what one instance has seen itself."""
+"""Chooses a backend server for a request by what this instance itself has observed.
+
+Placement and the attempts of requests use it.
+"""
 
 from ..core.context import Context
 from ..core.orders import AttemptResult
@@ -9,61 +12,66 @@
 
 
 class ServerChoice:
-    """Chooses among the servers that take work, without asking anybody.
+    """Chooses among the servers that accept work, without asking other instances.
 
-    It also keeps to this instance's part of what a cold server bears.
+    It also keeps to this instance's share of the allowance of each cold server.
     """
 
-    def __init__(self, ctx: Context, table: ServerTable, cold: ColdAllowances) -> None:
+    def __init__(
+        self, ctx: Context, table: ServerTable, cold_allowances: ColdAllowances
+    ) -> None:
         self._ctx = ctx
         self._table = table
-        self._cold = cold
+        self._cold_allowances = cold_allowances
         self._loads: dict[str, LoadTable] = {}
 
     def choose(self, service: str, exclude: frozenset[str]) -> ServerRow | None:
-        """Return the server that would answer first, or None if none takes work."""
+        """Return the server with the lowest expected latency, None if there is none.
+
+        `exclude` holds the names of servers that are not considered.
+        """
         rows = [
             row
             for row in self._table.by_service.get(service, ())
             if self._table.accepts_work(row)
             and row.name not in exclude
-            and self._cold.may_send(row)
+            and self._cold_allowances.may_send(row)
         ]
-        loads = self._table_of(service)
+        loads = self._get_loads(service)
         now_s = self._ctx.now_s
         reachable = [row for row in rows if not loads.of(row).suspect(now_s)]
-        return min(reachable or rows, key=self._expected_s, default=None)
+        return min(reachable or rows, key=self._estimate_latency_s, default=None)
 
     def known(self, backend_server: str) -> ServerRow | None:
-        """Return the row of a named server, None while it may not get a request."""
+        """Return the row of a named server, None if it may not get a request now."""
         row = self._table.rows.get(backend_server)
         if row is None or not self._table.may_be_used(row):
             return None
-        if not self._cold.may_send(row):
+        if not self._cold_allowances.may_send(row):
             return None
         return row
 
     def sent(self, row: ServerRow) -> None:
-        """Count a request that is sent to a server."""
-        self._table_of(row.entry.service).of(row).assigned += 1
-        self._cold.sent(row)
+        """Record that a request is sent to a server."""
+        self._get_loads(row.entry.service).of(row).assigned += 1
+        self._cold_allowances.record_send(row)
 
     def ended(self, row: ServerRow, result: AttemptResult) -> None:
-        """Take in the end of an attempt."""
-        loads = self._table_of(row.entry.service)
+        """Record the result of an attempt."""
+        loads = self._get_loads(row.entry.service)
         load = loads.of(row)
         load.assigned = max(0, load.assigned - 1)
         loads.ended(load, result.outcome, result.latency_s, result.load)
 
-    def _expected_s(self, row: ServerRow) -> float:
-        loads = self._table_of(row.entry.service)
+    def _estimate_latency_s(self, row: ServerRow) -> float:
+        loads = self._get_loads(row.entry.service)
         load = loads.of(row)
-        crowding = max(1.0, (load.present() + 1.0) / load.slots)
-        time_s = loads.cost_s(load, self._ctx.identity.data_centre) * crowding
-        # Servers that look alike are used in turns.
-        return time_s * (1.0 + 0.02 * self._ctx.rng.random())
+        load_factor = max(1.0, (load.present() + 1.0) / load.slots)
+        latency_s = loads.cost_s(load, self._ctx.identity.data_centre) * load_factor
+        # Jitter spreads requests over servers with equal estimates.
+        return latency_s * (1.0 + 0.02 * self._ctx.rng.random())
 
-    def _table_of(self, service: str) -> LoadTable:
+    def _get_loads(self, service: str) -> LoadTable:
         loads = self._loads.get(service)
         if loads is None:
             loads = self._loads[service] = LoadTable(self._ctx)
--- a/wagtailrill/servers/const.py
+++ b/wagtailrill/servers/const.py
@@ -1,49 +1,52 @@
-"""Constants of backend servers."""
+"""Constants of discovery, load estimates and warm-up of backend servers."""
 
 from typing import Final
 
-# One instance reads the entries for all; the others ask it, and read themselves when
-# what they know is older than the age below.
+# One instance, the reader, lists the entries in the store for all; the others poll it,
+# and list them themselves when their copy is older than `ENTRIES_AGE_MAX_S`.
 LIST_INTERVAL_S: Final = 0.45
 POLL_INTERVAL_S: Final = 0.5
-FALLBACK_AGE_S: Final = 1.4
+ENTRIES_AGE_MAX_S: Final = 1.4
 RELAY_TICK_S: Final = 0.05
 LIST_RETRY_S: Final = 0.3
-# After an outage of the store, servers that live write their entries again within
-# this time; entries that are still missing then are gone.
-RETURN_GRACE_S: Final = 2.3
-# The bound counts any second; clocks and delays differ a little.
+# After an outage of the store, running servers write their entries again within this
+# time; entries that are still missing after it are removed.
+STORE_RECOVERY_GRACE_S: Final = 2.3
+# The limit on a cold server applies to any period of one second; the excess over 1 s
+# covers differences in clocks and network delays.
 COLD_WINDOW_S: Final = 1.08
-# Part of the fleet's allowance for a cold server that is handed out.
-COLD_ALLOWANCE_PART: Final = 0.9
-# The address of a server whose entry has ended is kept for this long.
-GONE_KEPT_S: Final = 15.0
-# Requests for keys of a leaving server stop so long after its leaving is known here,
-# which may be 1.45 s after the store has it; nothing may reach it 2 s after that.
-LEAVING_USED_S: Final = 0.5
-# A server that may have started again counts as cold this long, if its service does not
-# declare for how long servers stay cold, and this much longer.
-DOUBT_S: Final = 2.0
-DOUBT_MARGIN_S: Final = 1.0
-WORK_INITIAL_S: Final = 0.15
-WORK_STEP: Final = 0.02
-REPORT_AGE_S: Final = 0.6
-SAMPLE_INTERVAL_S: Final = 0.15
-SAMPLES_MAX: Final = 31
-# A server may be slow without reporting it; what is seen of it is kept for so long.
-UNREPORTED_WEIGHT: Final = 0.12
-UNREPORTED_DECAY_S: Final = 4.0
-UNREPORTED_MIN: Final = 0.3
-UNREPORTED_MAX: Final = 30.0
-# A server that has not answered yet counts as this much faster, so that it is tried.
-UNKNOWN_PART: Final = 0.3
-FAILURE_WEIGHT: Final = 0.15
-FAILURE_DECAY_S: Final = 1.5
-# A server that cannot be reached is left alone this long, doubled each time.
-SUSPECT_FIRST_S: Final = 0.4
+# Ratio of the fleet's allowance for a cold server that is divided among the instances.
+COLD_ALLOWANCE_RATIO: Final = 0.9
+# The address of a server is kept for this long after its entry was removed.
+GONE_ADDRESS_RETENTION_S: Final = 15.0
+# Requests for keys of a leaving server stop this long after this instance learned that
+# it leaves, which may be 1.45 s after the change reached the store; 2 s after the
+# change no request may reach the server.
+LEAVING_GRACE_S: Final = 0.5
+# A server that may have restarted counts as cold for this long, unless its service
+# declares how long servers stay cold; the margin is added in both cases.
+COLD_DURATION_DEFAULT_S: Final = 2.0
+COLD_DURATION_MARGIN_S: Final = 1.0
+BASE_LATENCY_INITIAL_S: Final = 0.15
+BASE_LATENCY_STEP_RATIO: Final = 0.02
+REPORT_DECAY_S: Final = 0.6
+SLOWNESS_SAMPLE_INTERVAL_S: Final = 0.15
+SLOWNESS_SAMPLES_MAX: Final = 31
+# A server may be slow without reporting it; the slowness observed beyond the report is
+# smoothed with this weight and decays with this time constant.
+UNREPORTED_SLOWNESS_WEIGHT: Final = 0.12
+UNREPORTED_SLOWNESS_DECAY_S: Final = 4.0
+UNREPORTED_SLOWNESS_MIN: Final = 0.3
+UNREPORTED_SLOWNESS_MAX: Final = 30.0
+# Below 1, so that a server that has not answered yet is tried.
+UNTRIED_COST_RATIO: Final = 0.3
+FAILURE_RATIO_WEIGHT: Final = 0.15
+FAILURE_RATIO_DECAY_S: Final = 1.5
+# An unreachable server is avoided for this long, doubled with each further failure.
+SUSPECT_INITIAL_S: Final = 0.4
 SUSPECT_MAX_S: Final = 3.0
-DISTANT_PART: Final = 0.12
-# A failure costs about this many times the time of a request.
-FAILURE_COST: Final = 3.0
+REMOTE_COST_RATIO: Final = 0.12
+# A failure costs about this many times the latency of a request.
+FAILURE_COST_RATIO: Final = 3.0
 SLOWNESS_MIN: Final = 0.05
 DEMAND_DECAY_S: Final = 1.0
--- a/wagtailrill/servers/control.py
+++ b/wagtailrill/servers/control.py
@@ -1,4 +1,7 @@
-"""Control calls to backend servers."""
+"""Operations and results of control calls to backend servers.
+
+Key ownership, the crash guard and the server table make these calls.
+"""
 
 import enum
 
@@ -10,9 +13,10 @@
 
 @attrs.frozen
 class GrantKeys:
-    """Grant positions for a time; the same call again extends the grant.
+    """Grant key positions `first` to `last` for `duration_s` seconds.
 
-    `handover` is what the former owner answered to the release of these keys.
+    The same call again extends the grant. `handover` is what the former owner answered
+    to the release of these keys.
     """
 
     first: int
@@ -24,7 +28,7 @@
 
 @attrs.frozen
 class ReleaseKeys:
-    """Take positions back; answered when the work that runs on them has ended."""
+    """Revoke key positions; answered when the work that runs on them has ended."""
 
     first: int
     last: int
@@ -33,12 +37,15 @@
 
 @attrs.frozen
 class CheckReachable:
-    """Open a connection, which is kept for requests."""
+    """Open a connection, which is kept for later requests."""
 
 
 @attrs.frozen
 class CheckSameProcess:
-    """Look whether connections from before now stay open: a crash ends all of them."""
+    """Check whether connections opened before now are still open.
+
+    A crash of the server closes all of them.
+    """
 
 
 ControlOperation = GrantKeys | ReleaseKeys | CheckReachable | CheckSameProcess
@@ -46,14 +53,14 @@
 
 @attrs.frozen
 class KeysGranted:
-    """The backend server holds the positions."""
+    """The backend server holds the key positions."""
 
     load: LoadReport | None = None
 
 
 @attrs.frozen
 class KeysReleased:
-    """The backend server no longer holds the positions."""
+    """The backend server no longer holds the key positions."""
 
     handover: str = ""
 
@@ -67,9 +74,9 @@
     """Reason why a control call failed."""
 
     NOT_SENT = "not_sent"  # the server cannot be reached
-    NO_ANSWER = "no_answer"  # it may have been carried out, or may be later
-    FENCED = "fenced"  # the server has seen a higher token
-    REFUSED = "refused"  # another server, or a call that it does not accept
+    NO_ANSWER = "no_answer"  # the call may have been executed, or may be later
+    FENCED = "fenced"  # the server has seen a higher fencing token
+    REFUSED = "refused"  # another server answered, or the call is not accepted
 
 
 @attrs.frozen
--- a/wagtailrill/servers/discovery.py
+++ b/wagtailrill/servers/discovery.py
@@ -1,4 +1,7 @@
-"""Reads the entries by which backend servers announce themselves."""
+"""Reads the entries in the store by which backend servers announce themselves.
+
+The router and the relay of entries use it.
+"""
 
 from collections.abc import Callable
 from typing import Protocol
@@ -9,32 +12,32 @@
 from ..core.context import Context
 from ..core.log_events import LogName
 from ..store.models import Item, Listed, ListPrefix, StoreError, StoreResult
-from .const import LIST_RETRY_S, RETURN_GRACE_S
+from .const import LIST_RETRY_S, STORE_RECOVERY_GRACE_S
 from .models import ServerEntry
 
-OnEntries = Callable[[dict[str, ServerEntry]], None]
+EntriesCallback = Callable[[dict[str, ServerEntry]], None]
 
 
 class EntryDecoder(Protocol):
     """Decodes the entry of a backend server."""
 
     def decode(self, item: Item) -> Result[ServerEntry, str]:
-        """Return the entry, or why it names no server to use."""
+        """Return the entry, or the reason why it is not usable."""
         ...
 
 
 @attrs.frozen
 class DiscoverySettings:
-    """Prefix of the entries in the store."""
+    """Key prefix of the entries in the store."""
 
     prefix: str
 
 
 class Discovery:
-    """Reads the entries when told to, and keeps the last ones during an outage.
+    """Reads the entries on request, and keeps the last ones during a store outage.
 
-    `confirmed_s` is when the read began that the present entries come from, or that of
-    another instance. `on_read` gets each list that was read here.
+    `confirmed_s` is the time at which the read of the present entries began, here or in
+    another instance. `on_entries_read` is called with each list that was read here.
     """
 
     def __init__(
@@ -42,7 +45,7 @@
         ctx: Context,
         cfg: DiscoverySettings,
         decoder: EntryDecoder,
-        on_entries: OnEntries,
+        on_entries: EntriesCallback,
     ) -> None:
         self.entries: dict[str, ServerEntry] = {}
         self.confirmed_s = float("-inf")
@@ -50,53 +53,58 @@
         self._cfg = cfg
         self._decoder = decoder
         self._on_entries = on_entries
-        self._page: dict[str, ServerEntry] = {}
-        self.on_read: OnEntries = lambda entries: None
-        self._reading = False
-        self._retry_s = float("-inf")
-        self._started_s = 0.0
+        self._pending_entries: dict[str, ServerEntry] = {}
+        self.on_entries_read: EntriesCallback = lambda entries: None
+        self._is_reading = False
+        self._retry_at_s = float("-inf")
+        self._read_started_s = 0.0
         self._failing_since_s: float | None = None
-        self._returned_s = float("-inf")
-        self._invalid: frozenset[str] = frozenset()
-        self._page_invalid: set[str] = set()
-
-    def read(self) -> None:
-        """Read the entries, unless that is under way or has just failed."""
-        if not self._reading and self._ctx.now_s >= self._retry_s:
-            self._reading = True
-            self._list("")
-
-    def accept(self, entries: dict[str, ServerEntry], confirmed_s: float) -> None:
-        """Take over the entries that another instance has read."""
+        self._store_recovered_s = float("-inf")
+        self._invalid_keys: frozenset[str] = frozenset()
+        self._pending_invalid_keys: set[str] = set()
+
+    def read_entries(self) -> None:
+        """Read the entries, unless a read is in progress or has just failed."""
+        if not self._is_reading and self._ctx.now_s >= self._retry_at_s:
+            self._is_reading = True
+            self._request_page("")
+
+    def accept_entries(
+        self, entries: dict[str, ServerEntry], confirmed_s: float
+    ) -> None:
+        """Replace the entries by those that another instance has read.
+
+        `confirmed_s` is the time at which that read began, on the clock of this one.
+        """
         self.confirmed_s, self.entries = confirmed_s, entries
         self._on_entries(entries)
 
-    def _list(self, after: str) -> None:
+    def _request_page(self, after: str) -> None:
         if not after:
-            self._started_s = self._ctx.now_s
-            self._page, self._page_invalid = {}, set()
-        self._ctx.call_store(ListPrefix(self._cfg.prefix, after), self._on_listed)
+            self._read_started_s = self._ctx.now_s
+            self._pending_entries, self._pending_invalid_keys = {}, set()
+        self._ctx.call_store(ListPrefix(self._cfg.prefix, after), self._on_page)
 
-    def _on_listed(self, result: StoreResult) -> None:
+    def _on_page(self, result: StoreResult) -> None:
         if result.is_error():
-            self._failed(result.error)
+            self._handle_read_error(result.error)
             return
         page = result.ok
         assert isinstance(page, Listed)
         for item in page.items:
-            self._read(item)
+            self._decode_item(item)
         if page.more and page.items:
-            self._list(page.items[-1].key)
+            self._request_page(page.items[-1].key)
             return
-        self._succeeded()
+        self._finish_read()
 
-    def _read(self, item: Item) -> None:
+    def _decode_item(self, item: Item) -> None:
         decoded = self._decoder.decode(item)
         if decoded.is_ok():
-            self._page[decoded.ok.name] = decoded.ok
+            self._pending_entries[decoded.ok.name] = decoded.ok
             return
-        self._page_invalid.add(item.key)
-        if item.key not in self._invalid:
+        self._pending_invalid_keys.add(item.key)
+        if item.key not in self._invalid_keys:
             self._ctx.log(
                 LogName.SERVER_ENTRY_INVALID,
                 key=item.key,
@@ -104,31 +112,33 @@
                 revision=item.revision,
             )
 
-    def _succeeded(self) -> None:
+    def _finish_read(self) -> None:
         now_s = self._ctx.now_s
-        self._reading = False
+        self._is_reading = False
         if self._failing_since_s is not None:
             outage_s = now_s - self._failing_since_s
             self._failing_since_s = None
-            self._returned_s = now_s
+            self._store_recovered_s = now_s
             self._ctx.log(LogName.SERVER_LIST_REGAINED, outage_s=round(outage_s, 3))
-        if now_s - self._returned_s < RETURN_GRACE_S:
+        if now_s - self._store_recovered_s < STORE_RECOVERY_GRACE_S:
             for name, entry in self.entries.items():
-                self._page.setdefault(name, entry)
-        self._invalid = frozenset(self._page_invalid)
-        self.confirmed_s = self._started_s
-        self.entries = self._page
-        self.on_read(self.entries)
+                self._pending_entries.setdefault(name, entry)
+        self._invalid_keys = frozenset(self._pending_invalid_keys)
+        self.confirmed_s = self._read_started_s
+        self.entries = self._pending_entries
+        self.on_entries_read(self.entries)
         self._on_entries(self.entries)
 
-    def _failed(self, error: StoreError) -> None:
+    def _handle_read_error(self, error: StoreError) -> None:
         if self._failing_since_s is None:
-            self._failing_since_s = self._started_s
+            self._failing_since_s = self._read_started_s
             self._ctx.log(
                 LogName.SERVER_LIST_LOST,
                 kind=error.kind.value,
                 message=error.message,
                 age_s=round(self._ctx.now_s - self.confirmed_s, 3),
             )
-        self._reading = False
-        self._retry_s = self._ctx.now_s + LIST_RETRY_S * self._ctx.rng.uniform(0.7, 1.3)
+        self._is_reading = False
+        self._retry_at_s = self._ctx.now_s + LIST_RETRY_S * self._ctx.rng.uniform(
+            0.7, 1.3
+        )
--- a/wagtailrill/servers/load.py
+++ b/wagtailrill/servers/load.py
@@ -1,4 +1,7 @@
-"""Load of backend servers, as one who sends or places requests knows it."""
+"""Estimates the load and latency of backend servers from attempts and load reports.
+
+The choice of a server and the placement of requests use it.
+"""
 
 import math
 import statistics
@@ -10,31 +13,31 @@
 from ..core.context import Context
 from ..core.orders import AttemptOutcome, LoadReport
 from .const import (
+    BASE_LATENCY_INITIAL_S,
+    BASE_LATENCY_STEP_RATIO,
     DEMAND_DECAY_S,
-    DISTANT_PART,
-    FAILURE_COST,
-    FAILURE_DECAY_S,
-    FAILURE_WEIGHT,
-    REPORT_AGE_S,
-    SAMPLE_INTERVAL_S,
-    SAMPLES_MAX,
+    FAILURE_COST_RATIO,
+    FAILURE_RATIO_DECAY_S,
+    FAILURE_RATIO_WEIGHT,
+    REMOTE_COST_RATIO,
+    REPORT_DECAY_S,
     SLOWNESS_MIN,
-    SUSPECT_FIRST_S,
+    SLOWNESS_SAMPLE_INTERVAL_S,
+    SLOWNESS_SAMPLES_MAX,
+    SUSPECT_INITIAL_S,
     SUSPECT_MAX_S,
-    UNKNOWN_PART,
-    UNREPORTED_DECAY_S,
-    UNREPORTED_MAX,
-    UNREPORTED_MIN,
-    UNREPORTED_WEIGHT,
-    WORK_INITIAL_S,
-    WORK_STEP,
+    UNREPORTED_SLOWNESS_DECAY_S,
+    UNREPORTED_SLOWNESS_MAX,
+    UNREPORTED_SLOWNESS_MIN,
+    UNREPORTED_SLOWNESS_WEIGHT,
+    UNTRIED_COST_RATIO,
 )
 from .models import ServerRow
 
-UNREACHABLE = frozenset(
+UNREACHABLE_OUTCOMES = frozenset(
     {AttemptOutcome.CONNECT_FAILED, AttemptOutcome.LOST, AttemptOutcome.TIMED_OUT}
 )
-FAILED = UNREACHABLE | {
+FAILED_OUTCOMES = UNREACHABLE_OUTCOMES | {
     AttemptOutcome.BAD_ANSWER,
     AttemptOutcome.FAILED,
     AttemptOutcome.SHED,
@@ -43,90 +46,108 @@
 
 @attrs.define(eq=False)
 class Demand:
-    """Decayed rate of requests."""
+    """Rate of requests with exponential decay."""
 
-    per_s: float = 0.0
+    rate_per_s: float = 0.0
     updated_s: float = 0.0
 
     def count(self, now_s: float) -> None:
         """Count a request."""
-        self.per_s = self.rate(now_s) + 1.0 / DEMAND_DECAY_S
+        self.rate_per_s = self.rate(now_s) + 1.0 / DEMAND_DECAY_S
         self.updated_s = now_s
 
     def rate(self, now_s: float) -> float:
-        """Return the requests per second."""
-        return self.per_s * math.exp(-(now_s - self.updated_s) / DEMAND_DECAY_S)
+        """Return the rate in requests per second."""
+        return self.rate_per_s * math.exp(-(now_s - self.updated_s) / DEMAND_DECAY_S)
 
 
 @attrs.define(eq=False)
 class ServerLoad:
-    """What was sent to one server and what it reported last."""
+    """Requests sent to one server, its load reports, and its observed latency.
+
+    Slowness is a ratio to the base latency of the service: 2.0 is twice as slow.
+    """
 
     row: ServerRow
     assigned: int = 0
-    # Reported requests that were not counted in `assigned`.
-    outside: float = 0.0
+    # Requests in the last report that are not counted in `assigned`.
+    external_requests: float = 0.0
     slowness: float = 1.0
-    # Median of reports that lie apart, which short disturbances do not change.
-    usual_slowness: float = 1.0
-    # How much longer requests take than the reported slowness explains.
-    unreported: float = 1.0
-    unreported_s: float = 0.0
-    # Median of the seconds that its present requests have been here.
+    # Median of reports taken at intervals, robust against short disturbances.
+    median_slowness: float = 1.0
+    # Ratio of the observed latency to the one that the reported slowness predicts.
+    unreported_slowness: float = 1.0
+    unreported_slowness_updated_s: float = 0.0
+    # Median age of the requests that the server is running.
     usual_age_s: float = 0.0
-    reported_s: float = float("-inf")
+    last_report_s: float = float("-inf")
     answered_s: float = float("-inf")
-    sampled_s: float = float("-inf")
-    samples: deque[float] = attrs.field(factory=lambda: deque(maxlen=SAMPLES_MAX))
-    failures: float = 0.0
-    failures_s: float = 0.0
+    last_sample_s: float = float("-inf")
+    slowness_samples: deque[float] = attrs.field(
+        factory=lambda: deque(maxlen=SLOWNESS_SAMPLES_MAX)
+    )
+    failure_ratio: float = 0.0
+    failure_ratio_updated_s: float = 0.0
     suspect_until_s: float = float("-inf")
-    suspect_s: float = 0.0
-
-    def report(self, load: LoadReport, now_s: float) -> None:
-        """Take in a load report."""
-        self.outside = max(0.0, load.running + load.waiting - self.assigned)
-        self.slowness = max(load.slowness, SLOWNESS_MIN)
-        self.reported_s = now_s
-        if now_s - self.sampled_s >= SAMPLE_INTERVAL_S:
-            self.sampled_s = now_s
-            self.samples.append(self.slowness)
-            self.usual_slowness = statistics.median_low(self.samples)
-
-    def took(self, part: float, now_s: float) -> None:
-        """Take in how long a request took, as a part of what was expected."""
-        known = math.log(self.unreported_now(now_s))
-        seen = math.log(min(max(part, UNREPORTED_MIN), UNREPORTED_MAX))
-        self.unreported = math.exp(known + UNREPORTED_WEIGHT * (seen - known))
-        self.unreported_s = now_s
-
-    def unreported_now(self, now_s: float) -> float:
-        """Return the unreported slowness, which is forgotten without requests."""
-        decay = math.exp(-max(0.0, now_s - self.unreported_s) / UNREPORTED_DECAY_S)
-        return math.exp(math.log(self.unreported) * decay)
-
-    def ended(self, outcome: AttemptOutcome, now_s: float) -> None:
-        """Take in how a request ended."""
+    suspect_duration_s: float = 0.0
+
+    def report(self, report: LoadReport, now_s: float) -> None:
+        """Record a load report."""
+        self.external_requests = max(
+            0.0, report.running + report.waiting - self.assigned
+        )
+        self.slowness = max(report.slowness, SLOWNESS_MIN)
+        self.last_report_s = now_s
+        if now_s - self.last_sample_s >= SLOWNESS_SAMPLE_INTERVAL_S:
+            self.last_sample_s = now_s
+            self.slowness_samples.append(self.slowness)
+            self.median_slowness = statistics.median_low(self.slowness_samples)
+
+    def record_latency_ratio(self, latency_ratio: float, now_s: float) -> None:
+        """Record the ratio of a request's latency to the predicted latency."""
+        previous_log = math.log(self.compute_unreported_slowness(now_s))
+        observed_log = math.log(
+            min(max(latency_ratio, UNREPORTED_SLOWNESS_MIN), UNREPORTED_SLOWNESS_MAX)
+        )
+        self.unreported_slowness = math.exp(
+            previous_log + UNREPORTED_SLOWNESS_WEIGHT * (observed_log - previous_log)
+        )
+        self.unreported_slowness_updated_s = now_s
+
+    def compute_unreported_slowness(self, now_s: float) -> float:
+        """Return the unreported slowness, which decays to 1.0 without requests."""
+        decay_ratio = math.exp(
+            -max(0.0, now_s - self.unreported_slowness_updated_s)
+            / UNREPORTED_SLOWNESS_DECAY_S
+        )
+        return math.exp(math.log(self.unreported_slowness) * decay_ratio)
+
+    def record_outcome(self, outcome: AttemptOutcome, now_s: float) -> None:
+        """Update the failure ratio and the suspicion by the outcome of a request."""
         if outcome is AttemptOutcome.CANCELLED:
             return
-        failed = 1.0 if outcome in FAILED else 0.0
-        self.failures += FAILURE_WEIGHT * (failed - self.failure_rate(now_s))
-        self.failures_s = now_s
-        if outcome in UNREACHABLE:
+        failed = 1.0 if outcome in FAILED_OUTCOMES else 0.0
+        self.failure_ratio += FAILURE_RATIO_WEIGHT * (
+            failed - self.decay_failure_ratio(now_s)
+        )
+        self.failure_ratio_updated_s = now_s
+        if outcome in UNREACHABLE_OUTCOMES:
             if now_s >= self.suspect_until_s:
-                doubled_s = max(SUSPECT_FIRST_S, 2.0 * self.suspect_s)
-                self.suspect_s = min(doubled_s, SUSPECT_MAX_S)
-                self.suspect_until_s = now_s + self.suspect_s
+                doubled_s = max(SUSPECT_INITIAL_S, 2.0 * self.suspect_duration_s)
+                self.suspect_duration_s = min(doubled_s, SUSPECT_MAX_S)
+                self.suspect_until_s = now_s + self.suspect_duration_s
         elif outcome is AttemptOutcome.ANSWERED:
-            self.suspect_s = 0.0
+            self.suspect_duration_s = 0.0
             self.suspect_until_s = float("-inf")
 
-    def failure_rate(self, now_s: float) -> float:
-        """Return the part of requests that failed lately."""
-        decay = math.exp(-(now_s - self.failures_s) / FAILURE_DECAY_S)
-        self.failures *= decay
-        self.failures_s = now_s
-        return self.failures
+    def decay_failure_ratio(self, now_s: float) -> float:
+        """Decay the ratio of requests that failed lately, and return it (0 to 1)."""
+        decay_ratio = math.exp(
+            -(now_s - self.failure_ratio_updated_s) / FAILURE_RATIO_DECAY_S
+        )
+        self.failure_ratio *= decay_ratio
+        self.failure_ratio_updated_s = now_s
+        return self.failure_ratio
 
     @property
     def name(self) -> str:
@@ -135,41 +156,44 @@
 
     @property
     def slots(self) -> int:
-        """Return how many requests the server runs at the same time."""
+        """Return how many requests the server runs concurrently."""
         return self.row.entry.slots
 
     @property
-    def unknown(self) -> bool:
+    def has_no_report(self) -> bool:
         """Return whether the server has not reported yet."""
-        return not self.samples
+        return not self.slowness_samples
 
     def present(self) -> float:
-        """Return the requests that are at the server."""
-        return self.assigned + self.outside
+        """Return the estimated number of requests at the server, running or waiting."""
+        return self.assigned + self.external_requests
 
-    def slowness_now(self, now_s: float) -> float:
-        """Return the slowness, which the last report tells less and less."""
-        worth = math.exp(-max(0.0, now_s - self.reported_s) / REPORT_AGE_S)
-        return self.usual_slowness + (self.slowness - self.usual_slowness) * worth
+    def estimate_slowness(self, now_s: float) -> float:
+        """Return the last reported slowness, decaying with its age to the median."""
+        report_weight = math.exp(-max(0.0, now_s - self.last_report_s) / REPORT_DECAY_S)
+        return (
+            self.median_slowness
+            + (self.slowness - self.median_slowness) * report_weight
+        )
 
     def suspect(self, now_s: float) -> bool:
-        """Return whether the server could not be reached just now."""
+        """Return whether the server is avoided since it could not be reached."""
         return now_s < self.suspect_until_s
 
 
 class LoadTable:
-    """Loads by server, and the work of a request of one service.
+    """Loads of the servers of one service, and its base latency.
 
-    `work_s` is how long the median request takes where the slowness is 1.0.
+    `work_s` is the median latency of a request in seconds where the slowness is 1.0.
     """
 
     def __init__(self, ctx: Context) -> None:
-        self.work_s = WORK_INITIAL_S
+        self.work_s = BASE_LATENCY_INITIAL_S
         self._ctx = ctx
         self._loads: dict[str, ServerLoad] = {}
 
     def of(self, row: ServerRow) -> ServerLoad:
-        """Return the load of a server; one that started again is a new one."""
+        """Return the load of a server; a restarted server gets a new one."""
         load = self._loads.get(row.name)
         if load is None or load.row is not row:
             load = self._loads[row.name] = ServerLoad(row)
@@ -186,41 +210,54 @@
         latency_s: float,
         report: LoadReport | None,
     ) -> None:
-        """Take in the end of a request at a server."""
+        """Record the end of a request at a server.
+
+        `report` is the load report that came with the answer, if any.
+        """
         now_s = self._ctx.now_s
-        load.ended(outcome, now_s)
+        load.record_outcome(outcome, now_s)
         if report is not None:
             load.answered_s = now_s
             load.report(report, now_s)
-        elif load.outside:
-            load.outside = max(0.0, load.outside - 1.0)
+        elif load.external_requests:
+            load.external_requests = max(0.0, load.external_requests - 1.0)
         if outcome is AttemptOutcome.ANSWERED and load.present() < load.slots:
-            part = latency_s / (load.slowness * self.work_s)
-            load.took(part, now_s)
-            # A step towards the median, which some slow servers hardly change.
-            self.work_s *= math.exp(math.copysign(WORK_STEP, part - 1.0))
+            latency_ratio = latency_s / (load.slowness * self.work_s)
+            load.record_latency_ratio(latency_ratio, now_s)
+            # Fixed steps track the median, which a few slow servers hardly change.
+            self.work_s *= math.exp(
+                math.copysign(BASE_LATENCY_STEP_RATIO, latency_ratio - 1.0)
+            )
 
     def time_s(self, load: ServerLoad) -> float:
-        """Return the seconds that a request takes on a free slot of a server."""
+        """Return the expected latency of a request on a free slot of a server."""
         now_s = self._ctx.now_s
-        time_s = self.work_s * load.slowness_now(now_s) * load.unreported_now(now_s)
-        return max(time_s, load.usual_age_s)
+        latency_s = (
+            self.work_s
+            * load.estimate_slowness(now_s)
+            * load.compute_unreported_slowness(now_s)
+        )
+        return max(latency_s, load.usual_age_s)
 
     def cost_s(self, load: ServerLoad, data_centre: str) -> float:
-        """Return the time on a free slot, with failures and distance counted in."""
-        time_s = self.time_s(load)
+        """Return the expected latency weighted by failures and distance, in seconds."""
+        cost_s = self.time_s(load)
         if load.row.entry.data_centre != data_centre:
-            time_s *= 1.0 + DISTANT_PART
-        if load.unknown and not load.assigned:
-            time_s *= UNKNOWN_PART
-        return time_s * (1.0 + FAILURE_COST * load.failure_rate(self._ctx.now_s))
+            cost_s *= 1.0 + REMOTE_COST_RATIO
+        if load.has_no_report and not load.assigned:
+            cost_s *= UNTRIED_COST_RATIO
+        return cost_s * (
+            1.0 + FAILURE_COST_RATIO * load.decay_failure_ratio(self._ctx.now_s)
+        )
 
     def slot_s(self, load: ServerLoad) -> float:
-        """Return the seconds between two slots of a full server that become free."""
+        """Return the mean time in seconds between freed slots of a full server."""
         now_s = self._ctx.now_s
-        slowness = load.slowness_now(now_s) * load.unreported_now(now_s)
+        slowness = load.estimate_slowness(now_s) * load.compute_unreported_slowness(
+            now_s
+        )
         return self.work_s * slowness / load.slots
 
     def usual_slowness(self, load: ServerLoad) -> float:
-        """Return the slowness of a server that lasts, reported or not."""
-        return load.usual_slowness * load.unreported_now(self._ctx.now_s)
+        """Return the lasting slowness of a server, reported or not."""
+        return load.median_slowness * load.compute_unreported_slowness(self._ctx.now_s)
--- a/wagtailrill/servers/messages.py
+++ b/wagtailrill/servers/messages.py
@@ -1,4 +1,4 @@
-"""Peer messages about the entries of backend servers."""
+"""Peer messages by which instances relay the entries of backend servers."""
 
 from pathlib import Path
 from typing import Final
@@ -11,9 +11,9 @@
 
 @attrs.frozen
 class EntriesRequest:
-    """Asks the reader for what has changed since a version of its list.
+    """Asks the reader for the changes since a version of its list.
 
-    `doubted` names servers whose entry the sender wants in any case.
+    `doubted` names servers whose entries are sent even if they have not changed.
     """
 
     number: int
@@ -24,9 +24,10 @@
 
 @attrs.frozen
 class EntriesAnswer:
-    """Changes up to `version`, or with `full` all entries.
+    """Changes up to `version`, or all entries if `full` is set.
 
-    `age_s` is how long ago the reader began to read the list from the store.
+    `age_s` is the time since the reader began to read the list from the store. `gone`
+    names the servers whose entries were removed.
     """
 
     number: int
--- a/wagtailrill/servers/models.py
+++ b/wagtailrill/servers/models.py
@@ -1,4 +1,4 @@
-"""Models of backend servers."""
+"""Models of backend servers: announced entries and what an instance knows."""
 
 import enum
 from collections import deque
@@ -7,7 +7,7 @@
 
 
 class ServerState(enum.StrEnum):
-    """Whether a backend server takes new work."""
+    """Whether a backend server accepts new work."""
 
     READY = "ready"
     LEAVING = "leaving"
@@ -15,11 +15,11 @@
 
 @attrs.frozen
 class ServerEntry:
-    """What a backend server, or the declaration, says of itself.
+    """Entry of a backend server, announced by itself or taken from the declaration.
 
-    `start_id` names one process start; a server that starts again may keep its name.
-    `cold_left_s` is how much longer the server stays cold. `revision` rises with each
-    change of the entry.
+    `slots` is how many requests it runs concurrently. `start_id` identifies one process
+    start; a restarted server may keep its name. `cold_left_s` is the remaining time for
+    which the server stays cold. `revision` rises with each change of the entry.
     """
 
     name: str
@@ -36,16 +36,16 @@
 
 @attrs.define(eq=False)
 class ServerRow:
-    """What this instance knows of one process start of a backend server."""
+    """State that this instance keeps for one process start of a backend server."""
 
     entry: ServerEntry
     joined_s: float
     cold_until_s: float = float("-inf")
-    # A lost connection may mean that the server started again without notice.
+    # Revision of the entry when a lost connection suggested an unannounced restart.
     doubted_revision: int | None = None
     doubted_s: float = float("-inf")
-    # When this instance learned that the server leaves.
-    leaving_s: float = float("inf")
+    # Time at which this instance learned that the server leaves.
+    leaving_since_s: float = float("inf")
     recent_sends_s: deque[float] = attrs.field(factory=deque)
 
     @property
--- a/wagtailrill/servers/table.py
+++ b/wagtailrill/servers/table.py
@@ -1,4 +1,7 @@
-"""Table of backend servers and what happens to its rows."""
+"""Keeps the table of backend servers and tells which of them may get requests.
+
+Server choice, placement, key ownership and the crash guard use it.
+"""
 
 from collections.abc import Callable
 
@@ -8,7 +11,12 @@
 from ..core.context import Context
 from ..core.log_events import LogName
 from ..declaration.models import Configuration, Service
-from .const import DOUBT_MARGIN_S, DOUBT_S, GONE_KEPT_S, LEAVING_USED_S
+from .const import (
+    COLD_DURATION_DEFAULT_S,
+    COLD_DURATION_MARGIN_S,
+    GONE_ADDRESS_RETENTION_S,
+    LEAVING_GRACE_S,
+)
 from .control import CheckSameProcess, ControlResult
 from .models import ServerEntry, ServerRow, ServerState
 
@@ -16,67 +24,71 @@
 
 
 class ServerTable:
-    """Rows of the backend servers that are announced or declared, by name."""
+    """Rows of the announced or declared backend servers, by name and by service."""
 
     def __init__(self, ctx: Context) -> None:
         self.rows: dict[str, ServerRow] = {}
         self.by_service: dict[str, tuple[ServerRow, ...]] = {}
-        self.closed: frozenset[str] = frozenset()
+        self.closed_data_centres: frozenset[str] = frozenset()
         self._ctx = ctx
         self._services: dict[str, Service] = {}
-        self._gone: dict[str, tuple[float, str]] = {}
+        self._gone_addresses: dict[str, tuple[float, str]] = {}
         self._listeners: list[TableListener] = []
 
     def add_listener(self, listener: TableListener) -> None:
-        """Add a receiver of changes."""
+        """Add a callback that is called after each change of the rows."""
         self._listeners.append(listener)
 
     def configure(self, configuration: Configuration) -> None:
-        """Apply the services and the data centres that are closed."""
+        """Apply the services and the closed data centres."""
         self._services = configuration.services
-        self.closed = configuration.closed_data_centres
-        self._changed()
+        self.closed_data_centres = configuration.closed_data_centres
+        self._publish_rows()
 
     def update(self, entries: dict[str, ServerEntry]) -> None:
-        """Replace the rows by those of a whole list of entries."""
+        """Update the rows to match a complete list of entries by name."""
         changed = False
         for entry in entries.values():
             changed |= self._update_row(entry)
         for name in self.rows.keys() - entries.keys():
-            self._remove(name, "no_entry")
+            self._remove_row(name, "no_entry")
             changed = True
         if changed:
-            self._changed()
+            self._publish_rows()
 
     def accepts_work(self, row: ServerRow) -> bool:
         """Return whether new requests may go to a backend server."""
         return (
             row.entry.state is ServerState.READY
-            and row.entry.data_centre not in self.closed
+            and row.entry.data_centre not in self.closed_data_centres
         )
 
     def may_be_used(self, row: ServerRow) -> bool:
         """Return whether requests for keys that a server holds may still go to it.
 
-        The keys of a leaving server move; when nobody can move them, as while the
-        granter cannot reach the store, they are left alone soon.
+        The keys of a leaving server move to others. If they cannot, for example while
+        the granter cannot reach the store, requests to it stop after a grace period.
         """
-        return self._ctx.now_s < row.leaving_s + LEAVING_USED_S
+        return self._ctx.now_s < row.leaving_since_s + LEAVING_GRACE_S
 
     def address_of(self, name: str) -> str | None:
-        """Return the address of a server, also for some time after it is gone.
+        """Return the address of a server, also for some time after its removal.
 
-        A server may run on after its entry has ended, and can then be asked to give
-        up its keys.
+        A server may keep running after its entry was removed, and can then be asked to
+        release its keys.
         """
         row = self.rows.get(name)
         if row is not None:
             return row.entry.address
-        gone_s, address = self._gone.get(name, (0.0, ""))
-        return address if address and self._ctx.now_s - gone_s < GONE_KEPT_S else None
+        gone_s, address = self._gone_addresses.get(name, (0.0, ""))
+        return (
+            address
+            if address and self._ctx.now_s - gone_s < GONE_ADDRESS_RETENTION_S
+            else None
+        )
 
     def connections_max(self, row: ServerRow) -> int:
-        """Return how many connections a server takes from all instances together."""
+        """Return the limit on connections of all instances to a server, 0 for none."""
         service = self._services.get(row.entry.service)
         declared = service.connections_max if service else 0
         return row.entry.connections_max or declared
@@ -86,43 +98,48 @@
         now_s = self._ctx.now_s
         doubted = row.doubted_revision is not None
         return now_s < row.cold_until_s or (
-            doubted and now_s < self._doubted_until(row)
+            doubted and now_s < self._compute_warm_s(row)
         )
 
-    def _doubted_until(self, row: ServerRow) -> float:
-        """Return when a server that started again at the doubt would be warm."""
+    def _compute_warm_s(self, row: ServerRow) -> float:
+        """Return when a server that restarted at `doubted_s` would be warm."""
         service = self._services.get(row.entry.service)
         cold_start = service.cold_start if service is not None else None
-        duration_s = cold_start.duration_s if cold_start else DOUBT_S
-        return row.doubted_s + duration_s + DOUBT_MARGIN_S
+        duration_s = cold_start.duration_s if cold_start else COLD_DURATION_DEFAULT_S
+        return row.doubted_s + duration_s + COLD_DURATION_MARGIN_S
 
     def doubt_warmth(self, row: ServerRow, reason: str) -> None:
-        """Take a server for cold until its next entry: it may have started again."""
+        """Treat a server as cold until its next entry, since it may have restarted.
+
+        `reason` is the outcome that raised the doubt, for the log.
+        """
         row.doubted_s = self._ctx.now_s
         if row.doubted_revision is None:
             row.doubted_revision = row.entry.revision
             self._ctx.log(
                 LogName.SERVER_WARMTH_DOUBTED, backend_server=row.name, reason=reason
             )
-            self._check_process(row, row.doubted_s)
+            self._check_same_process(row, row.doubted_s)
 
-    def _check_process(self, row: ServerRow, doubted_s: float) -> None:
-        def on_checked(result: ControlResult) -> None:
-            still = row.doubted_revision is not None and row.doubted_s == doubted_s
-            if result.is_ok() and still:
-                self._trust(row, "other_connections_stay_open")
+    def _check_same_process(self, row: ServerRow, doubted_s: float) -> None:
+        def on_check_result(result: ControlResult) -> None:
+            still_doubted = (
+                row.doubted_revision is not None and row.doubted_s == doubted_s
+            )
+            if result.is_ok() and still_doubted:
+                self._trust_warmth(row, "other_connections_stay_open")
 
-        self._ctx.call_backend(row.name, CheckSameProcess(), on_checked)
+        self._ctx.call_backend(row.name, CheckSameProcess(), on_check_result)
 
     def answered(self, row: ServerRow, started_s: float) -> None:
-        """Trust a server that has answered a request from before the doubt.
+        """End the doubt if a request that was started before it has been answered.
 
-        A process that starts again loses all requests that it was running.
+        A restarted process loses all requests that it was running.
         """
         if row.doubted_revision is not None and started_s < row.doubted_s:
-            self._trust(row, "earlier_request_answered")
+            self._trust_warmth(row, "earlier_request_answered")
 
-    def _trust(self, row: ServerRow, reason: str) -> None:
+    def _trust_warmth(self, row: ServerRow, reason: str) -> None:
         row.doubted_revision = None
         self._ctx.log(
             LogName.SERVER_WARMTH_TRUSTED, backend_server=row.name, reason=reason
@@ -131,15 +148,15 @@
     def _update_row(self, entry: ServerEntry) -> bool:
         row = self.rows.get(entry.name)
         if row is not None and row.entry.start_id != entry.start_id:
-            self._remove(entry.name, "started_again")
+            self._remove_row(entry.name, "started_again")
             row = None
         if row is None:
             row = ServerRow(entry, self._ctx.now_s)
             row.cold_until_s = self._ctx.now_s + entry.cold_left_s
             if entry.state is ServerState.LEAVING:
-                row.leaving_s = self._ctx.now_s
+                row.leaving_since_s = self._ctx.now_s
             self.rows[entry.name] = row
-            self._log(LogName.SERVER_JOINED, entry)
+            self._log_entry(LogName.SERVER_JOINED, entry)
             return True
         if entry.revision == row.entry.revision:
             return False
@@ -147,21 +164,27 @@
         if row.doubted_revision is not None and entry.revision > row.doubted_revision:
             row.doubted_revision = None
         if entry.state is not ServerState.LEAVING:
-            row.leaving_s = float("inf")
+            row.leaving_since_s = float("inf")
         elif row.entry.state is not ServerState.LEAVING:
-            row.leaving_s = self._ctx.now_s
-        former, row.entry = row.entry, entry
-        same = attrs.evolve(former, revision=entry.revision, cold_left_s=0.0)
-        if same == attrs.evolve(entry, cold_left_s=0.0):
+            row.leaving_since_s = self._ctx.now_s
+        former_entry, row.entry = row.entry, entry
+        comparable = attrs.evolve(
+            former_entry, revision=entry.revision, cold_left_s=0.0
+        )
+        if comparable == attrs.evolve(entry, cold_left_s=0.0):
             return False
-        self._log(LogName.SERVER_CHANGED, entry)
+        self._log_entry(LogName.SERVER_CHANGED, entry)
         return True
 
-    def _remove(self, name: str, reason: str) -> None:
+    def _remove_row(self, name: str, reason: str) -> None:
         row = self.rows.pop(name)
         now_s = self._ctx.now_s
-        self._gone = {n: g for n, g in self._gone.items() if now_s - g[0] < GONE_KEPT_S}
-        self._gone[name] = (now_s, row.entry.address)
+        self._gone_addresses = {
+            n: g
+            for n, g in self._gone_addresses.items()
+            if now_s - g[0] < GONE_ADDRESS_RETENTION_S
+        }
+        self._gone_addresses[name] = (now_s, row.entry.address)
         self._ctx.emit(CloseConnections(name))
         self._ctx.log(
             LogName.SERVER_GONE,
@@ -170,15 +193,17 @@
             revision=row.entry.revision,
         )
 
-    def _changed(self) -> None:
-        groups: dict[str, list[ServerRow]] = {name: [] for name in self._services}
+    def _publish_rows(self) -> None:
+        rows_by_service: dict[str, list[ServerRow]] = {
+            name: [] for name in self._services
+        }
         for row in self.rows.values():
-            groups.setdefault(row.entry.service, []).append(row)
-        self.by_service = {name: tuple(rows) for name, rows in groups.items()}
+            rows_by_service.setdefault(row.entry.service, []).append(row)
+        self.by_service = {name: tuple(rows) for name, rows in rows_by_service.items()}
         for listener in self._listeners:
             listener()
 
-    def _log(self, name: LogName, entry: ServerEntry) -> None:
+    def _log_entry(self, name: LogName, entry: ServerEntry) -> None:
         self._ctx.log(
             name,
             backend_server=entry.name,
--- a/wagtailrill/servers/warmth.py
+++ b/wagtailrill/servers/warmth.py
@@ -1,4 +1,7 @@
-"""Allowances for cold backend servers, which bear few requests."""
+"""Limits the requests to cold backend servers (slow start).
+
+Server choice uses it; the router configures it.
+"""
 
 import math
 from collections.abc import Callable
@@ -8,16 +11,17 @@
 
 from ..core.context import Context
 from ..declaration.models import ColdStart, Configuration
-from .const import COLD_ALLOWANCE_PART, COLD_WINDOW_S
+from .const import COLD_ALLOWANCE_RATIO, COLD_WINDOW_S
 from .models import ServerRow
 from .table import ServerTable
 
 
 @attrs.frozen
 class ColdSettings:
-    """How far the fleet may exceed what a service declares for a cold server.
+    """How far the fleet may exceed the rate that a service declares for a cold server.
 
-    In any second at most `requests_per_s` * `excess_factor` + `excess_requests`.
+    In any second it may send at most
+    `requests_per_s` * `excess_factor` + `excess_requests`.
     """
 
     excess_factor: float = 1.0
@@ -27,8 +31,9 @@
 class ColdAllowances:
     """Divides the allowance of each cold server among the instances.
 
-    Every instance has a fixed share, so that nothing has to be agreed. Where there
-    are more instances than requests, only those of the highest rank may send.
+    Every instance has a fixed share, so that no coordination is needed. The remainder
+    goes to the first instances by rendezvous hashing; if there are more instances than
+    requests in the allowance, only these may send.
     """
 
     def __init__(
@@ -45,11 +50,11 @@
         self._cold_starts: dict[str, ColdStart] = {}
 
     def apply_settings(self, cfg: ColdSettings) -> None:
-        """Replace the settings."""
+        """Replace the settings by new ones."""
         self._cfg = cfg
 
     def configure(self, configuration: Configuration) -> None:
-        """Apply what the services declare."""
+        """Apply the slow start limits that the services declare."""
         self._cold_starts = {
             service.name: service.cold_start
             for service in configuration.services.values()
@@ -66,28 +71,32 @@
         sends = row.recent_sends_s
         while sends and sends[0] <= self._ctx.now_s - COLD_WINDOW_S:
             sends.popleft()
-        return len(sends) < self._own_allowance(row, cold_start)
+        return len(sends) < self._compute_allowance(row, cold_start)
 
-    def sent(self, row: ServerRow) -> None:
-        """Count a request to a server."""
+    def record_send(self, row: ServerRow) -> None:
+        """Record that a request is sent to a server."""
         sends = row.recent_sends_s
         sends.append(self._ctx.now_s)
         while sends[0] <= self._ctx.now_s - COLD_WINDOW_S:
             sends.popleft()
 
-    def _own_allowance(self, row: ServerRow, cold_start: ColdStart) -> int:
+    def _compute_allowance(self, row: ServerRow, cold_start: ColdStart) -> int:
         cfg = self._cfg
-        fleet = cold_start.requests_per_s * cfg.excess_factor + cfg.excess_requests
+        fleet_requests = (
+            cold_start.requests_per_s * cfg.excess_factor + cfg.excess_requests
+        )
         instances = self._instances()
         if self._ctx.identity.instance not in instances:
             return 0
-        each, rest = divmod(math.floor(fleet * COLD_ALLOWANCE_PART), len(instances))
-        return each + (self._rank(row, instances) < rest)
+        share, remainder = divmod(
+            math.floor(fleet_requests * COLD_ALLOWANCE_RATIO), len(instances)
+        )
+        return share + (self._compute_rank(row, instances) < remainder)
 
-    def _rank(self, row: ServerRow, instances: tuple[str, ...]) -> int:
-        ranked = sorted(instances, key=lambda name: _weight(name, row.name))
+    def _compute_rank(self, row: ServerRow, instances: tuple[str, ...]) -> int:
+        ranked = sorted(instances, key=lambda name: _hash_rank(name, row.name))
         return ranked.index(self._ctx.identity.instance)
 
 
-def _weight(instance: str, server: str) -> int:
+def _hash_rank(instance: str, server: str) -> int:
     return xxhash.xxh3_64_intdigest(f"{instance}\0{server}".encode())
