Rename names of servers and fleet that other folders use

Folders: wagtailrill/servers, wagtailrill/fleet and all that use them. Only names change, and comments and docstrings that mention them.

Renamed (old -> new):

wagtailrill/servers/choice.py ServerChoice.choose -> choose_server, ServerChoice.known -> find_usable, ServerChoice.sent -> record_send, ServerChoice.ended -> record_result wagtailrill/servers/load.py Demand.count -> count_request, Demand.rate -> compute_rate_per_s, ServerLoad.assigned -> assigned_requests, ServerLoad.usual_age_s -> median_age_s, ServerLoad.answered_s -> last_answer_s, ServerLoad.suspect -> is_suspect, ServerLoad.present -> estimate_in_flight, ServerLoad.report -> record_report, LoadTable.of -> get_load, LoadTable.all -> list_loads, LoadTable.ended -> record_end, LoadTable.usual_slowness -> estimate_lasting_slowness, LoadTable.time_s -> estimate_latency_s, LoadTable.cost_s -> estimate_cost_s, LoadTable.slot_s -> estimate_slot_interval_s, LoadTable.work_s -> base_latency_s wagtailrill/servers/table.py ServerTable.by_service -> rows_by_service, ServerTable.may_be_used -> accepts_keyed_requests, ServerTable.address_of -> find_address, ServerTable.connections_max -> get_connections_max, ServerTable.answered -> confirm_warmth, ServerTable.update -> update_entries wagtailrill/fleet/duties.py Duties.holder -> get_holder, Duties.held -> list_held, Duties.resign -> resign_all wagtailrill/fleet/members.py Members.key -> build_key, Members.live -> get_other_members, Members.counted -> list_possibly_running wagtailrill/fleet/models.py DutyListener.duty_taken -> on_duty_taken, DutyListener.predecessor_stopped -> on_predecessor_stopped, DutyListener.duty_lost -> on_duty_lost

The components that implement DutyListener follow; the local variable list_counted of Router.__init__ is list_possibly_running.

--- a/tests/fleet/test_duties.py
+++ b/tests/fleet/test_duties.py
@@ -103,7 +103,7 @@
     for name in run.names[1:]:
         run.kill(name)
     run.fleet.run_until(run.now_s + 12.0)
-    assert DUTY in run.router("i-1").duties.held()
+    assert DUTY in run.router("i-1").duties.list_held()
     call = run.call("i-1", "roll", position=5)
     run.fleet.run_until(run.now_s + 1.5)
     assert call.answered
@@ -119,7 +119,7 @@
         run = Deployment(seed, instances=10)
         run.start()
         run.fleet.run_until(8.0)
-        held = {n: run.router(n).duties.held() for n in run.names}
+        held = {n: run.router(n).duties.list_held() for n in run.names}
         # Two services, six groups of organisations, the list of servers.
         assert sum(map(len, held.values())) == 9
         assert max(map(len, held.values())) <= 2
--- a/tests/placement/test_dispatcher.py
+++ b/tests/placement/test_dispatcher.py
@@ -35,8 +35,8 @@
                 lambda position: unowned_s,
             )
         )
-        # The table fills `by_service` only when a configuration is applied.
-        self.servers.by_service = {SERVICE: tuple(self.servers.rows.values())}
+        # The table fills `rows_by_service` only when a configuration is applied.
+        self.servers.rows_by_service = {SERVICE: tuple(self.servers.rows.values())}
 
     def send_request(self, **fields) -> int:
         number = next(self.numbers)
@@ -174,8 +174,8 @@
         harness.end_request(numbers[-1])
         harness.end_request(numbers[-2])
     assert {harness.get_verdict(n) for n in numbers} == {PlaceVerdict.PLACED}
-    load = next(iter(harness.dispatcher._loads.all()))
-    assert harness.dispatcher._loads.time_s(load) < 0.3
+    load = next(iter(harness.dispatcher._loads.list_loads()))
+    assert harness.dispatcher._loads.estimate_latency_s(load) < 0.3
 
 
 def test_keyed_request_waits_only_for_the_owner_of_its_key():
--- a/tests/rates/test_rates.py
+++ b/tests/rates/test_rates.py
@@ -52,7 +52,9 @@
 def test_bound_holds_when_the_issuer_is_lost(run):
     """Guards against a successor that issues what its predecessor has issued."""
     send(run, 3.0, 200.0, run.names)
-    issuers = [n for n in run.names if any(map(_issues, run.router(n).duties.held()))]
+    issuers = [
+        n for n in run.names if any(map(_issues, run.router(n).duties.list_held()))
+    ]
     run.kill(issuers[0])
     rest = [n for n in run.names if n != issuers[0]]
     send(run, 6.0, 200.0, rest)
@@ -110,4 +112,4 @@
 
 
 def held(run, name):
-    return run.router(name).duties.held()
+    return run.router(name).duties.list_held()
--- a/tests/servers/test_relay.py
+++ b/tests/servers/test_relay.py
@@ -110,6 +110,6 @@
     run.servers.crash(run.servers.by_name["box-1-1"], 0.2)
     run.fleet.run_until(run.now_s + 3.0)
     for name, row in before.items():
-        names = {r.name for r in run.router(name).servers.by_service["box"]}
+        names = {r.name for r in run.router(name).servers.rows_by_service["box"]}
         assert run.router(name).servers.rows.get("box-1-1") is not row
         assert len(names) == 4
--- a/tests/servers/test_table.py
+++ b/tests/servers/test_table.py
@@ -18,7 +18,7 @@
     ctx = make_context()
     table = make_table(ctx, entry("s-1"))
     before = table.rows["s-1"]
-    table.update({"s-1": entry("s-1", start_id="s-1/2", revision=2)})
+    table.update_entries({"s-1": entry("s-1", start_id="s-1/2", revision=2)})
     assert table.rows["s-1"] is not before
 
 
@@ -28,9 +28,9 @@
     table = make_table(ctx, entry("s-1"))
     row = table.rows["s-1"]
     table.doubt_warmth(row, "lost")
-    table.update({"s-1": entry("s-1")})
+    table.update_entries({"s-1": entry("s-1")})
     assert table.is_cold(row)
-    table.update({"s-1": entry("s-1", revision=2)})
+    table.update_entries({"s-1": entry("s-1", revision=2)})
     assert not table.is_cold(row)
 
 
@@ -43,9 +43,9 @@
     advance(ctx, 0.1)
     table.doubt_warmth(row, "lost")
     advance(ctx, 0.1)
-    table.answered(row, ctx.now_s)
+    table.confirm_warmth(row, ctx.now_s)
     assert table.is_cold(row)  # the request was sent after the doubt
-    table.answered(row, earlier_s)
+    table.confirm_warmth(row, earlier_s)
     assert not table.is_cold(row)
     assert "server_warmth_trusted" in logged(ctx)
 
@@ -112,7 +112,7 @@
     """Guards against keys that cannot be released by a server without an entry."""
     ctx = make_context()
     table = make_table(ctx, entry("s-1"))
-    table.update({})
-    assert table.address_of("s-1") == "127.0.0.1:9"
+    table.update_entries({})
+    assert table.find_address("s-1") == "127.0.0.1:9"
     advance(ctx, 20.0)
-    assert table.address_of("s-1") is None
+    assert table.find_address("s-1") is None
--- a/tests/support.py
+++ b/tests/support.py
@@ -64,5 +64,5 @@
 def make_table(ctx: Context, *entries: ServerEntry) -> ServerTable:
     """Return a table with the servers of some entries."""
     table = ServerTable(ctx)
-    table.update({e.name: e for e in entries})
+    table.update_entries({e.name: e for e in entries})
     return table
--- a/wagtailrill/claims/claims.py
+++ b/wagtailrill/claims/claims.py
@@ -213,7 +213,7 @@
         identity = self._ctx.identity
         if instance == identity.instance:
             return incarnation == identity.incarnation
-        member = self._members.live().get(instance)
+        member = self._members.get_other_members().get(instance)
         return member is not None and member.incarnation == incarnation
 
     def _accept_claim(
--- a/wagtailrill/fleet/duties.py
+++ b/wagtailrill/fleet/duties.py
@@ -95,16 +95,16 @@
         row = self._rows.get(duty)
         return row is not None and row.is_held and self._may_act()
 
-    def holder(self, duty: str) -> DutyHolder | None:
+    def get_holder(self, duty: str) -> DutyHolder | None:
         """Return the last known holder of a duty, None if none is known."""
         row = self._rows.get(duty)
         return row.holder if row is not None else None
 
-    def held(self) -> tuple[str, ...]:
+    def list_held(self) -> tuple[str, ...]:
         """Return the names of the duties that this instance holds."""
         return tuple(name for name in self._rows if self.holds(name))
 
-    def resign(self) -> None:
+    def resign_all(self) -> None:
         """Release all duties for good, since the process stops."""
         self._has_resigned = True
         for row in self._rows.values():
@@ -127,7 +127,7 @@
 
     def _stop_acting(self, row: DutyRow) -> None:
         row.is_held = False
-        row.listener.duty_lost(row.name)
+        row.listener.on_duty_lost(row.name)
 
     def _on_members_changed(self) -> None:
         for row in self._rows.values():
@@ -219,9 +219,9 @@
             fence=row.fence,
             predecessor_may_act_s=round(predecessor_may_act_s, 3),
         )
-        row.listener.duty_taken(row.name, row.fence, predecessor_may_act_s)
+        row.listener.on_duty_taken(row.name, row.fence, predecessor_may_act_s)
         row.predecessor = former_holder if predecessor_may_act_s > 0.0 else None
-        receivers = set(self._members.live())
+        receivers = set(self._members.get_other_members())
         if row.predecessor is not None:
             receivers.add(row.predecessor.instance)
         for name in receivers:
@@ -253,7 +253,7 @@
             and (predecessor.instance, predecessor.incarnation) == sender
         ):
             row.predecessor = None
-            row.listener.predecessor_stopped(row.name)
+            row.listener.on_predecessor_stopped(row.name)
 
     def _is_vacant(self, row: DutyRow) -> bool:
         """Return whether a duty has no live holder, as far as this instance knows."""
@@ -280,7 +280,7 @@
         """
         if holder.instance == self._ctx.identity.instance:
             return True
-        member = self._members.live().get(holder.instance)
+        member = self._members.get_other_members().get(holder.instance)
         return member is not None and member.incarnation != holder.incarnation
 
     def _count_preferred_members(self, row: DutyRow) -> int:
@@ -290,7 +290,7 @@
         own_rank = (weights[own], hash_rank(row.name, own))
         return sum(
             (weights[name], hash_rank(row.name, name)) < own_rank
-            for name in self._members.live()
+            for name in self._members.get_other_members()
         )
 
     def _sum_duty_weights(self) -> Counter[str]:
--- a/wagtailrill/fleet/members.py
+++ b/wagtailrill/fleet/members.py
@@ -82,15 +82,15 @@
         """Add a callback that is called after each change of the fleet's keys."""
         self._listeners.append(listener)
 
-    def key(self, name: str) -> str:
+    def build_key(self, name: str) -> str:
         """Return the full store key of a name below the fleet's prefix."""
         return self._cfg.prefix + name
 
-    def live(self) -> dict[str, Member]:
+    def get_other_members(self) -> dict[str, Member]:
         """Return the other registered members by instance name."""
         return self._members
 
-    def counted(self) -> tuple[str, ...]:
+    def list_possibly_running(self) -> tuple[str, ...]:
         """Return the sorted names of all instances that may run, including this one.
 
         Fleet-wide allowances are divided into fixed shares by their number.
@@ -156,7 +156,7 @@
 
     def _register_member(self) -> None:
         put = Put(
-            self.key(MEMBERS_PREFIX + self._own_member.instance),
+            self.build_key(MEMBERS_PREFIX + self._own_member.instance),
             self._own_member.to_bytes(),
             self.lease_id,
         )
@@ -229,7 +229,7 @@
 
     def _on_change(self, keys: frozenset[str]) -> None:
         self._complete_since_s = min(self._complete_since_s, self._ctx.now_s)
-        prefix = self.key(MEMBERS_PREFIX)
+        prefix = self.build_key(MEMBERS_PREFIX)
         members = {}
         for key, item in self.mirror.items.items():
             member = read_member(item) if key.startswith(prefix) else None
@@ -255,7 +255,7 @@
     def _check_own_key(self) -> None:
         """Register again if the own key is gone, as after a lease lost in an outage."""
         item = self.mirror.items.get(
-            self.key(MEMBERS_PREFIX + self._own_member.instance)
+            self.build_key(MEMBERS_PREFIX + self._own_member.instance)
         )
         is_current = self.mirror.revision >= self._registered_revision
         if self._is_registered and not self._is_stopped and item is None and is_current:
@@ -263,7 +263,7 @@
             self._register_member()
 
     def _read_or_create_secret(self) -> None:
-        key = self.key(SECRET_NAME)
+        key = self.build_key(SECRET_NAME)
         item = self.mirror.items.get(key)
         if item is not None:
             self.secret = item.value
@@ -279,8 +279,8 @@
 
     def get_item(self, name: str) -> Item | None:
         """Return the mirrored item of a name below the fleet's prefix, if present."""
-        return self.mirror.items.get(self.key(name))
+        return self.mirror.items.get(self.build_key(name))
 
     def build_duty_key(self, duty: str) -> str:
         """Return the store key of a duty."""
-        return self.key(DUTIES_PREFIX + duty)
+        return self.build_key(DUTIES_PREFIX + duty)
--- a/wagtailrill/fleet/models.py
+++ b/wagtailrill/fleet/models.py
@@ -97,14 +97,16 @@
 class DutyListener(Protocol):
     """Does the work of a duty while this instance holds it."""
 
-    def duty_taken(self, duty: str, fence: int, predecessor_may_act_s: float) -> None:
+    def on_duty_taken(
+        self, duty: str, fence: int, predecessor_may_act_s: float
+    ) -> None:
         """Begin the work; a predecessor may still act for `predecessor_may_act_s`."""
         ...
 
-    def predecessor_stopped(self, duty: str) -> None:
+    def on_predecessor_stopped(self, duty: str) -> None:
         """Note that the predecessor no longer acts."""
         ...
 
-    def duty_lost(self, duty: str) -> None:
+    def on_duty_lost(self, duty: str) -> None:
         """Stop the work at once."""
         ...
--- a/wagtailrill/keys/component.py
+++ b/wagtailrill/keys/component.py
@@ -155,7 +155,7 @@
         row = self._rows.get(service)
         if row is None:
             return None
-        holder = self._duties.holder(DUTY_PREFIX + service)
+        holder = self._duties.get_holder(DUTY_PREFIX + service)
         routes = row.routes
         explanation: dict[str, str | int] = {
             "service": service,
@@ -170,7 +170,7 @@
         return explanation
 
     def _request_routes(self, row: ServiceRow) -> None:
-        holder = self._duties.holder(DUTY_PREFIX + row.name)
+        holder = self._duties.get_holder(DUTY_PREFIX + row.name)
         if (
             holder is None
             or self._ctx.now_s - row.last_request_s < ROUTES_REQUEST_INTERVAL_S
@@ -243,7 +243,9 @@
 
     # Duty
 
-    def duty_taken(self, duty: str, fence: int, predecessor_may_act_s: float) -> None:
+    def on_duty_taken(
+        self, duty: str, fence: int, predecessor_may_act_s: float
+    ) -> None:
         """Begin to assign the keys of a service."""
         row = self._rows[duty.removeprefix(DUTY_PREFIX)]
         row.sequence = row.published_sequence = 0
@@ -264,13 +266,13 @@
         )
         row.granter = Granter(deps, row.usage, fence, predecessor_may_act_s)
 
-    def predecessor_stopped(self, duty: str) -> None:
+    def on_predecessor_stopped(self, duty: str) -> None:
         """Pass on to the granter that its predecessor has stopped."""
         row = self._rows.get(duty.removeprefix(DUTY_PREFIX))
         if row is not None and row.granter is not None:
             row.granter.predecessor_stopped()
 
-    def duty_lost(self, duty: str) -> None:
+    def on_duty_lost(self, duty: str) -> None:
         """Stop assigning keys."""
         row = self._rows.get(duty.removeprefix(DUTY_PREFIX))
         if row is not None and row.granter is not None:
@@ -299,12 +301,12 @@
             return
         row.published_sequence, row.published_s = row.sequence, self._ctx.now_s
         update = _build_update(row.name, row.routes)
-        for name in self._members.live():
+        for name in self._members.get_other_members():
             self._ctx.send(name, update)
 
     def _update_routes(self, row: ServiceRow, segment_rows: list[SegmentRow]) -> None:
         row.sequence += 1
-        holder = self._duties.holder(DUTY_PREFIX + row.name)
+        holder = self._duties.get_holder(DUTY_PREFIX + row.name)
         starts: list[int] = []
         owners: list[str] = []
         for segment_row in segment_rows:
@@ -321,7 +323,7 @@
             if row.granter is not None:
                 routes = row.routes
                 notice = KeyRoutesNotice(row.name, routes.duty_fence, routes.sequence)
-                for name in self._members.live():
+                for name in self._members.get_other_members():
                     self._ctx.send(name, notice)
 
 
--- a/wagtailrill/keys/granter.py
+++ b/wagtailrill/keys/granter.py
@@ -342,7 +342,7 @@
         if not self._is_first_assignment:
             return True
         now_s = self._ctx.now_s
-        rows = self._deps.servers.by_service.get(self._deps.service, ())
+        rows = self._deps.servers.rows_by_service.get(self._deps.service, ())
         last_joined_s = max((row.joined_s for row in rows), default=now_s)
         waited_s = now_s - self._started_s
         return (
@@ -362,7 +362,7 @@
     def _list_capacities(self) -> list[Capacity]:
         return [
             self._deps.estimate_capacity(row)
-            for row in self._deps.servers.by_service.get(self._deps.service, ())
+            for row in self._deps.servers.rows_by_service.get(self._deps.service, ())
             if self._may_own_keys(row)
         ]
 
@@ -374,7 +374,7 @@
             return False
         return not servers.is_cold(server) or all(
             servers.is_cold(row)
-            for row in servers.by_service.get(self._deps.service, ())
+            for row in servers.rows_by_service.get(self._deps.service, ())
         )
 
     def _build_load_map(self) -> LoadMap:
--- a/wagtailrill/placement/component.py
+++ b/wagtailrill/placement/component.py
@@ -120,16 +120,18 @@
             self._parts.duties.withdraw(DUTY_PREFIX + name)
             del self._services[name]
 
-    def duty_taken(self, duty: str, fence: int, predecessor_may_act_s: float) -> None:
+    def on_duty_taken(
+        self, duty: str, fence: int, predecessor_may_act_s: float
+    ) -> None:
         """Do nothing: the dispatcher is created on first use.
 
         A predecessor that still places requests does no harm, so it is not waited for.
         """
 
-    def predecessor_stopped(self, duty: str) -> None:
+    def on_predecessor_stopped(self, duty: str) -> None:
         """Do nothing: a predecessor that still places requests does no harm."""
 
-    def duty_lost(self, duty: str) -> None:
+    def on_duty_lost(self, duty: str) -> None:
         """Do nothing: the next tick drops the dispatcher."""
 
     def estimate_capacity(self, server: ServerRow) -> Capacity:
@@ -168,7 +170,9 @@
         resolved.
         """
         state = self._services.get(query.service)
-        holder = self._parts.duties.holder(state.duty) if state is not None else None
+        holder = (
+            self._parts.duties.get_holder(state.duty) if state is not None else None
+        )
         if (
             state is None
             or holder is None
@@ -221,7 +225,7 @@
         if not dispatcher:
             state = self._services.get(service)
             holder = (
-                self._parts.duties.holder(state.duty) if state is not None else None
+                self._parts.duties.get_holder(state.duty) if state is not None else None
             )
             dispatcher = holder.instance if holder is not None else ""
         if dispatcher:
@@ -267,11 +271,11 @@
         if query.keyed and query.key_position is not None:
             owner = parts.keys.get_routes(query.service).find_owner(query.key_position)
             moving = owner not in parts.servers.rows
-            server = parts.choice.known(owner)
+            server = parts.choice.find_usable(owner)
         else:
-            server = parts.choice.choose(query.service, query.excluded)
+            server = parts.choice.choose_server(query.service, query.excluded)
             if server is None and query.excluded and not query.extra:
-                server = parts.choice.choose(query.service, frozenset())
+                server = parts.choice.choose_server(query.service, frozenset())
         if server is None:
             return NoServerAvailable(
                 moving, query.keyed, 0.0, self._ctx.identity.instance
@@ -319,7 +323,7 @@
             return NoServerAvailable(
                 moving, False, answer.retry_after_s, pending.dispatcher
             )
-        server = self._parts.choice.known(answer.backend_server)
+        server = self._parts.choice.find_usable(answer.backend_server)
         if server is None:
             # The server is unknown here, or it is cold and this instance has already
             # used its share of the requests allowed there.
@@ -365,7 +369,7 @@
             reply(PlaceAnswer(request.number, PlaceVerdict.NOT_HERE, "", 0.0))
             return
         data_centre = self._ctx.identity.data_centre
-        member = self._parts.members.live().get(envelope.sender)
+        member = self._parts.members.get_other_members().get(envelope.sender)
         if member is not None:
             data_centre = member.data_centre
         if request.key_position != NO_KEY:
--- a/wagtailrill/placement/dispatcher.py
+++ b/wagtailrill/placement/dispatcher.py
@@ -71,7 +71,7 @@
         """Place or refuse a request at once, or queue it and answer again later."""
         pending = self._make_pending(request, sender, data_centre, reply)
         if not request.extra:
-            self._demand.count(self._ctx.now_s)
+            self._demand.count_request(self._ctx.now_s)
         if self._try_to_place(pending, self._count_ahead(pending)):
             return
         if request.extra:
@@ -87,7 +87,7 @@
         """Record that a request has ended or was cancelled, and place queued ones."""
         assigned = self._assigned_requests.pop((sender, end.number), None)
         if assigned is not None:
-            assigned.load.assigned -= 1
+            assigned.load.assigned_requests -= 1
         if not end.backend_server:
             self._queue = [
                 p
@@ -103,23 +103,23 @@
         if end.running != NO_REPORT:
             report = LoadReport(end.running, end.waiting, load.slots, end.slowness)
         outcome = AttemptOutcome(end.outcome)
-        self._loads.ended(load, outcome, end.latency_s, report)
+        self._loads.record_end(load, outcome, end.latency_s, report)
         self._place_queued()
 
     def estimate_capacity(self, row: ServerRow) -> Capacity:
         """Return the usual capacity of a server, in requests per second."""
-        load = self._loads.of(row)
-        slowness = self._loads.usual_slowness(load)
-        rate_per_s = load.slots / (self._loads.work_s * slowness)
+        load = self._loads.get_load(row)
+        slowness = self._loads.estimate_lasting_slowness(load)
+        rate_per_s = load.slots / (self._loads.base_latency_s * slowness)
         return Capacity(load.name, rate_per_s, slowness)
 
     def get_last_report_s(self, row: ServerRow) -> float:
         """Return the monotonic time of a server's last load report with an answer."""
-        return self._loads.of(row).answered_s
+        return self._loads.get_load(row).last_answer_s
 
     def record_load(self, row: ServerRow, load: LoadReport) -> None:
         """Record a load report that did not come with the answer to a request."""
-        self._loads.of(row).report(load, self._ctx.now_s)
+        self._loads.get_load(row).record_report(load, self._ctx.now_s)
 
     def tick(self) -> None:
         """Drop overdue assignments; place or refuse requests that waited too long."""
@@ -141,13 +141,13 @@
         for key, assigned in list(self._assigned_requests.items()):
             load = assigned.load
             if now_s >= assigned.expires_s:
-                load.assigned -= 1
+                load.assigned_requests -= 1
                 del self._assigned_requests[key]
                 continue
             ages_s.setdefault(id(load), []).append(now_s - assigned.placed_s)
-        for load in self._loads.all():
+        for load in self._loads.list_loads():
             server_ages_s = ages_s.get(id(load))
-            load.usual_age_s = median_low(server_ages_s) if server_ages_s else 0.0
+            load.median_age_s = median_low(server_ages_s) if server_ages_s else 0.0
 
     def _place_queued(self) -> None:
         """Place queued requests on servers with free slots, in the order of rank."""
@@ -193,7 +193,7 @@
             load = self._find_owner_load(pending)
             if (
                 load is not None
-                and load.present() >= load.slots + OVERCOMMIT_REQUESTS_MAX
+                and load.estimate_in_flight() >= load.slots + OVERCOMMIT_REQUESTS_MAX
             ):
                 return False
         if load is None:
@@ -209,7 +209,7 @@
 
     def _assign_server(self, pending: PendingRequest, load: ServerLoad) -> None:
         request = pending.request
-        load.assigned += 1
+        load.assigned_requests += 1
         expires_s = self._ctx.now_s + request.left_s + UNREPORTED_END_GRACE_S
         self._assigned_requests[pending.sender, request.number] = AssignedRequest(
             load, self._ctx.now_s, expires_s
@@ -220,9 +220,9 @@
         position = pending.request.key_position
         name = self._parts.find_owner(position) if position != NO_KEY else ""
         row = self._parts.servers.rows.get(name)
-        if row is None or not self._parts.servers.may_be_used(row):
+        if row is None or not self._parts.servers.accepts_keyed_requests(row):
             return None
-        return self._loads.of(row)
+        return self._loads.get_load(row)
 
     def _find_options(
         self, data_centre: str, excluded: frozenset[str]
@@ -232,9 +232,9 @@
         best_cost_s = float("inf")
         full: list[tuple[ServerLoad, float]] = []
         for row in self._list_candidates(excluded):
-            load = self._loads.of(row)
-            cost_s = self._loads.cost_s(load, data_centre)
-            if load.present() >= load.slots:
+            load = self._loads.get_load(row)
+            cost_s = self._loads.estimate_cost_s(load, data_centre)
+            if load.estimate_in_flight() >= load.slots:
                 full.append((load, cost_s))
             elif cost_s < best_cost_s:
                 best, best_cost_s = load, cost_s
@@ -242,7 +242,7 @@
         return ServerOptions(
             best,
             best_cost_s,
-            sum(1.0 / self._loads.slot_s(load) for load, _ in faster),
+            sum(1.0 / self._loads.estimate_slot_interval_s(load) for load, _ in faster),
             min((cost_s for _, cost_s in faster), default=float("inf")),
         )
 
@@ -255,7 +255,7 @@
         servers = self._parts.servers
         rows = [
             row
-            for row in servers.by_service.get(self._parts.service, ())
+            for row in servers.rows_by_service.get(self._parts.service, ())
             if servers.accepts_work(row)
         ]
         now_s = self._ctx.now_s
@@ -263,7 +263,7 @@
         usable = [
             r
             for r in warm
-            if r.name not in excluded and not self._loads.of(r).suspect(now_s)
+            if r.name not in excluded and not self._loads.get_load(r).is_suspect(now_s)
         ]
         return usable or [r for r in warm if r.name not in excluded] or warm
 
@@ -271,7 +271,7 @@
         self, request: PlaceRequest, sender: str, data_centre: str, reply: ReplyCallback
     ) -> PendingRequest:
         now_s = self._ctx.now_s
-        request_time_s = self._loads.work_s * REQUEST_TIME_MARGIN_RATIO
+        request_time_s = self._loads.base_latency_s * REQUEST_TIME_MARGIN_RATIO
         target_left_s = request.target_s - request.waited_s
         late_in_min_s = request.target_s * LATE_WAIT_RATIO_MIN - request.waited_s
         late_in_s = max(target_left_s - request_time_s, late_in_min_s)
@@ -316,14 +316,14 @@
             owner = self._find_owner_load(pending)
             if owner is None:
                 return self._parts.estimate_unowned_s(pending.request.key_position)
-            ahead_count = owner.present() + 1.0 - owner.slots
+            ahead_count = owner.estimate_in_flight() + 1.0 - owner.slots
             ahead_count += sum(
                 self._find_owner_load(other) is owner for other in self._queue
             )
-            return ahead_count * self._loads.slot_s(owner)
+            return ahead_count * self._loads.estimate_slot_interval_s(owner)
         rate_per_s, demand_per_s = (
             self._estimate_service_rate_per_s(),
-            self._demand.rate(self._ctx.now_s),
+            self._demand.compute_rate_per_s(self._ctx.now_s),
         )
         spare_per_s = max(rate_per_s - demand_per_s, rate_per_s * SPARE_RATE_RATIO_MIN)
         return (
@@ -338,12 +338,12 @@
         load = self._find_owner_load(pending)
         if load is None:
             return self._parts.estimate_unowned_s(position)
-        ahead_count = load.present() + 1.0 - load.slots
+        ahead_count = load.estimate_in_flight() + 1.0 - load.slots
         ahead_count += sum(
             self._find_owner_load(other) is load and other.rank <= pending.rank
             for other in self._queue
         )
-        return ahead_count * self._loads.slot_s(load)
+        return ahead_count * self._loads.estimate_slot_interval_s(load)
 
     def _estimate_service_wait_s(self, pending: PendingRequest) -> float:
         rate_per_s = self._estimate_service_rate_per_s()
@@ -357,7 +357,7 @@
     def _estimate_service_rate_per_s(self) -> float:
         """Return how many requests per second all servers together can start."""
         return sum(
-            1.0 / self._loads.slot_s(self._loads.of(row))
+            1.0 / self._loads.estimate_slot_interval_s(self._loads.get_load(row))
             for row in self._list_candidates(frozenset())
         )
 
@@ -372,4 +372,4 @@
 
     def _find_load(self, name: str) -> ServerLoad | None:
         row = self._parts.servers.rows.get(name)
-        return self._loads.of(row) if row is not None else None
+        return self._loads.get_load(row) if row is not None else None
--- a/wagtailrill/rates/component.py
+++ b/wagtailrill/rates/component.py
@@ -39,7 +39,7 @@
         self._cfg = cfg
         self._duties = duties
         self.issuer = Issuer(ctx, cfg)
-        self.holder = Holder(ctx, cfg, members.counted, self._ask)
+        self.holder = Holder(ctx, cfg, members.list_possibly_running, self._ask)
         self._counted: tuple[str, ...] = ()
         self._members = members
         ctx.timers.subscribe(TICK_S, self._tick)
@@ -72,7 +72,9 @@
         """Admit a request now, or once a token has come."""
         self.holder.take(organisation, on_result)
 
-    def duty_taken(self, duty: str, fence: int, predecessor_may_act_s: float) -> None:
+    def on_duty_taken(
+        self, duty: str, fence: int, predecessor_may_act_s: float
+    ) -> None:
         """Begin to issue tokens."""
         self.issuer.begin(duty, predecessor_may_act_s)
         ttl_s = self._cfg.window_s + FULL_START_GUARD_S
@@ -85,7 +87,7 @@
         leased = result.ok if result.is_ok() else None
         if not isinstance(leased, Leased):
             return  # the buckets stay empty at first, which is safe
-        key = self._members.key(FULL_START + duty)
+        key = self._members.build_key(FULL_START + duty)
         put = Put(key, str(fence).encode(), leased.lease_id)
         self._ctx.call_store(
             Commit((Expected(key, 0),), (put,)),
@@ -98,17 +100,17 @@
         if filled:
             self.issuer.fill(duty)
 
-    def predecessor_stopped(self, duty: str) -> None:
+    def on_predecessor_stopped(self, duty: str) -> None:
         """Issue tokens at once."""
         self.issuer.predecessor_stopped(duty)
 
-    def duty_lost(self, duty: str) -> None:
+    def on_duty_lost(self, duty: str) -> None:
         """Stop issuing tokens."""
         self.issuer.end(duty)
 
     def _ask(self, organisation: str, wanted: int, returned: int, number: int) -> bool:
         """Ask the issuer; return whether one is known."""
-        holder = self._duties.holder(duty_of(organisation))
+        holder = self._duties.get_holder(duty_of(organisation))
         if holder is None or not holder.instance:
             return False
         request = TokenRequest(organisation, wanted, returned, number)
@@ -137,7 +139,7 @@
 
     def _tick(self) -> None:
         self.holder.tick()
-        counted = self._members.counted()
+        counted = self._members.list_possibly_running()
         if counted != self._counted:
             self._counted = counted
             self.holder.instances_changed()
--- a/wagtailrill/requests/attempts.py
+++ b/wagtailrill/requests/attempts.py
@@ -73,7 +73,7 @@
         row.attempt_history.append(attempt)
         row.tried_servers |= {placed.server.name}
         self._running_by_id[attempt.attempt_id] = (row, attempt)
-        self._choice.sent(placed.server)
+        self._choice.record_send(placed.server)
         self._ctx.emit(SendOrder(self._build_order(row, attempt)))
 
     def cancel_attempts(self, row: RequestRow) -> None:
@@ -97,13 +97,13 @@
         if result.outcome in POSSIBLE_RESTART_OUTCOMES:
             self._servers.doubt_warmth(attempt.placed.server, result.outcome.value)
         elif result.outcome is AttemptOutcome.ANSWERED:
-            self._servers.answered(attempt.placed.server, attempt.started_s)
-        self._choice.ended(attempt.placed.server, result)
+            self._servers.confirm_warmth(attempt.placed.server, attempt.started_s)
+        self._choice.record_result(attempt.placed.server, result)
         self.on_attempt_ended(row, attempt, result)
 
     def _get_connection_limit(self, server: ServerRow) -> int:
         """Return this instance's part of the connections that a server accepts."""
-        server_limit = self._servers.connections_max(server)
+        server_limit = self._servers.get_connections_max(server)
         if not server_limit:
             return 0
         return max(
--- a/wagtailrill/router/router.py
+++ b/wagtailrill/router/router.py
@@ -63,13 +63,15 @@
             if self.discovery is not None
             else None
         )
-        list_counted = self.members.counted
+        list_possibly_running = self.members.list_possibly_running
         allowances = cfg.allowances
         self.rates = Rates(ctx, self.members, self.duties, allowances.rates)
         self.cold_allowances = ColdAllowances(
-            ctx, self.servers, allowances.cold, list_counted
+            ctx, self.servers, allowances.cold, list_possibly_running
+        )
+        self.retries = ExtraAttemptBudget(
+            ctx, allowances.extra_attempts, list_possibly_running
         )
-        self.retries = ExtraAttemptBudget(ctx, allowances.extra_attempts, list_counted)
         self.server_choice = ServerChoice(ctx, self.servers, self.cold_allowances)
         self.placement = Placement(
             PlacementParts(
@@ -85,7 +87,7 @@
         self.keys.on_load_report = self.placement.record_load
         self.keys.get_last_report_s = self.placement.get_last_report_s
         self.crash_guard = CrashGuard(
-            ctx, self.servers, lambda: tuple(self.members.live())
+            ctx, self.servers, lambda: tuple(self.members.get_other_members())
         )
         self.claims = Claims(ctx, self.members, cfg.claim_prefix)
         self.pipeline = Pipeline(self._make_pipeline_dependencies())
@@ -124,7 +126,7 @@
 
     def address_of(self, backend_server: str) -> str | None:
         """Return the address of a backend server, None if it is unknown."""
-        return self.servers.address_of(backend_server)
+        return self.servers.find_address(backend_server)
 
     def get_status(self) -> dict[str, Any]:
         """Return the state of this instance for the admin interface."""
@@ -136,8 +138,8 @@
             "ready": self.is_ready(),
             "draining": self.draining,
             "configuration_version": configuration.version if configuration else 0,
-            "members": list(self.members.counted()),
-            "duties": list(self.duties.held()),
+            "members": list(self.members.list_possibly_running()),
+            "duties": list(self.duties.list_held()),
             "backend_servers": len(self.servers.rows),
             "open_requests": self.pipeline.count_open_requests(),
             "refusals": dict(counters.refusals),
@@ -153,8 +155,8 @@
         gauges = {
             "configuration_age_s": now_s - self.configuration.confirmed_s,
             "lease_left_s": self.members.lease_until_s - now_s,
-            "duties_held": float(len(self.duties.held())),
-            "members_live": float(len(self.members.live()) + 1),
+            "duties_held": float(len(self.duties.list_held())),
+            "members_live": float(len(self.members.get_other_members()) + 1),
             "backend_servers_cold": float(
                 sum(self.servers.is_cold(row) for row in self.servers.rows.values())
             ),
@@ -179,7 +181,7 @@
         if isinstance(servers, DeclaredServers):
             return None
         cfg = DiscoverySettings(servers.prefix)
-        return Discovery(ctx, cfg, servers.decoder, self.servers.update)
+        return Discovery(ctx, cfg, servers.decoder, self.servers.update_entries)
 
     def _make_pipeline_dependencies(self) -> PipelineDependencies:
         adapter = self._adapter
@@ -199,7 +201,7 @@
             placement=self.placement,
             crash_guard=self.crash_guard,
             claims=self.claims,
-            list_instances=self.members.counted,
+            list_instances=self.members.list_possibly_running,
         )
 
     def _attach_components(self) -> None:
@@ -224,10 +226,10 @@
         self.ctx.log(
             LogName.DRAIN_STARTED,
             open_requests=self.pipeline.count_open_requests(),
-            duties=",".join(self.duties.held()),
+            duties=",".join(self.duties.list_held()),
         )
         self.pipeline.set_stop_time(self.ctx.now_s + event.stop_in_s)
-        self.duties.resign()
+        self.duties.resign_all()
         self.members.stop()
 
     def _apply_configuration(self, configuration: Configuration) -> None:
@@ -243,4 +245,4 @@
             component.configure(configuration)
         servers = self._adapter.servers
         if isinstance(servers, DeclaredServers):
-            self.servers.update(servers.list_entries(configuration))
+            self.servers.update_entries(servers.list_entries(configuration))
--- a/wagtailrill/runtime/process.py
+++ b/wagtailrill/runtime/process.py
@@ -138,7 +138,7 @@
             self.callers.limits = limits
 
     def _members_changed(self) -> None:
-        members = self.router.members.live().values()
+        members = self.router.members.get_other_members().values()
         self.transport.set_addresses({m.instance: m.address for m in members})
         secret = self.router.members.secret
         if not self.cfg.peer_secrets and secret:
--- a/wagtailrill/servers/choice.py
+++ b/wagtailrill/servers/choice.py
@@ -25,49 +25,51 @@
         self._cold_allowances = cold_allowances
         self._loads: dict[str, LoadTable] = {}
 
-    def choose(self, service: str, exclude: frozenset[str]) -> ServerRow | None:
+    def choose_server(self, service: str, exclude: frozenset[str]) -> ServerRow | None:
         """Return the server with the lowest expected latency, None if there is none.
 
         `exclude` holds the names of servers that are not considered.
         """
         rows = [
             row
-            for row in self._table.by_service.get(service, ())
+            for row in self._table.rows_by_service.get(service, ())
             if self._table.accepts_work(row)
             and row.name not in exclude
             and self._cold_allowances.may_send(row)
         ]
         loads = self._get_loads(service)
         now_s = self._ctx.now_s
-        reachable = [row for row in rows if not loads.of(row).suspect(now_s)]
+        reachable = [row for row in rows if not loads.get_load(row).is_suspect(now_s)]
         return min(reachable or rows, key=self._estimate_latency_s, default=None)
 
-    def known(self, backend_server: str) -> ServerRow | None:
+    def find_usable(self, backend_server: str) -> ServerRow | None:
         """Return the row of a named server, None if it may not get a request now."""
         row = self._table.rows.get(backend_server)
-        if row is None or not self._table.may_be_used(row):
+        if row is None or not self._table.accepts_keyed_requests(row):
             return None
         if not self._cold_allowances.may_send(row):
             return None
         return row
 
-    def sent(self, row: ServerRow) -> None:
+    def record_send(self, row: ServerRow) -> None:
         """Record that a request is sent to a server."""
-        self._get_loads(row.entry.service).of(row).assigned += 1
+        self._get_loads(row.entry.service).get_load(row).assigned_requests += 1
         self._cold_allowances.record_send(row)
 
-    def ended(self, row: ServerRow, result: AttemptResult) -> None:
+    def record_result(self, row: ServerRow, result: AttemptResult) -> None:
         """Record the result of an attempt."""
         loads = self._get_loads(row.entry.service)
-        load = loads.of(row)
-        load.assigned = max(0, load.assigned - 1)
-        loads.ended(load, result.outcome, result.latency_s, result.load)
+        load = loads.get_load(row)
+        load.assigned_requests = max(0, load.assigned_requests - 1)
+        loads.record_end(load, result.outcome, result.latency_s, result.load)
 
     def _estimate_latency_s(self, row: ServerRow) -> float:
         loads = self._get_loads(row.entry.service)
-        load = loads.of(row)
-        load_factor = max(1.0, (load.present() + 1.0) / load.slots)
-        latency_s = loads.cost_s(load, self._ctx.identity.data_centre) * load_factor
+        load = loads.get_load(row)
+        load_factor = max(1.0, (load.estimate_in_flight() + 1.0) / load.slots)
+        latency_s = (
+            loads.estimate_cost_s(load, self._ctx.identity.data_centre) * load_factor
+        )
         # Jitter spreads requests over servers with equal estimates.
         return latency_s * (1.0 + 0.02 * self._ctx.rng.random())
 
--- a/wagtailrill/servers/load.py
+++ b/wagtailrill/servers/load.py
@@ -51,12 +51,12 @@
     rate_per_s: float = 0.0
     updated_s: float = 0.0
 
-    def count(self, now_s: float) -> None:
+    def count_request(self, now_s: float) -> None:
         """Count a request."""
-        self.rate_per_s = self.rate(now_s) + 1.0 / DEMAND_DECAY_S
+        self.rate_per_s = self.compute_rate_per_s(now_s) + 1.0 / DEMAND_DECAY_S
         self.updated_s = now_s
 
-    def rate(self, now_s: float) -> float:
+    def compute_rate_per_s(self, now_s: float) -> float:
         """Return the rate in requests per second."""
         return self.rate_per_s * math.exp(-(now_s - self.updated_s) / DEMAND_DECAY_S)
 
@@ -69,8 +69,8 @@
     """
 
     row: ServerRow
-    assigned: int = 0
-    # Requests in the last report that are not counted in `assigned`.
+    assigned_requests: int = 0
+    # Requests in the last report that are not counted in `assigned_requests`.
     external_requests: float = 0.0
     slowness: float = 1.0
     # Median of reports taken at intervals, robust against short disturbances.
@@ -79,9 +79,9 @@
     unreported_slowness: float = 1.0
     unreported_slowness_updated_s: float = 0.0
     # Median age of the requests that the server is running.
-    usual_age_s: float = 0.0
+    median_age_s: float = 0.0
     last_report_s: float = float("-inf")
-    answered_s: float = float("-inf")
+    last_answer_s: float = float("-inf")
     last_sample_s: float = float("-inf")
     slowness_samples: deque[float] = attrs.field(
         factory=lambda: deque(maxlen=SLOWNESS_SAMPLES_MAX)
@@ -91,10 +91,10 @@
     suspect_until_s: float = float("-inf")
     suspect_duration_s: float = 0.0
 
-    def report(self, report: LoadReport, now_s: float) -> None:
+    def record_report(self, report: LoadReport, now_s: float) -> None:
         """Record a load report."""
         self.external_requests = max(
-            0.0, report.running + report.waiting - self.assigned
+            0.0, report.running + report.waiting - self.assigned_requests
         )
         self.slowness = max(report.slowness, SLOWNESS_MIN)
         self.last_report_s = now_s
@@ -164,9 +164,9 @@
         """Return whether the server has not reported yet."""
         return not self.slowness_samples
 
-    def present(self) -> float:
+    def estimate_in_flight(self) -> float:
         """Return the estimated number of requests at the server, running or waiting."""
-        return self.assigned + self.external_requests
+        return self.assigned_requests + self.external_requests
 
     def estimate_slowness(self, now_s: float) -> float:
         """Return the last reported slowness, decaying with its age to the median."""
@@ -176,7 +176,7 @@
             + (self.slowness - self.median_slowness) * report_weight
         )
 
-    def suspect(self, now_s: float) -> bool:
+    def is_suspect(self, now_s: float) -> bool:
         """Return whether the server is avoided since it could not be reached."""
         return now_s < self.suspect_until_s
 
@@ -184,26 +184,26 @@
 class LoadTable:
     """Loads of the servers of one service, and its base latency.
 
-    `work_s` is the median latency of a request in seconds where the slowness is 1.0.
+    `base_latency_s` is the median latency of a request where the slowness is 1.0.
     """
 
     def __init__(self, ctx: Context) -> None:
-        self.work_s = BASE_LATENCY_INITIAL_S
+        self.base_latency_s = BASE_LATENCY_INITIAL_S
         self._ctx = ctx
         self._loads: dict[str, ServerLoad] = {}
 
-    def of(self, row: ServerRow) -> ServerLoad:
+    def get_load(self, row: ServerRow) -> ServerLoad:
         """Return the load of a server; a restarted server gets a new one."""
         load = self._loads.get(row.name)
         if load is None or load.row is not row:
             load = self._loads[row.name] = ServerLoad(row)
         return load
 
-    def all(self) -> Iterable[ServerLoad]:
+    def list_loads(self) -> Iterable[ServerLoad]:
         """Return the loads of all servers."""
         return self._loads.values()
 
-    def ended(
+    def record_end(
         self,
         load: ServerLoad,
         outcome: AttemptOutcome,
@@ -217,47 +217,50 @@
         now_s = self._ctx.now_s
         load.record_outcome(outcome, now_s)
         if report is not None:
-            load.answered_s = now_s
-            load.report(report, now_s)
+            load.last_answer_s = now_s
+            load.record_report(report, now_s)
         elif load.external_requests:
             load.external_requests = max(0.0, load.external_requests - 1.0)
-        if outcome is AttemptOutcome.ANSWERED and load.present() < load.slots:
-            latency_ratio = latency_s / (load.slowness * self.work_s)
+        if (
+            outcome is AttemptOutcome.ANSWERED
+            and load.estimate_in_flight() < load.slots
+        ):
+            latency_ratio = latency_s / (load.slowness * self.base_latency_s)
             load.record_latency_ratio(latency_ratio, now_s)
             # Fixed steps track the median, which a few slow servers hardly change.
-            self.work_s *= math.exp(
+            self.base_latency_s *= math.exp(
                 math.copysign(BASE_LATENCY_STEP_RATIO, latency_ratio - 1.0)
             )
 
-    def time_s(self, load: ServerLoad) -> float:
+    def estimate_latency_s(self, load: ServerLoad) -> float:
         """Return the expected latency of a request on a free slot of a server."""
         now_s = self._ctx.now_s
         latency_s = (
-            self.work_s
+            self.base_latency_s
             * load.estimate_slowness(now_s)
             * load.compute_unreported_slowness(now_s)
         )
-        return max(latency_s, load.usual_age_s)
+        return max(latency_s, load.median_age_s)
 
-    def cost_s(self, load: ServerLoad, data_centre: str) -> float:
+    def estimate_cost_s(self, load: ServerLoad, data_centre: str) -> float:
         """Return the expected latency weighted by failures and distance, in seconds."""
-        cost_s = self.time_s(load)
+        cost_s = self.estimate_latency_s(load)
         if load.row.entry.data_centre != data_centre:
             cost_s *= 1.0 + REMOTE_COST_RATIO
-        if load.has_no_report and not load.assigned:
+        if load.has_no_report and not load.assigned_requests:
             cost_s *= UNTRIED_COST_RATIO
         return cost_s * (
             1.0 + FAILURE_COST_RATIO * load.decay_failure_ratio(self._ctx.now_s)
         )
 
-    def slot_s(self, load: ServerLoad) -> float:
+    def estimate_slot_interval_s(self, load: ServerLoad) -> float:
         """Return the mean time in seconds between freed slots of a full server."""
         now_s = self._ctx.now_s
         slowness = load.estimate_slowness(now_s) * load.compute_unreported_slowness(
             now_s
         )
-        return self.work_s * slowness / load.slots
+        return self.base_latency_s * slowness / load.slots
 
-    def usual_slowness(self, load: ServerLoad) -> float:
+    def estimate_lasting_slowness(self, load: ServerLoad) -> float:
         """Return the lasting slowness of a server, reported or not."""
         return load.median_slowness * load.compute_unreported_slowness(self._ctx.now_s)
--- a/wagtailrill/servers/relay.py
+++ b/wagtailrill/servers/relay.py
@@ -57,13 +57,15 @@
         host.on_messages([EntriesRequest], self._on_request)
         host.on_messages([EntriesAnswer], self._on_answer)
 
-    def duty_taken(self, duty: str, fence: int, predecessor_may_act_s: float) -> None:
+    def on_duty_taken(
+        self, duty: str, fence: int, predecessor_may_act_s: float
+    ) -> None:
         """Do nothing: `_tick` checks the duty, and a second reader does no harm."""
 
-    def predecessor_stopped(self, duty: str) -> None:
+    def on_predecessor_stopped(self, duty: str) -> None:
         """Do nothing: a second reader does no harm."""
 
-    def duty_lost(self, duty: str) -> None:
+    def on_duty_lost(self, duty: str) -> None:
         """Do nothing: `_tick` checks the duty."""
 
     def _tick(self) -> None:
@@ -78,7 +80,7 @@
             discovery.read_entries()
 
     def _request_changes(self) -> None:
-        holder = self._duties.holder(READER_DUTY)
+        holder = self._duties.get_holder(READER_DUTY)
         if holder is None or not holder.instance:
             return
         self._request_number += 1
@@ -117,7 +119,7 @@
 
     def _on_request(self, envelope: Envelope) -> None:
         request: EntriesRequest = envelope.message
-        holder = self._duties.holder(READER_DUTY)
+        holder = self._duties.get_holder(READER_DUTY)
         if holder is None or not self._duties.holds(READER_DUTY) or not self._version:
             return
         full = request.reader_fence != holder.fence
--- a/wagtailrill/servers/table.py
+++ b/wagtailrill/servers/table.py
@@ -28,7 +28,7 @@
 
     def __init__(self, ctx: Context) -> None:
         self.rows: dict[str, ServerRow] = {}
-        self.by_service: dict[str, tuple[ServerRow, ...]] = {}
+        self.rows_by_service: dict[str, tuple[ServerRow, ...]] = {}
         self.closed_data_centres: frozenset[str] = frozenset()
         self._ctx = ctx
         self._services: dict[str, Service] = {}
@@ -45,7 +45,7 @@
         self.closed_data_centres = configuration.closed_data_centres
         self._publish_rows()
 
-    def update(self, entries: dict[str, ServerEntry]) -> None:
+    def update_entries(self, entries: dict[str, ServerEntry]) -> None:
         """Update the rows to match a complete list of entries by name."""
         changed = False
         for entry in entries.values():
@@ -63,7 +63,7 @@
             and row.entry.data_centre not in self.closed_data_centres
         )
 
-    def may_be_used(self, row: ServerRow) -> bool:
+    def accepts_keyed_requests(self, row: ServerRow) -> bool:
         """Return whether requests for keys that a server holds may still go to it.
 
         The keys of a leaving server move to others. If they cannot, for example while
@@ -71,7 +71,7 @@
         """
         return self._ctx.now_s < row.leaving_since_s + LEAVING_GRACE_S
 
-    def address_of(self, name: str) -> str | None:
+    def find_address(self, name: str) -> str | None:
         """Return the address of a server, also for some time after its removal.
 
         A server may keep running after its entry was removed, and can then be asked to
@@ -87,7 +87,7 @@
             else None
         )
 
-    def connections_max(self, row: ServerRow) -> int:
+    def get_connections_max(self, row: ServerRow) -> int:
         """Return the limit on connections of all instances to a server, 0 for none."""
         service = self._services.get(row.entry.service)
         declared = service.connections_max if service else 0
@@ -131,7 +131,7 @@
 
         self._ctx.call_backend(row.name, CheckSameProcess(), on_check_result)
 
-    def answered(self, row: ServerRow, started_s: float) -> None:
+    def confirm_warmth(self, row: ServerRow, started_s: float) -> None:
         """End the doubt if a request that was started before it has been answered.
 
         A restarted process loses all requests that it was running.
@@ -199,7 +199,9 @@
         }
         for row in self.rows.values():
             rows_by_service.setdefault(row.entry.service, []).append(row)
-        self.by_service = {name: tuple(rows) for name, rows in rows_by_service.items()}
+        self.rows_by_service = {
+            name: tuple(rows) for name, rows in rows_by_service.items()
+        }
         for listener in self._listeners:
             listener()
 
