--- a/tests/core/test_timer.py
+++ b/tests/core/test_timer.py
@@ -1,10 +1,10 @@
-"""Guards the timer service against lost, early or replayed callbacks."""
+"""Tests that the timer service runs callbacks when they are due, once and in order."""
 
 from wagtailrill.core.timer import TimerService
 
 
 def test_runs_callbacks_in_due_order():
-    """Guards against callbacks that run in the order of registration."""
+    """Guards against callbacks that run in order of registration, not of due time."""
     timers, ran = TimerService(), []
     timers.call_later(2.0, lambda: ran.append("late"))
     timers.call_later(1.0, lambda: ran.append("early"))
@@ -12,8 +12,8 @@
     assert ran == ["early", "late"]
 
 
-def test_skips_ticks_missed_during_a_pause():
-    """Guards against a burst of replayed ticks after a pause."""
+def test_skips_runs_missed_during_a_pause():
+    """Guards against a burst of overdue runs after a pause of the process."""
     timers, ran = TimerService(), []
     timers.subscribe(1.0, lambda: ran.append(None))
     timers.advance(0.0)
@@ -22,7 +22,7 @@
 
 
 def test_cancelled_callback_does_not_run():
-    """Guards against timeouts that fire after their cancellation."""
+    """Guards against timeouts that fire after they were cancelled."""
     timers, ran = TimerService(), []
     timers.call_later(1.0, lambda: ran.append(None)).cancel()
     timers.advance(2.0)
--- a/tests/organisations/test_headers.py
+++ b/tests/organisations/test_headers.py
@@ -1,4 +1,4 @@
-"""Guards the header checks against smuggling and forged identity."""
+"""Tests the header checks against request smuggling and forged identities."""
 
 import pytest
 from hypothesis import given, settings, strategies as st
@@ -10,7 +10,7 @@
 
 RESERVED = HeaderBackends(NAMES).reserved
 HOST = (b"host", b"box.example")
-SMUGGLED = {
+AMBIGUOUS_HEADERS = {
     "CR in value": ((b"a", b"x\ry"),),
     "LF in value": ((b"a", b"x\n"), (b"b", b"y")),
     "NUL in value": ((b"a", b"\0"),),
@@ -34,11 +34,11 @@
 }
 
 
-@pytest.mark.parametrize("headers", SMUGGLED.values(), ids=SMUGGLED)
+@pytest.mark.parametrize("headers", AMBIGUOUS_HEADERS.values(), ids=AMBIGUOUS_HEADERS)
 def test_refuses_ambiguous_headers(headers):
-    """Guards against requests that two servers read differently."""
-    for placed in ((HOST, *headers), (*headers, HOST)):
-        refusal = check_headers(placed)
+    """Guards against requests that two servers parse differently."""
+    for combined in ((HOST, *headers), (*headers, HOST)):
+        refusal = check_headers(combined)
         assert refusal is not None
         assert refusal.code is RefusalCode.BAD_REQUEST
 
@@ -53,13 +53,13 @@
         ((b"x-empty", b""), (b"x-tab", b"a\tb")),
     ],
 )
-def test_accepts_plain_headers(headers):
+def test_accepts_well_formed_headers(headers):
     """Guards against refusals of well-formed requests."""
     assert check_headers(headers) is None
 
 
 def test_strips_identity_and_hop_by_hop_headers():
-    """Guards against a forged organisation and against keys sent to servers."""
+    """Guards against forged organisations and keys forwarded to backend servers."""
     kept = (HOST, (b"accept", b"*/*"), (b"content-length", b"3"))
     dropped = (
         (b"x-tenant-key", b"wr_a_b"),
@@ -79,17 +79,17 @@
 HEADER_NAMES = st.sampled_from(
     [b"connection", b"x-tenant-key", b"wagtailrill-x", b"host", b"x-a", b"a b", b""]
 )
-VALUES = st.one_of(st.binary(max_size=8), st.sampled_from([b"x-a, te", b"1"]))
+HEADER_VALUES = st.one_of(st.binary(max_size=8), st.sampled_from([b"x-a, te", b"1"]))
 
 
 @settings(derandomize=True, max_examples=300)
-@given(st.lists(st.tuples(HEADER_NAMES, VALUES), max_size=6).map(tuple))
-def test_no_header_list_gets_through(headers):
-    """Guards against combinations that the fault table does not list."""
+@given(st.lists(st.tuples(HEADER_NAMES, HEADER_VALUES), max_size=6).map(tuple))
+def test_no_generated_header_list_evades_the_checks(headers):
+    """Guards against combinations that `AMBIGUOUS_HEADERS` does not list."""
     stripped = strip_headers(headers, RESERVED)
     assert not {b"connection", b"x-tenant-key", b"wagtailrill-x"} & set(dict(stripped))
     assert strip_headers(stripped, RESERVED) == stripped
-    bad = any(
+    is_invalid = any(
         name in (b"a b", b"") or set(value) & set(b"\r\n\0") for name, value in headers
     )
-    assert (check_headers(headers) is not None) == bad
+    assert (check_headers(headers) is not None) == is_invalid
--- a/tests/rates/test_rates.py
+++ b/tests/rates/test_rates.py
@@ -1,11 +1,11 @@
-"""Guards the rates of organisations over all instances, on the virtual clock."""
+"""Tests the fleet-wide rate limits of organisations on a simulated clock."""
 
 import pytest
 
 from tests.runs.declaration import ORGANISATIONS, RATES
 from tests.runs.deployment import Deployment
 
-WITHIN_PER_S = 9.0  # of the 12/s that organisation `busy` has
+ALLOWED_PER_S = 9.0  # organisation `busy` is limited to 12 requests/s
 
 
 @pytest.fixture
@@ -16,18 +16,18 @@
     return deployment
 
 
-def send(run, seconds, per_s, names, organisation="busy"):
-    """Return the calls of an even load at some instances."""
-    calls, end_s, number = [], run.now_s + seconds, 0
+def send_requests(run, duration_s, rate_per_s, names, organisation="busy"):
+    """Send requests at an even rate to the instances in turn; return the calls."""
+    calls, end_s, number = [], run.now_s + duration_s, 0
     while run.now_s < end_s:
         calls.append(run.call(names[number % len(names)], organisation=organisation))
         number += 1
-        run.fleet.run_until(run.now_s + 1.0 / per_s)
+        run.fleet.run_until(run.now_s + 1.0 / rate_per_s)
     run.fleet.run_until(run.now_s + 1.0)
     return calls
 
 
-def most_in_window(run, organisation="busy"):
+def count_most_in_window(run, organisation="busy"):
     times = sorted(
         e.at_s for e in run.servers.executions if e.organisation == organisation
     )
@@ -37,79 +37,86 @@
 
 
 def test_organisation_within_its_rate_is_not_refused(run):
-    """Guards against wrongful refusals where callers are spread unevenly."""
-    calls = send(run, 6.0, WITHIN_PER_S, ["i-1", "i-1", "i-1", "i-2"])
+    """Guards against refusals within the limit when callers use instances unevenly."""
+    calls = send_requests(run, 6.0, ALLOWED_PER_S, ["i-1", "i-1", "i-1", "i-2"])
     refused = [c for c in calls if c.refusal is not None]
     assert len(refused) <= len(calls) * 0.02
 
 
-def test_organisation_far_beyond_its_rate_stays_within_the_bound(run):
-    """Guards against an organisation that gets its rate at each instance."""
-    send(run, 8.0, 200.0, run.names)
-    assert most_in_window(run) <= RATES.bound(ORGANISATIONS["busy"])
+def test_organisation_far_above_its_rate_stays_within_the_bound(run):
+    """Guards against an organisation that gets its full rate at every instance."""
+    send_requests(run, 8.0, 200.0, run.names)
+    assert count_most_in_window(run) <= RATES.bound(ORGANISATIONS["busy"])
 
 
 def test_bound_holds_when_the_issuer_is_lost(run):
-    """Guards against a successor that issues what its predecessor has issued."""
-    send(run, 3.0, 200.0, run.names)
+    """Guards against a successor that issues its predecessor's tokens again."""
+    send_requests(run, 3.0, 200.0, run.names)
     issuers = [
-        n for n in run.names if any(map(_issues, run.router(n).duties.list_held()))
+        n
+        for n in run.names
+        if any(map(_is_issuing_duty, run.router(n).duties.list_held()))
     ]
     run.kill(issuers[0])
     rest = [n for n in run.names if n != issuers[0]]
-    send(run, 6.0, 200.0, rest)
-    assert most_in_window(run) <= RATES.bound(ORGANISATIONS["busy"])
+    send_requests(run, 6.0, 200.0, rest)
+    assert count_most_in_window(run) <= RATES.bound(ORGANISATIONS["busy"])
 
 
 def test_bound_holds_while_instances_cannot_reach_each_other(run):
-    """Guards against instances that count alone and exceed the rate together."""
+    """Guards against isolated instances that exceed the bound together."""
     run.fleet.partition({"i-1"})
     run.fleet.partition({"i-2"})
-    send(run, 8.0, 200.0, run.names)
-    assert most_in_window(run) <= RATES.bound(ORGANISATIONS["busy"])
+    send_requests(run, 8.0, 200.0, run.names)
+    assert count_most_in_window(run) <= RATES.bound(ORGANISATIONS["busy"])
 
 
-def test_cut_off_instance_serves_its_own_part(run):
-    """Guards against an instance that refuses everybody without an issuer."""
+def test_isolated_instance_admits_its_own_share(run):
+    """Guards against an instance that refuses all requests without an issuer."""
     for name in run.names[1:]:
         run.fleet.cut("i-1", name)
-    calls = send(run, 4.0, 2.0, ["i-1"], organisation="calm")
+    calls = send_requests(run, 4.0, 2.0, ["i-1"], organisation="calm")
     assert sum(c.answered for c in calls) >= len(calls) * 0.7
 
 
-def _issues(duty: str) -> bool:
+def _is_issuing_duty(duty: str) -> bool:
     return duty.startswith("rates/")
 
 
-def test_all_processes_lost_at_once_leave_the_bound_and_serve_at_once(run):
-    """Guards against organisations that are refused after a loss of all instances.
+def test_restart_of_all_instances_keeps_the_bound_and_serves_at_once(run):
+    """Guards against refusals after all instances were lost at the same time.
 
-    On trouble-2 of pcb-gate 746 answers were 429 in the second after such a loss.
+    Buckets of a new issuer start empty unless a full start is allowed. On trouble-2 of
+    pcb-gate, 746 answers were 429 in the second after such a loss.
     """
-    send(run, 6.0, WITHIN_PER_S, run.names)
+    send_requests(run, 6.0, ALLOWED_PER_S, run.names)
     for name in run.names:
         run.kill(name)
     run.fleet.run_until(run.now_s + 3.0)
     for name in run.names:
         run.fleet.start(name)
     run.fleet.run_until(run.now_s + 1.0)
-    calls = send(run, 2.0, 5.0, ["i-1", "i-2"])
+    calls = send_requests(run, 2.0, 5.0, ["i-1", "i-2"])
     refused = [c for c in calls if c.refusal and c.refusal.status == 429]
     assert len(refused) <= 1
-    assert most_in_window(run) <= RATES.bound(ORGANISATIONS["busy"])
+    assert count_most_in_window(run) <= RATES.bound(ORGANISATIONS["busy"])
 
 
-def test_full_start_is_allowed_once_in_a_window(run):
-    """Guards against issuers that are lost one after the other, each with full ones."""
+def test_full_start_is_allowed_once_per_window(run):
+    """Guards against successive issuers that each start with full buckets."""
     for _ in range(3):
-        issuers = {n for n in run.fleet.nodes if any(_issues(d) for d in held(run, n))}
-        send(run, 0.5, 200.0, list(run.fleet.nodes))
+        issuers = {
+            n
+            for n in run.fleet.nodes
+            if any(_is_issuing_duty(d) for d in get_held_duties(run, n))
+        }
+        send_requests(run, 0.5, 200.0, list(run.fleet.nodes))
         for name in issuers:
             run.kill(name)
             run.fleet.start(name)
-    send(run, 4.0, 200.0, list(run.fleet.nodes))
-    assert most_in_window(run) <= RATES.bound(ORGANISATIONS["busy"])
+    send_requests(run, 4.0, 200.0, list(run.fleet.nodes))
+    assert count_most_in_window(run) <= RATES.bound(ORGANISATIONS["busy"])
 
 
-def held(run, name):
+def get_held_duties(run, name):
     return run.router(name).duties.list_held()
--- a/wagtailrill/core/__init__.py
+++ b/wagtailrill/core/__init__.py
@@ -1,1 +1,1 @@
-"""Shared parts of the decision code: context, timers, commands, errors."""
+"""Parts that all decision code shares: context, timers, events, commands, refusals."""
--- a/wagtailrill/core/commands.py
+++ b/wagtailrill/core/commands.py
@@ -1,4 +1,4 @@
-"""Commands that the decision code returns and the I/O code carries out."""
+"""Commands that the decision code returns and the I/O code executes."""
 
 from typing import TYPE_CHECKING
 
@@ -14,14 +14,14 @@
 
 @attrs.frozen
 class SendPeer:
-    """Send a message to another instance; it may be lost."""
+    """Send a message to another instance; delivery is not guaranteed."""
 
     envelope: "Envelope"
 
 
 @attrs.frozen
 class CallStore:
-    """Call the platform store; the result comes back as `StoreReplied`."""
+    """Call the platform store; `StoreReplied` returns the result."""
 
     call_id: int
     operation: "StoreOperation"
@@ -29,7 +29,7 @@
 
 @attrs.frozen
 class CallBackend:
-    """Call a backend server's control interface; answered by `BackendReplied`."""
+    """Make a control call to a backend server; `BackendReplied` returns its result."""
 
     call_id: int
     backend_server: str
@@ -38,7 +38,7 @@
 
 @attrs.frozen
 class SendOrder:
-    """Forward a request to a backend server; answered by `AttemptEnded`."""
+    """Send a request to a backend server; `AttemptEnded` returns the result."""
 
     order: "Order"
 
@@ -52,7 +52,7 @@
 
 @attrs.frozen
 class CloseConnections:
-    """Close the idle connections to a backend server; busy ones when they finish."""
+    """Close the connections to a backend server: idle ones now, busy ones after use."""
 
     backend_server: str
 
@@ -67,7 +67,7 @@
 
 @attrs.frozen
 class AnswerRequest:
-    """Answer a caller with the answer of one of its attempts."""
+    """Answer a caller with the backend server's answer to an attempt."""
 
     request_id: int
     attempt_id: int
@@ -75,7 +75,7 @@
 
 @attrs.frozen
 class ReplayAnswer:
-    """Answer a caller with the stored answer of an earlier delivery."""
+    """Answer a caller with the stored answer to an earlier delivery of its request."""
 
     request_id: int
     status: int
--- a/wagtailrill/core/context.py
+++ b/wagtailrill/core/context.py
@@ -1,4 +1,4 @@
-"""Context that every component of one instance shares."""
+"""State and services that all components of one instance share."""
 
 import itertools
 import random
@@ -20,7 +20,7 @@
 
 @attrs.frozen
 class Identity:
-    """Name, process start and place of an instance."""
+    """Name, process incarnation and data centre of an instance."""
 
     instance: str
     incarnation: int
@@ -30,7 +30,8 @@
 class Context:
     """Time, randomness, timers and outgoing commands of one instance.
 
-    `now_s` is monotonic; `wall_s` is Unix time. The engine sets both on each step.
+    `now_s` is the monotonic and `wall_s` the Unix time in seconds, both as of the
+    current step. Components read no clock of their own.
     """
 
     def __init__(
@@ -43,27 +44,28 @@
         self.wall_s = 0.0
         self.timers = TimerService()
         self.commands: list[Command] = []
-        self._sequences: dict[str, int] = {}
+        self._last_sequences: dict[str, int] = {}
         self._call_ids = itertools.count(1)
-        self._store_calls: dict[int, Callable[[StoreResult], None]] = {}
-        self._backend_calls: dict[int, Callable[[ControlResult], None]] = {}
+        self._store_callbacks: dict[int, Callable[[StoreResult], None]] = {}
+        self._backend_callbacks: dict[int, Callable[[ControlResult], None]] = {}
 
     def set_time(self, now_s: float, wall_s: float) -> None:
-        """Set both clocks; the monotonic one never goes back."""
+        """Set both times; the monotonic one never decreases."""
         self.now_s = max(self.now_s, now_s)
         self.wall_s = wall_s
 
     def emit(self, command: Command) -> None:
-        """Queue a command for the I/O code."""
+        """Queue a command for the I/O code to execute."""
         self.commands.append(command)
 
     def send(self, instance: str, message: "PeerMessage", incarnation: int = 0) -> None:
-        """Queue a message to an instance, or to one process of it if given.
+        """Queue a message to an instance.
 
+        Only the process with `incarnation` accepts it, or any process if that is 0.
         Messages to this instance itself are handled before the step ends.
         """
-        sequence = self._sequences.get(instance, 0) + 1
-        self._sequences[instance] = sequence
+        sequence = self._last_sequences.get(instance, 0) + 1
+        self._last_sequences[instance] = sequence
         envelope = Envelope(
             sender=self.identity.instance,
             incarnation=self.identity.incarnation,
@@ -75,15 +77,15 @@
         self.commands.append(SendPeer(envelope))
 
     def log(self, event: str, **fields: str | int | float) -> None:
-        """Queue a log line."""
+        """Queue a structured log line."""
         self.commands.append(LogEvent(event, tuple(fields.items())))
 
     def call_store(
         self, operation: "StoreOperation", on_result: "Callable[[StoreResult], None]"
     ) -> None:
-        """Queue a store call; `on_result` runs when the I/O code reports back."""
+        """Queue a store call; `on_result` receives its result in a later step."""
         call_id = next(self._call_ids)
-        self._store_calls[call_id] = on_result
+        self._store_callbacks[call_id] = on_result
         self.commands.append(CallStore(call_id, operation))
 
     def call_backend(
@@ -92,20 +94,20 @@
         operation: "ControlOperation",
         on_result: "Callable[[ControlResult], None]",
     ) -> None:
-        """Queue a control call to a backend server."""
+        """Queue a control call; `on_result` receives its result in a later step."""
         call_id = next(self._call_ids)
-        self._backend_calls[call_id] = on_result
+        self._backend_callbacks[call_id] = on_result
         self.commands.append(CallBackend(call_id, backend_server, operation))
 
     def store_replied(self, call_id: int, result: "StoreResult") -> None:
-        """Run the callback of a store call."""
-        callback = self._store_calls.pop(call_id, None)
+        """Pass a result to the callback of its store call; ignore unknown ids."""
+        callback = self._store_callbacks.pop(call_id, None)
         if callback is not None:
             callback(result)
 
     def backend_replied(self, call_id: int, result: "ControlResult") -> None:
-        """Run the callback of a control call."""
-        callback = self._backend_calls.pop(call_id, None)
+        """Pass a result to the callback of its control call; ignore unknown ids."""
+        callback = self._backend_callbacks.pop(call_id, None)
         if callback is not None:
             callback(result)
 
--- a/wagtailrill/core/events.py
+++ b/wagtailrill/core/events.py
@@ -1,4 +1,4 @@
-"""Events that the I/O code hands to the decision code."""
+"""Events that the I/O code passes to the decision code."""
 
 import attrs
 
@@ -10,14 +10,14 @@
 
 @attrs.frozen
 class PeerReceived:
-    """An authenticated message from another instance."""
+    """An authenticated message from another instance arrived."""
 
     envelope: Envelope
 
 
 @attrs.frozen
 class StoreReplied:
-    """Result of a `CallStore` command."""
+    """The result of a `CallStore` command."""
 
     call_id: int
     result: StoreResult
@@ -25,7 +25,7 @@
 
 @attrs.frozen
 class BackendReplied:
-    """Result of a `CallBackend` command."""
+    """The result of a `CallBackend` command."""
 
     call_id: int
     result: ControlResult
@@ -33,14 +33,14 @@
 
 @attrs.frozen
 class RequestArrived:
-    """A caller's request."""
+    """A caller's request arrived and was parsed."""
 
     request: CallerRequest
 
 
 @attrs.frozen
 class AttemptEnded:
-    """Result of a `SendOrder` command."""
+    """The result of a `SendOrder` command."""
 
     result: AttemptResult
 
@@ -54,7 +54,7 @@
 
 @attrs.frozen
 class DrainRequested:
-    """Start a planned stop, which ends after `stop_in_s` seconds at the latest."""
+    """A planned stop begins; the process ends within `stop_in_s` seconds."""
 
     stop_in_s: float
 
--- a/wagtailrill/core/findings.py
+++ b/wagtailrill/core/findings.py
@@ -1,11 +1,11 @@
-"""Findings of a check, collected with their place and reported together."""
+"""Problems found in input such as settings, reported together with their paths."""
 
 import attrs
 
 
 @attrs.frozen
 class Finding:
-    """One problem: its JSON path (such as `$.services[2].slots`) and a sentence."""
+    """A problem at a JSON path such as `$.services[2].slots`, stated in a sentence."""
 
     path: str
     message: str
@@ -16,12 +16,12 @@
 
 @attrs.define
 class Findings:
-    """Collects problems in the order in which they are found."""
+    """Problems in the order in which they were found; true if there are any."""
 
     items: list[Finding] = attrs.field(factory=list)
 
     def add(self, path: str, message: str) -> None:
-        """Record a problem."""
+        """Add a problem."""
         self.items.append(Finding(path, message))
 
     def __bool__(self) -> bool:
--- a/wagtailrill/core/host.py
+++ b/wagtailrill/core/host.py
@@ -1,4 +1,4 @@
-"""Host that steps the components of one instance."""
+"""Dispatches events, peer messages and timers to the components of one instance."""
 
 from collections import deque
 from collections.abc import Callable, Iterable
@@ -15,80 +15,80 @@
 
 
 class ComponentHost:
-    """Dispatches events and messages to components and returns their commands.
+    """Passes events and peer messages to components and returns their commands.
 
-    It has no clock: each step is given the monotonic and the Unix time in seconds.
+    It reads no clock: each step is given the monotonic and the Unix time in seconds.
     """
 
     def __init__(self, ctx: Context) -> None:
         self.ctx = ctx
         self.dropped_messages = 0
-        self._events: dict[type, EventHandler] = {
-            PeerReceived: lambda event: self._receive(event.envelope),
+        self._event_handlers: dict[type, EventHandler] = {
+            PeerReceived: lambda event: self._receive_message(event.envelope),
             StoreReplied: lambda event: ctx.store_replied(event.call_id, event.result),
             BackendReplied: lambda event: ctx.backend_replied(
                 event.call_id, event.result
             ),
         }
-        self._messages: dict[type, MessageHandler] = {}
+        self._message_handlers: dict[type, MessageHandler] = {}
         self._step_hooks: list[Callable[[], None]] = []
-        self._sequences = SequenceFilter()
+        self._sequence_filter = SequenceFilter()
 
     def on_event(self, cls: type, handler: EventHandler) -> None:
-        """Route events of a class to a handler."""
-        self._events[cls] = handler
+        """Register the handler of an event class, replacing an earlier one."""
+        self._event_handlers[cls] = handler
 
     def on_messages(self, classes: Iterable[type], handler: MessageHandler) -> None:
-        """Route peer messages of some classes to a handler."""
+        """Register the handler of peer messages of some classes."""
         for cls in classes:
-            self._messages[cls] = handler
+            self._message_handlers[cls] = handler
 
     def before_step(self, hook: Callable[[], None]) -> None:
-        """Run a hook in each step, after the clock is set and before the event."""
+        """Register a hook that each step runs with the new time, before the event."""
         self._step_hooks.append(hook)
 
     def step(self, event: Event | None, now_s: float, wall_s: float) -> list[Command]:
-        """Handle an event and due timers; return the commands to carry out."""
+        """Handle an event, then due timers; return the commands to execute."""
         self.ctx.set_time(now_s, wall_s)
         for hook in self._step_hooks:
             hook()
         if event is not None:
-            handler = self._events.get(type(event))
+            handler = self._event_handlers.get(type(event))
             if handler is not None:
                 handler(event)
         self.ctx.timers.advance(self.ctx.now_s)
-        return self._deliver_local(self.ctx.drain_commands())
+        return self._deliver_local_messages(self.ctx.drain_commands())
 
     def next_due_s(self) -> float | None:
-        """Return the time of the next timer in seconds, if there is one."""
+        """Return the monotonic time of the next timer in seconds, if there is one."""
         return self.ctx.timers.next_due_s()
 
-    def _deliver_local(self, commands: list[Command]) -> list[Command]:
+    def _deliver_local_messages(self, commands: list[Command]) -> list[Command]:
         instance = self.ctx.identity.instance
         remote: list[Command] = []
         pending = deque(commands)
         while pending:
             command = pending.popleft()
             if isinstance(command, SendPeer) and command.envelope.receiver == instance:
-                self._dispatch(command.envelope)
+                self._dispatch_message(command.envelope)
                 pending.extend(self.ctx.drain_commands())
             else:
                 remote.append(command)
         return remote
 
-    def _receive(self, envelope: Envelope) -> None:
+    def _receive_message(self, envelope: Envelope) -> None:
         identity = self.ctx.identity
         for_this_process = (
             envelope.receiver == identity.instance
             and envelope.receiver_incarnation in (0, identity.incarnation)
         )
-        if for_this_process and self._sequences.accept(envelope):
-            self._dispatch(envelope)
+        if for_this_process and self._sequence_filter.accept(envelope):
+            self._dispatch_message(envelope)
         else:
             self.dropped_messages += 1
 
-    def _dispatch(self, envelope: Envelope) -> None:
-        handler = self._messages.get(type(envelope.message))
+    def _dispatch_message(self, envelope: Envelope) -> None:
+        handler = self._message_handlers.get(type(envelope.message))
         if handler is None:
             self.dropped_messages += 1
         else:
--- a/wagtailrill/core/invariants.py
+++ b/wagtailrill/core/invariants.py
@@ -1,4 +1,4 @@
-"""Invariant checks inside the program."""
+"""Checks invariants at run time; all components use it through the context."""
 
 from collections.abc import Callable
 
@@ -6,19 +6,25 @@
 
 
 class InvariantError(AssertionError):
-    """An invariant of docs/design.md does not hold."""
+    """An invariant of docs/design.md is violated."""
 
 
 @attrs.define
 class Invariants:
-    """Checks invariants; in production a violation is counted, not raised."""
+    """Counts violated invariants by name.
+
+    With `raise_errors` a violation raises `InvariantError`; production turns it off.
+    """
 
     raise_errors: bool = True
     violations: dict[str, int] = attrs.field(factory=dict)
     on_violation: Callable[[str, str], None] | None = None
 
     def check(self, holds: bool, name: str, detail: str = "") -> bool:
-        """Record a violation of the named invariant unless it holds."""
+        """Record a violation unless the named invariant holds; return whether it does.
+
+        Raises `InvariantError` on a violation if `raise_errors` is set.
+        """
         if holds:
             return True
         self.violations[name] = self.violations.get(name, 0) + 1
--- a/wagtailrill/core/log_events.py
+++ b/wagtailrill/core/log_events.py
@@ -1,10 +1,10 @@
-"""Names of the log lines, a closed list that docs/OPERATIONS.md explains."""
+"""Names of all log lines of the decision code; docs/OPERATIONS.md explains them."""
 
 import enum
 
 
 class LogName(enum.StrEnum):
-    """Name of a log line of the decision code."""
+    """Name of a log line, written out as its event."""
 
     STORE_WATCH_LOST = "store_watch_lost"
     STORE_WATCH_REGAINED = "store_watch_regained"
--- a/wagtailrill/core/orders.py
+++ b/wagtailrill/core/orders.py
@@ -1,4 +1,4 @@
-"""Requests of callers and the orders forwarded to backend servers."""
+"""Requests of callers, requests to backend servers, and the results of attempts."""
 
 import enum
 
@@ -9,12 +9,13 @@
 
 @attrs.frozen
 class CallerRequest:
-    """A request as it arrived; header names are lower case.
+    """A request as it arrived; header names are in lower case.
 
-    `caller_id` is the caller's own name of the request and `time_left_s` how long the
-    caller waits, if it says so. `credential` is the tenant key that came with the
-    request, and `key_position` the place of its key among 65,536. `attempt` counts the
-    attempts of a caller that is itself a backend server.
+    `caller_id` is the id that the caller gave the request, and `time_left_s` how long
+    the caller will wait, None if it did not say. `credential` is the tenant key that
+    came with the request. `key_position` is the position of the request's key among
+    65,536, None without a key. `attempt` is the attempt number sent by a caller that is
+    itself a backend server.
     """
 
     request_id: int
@@ -34,12 +35,13 @@
 
 @attrs.frozen
 class Order:
-    """One attempt at a request on one backend server.
+    """One attempt at a caller's request, as sent to one backend server.
 
-    `timeout_s` is how long the caller still waits. `expires_unix_s` is absolute so that
-    an order delayed by a pause is not run late. `caller_id` is the caller's name of the
-    request, by which its answer is known; `connections_max` bounds the connections of
-    this instance to the server, 0 for no bound.
+    `timeout_s` is how long the caller still waits. `expires_unix_s` is absolute, so
+    that a request delayed by a pause is not run too late. `caller_id` is the id that
+    the caller gave the request; an answer with another id is rejected.
+    `connections_max` limits the connections of this instance to the server, 0 for no
+    limit.
     """
 
     attempt_id: int
@@ -62,22 +64,24 @@
     """How an attempt ended."""
 
     ANSWERED = "answered"
-    SHED = "shed"  # the backend server refused it without running it
-    FENCED = "fenced"  # the grant check refused it without running it
-    MISDIRECTED = "misdirected"  # another server, or one without the key; not run
-    FAILED = "failed"  # the backend server ran it and answered with a failure
+    SHED = "shed"  # load shedding: the backend server did not run it
+    FENCED = "fenced"  # the backend server's grant check rejected it, not run
+    MISDIRECTED = (
+        "misdirected"  # reached another server or one without the key, not run
+    )
+    FAILED = "failed"  # the backend server ran it and answered with an error
     CONNECT_FAILED = "connect_failed"  # nothing was sent
-    LOST = "lost"  # sent, and the connection ended before a whole answer
-    BAD_ANSWER = "bad_answer"  # an answer that is cut, too long or another request's
+    LOST = "lost"  # sent, but the connection closed before the whole answer
+    BAD_ANSWER = "bad_answer"  # truncated, too long or the answer to another request
     TIMED_OUT = "timed_out"
     CANCELLED = "cancelled"
 
 
 @attrs.frozen
 class LoadReport:
-    """Load that a backend server reports with an answer.
+    """Load that a backend server reports with an answer, in requests and slots.
 
-    `slowness` is how long work takes there now, 1.0 as usual.
+    `slowness` is how long work takes there now, relative to the usual time.
     """
 
     running: int
@@ -88,7 +92,7 @@
 
 @attrs.frozen
 class AttemptResult:
-    """Result of an attempt; `latency_s` counts from sending the order."""
+    """Result of an attempt; `latency_s` counts from sending the request."""
 
     attempt_id: int
     outcome: AttemptOutcome
--- a/wagtailrill/core/refusals.py
+++ b/wagtailrill/core/refusals.py
@@ -1,4 +1,4 @@
-"""Errors that callers receive, as listed in docs/design.md."""
+"""Error answers to callers, as listed in docs/design.md."""
 
 import enum
 from typing import Final
@@ -7,14 +7,14 @@
 
 
 class Ran(enum.StrEnum):
-    """Says whether a backend server may have run the delivered request."""
+    """Whether a backend server may have run the request."""
 
     NO = "no"
     UNKNOWN = "unknown"
 
 
 class RefusalCode(enum.StrEnum):
-    """Code of an error answer."""
+    """Machine-readable code of an error answer."""
 
     BAD_REQUEST = "bad_request"
     IDEMPOTENCY_KEY_REQUIRED = "idempotency_key_required"
@@ -72,7 +72,11 @@
 
 @attrs.frozen
 class Refusal:
-    """An error answer: code, plain message, whether it ran, and when to retry."""
+    """An error answer to a caller.
+
+    `ran` says whether the request may have run, `retry_after_s` after how many seconds
+    the caller may try again.
+    """
 
     code: RefusalCode
     message: str
@@ -81,5 +85,5 @@
 
     @property
     def status(self) -> int:
-        """Return the HTTP status."""
+        """Return the HTTP status code."""
         return STATUS_BY_CODE[self.code]
--- a/wagtailrill/core/timer.py
+++ b/wagtailrill/core/timer.py
@@ -1,4 +1,4 @@
-"""Timer service that components subscribe to."""
+"""Schedules callbacks for the components; the component host advances its time."""
 
 import heapq
 import itertools
@@ -9,7 +9,7 @@
 
 @attrs.define(eq=False, slots=True)
 class TimerHandle:
-    """Identifies a scheduled callback."""
+    """A scheduled callback; `callback` is None once it has run or was cancelled."""
 
     due_s: float
     callback: Callable[[], None] | None
@@ -20,7 +20,10 @@
 
 
 class TimerService:
-    """Runs callbacks at their due time; the owner supplies the time."""
+    """Runs callbacks when they are due; times are monotonic seconds.
+
+    It reads no clock; its owner supplies the time.
+    """
 
     def __init__(self, now_s: float = 0.0) -> None:
         self._now_s = now_s
@@ -42,19 +45,19 @@
     ) -> None:
         """Run a callback every `interval_s` seconds, first after `first_s`.
 
-        Ticks missed during a pause are skipped, not replayed.
+        Runs missed during a pause of the process are skipped, not repeated.
         """
 
-        def run(due_s: float) -> None:
+        def run_and_reschedule(due_s: float) -> None:
             next_s = max(due_s + interval_s, self._now_s)
-            self.call_at(next_s, lambda: run(next_s))
+            self.call_at(next_s, lambda: run_and_reschedule(next_s))
             callback()
 
         start_s = self._now_s + first_s
-        self.call_at(start_s, lambda: run(start_s))
+        self.call_at(start_s, lambda: run_and_reschedule(start_s))
 
     def next_due_s(self) -> float | None:
-        """Return the time of the next callback in seconds, if there is one."""
+        """Return the monotonic time of the next callback in s, if there is one."""
         while self._queue and self._queue[0][2].callback is None:
             heapq.heappop(self._queue)
         return self._queue[0][0] if self._queue else None
--- a/wagtailrill/organisations/__init__.py
+++ b/wagtailrill/organisations/__init__.py
@@ -1,1 +1,1 @@
-"""Tenant keys of organisations and checks of callers' headers."""
+"""Authentication by tenant keys, and checks of the headers of callers."""
--- a/wagtailrill/organisations/const.py
+++ b/wagtailrill/organisations/const.py
@@ -6,9 +6,10 @@
 KEY_ID_BYTES: Final = 8
 SECRET_BYTES: Final = 32
 SALT_BYTES: Final = 16
-# Bounds the work spent on a key before it is known to be well formed.
+# Limits the work spent on a value that may not be a well-formed key.
 TENANT_KEY_MAX_BYTES: Final = 256
-TOKEN_CHARACTERS: Final = b"!#$%&'*+-.^_`|~0123456789abcdefghijklmnopqrstuvwxyz"
+# Characters of an HTTP token in lower case.
+HEADER_NAME_CHARACTERS: Final = b"!#$%&'*+-.^_`|~0123456789abcdefghijklmnopqrstuvwxyz"
 HOP_BY_HOP_HEADERS: Final = frozenset(
     (
         b"connection",
@@ -22,5 +23,6 @@
         b"upgrade",
     )
 )
-# A Connection header that names these would change the meaning of the request.
+# Kept even if a Connection header names them: without them the request would mean
+# something else.
 END_TO_END_HEADERS: Final = frozenset((b"content-length", b"host"))
--- a/wagtailrill/organisations/keys.py
+++ b/wagtailrill/organisations/keys.py
@@ -1,4 +1,7 @@
-"""Tenant keys: issue, authentication and withdrawal."""
+"""Issues tenant keys and authenticates requests by them.
+
+The request checks authenticate with it; the command line issues keys.
+"""
 
 import hashlib
 import hmac
@@ -35,44 +38,49 @@
     RefusalCode.TENANT_KEY_INVALID,
     "The tenant key does not have the form wr_<key id>_<secret>.",
 )
-# Unknown, withdrawn and wrong keys are not told apart, so that a caller cannot
-# find out which key ids exist.
-_REFUSED: Final = Refusal(
+# Unknown, withdrawn and wrong keys get the same refusal, so that a caller cannot find
+# out which key ids exist.
+_UNKNOWN_OR_WITHDRAWN: Final = Refusal(
     RefusalCode.TENANT_KEY_INVALID, "The tenant key is unknown or withdrawn."
 )
-_UNKNOWN: Final = StoredKey(
-    "", bytes(SALT_BYTES), bytes(hashlib.sha256().digest_size), Error(_REFUSED)
+# Stands in for the stored key of an unknown key id.
+_DUMMY_KEY: Final = StoredKey(
+    "",
+    bytes(SALT_BYTES),
+    bytes(hashlib.sha256().digest_size),
+    Error(_UNKNOWN_OR_WITHDRAWN),
 )
 
 
-def key_digest(salt: bytes, secret: bytes) -> bytes:
-    """Return the SHA-256 under which a secret is stored."""
+def hash_secret(salt: bytes, secret: bytes) -> bytes:
+    """Return the SHA-256 digest of salt and secret, which is what is stored."""
     return hashlib.sha256(salt + secret).digest()
 
 
 def issue_key(rng_bytes: Callable[[int], bytes]) -> tuple[str, TenantKeyHash]:
-    """Return a new clear key, shown once, and the hash to store.
+    """Return a new key in clear text, to be shown once, and the hash to store.
 
-    `rng_bytes` must be a cryptographic source such as `secrets.token_bytes`.
+    `rng_bytes` returns the given number of random bytes. It must be a cryptographic
+    source such as `secrets.token_bytes`.
     """
     key_id = rng_bytes(KEY_ID_BYTES).hex()
     secret = rng_bytes(SECRET_BYTES).hex()
     salt = rng_bytes(SALT_BYTES)
-    digest = key_digest(salt, secret.encode())
+    digest = hash_secret(salt, secret.encode())
     return f"wr_{key_id}_{secret}", TenantKeyHash(key_id, salt.hex(), digest.hex())
 
 
 def opaque_key_hash(secret: bytes) -> TenantKeyHash:
-    """Return the hash of a key without a form of its own, such as a random token.
+    """Return the hash to store for a key without inner format, such as a random token.
 
-    Its id is taken from the hash, so that it can be found without the key.
+    The key id is the start of the hash, so that the hash can be looked up by the key.
     """
     digest = hashlib.sha256(secret).hexdigest()
     return TenantKeyHash(digest[:KEY_ID_BYTES], "", digest)
 
 
 class KeyForm(Protocol):
-    """How a tenant key names itself."""
+    """Format of tenant keys, from which the key id is derived."""
 
     def split(self, value: bytes) -> tuple[str, bytes] | None:
         """Return the key's id and secret, or None if it is malformed."""
@@ -89,7 +97,7 @@
 
 
 class OpaqueKeyForm:
-    """Keys without a form of their own; see `opaque_key_hash`."""
+    """Keys without inner format; see `opaque_key_hash`."""
 
     def split(self, value: bytes) -> tuple[str, bytes] | None:
         """Return the key's id and secret."""
@@ -97,7 +105,7 @@
 
 
 class TenantKeys:
-    """Tenant keys of the configuration in force."""
+    """Authenticates requests by the tenant keys of the current configuration."""
 
     def __init__(self, form: KeyForm | None = None) -> None:
         self._version = -1
@@ -105,26 +113,26 @@
         self._form = form or NamedKeyForm()
 
     def configure(self, configuration: Configuration) -> None:
-        """Apply a configuration unless a later one is in force."""
+        """Apply a configuration unless a later one has been applied."""
         if configuration.version < self._version:
             return
         self._version = configuration.version
         keys: dict[str, StoredKey] = {}
-        repeated: set[str] = set()
+        repeated_ids: set[str] = set()
         for organisation in configuration.declaration.organisations:
             for entry in organisation.tenant_keys:
                 if entry.key_id in keys:
-                    repeated.add(entry.key_id)
+                    repeated_ids.add(entry.key_id)
                 digest = bytes.fromhex(entry.sha256)
                 tenant = Tenant(organisation.name, entry.key_id, digest)
                 keys[entry.key_id] = StoredKey(
                     organisation.name, bytes.fromhex(entry.salt), digest, Ok(tenant)
                 )
-        # A key id that occurs twice does not identify an organisation.
-        self._keys = {k: v for k, v in keys.items() if k not in repeated}
+        # A key id that occurs more than once does not identify an organisation.
+        self._keys = {k: v for k, v in keys.items() if k not in repeated_ids}
 
     def authenticate(self, headers: Headers) -> Result[Tenant, Refusal]:
-        """Return the tenant whose key came with a request, or the refusal."""
+        """Return the tenant by the key in the headers, or the refusal."""
         values = [value for name, value in headers if name == TENANT_KEY_HEADER]
         if not values:
             return Error(_MISSING)
@@ -133,7 +141,7 @@
         return self.authenticate_key(values[0])
 
     def authenticate_key(self, value: bytes | None) -> Result[Tenant, Refusal]:
-        """Return the tenant whose key this is, or the refusal."""
+        """Return the tenant of a key, or the refusal; None means that no key came."""
         if value is None:
             return Error(_MISSING)
         if len(value) > TENANT_KEY_MAX_BYTES:
@@ -144,7 +152,7 @@
         return self._verify(*parts)
 
     def still_valid(self, tenant: Tenant) -> bool:
-        """Return whether the key of an authenticated tenant is still in force."""
+        """Return whether the key of an authenticated tenant is still configured."""
         stored = self._keys.get(tenant.key_id)
         return (
             stored is not None
@@ -154,10 +162,11 @@
 
     def _verify(self, key_id: str, secret: bytes) -> Result[Tenant, Refusal]:
         known = self._keys.get(key_id)
-        # An unknown key id costs the same hash and comparison as a known one.
-        stored = known or _UNKNOWN
-        digest = key_digest(stored.salt, secret)
+        # The same hash and comparison run for unknown key ids, so that the response
+        # time does not show which ones exist.
+        stored = known or _DUMMY_KEY
+        digest = hash_secret(stored.salt, secret)
         matches = hmac.compare_digest(digest, stored.digest)
         if known is None or not matches:
-            return Error(_REFUSED)
-        return stored.accepted
+            return Error(_UNKNOWN_OR_WITHDRAWN)
+        return stored.authenticated
--- a/wagtailrill/organisations/models.py
+++ b/wagtailrill/organisations/models.py
@@ -1,4 +1,4 @@
-"""Models of tenant keys."""
+"""Authenticated tenants and stored tenant keys."""
 
 import attrs
 from expression import Result
@@ -8,7 +8,10 @@
 
 @attrs.frozen
 class Tenant:
-    """The organisation of an authenticated key; the digest tells a replaced key."""
+    """Organisation and key of an authenticated request.
+
+    `digest` shows whether the key was replaced under the same id.
+    """
 
     organisation: str
     key_id: str
@@ -17,10 +20,10 @@
 
 @attrs.frozen
 class StoredKey:
-    """A tenant key hash of the configuration in binary form."""
+    """A tenant key hash of the configuration, decoded to bytes."""
 
     organisation: str
     salt: bytes = attrs.field(repr=False)
     digest: bytes = attrs.field(repr=False)
-    # Made once: making a Result for each request costs as much as the hash.
-    accepted: Result[Tenant, Refusal] = attrs.field(repr=False)
+    # Built once: building a Result for each request costs as much as the hash.
+    authenticated: Result[Tenant, Refusal] = attrs.field(repr=False)
--- a/wagtailrill/rates/__init__.py
+++ b/wagtailrill/rates/__init__.py
@@ -1,1 +1,1 @@
-"""Rates of organisations, kept by all instances together."""
+"""Fleet-wide rate limits of organisations, enforced with token buckets."""
--- a/wagtailrill/rates/holder.py
+++ b/wagtailrill/rates/holder.py
@@ -1,4 +1,7 @@
-"""Tokens that this instance holds, and the requests that wait for one."""
+"""Holds the tokens granted to this instance and admits requests with them.
+
+`Rates` calls it for each request, for each token grant and periodically.
+"""
 
 import math
 from collections import deque
@@ -9,20 +12,20 @@
 from ..core.context import Context
 from ..requests.interfaces import RateLimitResult
 from .const import (
-    AHEAD_S,
     DEMAND_DECAY_S,
-    DENIAL_PAUSE_S,
-    OWN_BURST_PART,
-    OWN_PART,
+    DEMAND_LOOKAHEAD_S,
+    DENIAL_BACKOFF_MIN_S,
+    NO_ANSWER_BACKOFF_S,
+    OWN_SHARE_BOUND_RATIO,
+    OWN_SHARE_BURST_RATIO,
     RETRY_AFTER_MAX_S,
     RETRY_AFTER_MIN_S,
-    SILENCE_PAUSE_S,
-    TOKENS_KEPT_S,
-    WAIT_S,
+    TOKEN_WAIT_S,
+    UNUSED_TOKENS_MAX_AGE_S,
     WAITERS_MAX,
 )
 from .messages import TokenGrant
-from .models import Bucket, Limit, RateSettings
+from .models import Limit, RateSettings, TokenBucket
 
 OnResult = Callable[[RateLimitResult], None]
 ADMITTED = RateLimitResult(True)
@@ -30,190 +33,200 @@
 
 @attrs.define(eq=False)
 class Waiter:
-    """A request that waits for a token."""
+    """A request that waits for a token until `expires_s`."""
 
-    until_s: float
+    expires_s: float
     on_result: OnResult
 
 
 @attrs.define(eq=False)
-class Purse:
-    """Tokens of one organisation that this instance may use."""
+class OrganisationTokens:
+    """Tokens, demand and waiting requests of one organisation at this instance.
+
+    `request_number` is that of the token request under way, 0 if there is none. Until
+    `backoff_until_s` no further one is sent.
+    """
 
     limit: Limit
-    own: Bucket
+    own_bucket: TokenBucket
     tokens: int = 0
     used_s: float = float("-inf")
     demand_per_s: float = 0.0
-    demand_s: float = 0.0
+    demand_updated_s: float = 0.0
     waiters: deque[Waiter] = attrs.field(factory=deque)
-    asked_number: int = 0
-    asked_s: float = float("-inf")
-    ask_after_s: float = float("-inf")
+    request_number: int = 0
+    requested_s: float = float("-inf")
+    backoff_until_s: float = float("-inf")
     denied_until_s: float = float("-inf")
 
-    def count(self, now_s: float) -> None:
-        """Count a request in the demand."""
-        decay = math.exp(-(now_s - self.demand_s) / DEMAND_DECAY_S)
+    def count_request(self, now_s: float) -> None:
+        """Add a request to the exponentially decaying demand."""
+        decay = math.exp(-(now_s - self.demand_updated_s) / DEMAND_DECAY_S)
         self.demand_per_s = self.demand_per_s * decay + 1.0 / DEMAND_DECAY_S
-        self.demand_s = now_s
+        self.demand_updated_s = now_s
 
-    def wanted(self, now_s: float) -> int:
-        """Return the tokens needed for the requests that wait and come soon."""
-        decay = math.exp(-(now_s - self.demand_s) / DEMAND_DECAY_S)
-        ahead = self.demand_per_s * decay * AHEAD_S
-        return max(0, len(self.waiters) + math.ceil(ahead) - self.tokens)
+    def count_missing_tokens(self, now_s: float) -> int:
+        """Return how many tokens the waiting and the expected requests lack."""
+        decay = math.exp(-(now_s - self.demand_updated_s) / DEMAND_DECAY_S)
+        expected = self.demand_per_s * decay * DEMAND_LOOKAHEAD_S
+        return max(0, len(self.waiters) + math.ceil(expected) - self.tokens)
 
 
-class Holder:
-    """Admits requests by tokens, or by this instance's own share when none come.
+class TokenHolder:
+    """Admits requests with granted tokens, or from the own share when none arrive.
 
-    The own share is a part of what the fleet may exceed a rate by, divided among the
-    instances, so that it needs no agreement.
+    The own share is this instance's part of the tolerance by which the fleet may exceed
+    a rate limit. It is divided evenly among the instances, so using it needs no
+    coordination.
     """
 
     def __init__(
         self,
         ctx: Context,
         cfg: RateSettings,
-        instances: Callable[[], tuple[str, ...]],
-        ask: Callable[[str, int, int, int], bool],
+        list_instances: Callable[[], tuple[str, ...]],
+        send_token_request: Callable[[str, int, int, int], bool],
     ) -> None:
         self._ctx = ctx
         self._cfg = cfg
-        self._instances = instances
-        self._ask_issuer = ask
-        self._purses: dict[str, Purse] = {}
-        self._number = 0
+        self._list_instances = list_instances
+        self._send_token_request = send_token_request
+        self._by_organisation: dict[str, OrganisationTokens] = {}
+        self._last_request_number = 0
 
     def configure(self, limits: dict[str, Limit]) -> None:
-        """Apply the limits of a configuration."""
+        """Apply the limits of a configuration, by organisation."""
         now_s = self._ctx.now_s
-        purses: dict[str, Purse] = {}
+        by_organisation: dict[str, OrganisationTokens] = {}
         for name, limit in limits.items():
-            purse = self._purses.get(name)
-            own = self._own_limit(limit)
-            if purse is None:
-                purse = Purse(limit, Bucket(own, now_s))
-            elif purse.limit != limit:
-                purse.limit = limit
-                purse.own.resize(own, now_s)
-                purse.tokens = min(purse.tokens, math.floor(limit.burst))
-            purses[name] = purse
-        self._purses = purses
+            row = self._by_organisation.get(name)
+            own_limit = self._compute_own_limit(limit)
+            if row is None:
+                row = OrganisationTokens(limit, TokenBucket(own_limit, now_s))
+            elif row.limit != limit:
+                row.limit = limit
+                row.own_bucket.set_limit(own_limit, now_s)
+                row.tokens = min(row.tokens, math.floor(limit.burst))
+            by_organisation[name] = row
+        self._by_organisation = by_organisation
 
     def apply_settings(self, cfg: RateSettings) -> None:
-        """Replace the settings."""
+        """Replace the settings and recompute the own shares."""
         self._cfg = cfg
-        self.instances_changed()
-
-    def instances_changed(self) -> None:
-        """Divide the own shares anew."""
-        for purse in self._purses.values():
-            purse.own.resize(self._own_limit(purse.limit), self._ctx.now_s)
-
-    def take(self, organisation: str, on_result: OnResult) -> None:
-        """Admit a request now, or once a token has come."""
-        purse = self._purses.get(organisation)
-        if purse is None:
+        self.update_own_shares()
+
+    def update_own_shares(self) -> None:
+        """Recompute the own shares after a change of the settings or the instances."""
+        for row in self._by_organisation.values():
+            row.own_bucket.set_limit(
+                self._compute_own_limit(row.limit), self._ctx.now_s
+            )
+
+    def take_token(self, organisation: str, on_result: OnResult) -> None:
+        """Decide on a request now, or once a token has arrived or the wait is over."""
+        row = self._by_organisation.get(organisation)
+        if row is None:
             on_result(RateLimitResult(False, RETRY_AFTER_MAX_S, "unknown_organisation"))
             return
-        if math.isinf(purse.limit.rate_per_s):
+        if math.isinf(row.limit.rate_per_s):
             on_result(ADMITTED)
             return
         now_s = self._ctx.now_s
-        purse.count(now_s)
-        if purse.tokens > 0 and not purse.waiters:
-            purse.tokens -= 1
-            purse.used_s = now_s
+        row.count_request(now_s)
+        if row.tokens > 0 and not row.waiters:
+            row.tokens -= 1
+            row.used_s = now_s
             on_result(ADMITTED)
-            if purse.tokens == 0:
-                self._ask(organisation, purse)
+            if row.tokens == 0:
+                self._request_tokens(organisation, row)
             return
-        if now_s < purse.denied_until_s or len(purse.waiters) >= WAITERS_MAX:
-            self._use_own_share(purse, on_result)
+        if now_s < row.denied_until_s or len(row.waiters) >= WAITERS_MAX:
+            self._use_own_share(row, on_result)
             return
-        purse.waiters.append(Waiter(now_s + WAIT_S, on_result))
-        self._ask(organisation, purse)
-        self._ctx.timers.call_later(WAIT_S, lambda: self._expire(purse))
-
-    def granted(self, grant: TokenGrant) -> None:
-        """Use the tokens that an issuer has granted."""
-        purse = self._purses.get(grant.organisation)
-        if purse is None or grant.number != purse.asked_number:
+        row.waiters.append(Waiter(now_s + TOKEN_WAIT_S, on_result))
+        self._request_tokens(organisation, row)
+        self._ctx.timers.call_later(TOKEN_WAIT_S, lambda: self._expire_waiters(row))
+
+    def apply_grant(self, grant: TokenGrant) -> None:
+        """Admit waiting requests with granted tokens; back off after a denial."""
+        row = self._by_organisation.get(grant.organisation)
+        if row is None or grant.number != row.request_number:
             return
         now_s = self._ctx.now_s
-        purse.asked_number = 0
-        purse.tokens += grant.tokens
-        purse.used_s = now_s
-        self._serve(purse)
+        row.request_number = 0
+        row.tokens += grant.tokens
+        row.used_s = now_s
+        self._admit_waiters(row)
         if not grant.issues:
-            purse.ask_after_s = now_s + SILENCE_PAUSE_S
+            row.backoff_until_s = now_s + NO_ANSWER_BACKOFF_S
         elif grant.tokens == 0:
-            pause_s = max(min(grant.due_in_s, 1.0), DENIAL_PAUSE_S)
-            purse.ask_after_s = purse.denied_until_s = now_s + pause_s
-        elif purse.waiters:
-            self._ask(grant.organisation, purse)
-        if purse.ask_after_s > now_s:
-            while purse.waiters:
-                self._use_own_share(purse, purse.waiters.popleft().on_result)
-
-    def tick(self) -> None:
-        """Give back tokens that are not used."""
+            backoff_s = max(min(grant.due_in_s, 1.0), DENIAL_BACKOFF_MIN_S)
+            row.backoff_until_s = row.denied_until_s = now_s + backoff_s
+        elif row.waiters:
+            self._request_tokens(grant.organisation, row)
+        if row.backoff_until_s > now_s:
+            while row.waiters:
+                self._use_own_share(row, row.waiters.popleft().on_result)
+
+    def return_unused_tokens(self) -> None:
+        """Return tokens to their issuer that have not been used for a while."""
         now_s = self._ctx.now_s
-        for name, purse in self._purses.items():
-            if purse.tokens and now_s - purse.used_s > TOKENS_KEPT_S:
-                tokens, purse.tokens = purse.tokens, 0
-                self._ask_issuer(name, 0, tokens, 0)
+        for name, row in self._by_organisation.items():
+            if row.tokens and now_s - row.used_s > UNUSED_TOKENS_MAX_AGE_S:
+                tokens, row.tokens = row.tokens, 0
+                self._send_token_request(name, 0, tokens, 0)
 
-    def _ask(self, organisation: str, purse: Purse) -> None:
+    def _request_tokens(self, organisation: str, row: OrganisationTokens) -> None:
         now_s = self._ctx.now_s
-        if now_s < purse.ask_after_s:
-            self._drain_waiters(purse)
+        if now_s < row.backoff_until_s:
+            self._resolve_waiters(row)
             return
-        if purse.asked_number and now_s - purse.asked_s < WAIT_S:
+        if row.request_number and now_s - row.requested_s < TOKEN_WAIT_S:
             return
-        wanted = purse.wanted(now_s)
+        wanted = row.count_missing_tokens(now_s)
         if wanted == 0:
             return
-        self._number += 1
-        purse.asked_number, purse.asked_s = self._number, now_s
-        if not self._ask_issuer(organisation, wanted, 0, self._number):
-            purse.asked_number = 0
-            purse.ask_after_s = now_s + SILENCE_PAUSE_S
-            self._drain_waiters(purse)
-
-    def _drain_waiters(self, purse: Purse) -> None:
-        while purse.waiters:
-            self._use_own_share(purse, purse.waiters.popleft().on_result)
-
-    def _serve(self, purse: Purse) -> None:
-        while purse.waiters and purse.tokens > 0:
-            purse.tokens -= 1
-            purse.waiters.popleft().on_result(ADMITTED)
-
-    def _expire(self, purse: Purse) -> None:
+        self._last_request_number += 1
+        row.request_number, row.requested_s = self._last_request_number, now_s
+        if not self._send_token_request(
+            organisation, wanted, 0, self._last_request_number
+        ):
+            row.request_number = 0
+            row.backoff_until_s = now_s + NO_ANSWER_BACKOFF_S
+            self._resolve_waiters(row)
+
+    def _resolve_waiters(self, row: OrganisationTokens) -> None:
+        """Decide on all waiting requests from the own share."""
+        while row.waiters:
+            self._use_own_share(row, row.waiters.popleft().on_result)
+
+    def _admit_waiters(self, row: OrganisationTokens) -> None:
+        while row.waiters and row.tokens > 0:
+            row.tokens -= 1
+            row.waiters.popleft().on_result(ADMITTED)
+
+    def _expire_waiters(self, row: OrganisationTokens) -> None:
         now_s = self._ctx.now_s
-        expired = False
-        while purse.waiters and purse.waiters[0].until_s <= now_s:
-            expired = True
-            self._use_own_share(purse, purse.waiters.popleft().on_result)
-        if expired and purse.asked_number:
-            # The issuer does not answer; its answer is not waited for any more.
-            purse.asked_number = 0
-            purse.ask_after_s = now_s + SILENCE_PAUSE_S
-
-    def _use_own_share(self, purse: Purse, on_result: OnResult) -> None:
+        has_expired = False
+        while row.waiters and row.waiters[0].expires_s <= now_s:
+            has_expired = True
+            self._use_own_share(row, row.waiters.popleft().on_result)
+        if has_expired and row.request_number:
+            # The issuer did not answer in time; a later answer is ignored.
+            row.request_number = 0
+            row.backoff_until_s = now_s + NO_ANSWER_BACKOFF_S
+
+    def _use_own_share(self, row: OrganisationTokens, on_result: OnResult) -> None:
         now_s = self._ctx.now_s
-        if purse.own.take(1, now_s):
+        if row.own_bucket.take_tokens(1, now_s):
             on_result(ADMITTED)
             return
-        wait_s = max(purse.ask_after_s, purse.denied_until_s) - now_s
+        wait_s = max(row.backoff_until_s, row.denied_until_s) - now_s
         retry_after_s = min(max(wait_s, RETRY_AFTER_MIN_S), RETRY_AFTER_MAX_S)
-        # Without an issuer only the own share of this instance counts.
-        decided_by = "issuer" if now_s < purse.denied_until_s else "own_share"
+        # Without an answer from an issuer only the own share decides.
+        decided_by = "issuer" if now_s < row.denied_until_s else "own_share"
         on_result(RateLimitResult(False, retry_after_s, decided_by))
 
-    def _own_limit(self, limit: Limit) -> Limit:
-        part = OWN_PART / max(len(self._instances()), 1)
-        return self._cfg.shape(limit, part, OWN_BURST_PART)
+    def _compute_own_limit(self, limit: Limit) -> Limit:
+        bound_ratio = OWN_SHARE_BOUND_RATIO / max(len(self._list_instances()), 1)
+        return self._cfg.compute_bucket_limit(limit, bound_ratio, OWN_SHARE_BURST_RATIO)
--- a/wagtailrill/rates/issuer.py
+++ b/wagtailrill/rates/issuer.py
@@ -1,74 +1,81 @@
-"""Issues the tokens of organisations while this instance has their duty."""
+"""Issues tokens for the organisations whose duty this instance holds.
+
+`Rates` calls it on token requests and when duties change hands.
+"""
 
 import attrs
 
 from ..core.context import Context
-from .const import ISSUED_BURST_PART, ISSUED_BURSTS, ISSUED_PART
-from .models import Bucket, Limit, RateSettings
+from .const import ISSUED_BOUND_RATIO, ISSUED_BURST_RATIO, ISSUED_BURSTS_PER_WINDOW
+from .models import Limit, RateSettings, TokenBucket
 
 
 @attrs.define(eq=False)
-class Shard:
-    """Buckets of the organisations of one duty.
+class BucketShard:
+    """Token buckets of the organisations of one duty.
 
-    Nothing is issued before `issues_from_s`: until then a predecessor may issue, too.
+    Nothing is issued before `issues_from_s`, because a predecessor may still issue
+    until then. With `starts_full` a bucket that is created starts full, not empty.
     """
 
     issues_from_s: float
     starts_full: bool = False
-    buckets: dict[str, Bucket] = attrs.field(factory=dict)
+    buckets: dict[str, TokenBucket] = attrs.field(factory=dict)
 
 
-class Issuer:
-    """Buckets of the duties that this instance has.
+class TokenIssuer:
+    """Token buckets of all duties that this instance holds.
 
-    A bucket starts empty, so that what a predecessor issued in the same window and
-    what this one issues keep the bound together. Once in a window one may be filled.
+    A bucket starts empty, so that the tokens of a predecessor in the same window and
+    the tokens of this issuer stay within the bound together. Once per window the
+    buckets of a duty may start full.
     """
 
     def __init__(self, ctx: Context, cfg: RateSettings) -> None:
         self._ctx = ctx
         self._cfg = cfg
-        self._declared: dict[str, Limit] = {}
-        self._limits: dict[str, Limit] = {}
-        self._shards: dict[str, Shard] = {}
+        self._declared_limits: dict[str, Limit] = {}
+        self._bucket_limits: dict[str, Limit] = {}
+        self._shards: dict[str, BucketShard] = {}
 
     def configure(self, limits: dict[str, Limit]) -> None:
-        """Apply the limits of a configuration."""
-        self._declared = limits
-        self._apply()
+        """Apply the limits of a configuration, by organisation."""
+        self._declared_limits = limits
+        self._apply_limits()
 
     def apply_settings(self, cfg: RateSettings) -> None:
-        """Replace the settings."""
+        """Replace the settings and resize the buckets."""
         self._cfg = cfg
-        self._apply()
-
-    def _apply(self) -> None:
-        limits = {
-            name: self._cfg.shape(limit, ISSUED_PART, ISSUED_BURST_PART, ISSUED_BURSTS)
-            for name, limit in self._declared.items()
+        self._apply_limits()
+
+    def _apply_limits(self) -> None:
+        bucket_limits = {
+            name: self._cfg.compute_bucket_limit(
+                limit, ISSUED_BOUND_RATIO, ISSUED_BURST_RATIO, ISSUED_BURSTS_PER_WINDOW
+            )
+            for name, limit in self._declared_limits.items()
         }
-        self._limits = limits
+        self._bucket_limits = bucket_limits
         for shard in self._shards.values():
             for name, bucket in list(shard.buckets.items()):
-                if name in limits:
-                    bucket.resize(limits[name], self._ctx.now_s)
+                if name in bucket_limits:
+                    bucket.set_limit(bucket_limits[name], self._ctx.now_s)
                 else:
                     del shard.buckets[name]
 
-    def begin(self, duty: str, wait_s: float) -> None:
-        """Begin to issue for a duty after a wait."""
-        shard = Shard(self._ctx.now_s + wait_s)
+    def start_issuing(self, duty: str, wait_s: float) -> None:
+        """Issue tokens for a duty after `wait_s` seconds."""
+        shard = BucketShard(self._ctx.now_s + wait_s)
         self._shards[duty] = shard
 
-    def predecessor_stopped(self, duty: str) -> None:
-        """Wait no longer for a predecessor."""
+    def stop_waiting_for_predecessor(self, duty: str) -> None:
+        """Issue tokens for a duty now, because its predecessor has stopped."""
         shard = self._shards.get(duty)
         if shard is not None:
             shard.issues_from_s = min(shard.issues_from_s, self._ctx.now_s)
 
-    def fill(self, duty: str) -> None:
-        """Fill the buckets of a duty, as they would be without a change of issuer."""
+    def fill_buckets(self, duty: str) -> None:
+        """Fill the buckets of a duty, as if the issuer had not changed."""
         shard = self._shards.get(duty)
         if shard is None:
             return
@@ -76,36 +83,38 @@
         for bucket in shard.buckets.values():
             bucket.level = bucket.limit.burst
 
-    def end(self, duty: str) -> None:
-        """Issue no more for a duty."""
+    def stop_issuing(self, duty: str) -> None:
+        """Issue no more tokens for a duty."""
         self._shards.pop(duty, None)
 
-    def issues(self, duty: str) -> bool:
-        """Return whether tokens of a duty are issued here now."""
+    def is_issuing(self, duty: str) -> bool:
+        """Return whether this instance issues the tokens of a duty now."""
         shard = self._shards.get(duty)
         return shard is not None and self._ctx.now_s >= shard.issues_from_s
 
-    def take(self, duty: str, name: str, wanted: int, returned: int) -> int:
-        """Return how many tokens are issued."""
-        bucket = self._bucket(duty, name)
+    def take_tokens(
+        self, duty: str, organisation: str, wanted: int, returned: int
+    ) -> int:
+        """Put `returned` tokens back and take up to `wanted`; return how many."""
+        bucket = self._get_bucket(duty, organisation)
         if bucket is None:
             return 0
-        bucket.give_back(returned, self._ctx.now_s)
-        return bucket.take(wanted, self._ctx.now_s)
+        bucket.return_tokens(returned, self._ctx.now_s)
+        return bucket.take_tokens(wanted, self._ctx.now_s)
 
-    def due_in_s(self, duty: str, name: str) -> float:
-        """Return the seconds until another token is due."""
-        bucket = self._bucket(duty, name)
-        return bucket.due_in_s() if bucket is not None else 1.0
+    def compute_token_delay_s(self, duty: str, organisation: str) -> float:
+        """Return the seconds until another token of an organisation is due."""
+        bucket = self._get_bucket(duty, organisation)
+        return bucket.compute_token_delay_s() if bucket is not None else 1.0
 
-    def _bucket(self, duty: str, name: str) -> Bucket | None:
+    def _get_bucket(self, duty: str, organisation: str) -> TokenBucket | None:
         shard = self._shards.get(duty)
-        limit = self._limits.get(name)
+        limit = self._bucket_limits.get(organisation)
         if shard is None or limit is None:
             return None
-        bucket = shard.buckets.get(name)
+        bucket = shard.buckets.get(organisation)
         if bucket is None:
-            since_s = max(shard.issues_from_s, 0.0)
+            updated_s = max(shard.issues_from_s, 0.0)
             level = limit.burst if shard.starts_full else 0.0
-            bucket = shard.buckets[name] = Bucket(limit, since_s, level)
+            bucket = shard.buckets[organisation] = TokenBucket(limit, updated_s, level)
         return bucket
--- a/wagtailrill/rates/messages.py
+++ b/wagtailrill/rates/messages.py
@@ -1,4 +1,4 @@
-"""Peer messages about tokens."""
+"""Peer messages between the instances that use tokens and their issuers."""
 
 from pathlib import Path
 from typing import Final
@@ -10,7 +10,10 @@
 
 @attrs.frozen
 class TokenRequest:
-    """Asks for tokens of an organisation, and gives back those that were not used."""
+    """Requests `wanted` tokens of an organisation and returns unused ones.
+
+    The grant carries the same `number`; number 0 asks for no grant.
+    """
 
     organisation: str
     wanted: int
@@ -20,9 +23,9 @@
 
 @attrs.frozen
 class TokenGrant:
-    """Answers a request; another token is due in `due_in_s`.
+    """Answers a token request; the next token is due in `due_in_s` seconds.
 
-    Without `issues` the sender does not issue tokens now.
+    `issues` is false if the sender does not issue tokens of the organisation now.
     """
 
     organisation: str
@@ -37,5 +40,5 @@
 
 
 def register_messages(registry: MessageRegistry) -> None:
-    """Register the messages of this package."""
+    """Register the peer messages of this package."""
     registry.register(SCHEMA_FILE, MESSAGES)
