--- a/tests/claims/test_claims.py
+++ b/tests/claims/test_claims.py
@@ -51,12 +51,12 @@
                     continue
                 refused = Error(StoreError(StoreErrorKind.REFUSED))
                 if self.store_down:
-                    self.ctx.store_replied(call.call_id, refused)
+                    self.ctx.handle_store_reply(call.call_id, refused)
                     continue
                 result = self.store.apply(call.operation, self.ctx.now_s)
                 if self.loses_commit_results and isinstance(call.operation, Commit):
                     result = Error(StoreError(StoreErrorKind.NO_ANSWER))
-                self.ctx.store_replied(call.call_id, result)
+                self.ctx.handle_store_reply(call.call_id, result)
 
     @property
     def verdict(self) -> Verdict:
--- a/tests/cli/test_store_commands.py
+++ b/tests/cli/test_store_commands.py
@@ -15,7 +15,7 @@
     async_set_data_centre,
     async_withdraw,
 )
-from wagtailrill.core.orders import Headers
+from wagtailrill.core.request_models import Headers
 from wagtailrill.declaration.models import Configuration, DataCentreState
 from wagtailrill.declaration.parse import parse
 from wagtailrill.declaration.text import to_json
--- a/tests/core/test_host.py
+++ b/tests/core/test_host.py
@@ -13,7 +13,7 @@
     ctx = Context(Identity("a", 1, "dc"), random.Random(1), Invariants())
     host = ComponentHost(ctx)
     calls = []
-    host.on_event(DrainRequested, lambda event: calls.append("event"))
-    host.before_step(lambda: calls.append(ctx.now_s))
+    host.register_event_handler(DrainRequested, lambda event: calls.append("event"))
+    host.register_step_hook(lambda: calls.append(ctx.now_s))
     host.step(DrainRequested(1.0), 5.0, 0.0)
     assert calls == [5.0, "event"]
--- a/tests/core/test_timer.py
+++ b/tests/core/test_timer.py
@@ -15,7 +15,7 @@
 def test_skips_runs_missed_during_a_pause():
     """Guards against a burst of overdue runs after a pause of the process."""
     timers, ran = TimerService(), []
-    timers.subscribe(1.0, lambda: ran.append(None))
+    timers.call_every(1.0, lambda: ran.append(None))
     timers.advance(0.0)
     timers.advance(100.0)
     assert len(ran) <= 3
--- a/tests/gateway/test_backend_pool.py
+++ b/tests/gateway/test_backend_pool.py
@@ -6,7 +6,11 @@
 
 import pytest
 
-from wagtailrill.core.orders import AttemptOutcome, AttemptResult, Order
+from wagtailrill.core.request_models import (
+    AttemptOutcome,
+    AttemptResult,
+    BackendRequest,
+)
 from wagtailrill.gateway.backend_pool import BackendPool
 from wagtailrill.gateway.header_dialect import HeaderBackends
 from wagtailrill.native.dialect import NAMES
@@ -22,7 +26,7 @@
     return b"HTTP/1.1 " + status + b"\r\n" + headers + length + b"\r\n" + body
 
 
-def order_of(attempt_id: int = 1, caller_id: str = "c-1", **fields) -> Order:
+def order_of(attempt_id: int = 1, caller_id: str = "c-1", **fields) -> BackendRequest:
     values = {
         "attempt_id": attempt_id,
         "request_id": 1,
@@ -33,9 +37,9 @@
         "body": b"",
         "expires_unix_s": 0.0,
         "timeout_s": 1.0,
-        "caller_id": caller_id,
+        "caller_request_id": caller_id,
     }
-    return Order(**(values | fields))
+    return BackendRequest(**(values | fields))
 
 
 class Server:
@@ -65,7 +69,9 @@
         writer.close()
 
 
-async def async_exchange(server: Server, *orders: Order) -> list[AttemptResult]:
+async def async_exchange(
+    server: Server, *orders: BackendRequest
+) -> list[AttemptResult]:
     listener = await asyncio.start_server(server.async_handle, "127.0.0.1", 0)
     port = listener.sockets[0].getsockname()[1]
     pool = BackendPool(f"127.0.0.1:{port}", HeaderBackends(NAMES))
@@ -84,7 +90,7 @@
     return results
 
 
-def exchange(server: Server, *orders: Order) -> list[AttemptResult]:
+def exchange(server: Server, *orders: BackendRequest) -> list[AttemptResult]:
     return asyncio.run(async_exchange(server, *(orders or (order_of(),))))
 
 
--- a/tests/organisations/test_keys.py
+++ b/tests/organisations/test_keys.py
@@ -4,7 +4,7 @@
 
 import pytest
 
-from wagtailrill.core.refusals import Ran, RefusalCode
+from wagtailrill.core.refusals import MayHaveRun, RefusalCode
 from wagtailrill.declaration.models import Configuration, Declaration, Organisation
 from wagtailrill.organisations.keys import TenantKeys, issue_key
 
@@ -53,7 +53,7 @@
     """Guards against requests that run without a valid key of the organisation."""
     refusal = make_keys(acme=[STORED]).authenticate(headers).error
     assert refusal.code is (code or RefusalCode.TENANT_KEY_INVALID)
-    assert refusal.ran is Ran.NO
+    assert refusal.may_have_run is MayHaveRun.NO
     assert TENANT_KEY not in repr(refusal)
 
 
@@ -62,15 +62,15 @@
     keys = make_keys(acme=[STORED], other=[OTHER_STORED])
     tenant = keys.authenticate(make_headers(TENANT_KEY.encode())).ok
     assert (tenant.organisation, tenant.key_id) == ("acme", STORED.key_id)
-    assert keys.still_valid(tenant)
+    assert keys.is_still_valid(tenant)
     for version, changed_keys in enumerate(
         ({}, {"other": [STORED]}, {"acme": [type(STORED)(STORED.key_id, "00", "00")]}),
         start=2,
     ):
         keys.configure(make_configuration(version, **changed_keys))
-        assert not keys.still_valid(tenant)
+        assert not keys.is_still_valid(tenant)
     keys.configure(make_configuration(1, acme=[STORED]))
-    assert not keys.still_valid(tenant)
+    assert not keys.is_still_valid(tenant)
     assert keys.authenticate(make_headers(TENANT_KEY.encode())).is_error()
 
 
--- a/tests/placement/test_dispatcher.py
+++ b/tests/placement/test_dispatcher.py
@@ -3,7 +3,7 @@
 import pytest
 
 from tests.support import advance, entry, make_context, make_table
-from wagtailrill.core.orders import LoadReport
+from wagtailrill.core.request_models import LoadReport
 from wagtailrill.placement.dispatcher import Dispatcher, DispatcherParts
 from wagtailrill.placement.messages import (
     NO_KEY,
--- a/tests/rates/test_rates.py
+++ b/tests/rates/test_rates.py
@@ -46,7 +46,7 @@
 def test_organisation_far_above_its_rate_stays_within_the_bound(run):
     """Guards against an organisation that gets its full rate at every instance."""
     send_requests(run, 8.0, 200.0, run.names)
-    assert count_most_in_window(run) <= RATES.bound(ORGANISATIONS["busy"])
+    assert count_most_in_window(run) <= RATES.compute_bound(ORGANISATIONS["busy"])
 
 
 def test_bound_holds_when_the_issuer_is_lost(run):
@@ -60,7 +60,7 @@
     run.kill(issuers[0])
     rest = [n for n in run.names if n != issuers[0]]
     send_requests(run, 6.0, 200.0, rest)
-    assert count_most_in_window(run) <= RATES.bound(ORGANISATIONS["busy"])
+    assert count_most_in_window(run) <= RATES.compute_bound(ORGANISATIONS["busy"])
 
 
 def test_bound_holds_while_instances_cannot_reach_each_other(run):
@@ -68,7 +68,7 @@
     run.fleet.partition({"i-1"})
     run.fleet.partition({"i-2"})
     send_requests(run, 8.0, 200.0, run.names)
-    assert count_most_in_window(run) <= RATES.bound(ORGANISATIONS["busy"])
+    assert count_most_in_window(run) <= RATES.compute_bound(ORGANISATIONS["busy"])
 
 
 def test_isolated_instance_admits_its_own_share(run):
@@ -99,7 +99,7 @@
     calls = send_requests(run, 2.0, 5.0, ["i-1", "i-2"])
     refused = [c for c in calls if c.refusal and c.refusal.status == 429]
     assert len(refused) <= 1
-    assert count_most_in_window(run) <= RATES.bound(ORGANISATIONS["busy"])
+    assert count_most_in_window(run) <= RATES.compute_bound(ORGANISATIONS["busy"])
 
 
 def test_full_start_is_allowed_once_per_window(run):
@@ -115,7 +115,7 @@
             run.kill(name)
             run.fleet.start(name)
     send_requests(run, 4.0, 200.0, list(run.fleet.nodes))
-    assert count_most_in_window(run) <= RATES.bound(ORGANISATIONS["busy"])
+    assert count_most_in_window(run) <= RATES.compute_bound(ORGANISATIONS["busy"])
 
 
 def get_held_duties(run, name):
--- a/tests/runs/checks.py
+++ b/tests/runs/checks.py
@@ -69,7 +69,7 @@
             if execution.organisation == name:
                 first.setdefault(execution.caller_id, execution.at_s)
         most = _most_in_window(sorted(first.values()), RATES.window_s)
-        if most > RATES.bound(limit):
+        if most > RATES.compute_bound(limit):
             found.append(f"{most} requests of {name} in {RATES.window_s} s")
     return found
 
--- a/tests/runs/declaration.py
+++ b/tests/runs/declaration.py
@@ -10,15 +10,15 @@
     Route,
     Service,
 )
-from wagtailrill.organisations.keys import opaque_key_hash
-from wagtailrill.rates.models import Limit, RateSettings
+from wagtailrill.organisations.keys import hash_opaque_key
+from wagtailrill.rates.models import RateLimit, RateSettings
 from wagtailrill.retries.extra_attempts import ExtraAttemptSettings
 from wagtailrill.router.models import Allowances
 from wagtailrill.servers.warmth import ColdSettings
 
 ORGANISATIONS: Final = {
-    "calm": Limit(80.0, 10.0),
-    "busy": Limit(12.0, 4.0),
+    "calm": RateLimit(80.0, 10.0),
+    "busy": RateLimit(12.0, 4.0),
 }
 DATA_CENTRES: Final = ("north", "south")
 COLD_PER_S: Final = 8.0
@@ -65,7 +65,7 @@
             name=name,
             rate_per_s=limit.rate_per_s,
             burst=limit.burst,
-            tenant_keys=(opaque_key_hash(name.encode()),),
+            tenant_keys=(hash_opaque_key(name.encode()),),
         )
         for name, limit in ORGANISATIONS.items()
     ),
--- a/tests/runs/deployment.py
+++ b/tests/runs/deployment.py
@@ -18,11 +18,11 @@
 from wagtailrill.core.context import Identity
 from wagtailrill.core.events import CallerLeft, RequestArrived
 from wagtailrill.core.invariants import Invariants
-from wagtailrill.core.orders import CallerRequest
 from wagtailrill.core.refusals import Refusal
+from wagtailrill.core.request_models import CallerRequest
 from wagtailrill.declaration.models import Declaration
 from wagtailrill.fleet.models import FleetSettings
-from wagtailrill.organisations.keys import OpaqueKeyForm
+from wagtailrill.organisations.keys import OpaqueKeyFormat
 from wagtailrill.platform import wire
 from wagtailrill.platform.discovery import PlatformServerEntries
 from wagtailrill.router.models import (
@@ -182,7 +182,7 @@
             query="",
             headers=(),
             body=b"",
-            caller_id=call.caller_id,
+            caller_request_id=call.caller_id,
             credential=organisation.encode(),
             key_position=position if keyed else None,
         )
@@ -238,7 +238,7 @@
         adapter = EnvironmentAdapter(
             self._configurations,
             DiscoveredServers(wire.SERVER_PREFIX, PlatformServerEntries()),
-            OpaqueKeyForm(),
+            OpaqueKeyFormat(),
             lambda header: False,
         )
         return Router(cfg, adapter, rng, Invariants())
--- a/tests/servers/test_load.py
+++ b/tests/servers/test_load.py
@@ -3,7 +3,7 @@
 import pytest
 
 from tests.support import advance, entry, make_context, make_table
-from wagtailrill.core.orders import AttemptOutcome, LoadReport
+from wagtailrill.core.request_models import AttemptOutcome, LoadReport
 from wagtailrill.servers.load import LoadTable
 
 ANSWERED = AttemptOutcome.ANSWERED
--- a/tests/servers/test_table.py
+++ b/tests/servers/test_table.py
@@ -61,7 +61,7 @@
     table.doubt_warmth(row, "lost")
     (call,) = [c for c in ctx.commands if isinstance(c, CallBackend)]
     assert isinstance(call.operation, CheckSameProcess)
-    ctx.backend_replied(call.call_id, Ok(Reachable()))
+    ctx.handle_backend_reply(call.call_id, Ok(Reachable()))
     assert not table.is_cold(row)
 
 
@@ -73,7 +73,7 @@
     table.doubt_warmth(row, "lost")
     (call,) = [c for c in ctx.commands if isinstance(c, CallBackend)]
     error = Error(ControlError(ControlErrorKind.NO_ANSWER))
-    ctx.backend_replied(call.call_id, error)
+    ctx.handle_backend_reply(call.call_id, error)
     assert table.is_cold(row)
 
 
--- a/tests/stand_ins/test_virtual_fleet.py
+++ b/tests/stand_ins/test_virtual_fleet.py
@@ -20,8 +20,10 @@
     def factory(name, incarnation, rng):
         ctx = Context(Identity(name, incarnation, "dc"), rng, Invariants())
         host = StartedHost(ctx)
-        host.on_messages([str], lambda envelope: received.append((name, envelope)))
-        ctx.timers.subscribe(0.5, lambda: ctx.send("b" if name == "a" else "a", name))
+        host.register_message_handler(
+            [str], lambda envelope: received.append((name, envelope))
+        )
+        ctx.timers.call_every(0.5, lambda: ctx.send("b" if name == "a" else "a", name))
         return host
 
     fleet = VirtualFleet(factory, seed)
--- a/tests/store/test_mirror.py
+++ b/tests/store/test_mirror.py
@@ -31,7 +31,7 @@
         """Answer the latest call of a kind."""
         call = store_calls(self.ctx, cls)[-1]
         self.ctx.commands.clear()
-        self.ctx.store_replied(call.call_id, result)
+        self.ctx.handle_store_reply(call.call_id, result)
         return call.operation
 
 
--- a/wagtailrill/claims/models.py
+++ b/wagtailrill/claims/models.py
@@ -9,7 +9,7 @@
 import attrs
 import xxhash
 
-from ..core.orders import CallerRequest, Headers
+from ..core.request_models import CallerRequest, Headers
 
 UUID_VERSION = 7
 TIMESTAMP_SHIFT_BITS = 80
--- a/wagtailrill/core/commands.py
+++ b/wagtailrill/core/commands.py
@@ -8,8 +8,8 @@
     from ..peer.registry import Envelope
     from ..servers.control import ControlOperation
     from ..store.models import StoreOperation
-    from .orders import Order
     from .refusals import Refusal
+    from .request_models import BackendRequest
 
 
 @attrs.frozen
@@ -37,10 +37,10 @@
 
 
 @attrs.frozen
-class SendOrder:
+class SendBackendRequest:
     """Send a request to a backend server; `AttemptEnded` returns the result."""
 
-    order: "Order"
+    request: "BackendRequest"
 
 
 @attrs.frozen
@@ -95,7 +95,7 @@
     SendPeer
     | CallStore
     | CallBackend
-    | SendOrder
+    | SendBackendRequest
     | CancelAttempt
     | CloseConnections
     | RefuseRequest
--- a/wagtailrill/core/context.py
+++ b/wagtailrill/core/context.py
@@ -54,7 +54,7 @@
         self.now_s = max(self.now_s, now_s)
         self.wall_s = wall_s
 
-    def emit(self, command: Command) -> None:
+    def emit_command(self, command: Command) -> None:
         """Queue a command for the I/O code to execute."""
         self.commands.append(command)
 
@@ -99,13 +99,13 @@
         self._backend_callbacks[call_id] = on_result
         self.commands.append(CallBackend(call_id, backend_server, operation))
 
-    def store_replied(self, call_id: int, result: "StoreResult") -> None:
+    def handle_store_reply(self, call_id: int, result: "StoreResult") -> None:
         """Pass a result to the callback of its store call; ignore unknown ids."""
         callback = self._store_callbacks.pop(call_id, None)
         if callback is not None:
             callback(result)
 
-    def backend_replied(self, call_id: int, result: "ControlResult") -> None:
+    def handle_backend_reply(self, call_id: int, result: "ControlResult") -> None:
         """Pass a result to the callback of its control call; ignore unknown ids."""
         callback = self._backend_callbacks.pop(call_id, None)
         if callback is not None:
--- a/wagtailrill/core/events.py
+++ b/wagtailrill/core/events.py
@@ -5,7 +5,7 @@
 from ..peer.registry import Envelope
 from ..servers.control import ControlResult
 from ..store.models import StoreResult
-from .orders import AttemptResult, CallerRequest
+from .request_models import AttemptResult, CallerRequest
 
 
 @attrs.frozen
@@ -40,7 +40,7 @@
 
 @attrs.frozen
 class AttemptEnded:
-    """The result of a `SendOrder` command."""
+    """The result of a `SendBackendRequest` command."""
 
     result: AttemptResult
 
--- a/wagtailrill/core/host.py
+++ b/wagtailrill/core/host.py
@@ -25,8 +25,10 @@
         self.dropped_messages = 0
         self._event_handlers: dict[type, EventHandler] = {
             PeerReceived: lambda event: self._receive_message(event.envelope),
-            StoreReplied: lambda event: ctx.store_replied(event.call_id, event.result),
-            BackendReplied: lambda event: ctx.backend_replied(
+            StoreReplied: lambda event: ctx.handle_store_reply(
+                event.call_id, event.result
+            ),
+            BackendReplied: lambda event: ctx.handle_backend_reply(
                 event.call_id, event.result
             ),
         }
@@ -34,16 +36,18 @@
         self._step_hooks: list[Callable[[], None]] = []
         self._sequence_filter = SequenceFilter()
 
-    def on_event(self, cls: type, handler: EventHandler) -> None:
+    def register_event_handler(self, cls: type, handler: EventHandler) -> None:
         """Register the handler of an event class, replacing an earlier one."""
         self._event_handlers[cls] = handler
 
-    def on_messages(self, classes: Iterable[type], handler: MessageHandler) -> None:
+    def register_message_handler(
+        self, classes: Iterable[type], handler: MessageHandler
+    ) -> None:
         """Register the handler of peer messages of some classes."""
         for cls in classes:
             self._message_handlers[cls] = handler
 
-    def before_step(self, hook: Callable[[], None]) -> None:
+    def register_step_hook(self, hook: Callable[[], None]) -> None:
         """Register a hook that each step runs with the new time, before the event."""
         self._step_hooks.append(hook)
 
--- a/wagtailrill/core/refusals.py
+++ b/wagtailrill/core/refusals.py
@@ -6,7 +6,7 @@
 import attrs
 
 
-class Ran(enum.StrEnum):
+class MayHaveRun(enum.StrEnum):
     """Whether a backend server may have run the request."""
 
     NO = "no"
@@ -80,7 +80,7 @@
 
     code: RefusalCode
     message: str
-    ran: Ran = Ran.NO
+    may_have_run: MayHaveRun = MayHaveRun.NO
     retry_after_s: float | None = None
 
     @property
--- a/wagtailrill/core/orders.py
+++ b/wagtailrill/core/request_models.py
@@ -11,11 +11,11 @@
 class CallerRequest:
     """A request as it arrived; header names are in lower case.
 
-    `caller_id` is the id that the caller gave the request, and `time_left_s` how long
-    the caller will wait, None if it did not say. `credential` is the tenant key that
-    came with the request. `key_position` is the position of the request's key among
-    65,536, None without a key. `attempt` is the attempt number sent by a caller that is
-    itself a backend server.
+    `caller_request_id` is the id that the caller gave the request, and `time_left_s`
+    how long the caller will wait, None if it did not say. `credential` is the tenant
+    key that came with the request. `key_position` is the position of the request's key
+    among 65,536, None without a key. `attempt_number` is sent by a caller that is
+    itself a backend server; 0 otherwise.
     """
 
     request_id: int
@@ -25,23 +25,23 @@
     headers: Headers
     body: bytes
     host: str = ""
-    caller_id: str = ""
+    caller_request_id: str = ""
     time_left_s: float | None = None
     credential: bytes | None = attrs.field(repr=False, default=None)
     key_position: int | None = None
-    attempt: int = 0
+    attempt_number: int = 0
     idempotency_key: bytes | None = None
 
 
 @attrs.frozen
-class Order:
+class BackendRequest:
     """One attempt at a caller's request, as sent to one backend server.
 
     `timeout_s` is how long the caller still waits. `expires_unix_s` is absolute, so
-    that a request delayed by a pause is not run too late. `caller_id` is the id that
-    the caller gave the request; an answer with another id is rejected.
+    that a request delayed by a pause is not run too late. `caller_request_id` is the id
+    that the caller gave the request; an answer with another id is rejected.
     `connections_max` limits the connections of this instance to the server, 0 for no
-    limit.
+    limit. `attempt_number` is 0 for the first attempt.
     """
 
     attempt_id: int
@@ -53,11 +53,11 @@
     body: bytes
     expires_unix_s: float
     timeout_s: float
-    caller_id: str = ""
+    caller_request_id: str = ""
     organisation: str = ""
     connections_max: int = 0
     key_position: int | None = None
-    attempt: int = 0
+    attempt_number: int = 0
 
 
 class AttemptOutcome(enum.Enum):
--- a/wagtailrill/core/timer.py
+++ b/wagtailrill/core/timer.py
@@ -40,8 +40,11 @@
         """Schedule a callback after a delay in seconds."""
         return self.call_at(self._now_s + delay_s, callback)
 
-    def subscribe(
-        self, interval_s: float, callback: Callable[[], None], first_s: float = 0.0
+    def call_every(
+        self,
+        interval_s: float,
+        callback: Callable[[], None],
+        first_delay_s: float = 0.0,
     ) -> None:
         """Run a callback every `interval_s` seconds, first after `first_s`.
 
@@ -53,7 +56,7 @@
             self.call_at(next_s, lambda: run_and_reschedule(next_s))
             callback()
 
-        start_s = self._now_s + first_s
+        start_s = self._now_s + first_delay_s
         self.call_at(start_s, lambda: run_and_reschedule(start_s))
 
     def next_due_s(self) -> float | None:
--- a/wagtailrill/crash_guard/guard.py
+++ b/wagtailrill/crash_guard/guard.py
@@ -39,12 +39,12 @@
         self._list_peers = list_peers
         self._suspects: dict[int, Suspect] = {}
         self._losses: list[ConnectionLoss] = []
-        ctx.timers.subscribe(TICK_INTERVAL_S, self._tick)
+        ctx.timers.call_every(TICK_INTERVAL_S, self._tick)
 
     def attach(self, host: ComponentHost) -> None:
         """Register the handlers of peer messages."""
-        host.on_messages([CrashNotice], self._handle_crash_notice)
-        host.on_messages([CrashCleared], self._handle_crash_cleared)
+        host.register_message_handler([CrashNotice], self._handle_crash_notice)
+        host.register_message_handler([CrashCleared], self._handle_crash_cleared)
 
     def has_suspects(self) -> bool:
         """Return whether any fingerprint is suspected."""
--- a/wagtailrill/crash_guard/models.py
+++ b/wagtailrill/crash_guard/models.py
@@ -3,7 +3,7 @@
 import attrs
 import xxhash
 
-from ..core.orders import CallerRequest
+from ..core.request_models import CallerRequest
 
 
 @attrs.frozen
--- a/wagtailrill/fleet/duties.py
+++ b/wagtailrill/fleet/duties.py
@@ -70,12 +70,12 @@
         self._rows: dict[str, DutyRow] = {}
         self._has_resigned = False
         members.add_listener(self._on_members_changed)
-        ctx.timers.subscribe(DUTY_TICK_S, self._tick)
+        ctx.timers.call_every(DUTY_TICK_S, self._tick)
 
     def attach(self, host: ComponentHost) -> None:
         """Register the handlers of messages."""
-        host.on_messages([DutyAnnouncement], self._on_announcement)
-        host.on_messages([DutyStopped], self._on_stopped)
+        host.register_message_handler([DutyAnnouncement], self._on_announcement)
+        host.register_message_handler([DutyStopped], self._on_stopped)
 
     def register(self, duty: str, listener: DutyListener, weight: int) -> None:
         """Become a candidate for a duty; `weight` is its relative load."""
--- a/wagtailrill/gateway/backend_connection.py
+++ b/wagtailrill/gateway/backend_connection.py
@@ -8,7 +8,7 @@
 import attrs
 import httptools
 
-from ..core.orders import Headers
+from ..core.request_models import Headers
 from .const import KEEP_ALIVE_MARGIN_S
 from .sockets import find_dead_peers
 
--- a/wagtailrill/gateway/backend_pool.py
+++ b/wagtailrill/gateway/backend_pool.py
@@ -1,11 +1,11 @@
-"""Connections to one backend server and the exchange of orders on them."""
+"""Connections to one backend server and the exchange of requests on them."""
 
 import asyncio
 from collections.abc import Callable
 
 import attrs
 
-from ..core.orders import AttemptOutcome, AttemptResult, Order
+from ..core.request_models import AttemptOutcome, AttemptResult, BackendRequest
 from .backend_connection import BackendConnection, ExchangeEnd, RawAnswer
 from .const import (
     CONNECT_TIMEOUT_S,
@@ -25,9 +25,9 @@
 
 @attrs.define(eq=False)
 class RunningExchange:
-    """An order under way on a connection, or one that waits for a new connection."""
+    """A request in progress on a connection, or one that waits for a new connection."""
 
-    order: Order
+    order: BackendRequest
     started_s: float
     on_result: OnResult
     conn: BackendConnection | None = None
@@ -65,8 +65,8 @@
         """Return whether there is no connection."""
         return not self._idle and not self._busy
 
-    def exchange(self, order: Order, on_result: OnResult) -> None:
-        """Send an order; `on_result` is called once, also when that fails."""
+    def exchange(self, order: BackendRequest, on_result: OnResult) -> None:
+        """Send a request; `on_result` is called once, also when that fails."""
         running = RunningExchange(order, self._loop.time(), on_result)
         conn = self._take_idle()
         if conn is not None:
@@ -95,7 +95,7 @@
         )
 
     def cancel(self, attempt_id: int) -> None:
-        """Abandon an order; its connection is closed."""
+        """Abandon a request; its connection is closed."""
         running = self._busy.pop(attempt_id, None)
         if running is None:
             return
@@ -164,7 +164,10 @@
     def _belongs(self, running: RunningExchange, answer: RawAnswer) -> bool:
         fields = self._dialect.read_answer(answer.status, answer.headers)
         running.fields = fields
-        return fields.caller_id is None or fields.caller_id == running.order.caller_id
+        return (
+            fields.caller_id is None
+            or fields.caller_id == running.order.caller_request_id
+        )
 
     def _ended(
         self,
@@ -183,7 +186,7 @@
         elif conn.open:
             conn.drop()
         fields = running.fields
-        foreign = fields.caller_id not in (None, running.order.caller_id)
+        foreign = fields.caller_id not in (None, running.order.caller_request_id)
         running.on_result(
             AttemptResult(
                 attempt_id=running.order.attempt_id,
@@ -205,7 +208,7 @@
         latency_s = self._loop.time() - running.started_s
         running.on_result(AttemptResult(running.order.attempt_id, outcome, latency_s))
 
-    def _encode(self, order: Order) -> bytes:
+    def _encode(self, order: BackendRequest) -> bytes:
         parts = [f"{order.method} {order.target} HTTP/1.1\r\n".encode("latin-1")]
         named_host = False
         for name, value in order.headers:
--- a/wagtailrill/gateway/caller_protocol.py
+++ b/wagtailrill/gateway/caller_protocol.py
@@ -9,8 +9,8 @@
 import attrs
 import httptools
 
-from ..core.orders import CallerRequest
 from ..core.refusals import Refusal, RefusalCode
+from ..core.request_models import CallerRequest
 from ..declaration.models import CallerLimits
 from .const import HOP_BY_HOP_HEADERS, PIPELINE_MAX
 from .dialects import CallerAnswer, CallerDialect
@@ -208,11 +208,11 @@
             headers=headers,
             body=b"".join(self._body),
             host=host.decode("latin-1").lower(),
-            caller_id=fields.caller_id,
+            caller_request_id=fields.caller_id,
             time_left_s=fields.time_left_s,
             credential=fields.credential,
             key_position=fields.key_position,
-            attempt=fields.attempt,
+            attempt_number=fields.attempt,
             idempotency_key=fields.idempotency_key,
         )
         exchange = Exchange(
--- a/wagtailrill/gateway/dialects.py
+++ b/wagtailrill/gateway/dialects.py
@@ -4,8 +4,14 @@
 
 import attrs
 
-from ..core.orders import AttemptOutcome, AttemptResult, Headers, LoadReport, Order
 from ..core.refusals import Refusal
+from ..core.request_models import (
+    AttemptOutcome,
+    AttemptResult,
+    BackendRequest,
+    Headers,
+    LoadReport,
+)
 from ..servers.control import ControlResult, GrantKeys, ReleaseKeys
 
 
@@ -80,14 +86,14 @@
 
 
 class BackendDialect(Protocol):
-    """Headers of orders to backend servers and of their answers."""
+    """Headers of requests to backend servers and of their answers."""
 
     def reserved(self, name: bytes) -> bool:
         """Return whether a caller's header is not passed on."""
         ...
 
-    def order_headers(self, order: Order) -> Headers:
-        """Return the headers that an order carries beside the caller's own."""
+    def order_headers(self, order: BackendRequest) -> Headers:
+        """Return the headers that the request carries besides the caller's own."""
         ...
 
     def read_answer(self, status: int, headers: Headers) -> AnswerFields:
--- a/wagtailrill/gateway/header_dialect.py
+++ b/wagtailrill/gateway/header_dialect.py
@@ -4,8 +4,8 @@
 
 import attrs
 
-from ..core.orders import AttemptOutcome, Headers, LoadReport, Order
 from ..core.refusals import Refusal
+from ..core.request_models import AttemptOutcome, BackendRequest, Headers, LoadReport
 from .dialects import AnswerFields, CallerAnswer, CallerFields
 
 JSON_HEADER = (b"content-type", b"application/json")
@@ -71,7 +71,7 @@
         fields: dict[str, str | float] = {
             "code": refusal.code.value,
             "message": refusal.message,
-            "ran": refusal.ran.value,
+            "ran": refusal.may_have_run.value,
         }
         headers = [JSON_HEADER]
         if caller_id and self._names.request_id:
@@ -113,16 +113,16 @@
         prefix = self._names.reserved_prefix
         return name in self._own or (prefix != b"" and name.startswith(prefix))
 
-    def order_headers(self, order: Order) -> Headers:
-        """Return the headers that an order carries beside the caller's own."""
+    def order_headers(self, order: BackendRequest) -> Headers:
+        """Return the headers that the request carries besides the caller's own."""
         names = self._names
         values = [
-            (names.request_id, order.caller_id.encode("latin-1")),
+            (names.request_id, order.caller_request_id.encode("latin-1")),
             (names.time_left_ms, b"%d" % (order.timeout_s * MS_PER_S)),
             (names.expected_server, order.backend_server.encode()),
             (names.organisation, order.organisation.encode()),
             (names.expires, b"%.3f" % order.expires_unix_s),
-            (names.attempt, b"%d" % order.attempt),
+            (names.attempt, b"%d" % order.attempt_number),
         ]
         if order.key_position is not None and not names.callers_name_keys:
             values.append((names.key_position, b"%d" % order.key_position))
--- a/wagtailrill/gateway/json_control.py
+++ b/wagtailrill/gateway/json_control.py
@@ -7,7 +7,7 @@
 import attrs
 from expression import Error, Ok
 
-from ..core.orders import AttemptOutcome, AttemptResult
+from ..core.request_models import AttemptOutcome, AttemptResult
 from ..servers.control import (
     ControlError,
     ControlErrorKind,
--- a/wagtailrill/keys/component.py
+++ b/wagtailrill/keys/component.py
@@ -9,8 +9,8 @@
 
 from ..core.context import Context
 from ..core.host import ComponentHost
-from ..core.orders import LoadReport
 from ..core.refusals import RefusalCode
+from ..core.request_models import LoadReport
 from ..declaration.models import Configuration
 from ..fleet.const import SERVICE_DUTY_WEIGHT
 from ..fleet.duties import Duties
@@ -83,8 +83,8 @@
         self.estimate_capacity: Callable[[ServerRow], Capacity] = _assume_capacity
         self.on_load_report: Callable[[str, LoadReport], None] = lambda name, load: None
         self.get_last_report_s: Callable[[str], float] = lambda name: float("-inf")
-        ctx.timers.subscribe(TICK_INTERVAL_S, self._run_granters)
-        ctx.timers.subscribe(ANNOUNCE_INTERVAL_S, self._announce_routes)
+        ctx.timers.call_every(TICK_INTERVAL_S, self._run_granters)
+        ctx.timers.call_every(ANNOUNCE_INTERVAL_S, self._announce_routes)
 
     def attach(self, host: ComponentHost) -> None:
         """Register the handlers of peer messages."""
@@ -94,7 +94,7 @@
             KeyRoutesNotice: self._on_routes_notice,
         }
         for cls, handler in handlers.items():
-            host.on_messages([cls], handler)
+            host.register_message_handler([cls], handler)
 
     def configure(self, configuration: Configuration) -> None:
         """Register for the duties of the configured keyed services."""
--- a/wagtailrill/keys/granter.py
+++ b/wagtailrill/keys/granter.py
@@ -9,7 +9,7 @@
 
 from ..core.context import Context
 from ..core.log_events import LogName
-from ..core.orders import LoadReport
+from ..core.request_models import LoadReport
 from ..servers.models import ServerRow
 from ..servers.table import ServerTable
 from .const import (
--- a/wagtailrill/keys/grants.py
+++ b/wagtailrill/keys/grants.py
@@ -11,7 +11,7 @@
 
 from ..core.context import Context
 from ..core.log_events import LogName
-from ..core.orders import LoadReport
+from ..core.request_models import LoadReport
 from ..servers.control import (
     ControlError,
     ControlErrorKind,
--- a/wagtailrill/native/assembly.py
+++ b/wagtailrill/native/assembly.py
@@ -9,7 +9,7 @@
 from ..gateway.header_dialect import HeaderBackends, HeaderCallers
 from ..gateway.json_control import JsonControl
 from ..observability.tracer import NoTracing, Tracing
-from ..organisations.keys import NamedKeyForm
+from ..organisations.keys import StructuredKeyFormat
 from ..platform.store_client import PlatformStore
 from ..router.models import DeclaredServers, EnvironmentAdapter, RouterSettings
 from ..runtime.const import INCARNATION_BITS
@@ -39,7 +39,7 @@
         adapter=EnvironmentAdapter(
             configuration_decoder=NativeConfigurations(cfg.deployment),
             servers=DeclaredServers(declared_servers),
-            key_form=NamedKeyForm(),
+            key_format=StructuredKeyFormat(),
             is_reserved_header=backends.reserved,
             needs_idempotency_key=True,
         ),
--- a/wagtailrill/observability/tracer.py
+++ b/wagtailrill/observability/tracer.py
@@ -2,7 +2,7 @@
 
 from typing import Protocol
 
-from ..core.orders import AttemptResult, CallerRequest, Headers, Order
+from ..core.request_models import AttemptResult, BackendRequest, CallerRequest, Headers
 
 
 class HopSpan(Protocol):
@@ -33,7 +33,9 @@
         """Start the span of a caller's request."""
         ...
 
-    def start_attempt(self, request: CallerSpan | None, order: Order) -> HopSpan:
+    def start_attempt(
+        self, request: CallerSpan | None, order: BackendRequest
+    ) -> HopSpan:
         """Start the span of the hop to a backend server."""
         ...
 
@@ -61,7 +63,9 @@
         """Return a span that records nothing."""
         return NO_SPAN
 
-    def start_attempt(self, request: CallerSpan | None, order: Order) -> HopSpan:
+    def start_attempt(
+        self, request: CallerSpan | None, order: BackendRequest
+    ) -> HopSpan:
         """Return a span that records nothing."""
         return NO_SPAN
 
--- a/wagtailrill/observability/tracing.py
+++ b/wagtailrill/observability/tracing.py
@@ -19,7 +19,7 @@
 from opentelemetry.trace import Span, SpanKind
 from opentelemetry.trace.propagation.tracecontext import TraceContextTextMapPropagator
 
-from ..core.orders import AttemptResult, CallerRequest, Headers, Order
+from ..core.request_models import AttemptResult, BackendRequest, CallerRequest, Headers
 from .tracer import CallerSpan
 
 TRACE_HEADER: Final = b"traceparent"
@@ -132,7 +132,9 @@
         span.set_attribute("url.path", req.path)
         return RequestSpan(span, trace.set_span_in_context(span, parent))
 
-    def start_attempt(self, request: CallerSpan | None, order: Order) -> AttemptSpan:
+    def start_attempt(
+        self, request: CallerSpan | None, order: BackendRequest
+    ) -> AttemptSpan:
         """Start the span of the hop to a backend server, if it is sampled."""
         if not isinstance(request, RequestSpan) or request.span is None:
             return NO_ATTEMPT_SPAN
--- a/wagtailrill/organisations/headers.py
+++ b/wagtailrill/organisations/headers.py
@@ -6,8 +6,8 @@
 from collections.abc import Callable
 from typing import Final
 
-from ..core.orders import Headers
 from ..core.refusals import Refusal, RefusalCode
+from ..core.request_models import Headers
 from .const import (
     END_TO_END_HEADERS,
     HEADER_NAME_CHARACTERS,
--- a/wagtailrill/organisations/keys.py
+++ b/wagtailrill/organisations/keys.py
@@ -11,8 +11,8 @@
 
 from expression import Error, Ok, Result
 
-from ..core.orders import Headers
 from ..core.refusals import Refusal, RefusalCode
+from ..core.request_models import Headers
 from ..declaration.models import Configuration, TenantKeyHash
 from .const import (
     KEY_ID_BYTES,
@@ -70,7 +70,7 @@
     return f"wr_{key_id}_{secret}", TenantKeyHash(key_id, salt.hex(), digest.hex())
 
 
-def opaque_key_hash(secret: bytes) -> TenantKeyHash:
+def hash_opaque_key(secret: bytes) -> TenantKeyHash:
     """Return the hash to store for a key without inner format, such as a random token.
 
     The key id is the start of the hash, so that the hash can be looked up by the key.
@@ -79,38 +79,38 @@
     return TenantKeyHash(digest[:KEY_ID_BYTES], "", digest)
 
 
-class KeyForm(Protocol):
+class TenantKeyFormat(Protocol):
     """Format of tenant keys, from which the key id is derived."""
 
-    def split(self, value: bytes) -> tuple[str, bytes] | None:
+    def split_key(self, value: bytes) -> tuple[str, bytes] | None:
         """Return the key's id and secret, or None if it is malformed."""
         ...
 
 
-class NamedKeyForm:
+class StructuredKeyFormat:
     """Keys of the form `wr_<key id>_<secret>`."""
 
-    def split(self, value: bytes) -> tuple[str, bytes] | None:
+    def split_key(self, value: bytes) -> tuple[str, bytes] | None:
         """Return the key's id and secret, or None if it is malformed."""
         match = _KEY_FORMAT.fullmatch(value)
         return None if match is None else (match[1].decode(), match[2])
 
 
-class OpaqueKeyForm:
-    """Keys without inner format; see `opaque_key_hash`."""
+class OpaqueKeyFormat:
+    """Keys without inner format; see `hash_opaque_key`."""
 
-    def split(self, value: bytes) -> tuple[str, bytes] | None:
+    def split_key(self, value: bytes) -> tuple[str, bytes] | None:
         """Return the key's id and secret."""
-        return opaque_key_hash(value).key_id, value
+        return hash_opaque_key(value).key_id, value
 
 
 class TenantKeys:
     """Authenticates requests by the tenant keys of the current configuration."""
 
-    def __init__(self, form: KeyForm | None = None) -> None:
+    def __init__(self, key_format: TenantKeyFormat | None = None) -> None:
         self._version = -1
         self._keys: dict[str, StoredKey] = {}
-        self._form = form or NamedKeyForm()
+        self._key_format = key_format or StructuredKeyFormat()
 
     def configure(self, configuration: Configuration) -> None:
         """Apply a configuration unless a later one has been applied."""
@@ -146,12 +146,12 @@
             return Error(_MISSING)
         if len(value) > TENANT_KEY_MAX_BYTES:
             return Error(_TOO_LONG)
-        parts = self._form.split(value)
+        parts = self._key_format.split_key(value)
         if parts is None:
             return Error(_MALFORMED)
         return self._verify(*parts)
 
-    def still_valid(self, tenant: Tenant) -> bool:
+    def is_still_valid(self, tenant: Tenant) -> bool:
         """Return whether the key of an authenticated tenant is still configured."""
         stored = self._keys.get(tenant.key_id)
         return (
--- a/wagtailrill/placement/component.py
+++ b/wagtailrill/placement/component.py
@@ -6,7 +6,7 @@
 
 from ..core.context import Context
 from ..core.host import ComponentHost
-from ..core.orders import AttemptResult, LoadReport
+from ..core.request_models import AttemptResult, LoadReport
 from ..core.timer import TimerHandle
 from ..declaration.models import Configuration
 from ..fleet.const import SERVICE_DUTY_WEIGHT
@@ -94,13 +94,13 @@
         self._services: dict[str, ServiceState] = {}
         self._pending: dict[int, PendingQuery] = {}
         self._query_numbers = itertools.count(1)
-        parts.ctx.timers.subscribe(TICK_S, self._tick)
+        parts.ctx.timers.call_every(TICK_S, self._tick)
 
     def attach(self, host: ComponentHost) -> None:
         """Register the handlers of peer messages."""
-        host.on_messages([PlaceRequest], self._on_request)
-        host.on_messages([PlaceAnswer], self._on_answer)
-        host.on_messages([PlaceEnd], self._on_end)
+        host.register_message_handler([PlaceRequest], self._on_request)
+        host.register_message_handler([PlaceAnswer], self._on_answer)
+        host.register_message_handler([PlaceEnd], self._on_end)
 
     def configure(self, configuration: Configuration) -> None:
         """Register for the duties of new services and withdraw from removed ones.
--- a/wagtailrill/placement/dispatcher.py
+++ b/wagtailrill/placement/dispatcher.py
@@ -6,7 +6,7 @@
 import attrs
 
 from ..core.context import Context
-from ..core.orders import AttemptOutcome, LoadReport
+from ..core.request_models import AttemptOutcome, LoadReport
 from ..keys.planner import Capacity
 from ..servers.load import Demand, LoadTable, ServerLoad
 from ..servers.models import ServerRow
--- a/wagtailrill/platform/assembly.py
+++ b/wagtailrill/platform/assembly.py
@@ -12,7 +12,7 @@
 from ..gateway.header_dialect import HeaderBackends, HeaderCallers
 from ..gateway.json_control import JsonControl
 from ..observability.tracer import NoTracing
-from ..organisations.keys import OpaqueKeyForm
+from ..organisations.keys import OpaqueKeyFormat
 from ..rates.models import RateSettings
 from ..retries.extra_attempts import ExtraAttemptSettings
 from ..router.models import (
@@ -98,7 +98,7 @@
         adapter=EnvironmentAdapter(
             configuration_decoder=PlatformConfigurations(cfg.data_centres),
             servers=DiscoveredServers(wire.SERVER_PREFIX, PlatformServerEntries()),
-            key_form=OpaqueKeyForm(),
+            key_format=OpaqueKeyFormat(),
             is_reserved_header=backends.reserved,
         ),
         surroundings=Surroundings(
--- a/wagtailrill/platform/configuration.py
+++ b/wagtailrill/platform/configuration.py
@@ -20,7 +20,7 @@
     SplitPart,
     TenantKeyRule,
 )
-from ..organisations.keys import opaque_key_hash
+from ..organisations.keys import hash_opaque_key
 from ..store.models import Item
 from . import wire
 from .units import WireError, mapping, number, rows, seconds, text, whole
@@ -173,7 +173,7 @@
         rate_per_s=rate_per_s or math.inf,
         burst=burst if rate_per_s else math.inf,
         tenant_keys=tuple(
-            opaque_key_hash(key.encode()) for key in keys if isinstance(key, str)
+            hash_opaque_key(key.encode()) for key in keys if isinstance(key, str)
         ),
         priority=whole(row, "priority") if "priority" in row else None,
     )
--- a/wagtailrill/rates/component.py
+++ b/wagtailrill/rates/component.py
@@ -21,7 +21,7 @@
 from .holder import TokenHolder
 from .issuer import TokenIssuer
 from .messages import TokenGrant, TokenRequest
-from .models import Limit, RateSettings
+from .models import RateLimit, RateSettings
 
 DUTY_PREFIX = "rates/"
 FULL_START_KEY_PREFIX = "full-starts/"
@@ -34,7 +34,7 @@
     )
 
 
-class Rates:
+class RateLimiter:
     """Implements `RateLimits`, and `DutyListener` for the issuing duties."""
 
     def __init__(
@@ -49,12 +49,12 @@
         )
         self._possibly_running: tuple[str, ...] = ()
         self._members = members
-        ctx.timers.subscribe(TICK_INTERVAL_S, self._handle_tick)
+        ctx.timers.call_every(TICK_INTERVAL_S, self._handle_tick)
 
     def attach(self, host: ComponentHost) -> None:
         """Register the handlers of token messages."""
-        host.on_messages([TokenRequest], self._handle_token_request)
-        host.on_messages([TokenGrant], self._handle_token_grant)
+        host.register_message_handler([TokenRequest], self._handle_token_request)
+        host.register_message_handler([TokenGrant], self._handle_token_grant)
 
     def apply_settings(self, cfg: RateSettings) -> None:
         """Replace the settings."""
@@ -65,7 +65,7 @@
     def configure(self, configuration: Configuration) -> None:
         """Apply the rate limits of a configuration and register the issuing duties."""
         limits = {
-            o.name: Limit(o.rate_per_s, o.burst)
+            o.name: RateLimit(o.rate_per_s, o.burst)
             for o in configuration.organisations.values()
         }
         self.issuer.configure(limits)
--- a/wagtailrill/rates/holder.py
+++ b/wagtailrill/rates/holder.py
@@ -1,6 +1,6 @@
 """Holds the tokens granted to this instance and admits requests with them.
 
-`Rates` calls it for each request, for each token grant and periodically.
+`RateLimiter` calls it for each request, for each token grant and periodically.
 """
 
 import math
@@ -25,7 +25,7 @@
     WAITERS_MAX,
 )
 from .messages import TokenGrant
-from .models import Limit, RateSettings, TokenBucket
+from .models import RateLimit, RateSettings, TokenBucket
 
 OnResult = Callable[[RateLimitResult], None]
 ADMITTED = RateLimitResult(True)
@@ -47,7 +47,7 @@
     `backoff_until_s` no further one is sent.
     """
 
-    limit: Limit
+    limit: RateLimit
     own_bucket: TokenBucket
     tokens: int = 0
     used_s: float = float("-inf")
@@ -94,7 +94,7 @@
         self._by_organisation: dict[str, OrganisationTokens] = {}
         self._last_request_number = 0
 
-    def configure(self, limits: dict[str, Limit]) -> None:
+    def configure(self, limits: dict[str, RateLimit]) -> None:
         """Apply the limits of a configuration, by organisation."""
         now_s = self._ctx.now_s
         by_organisation: dict[str, OrganisationTokens] = {}
@@ -227,6 +227,6 @@
         decided_by = "issuer" if now_s < row.denied_until_s else "own_share"
         on_result(RateLimitResult(False, retry_after_s, decided_by))
 
-    def _compute_own_limit(self, limit: Limit) -> Limit:
+    def _compute_own_limit(self, limit: RateLimit) -> RateLimit:
         bound_ratio = OWN_SHARE_BOUND_RATIO / max(len(self._list_instances()), 1)
         return self._cfg.compute_bucket_limit(limit, bound_ratio, OWN_SHARE_BURST_RATIO)
--- a/wagtailrill/rates/issuer.py
+++ b/wagtailrill/rates/issuer.py
@@ -1,13 +1,13 @@
 """Issues tokens for the organisations whose duty this instance holds.
 
-`Rates` calls it on token requests and when duties change hands.
+`RateLimiter` calls it on token requests and when duties change hands.
 """
 
 import attrs
 
 from ..core.context import Context
 from .const import ISSUED_BOUND_RATIO, ISSUED_BURST_RATIO, ISSUED_BURSTS_PER_WINDOW
-from .models import Limit, RateSettings, TokenBucket
+from .models import RateLimit, RateSettings, TokenBucket
 
 
 @attrs.define(eq=False)
@@ -34,11 +34,11 @@
     def __init__(self, ctx: Context, cfg: RateSettings) -> None:
         self._ctx = ctx
         self._cfg = cfg
-        self._declared_limits: dict[str, Limit] = {}
-        self._bucket_limits: dict[str, Limit] = {}
+        self._declared_limits: dict[str, RateLimit] = {}
+        self._bucket_limits: dict[str, RateLimit] = {}
         self._shards: dict[str, BucketShard] = {}
 
-    def configure(self, limits: dict[str, Limit]) -> None:
+    def configure(self, limits: dict[str, RateLimit]) -> None:
         """Apply the limits of a configuration, by organisation."""
         self._declared_limits = limits
         self._apply_limits()
--- a/wagtailrill/rates/models.py
+++ b/wagtailrill/rates/models.py
@@ -10,25 +10,25 @@
     """Tolerance by which the fleet may exceed a rate limit.
 
     Any window of `window_s` seconds admits at most
-    (rate * window + burst) * (1 + `excess`) + `allowance` requests.
+    (rate * window + burst) * (1 + `excess_ratio`) + `allowance_requests` requests.
     """
 
     window_s: float = 5.0
-    excess: float = 0.0
-    allowance: float = 0.0
+    excess_ratio: float = 0.0
+    allowance_requests: float = 0.0
 
-    def bound(self, limit: "Limit") -> float:
+    def compute_bound(self, limit: "RateLimit") -> float:
         """Return the maximum number of requests of an organisation in any window."""
         declared = limit.rate_per_s * self.window_s + limit.burst
-        return declared * (1.0 + self.excess) + self.allowance
+        return declared * (1.0 + self.excess_ratio) + self.allowance_requests
 
     def compute_bucket_limit(
         self,
-        limit: "Limit",
+        limit: "RateLimit",
         bound_ratio: float,
         burst_ratio: float,
         bursts_per_window: int = 1,
-    ) -> "Limit":
+    ) -> "RateLimit":
         """Return the bucket limit that admits `bound_ratio` of the bound in any window.
 
         A bucket admits at most its burst plus its rate times the window, so a small
@@ -37,13 +37,15 @@
         """
         if math.isinf(limit.rate_per_s):
             return limit
-        bound = self.bound(limit) * bound_ratio
+        bound = self.compute_bound(limit) * bound_ratio
         burst = max(1.0, bound * burst_ratio)
-        return Limit(max(bound - bursts_per_window * burst, 0.0) / self.window_s, burst)
+        return RateLimit(
+            max(bound - bursts_per_window * burst, 0.0) / self.window_s, burst
+        )
 
 
 @attrs.frozen
-class Limit:
+class RateLimit:
     """Rate in requests/s and burst in requests; an infinite rate means no limit."""
 
     rate_per_s: float
@@ -57,11 +59,11 @@
     An empty start is safe whatever was issued before.
     """
 
-    limit: Limit
+    limit: RateLimit
     updated_s: float
     level: float = 0.0
 
-    def set_limit(self, limit: Limit, now_s: float) -> None:
+    def set_limit(self, limit: RateLimit, now_s: float) -> None:
         """Change the limit; tokens above the new burst are lost."""
         self._refill(now_s)
         self.limit = limit
--- a/wagtailrill/requests/attempts.py
+++ b/wagtailrill/requests/attempts.py
@@ -3,10 +3,10 @@
 import itertools
 from collections.abc import Callable
 
-from ..core.commands import CancelAttempt, SendOrder
+from ..core.commands import CancelAttempt, SendBackendRequest
 from ..core.context import Context
 from ..core.events import AttemptEnded
-from ..core.orders import AttemptOutcome, AttemptResult, Order
+from ..core.request_models import AttemptOutcome, AttemptResult, BackendRequest
 from ..placement.models import ServerAssignment
 from ..servers.choice import ServerChoice
 from ..servers.models import ServerRow
@@ -74,12 +74,12 @@
         row.tried_servers |= {placed.server.name}
         self._running_by_id[attempt.attempt_id] = (row, attempt)
         self._choice.record_send(placed.server)
-        self._ctx.emit(SendOrder(self._build_order(row, attempt)))
+        self._ctx.emit_command(SendBackendRequest(self._build_order(row, attempt)))
 
     def cancel_attempts(self, row: RequestRow) -> None:
         """Cancel the attempts at a request that are still running."""
         for attempt_id in row.attempts:
-            self._ctx.emit(CancelAttempt(attempt_id))
+            self._ctx.emit_command(CancelAttempt(attempt_id))
 
     def count_running(self) -> int:
         """Return the number of attempts that have not ended."""
@@ -111,14 +111,14 @@
             int(server_limit * DIVIDED_CONNECTIONS_RATIO / len(self._list_instances())),
         )
 
-    def _build_order(self, row: RequestRow, attempt: Attempt) -> Order:
+    def _build_order(self, row: RequestRow, attempt: Attempt) -> BackendRequest:
         req = row.req
         time_left_s = row.deadline_s - self._ctx.now_s
         if req.time_left_s is not None:
             # The server may use all the time that the caller still waits, even if this
             # instance needs the answer sooner.
             time_left_s = row.arrived_s + req.time_left_s - self._ctx.now_s
-        return Order(
+        return BackendRequest(
             attempt_id=attempt.attempt_id,
             request_id=req.request_id,
             backend_server=attempt.placed.server.name,
@@ -128,9 +128,9 @@
             body=req.body,
             expires_unix_s=self._ctx.wall_s + time_left_s,
             timeout_s=max(time_left_s, ORDER_TIMEOUT_MIN_S),
-            caller_id=req.caller_id,
+            caller_request_id=req.caller_request_id,
             organisation=row.organisation,
             connections_max=self._get_connection_limit(attempt.placed.server),
             key_position=row.key_position,
-            attempt=req.attempt + row.attempts_made - 1,
+            attempt_number=req.attempt_number + row.attempts_made - 1,
         )
--- a/wagtailrill/requests/checks.py
+++ b/wagtailrill/requests/checks.py
@@ -7,8 +7,8 @@
 
 from ..claims.models import parse_uuid7_time_ms
 from ..core.context import Context
-from ..core.orders import CallerRequest
 from ..core.refusals import Refusal
+from ..core.request_models import CallerRequest
 from ..declaration.models import Configuration, Route, Service, TenantKeyRule
 from ..declaration.routing import RouteMatch, RouteTable
 from ..keys.const import KEY_POSITIONS
--- a/wagtailrill/requests/hedging.py
+++ b/wagtailrill/requests/hedging.py
@@ -5,7 +5,7 @@
 import attrs
 
 from ..core.context import Context
-from ..core.orders import AttemptOutcome, AttemptResult
+from ..core.request_models import AttemptOutcome, AttemptResult
 from ..placement.component import Placement
 from ..placement.models import NoServerAvailable, PlacementQuery, ServerAssignment
 from .attempts import AttemptRunner
@@ -43,7 +43,7 @@
 
     def schedule_hedge(self, row: RequestRow) -> None:
         """Hedge a request if it takes longer than usual."""
-        if not row.route.idempotent or row.service.keyed or row.req.attempt:
+        if not row.route.idempotent or row.service.keyed or row.req.attempt_number:
             return
         delay_s = self._deps.retry_budget.get_hedge_delay_s(row.service.name)
         if delay_s is not None:
--- a/wagtailrill/requests/models.py
+++ b/wagtailrill/requests/models.py
@@ -4,8 +4,8 @@
 
 import attrs
 
-from ..core.orders import AttemptOutcome, CallerRequest, Headers
 from ..core.refusals import RefusalCode
+from ..core.request_models import AttemptOutcome, CallerRequest, Headers
 from ..core.timer import TimerHandle
 from ..declaration.models import Route, Service
 from ..organisations.models import Tenant
--- a/wagtailrill/requests/pipeline.py
+++ b/wagtailrill/requests/pipeline.py
@@ -18,8 +18,8 @@
 from ..core.context import Context
 from ..core.events import AttemptEnded, CallerLeft, RequestArrived
 from ..core.host import ComponentHost
-from ..core.orders import AttemptOutcome, AttemptResult
-from ..core.refusals import Ran, Refusal, RefusalCode
+from ..core.refusals import MayHaveRun, Refusal, RefusalCode
+from ..core.request_models import AttemptOutcome, AttemptResult
 from ..crash_guard.guard import CrashGuard
 from ..crash_guard.models import compute_request_fingerprint
 from ..declaration.models import Configuration
@@ -114,9 +114,9 @@
 
     def attach(self, host: ComponentHost) -> None:
         """Register the handlers of events."""
-        host.on_event(RequestArrived, self._handle_arrival)
-        host.on_event(AttemptEnded, self._attempts.handle_attempt_ended)
-        host.on_event(CallerLeft, self._handle_caller_left)
+        host.register_event_handler(RequestArrived, self._handle_arrival)
+        host.register_event_handler(AttemptEnded, self._attempts.handle_attempt_ended)
+        host.register_event_handler(CallerLeft, self._handle_caller_left)
 
     def configure(self, configuration: Configuration) -> None:
         """Apply a configuration."""
@@ -217,7 +217,7 @@
         if result.answer is not None:
             self._finish_request(row)
             answer = result.answer
-            self._ctx.emit(
+            self._ctx.emit_command(
                 ReplayAnswer(
                     row.req.request_id, answer.status, answer.headers, answer.body
                 )
@@ -229,7 +229,7 @@
 
     def _request_placement(self, row: RequestRow) -> None:
         """Ask for a backend server, unless the request may no longer be sent."""
-        if row.tenant is not None and not self._deps.checks.tenant_keys.still_valid(
+        if row.tenant is not None and not self._deps.checks.tenant_keys.is_still_valid(
             row.tenant
         ):
             self._refuse_request(row, TENANT_KEY_WITHDRAWN)
@@ -357,7 +357,7 @@
                 return False
         if row.possible_runs and not row.route.idempotent:
             return False
-        if row.deadline_s - self._ctx.now_s < TIME_LEFT_MIN_S or row.req.attempt:
+        if row.deadline_s - self._ctx.now_s < TIME_LEFT_MIN_S or row.req.attempt_number:
             return False
         return self._deps.retry_budget.take_attempt(row.service.name)
 
@@ -375,16 +375,16 @@
             row.claim_id = 0
         self._log.log_answer(row, attempt, result.status)
         self._finish_request(row)
-        self._ctx.emit(AnswerRequest(row.req.request_id, attempt.attempt_id))
+        self._ctx.emit_command(AnswerRequest(row.req.request_id, attempt.attempt_id))
 
     def _refuse_request(self, row: RequestRow, refusal: Refusal) -> None:
         """Answer a request with an error and cancel the attempts that still run."""
-        if row.may_have_run and refusal.ran is Ran.NO:
+        if row.may_have_run and refusal.may_have_run is MayHaveRun.NO:
             # The status of such a refusal would promise that the request has not run.
             refusal = attrs.evolve(
                 refusal,
                 code=RefusalCode.BACKEND_LOST,
-                ran=Ran.UNKNOWN,
+                may_have_run=MayHaveRun.UNKNOWN,
                 retry_after_s=None,
             )
         self._attempts.cancel_attempts(row)
@@ -429,4 +429,4 @@
 
     def _emit_refusal(self, request_id: int, refusal: Refusal) -> None:
         increment_counter(self.counters.refusals, refusal.code.value)
-        self._ctx.emit(RefuseRequest(request_id, refusal))
+        self._ctx.emit_command(RefuseRequest(request_id, refusal))
--- a/wagtailrill/requests/refusals.py
+++ b/wagtailrill/requests/refusals.py
@@ -3,8 +3,8 @@
 from typing import Final
 
 from ..claims.models import Verdict
-from ..core.orders import AttemptOutcome
-from ..core.refusals import Ran, Refusal, RefusalCode
+from ..core.refusals import MayHaveRun, Refusal, RefusalCode
+from ..core.request_models import AttemptOutcome
 from .const import DRAINING_RETRY_AFTER_S, RETRY_AFTER_S
 
 ROUTE_UNKNOWN: Final = Refusal(
@@ -37,7 +37,7 @@
 DEADLINE_EXCEEDED: Final = Refusal(
     RefusalCode.DEADLINE_EXCEEDED,
     "The request was not answered within its deadline.",
-    Ran.UNKNOWN,
+    MayHaveRun.UNKNOWN,
 )
 
 REFUSAL_BY_OUTCOME: Final[dict[AttemptOutcome, Refusal]] = {
@@ -64,12 +64,12 @@
     AttemptOutcome.LOST: Refusal(
         RefusalCode.BACKEND_LOST,
         "The connection to the backend server ended before its answer.",
-        Ran.UNKNOWN,
+        MayHaveRun.UNKNOWN,
     ),
     AttemptOutcome.BAD_ANSWER: Refusal(
         RefusalCode.BACKEND_BAD_ANSWER,
         "The backend server's answer was cut short or belonged to another request.",
-        Ran.UNKNOWN,
+        MayHaveRun.UNKNOWN,
     ),
     AttemptOutcome.TIMED_OUT: DEADLINE_EXCEEDED,
 }
@@ -90,7 +90,7 @@
 def _build_claim_refusal(
     code: RefusalCode, message: str, retry_after_s: float | None
 ) -> Refusal:
-    return Refusal(code, message, Ran.UNKNOWN, retry_after_s)
+    return Refusal(code, message, MayHaveRun.UNKNOWN, retry_after_s)
 
 
 REFUSAL_BY_VERDICT: Final[dict[Verdict, Refusal]] = {
--- a/wagtailrill/requests/request_log.py
+++ b/wagtailrill/requests/request_log.py
@@ -4,8 +4,8 @@
 
 from ..core.context import Context
 from ..core.log_events import LogName
-from ..core.orders import CallerRequest
-from ..core.refusals import Ran, Refusal, RefusalCode
+from ..core.refusals import MayHaveRun, Refusal, RefusalCode
+from ..core.request_models import CallerRequest
 from ..declaration.models import Configuration
 from ..placement.models import ServerAssignment
 from .checks import ArrivalChecks
@@ -25,7 +25,7 @@
         """Log that a request was refused by the checks on arrival."""
         self.ctx.log(
             LogName.REQUEST_REFUSED,
-            request_id=req.caller_id,
+            request_id=req.caller_request_id,
             **_build_refusal_fields(refusal),
             configuration=self._get_configuration_version(),
             host=req.host,
@@ -39,7 +39,7 @@
             fields |= self._build_rate_fields(row)
         self.ctx.log(
             LogName.REQUEST_REFUSED
-            if refusal.ran is Ran.NO
+            if refusal.may_have_run is MayHaveRun.NO
             else LogName.REQUEST_FAILED,
             **fields,
             **_build_refusal_fields(refusal),
@@ -83,7 +83,7 @@
     def _build_fields(self, row: RequestRow) -> LogFields:
         now_s = self.ctx.now_s
         fields: LogFields = {
-            "request_id": row.req.caller_id,
+            "request_id": row.req.caller_request_id,
             "service": row.service.name,
             "route": row.route.name,
             "organisation": row.organisation,
@@ -113,7 +113,7 @@
     fields: LogFields = {
         "code": refusal.code.value,
         "status": refusal.status,
-        "ran": refusal.ran.value,
+        "ran": refusal.may_have_run.value,
     }
     if refusal.retry_after_s is not None:
         fields["retry_after_s"] = round(refusal.retry_after_s, 3)
--- a/wagtailrill/router/models.py
+++ b/wagtailrill/router/models.py
@@ -8,7 +8,7 @@
 from ..core.context import Identity
 from ..declaration.models import Configuration
 from ..fleet.models import FleetSettings
-from ..organisations.keys import KeyForm
+from ..organisations.keys import TenantKeyFormat
 from ..rates.models import RateSettings
 from ..retries.extra_attempts import ExtraAttemptSettings
 from ..servers.discovery import EntryDecoder
@@ -66,6 +66,6 @@
 
     configuration_decoder: ConfigurationDecoder
     servers: DiscoveredServers | DeclaredServers
-    key_form: KeyForm
+    key_format: TenantKeyFormat
     is_reserved_header: Callable[[bytes], bool]
     needs_idempotency_key: bool = False
--- a/wagtailrill/router/router.py
+++ b/wagtailrill/router/router.py
@@ -19,7 +19,7 @@
 from ..keys.component import KeyOwnership
 from ..organisations.keys import TenantKeys
 from ..placement.component import Placement, PlacementParts
-from ..rates.component import Rates
+from ..rates.component import RateLimiter
 from ..requests.checks import ArrivalChecks, parse_key_position
 from ..requests.pipeline import Pipeline, PipelineDependencies
 from ..retries.extra_attempts import ExtraAttemptBudget
@@ -65,7 +65,7 @@
         )
         list_possibly_running = self.members.list_possibly_running
         allowances = cfg.allowances
-        self.rates = Rates(ctx, self.members, self.duties, allowances.rates)
+        self.rates = RateLimiter(ctx, self.members, self.duties, allowances.rates)
         self.cold_allowances = ColdAllowances(
             ctx, self.servers, allowances.cold, list_possibly_running
         )
@@ -189,7 +189,7 @@
             ctx=self.ctx,
             checks=ArrivalChecks(
                 self.ctx,
-                TenantKeys(adapter.key_form),
+                TenantKeys(adapter.key_format),
                 adapter.is_reserved_header,
                 adapter.needs_idempotency_key,
             ),
@@ -217,7 +217,7 @@
         if self.entry_relay is not None:
             self.entry_relay.attach(self.host)
         self.configuration.add_listener(self._apply_configuration)
-        self.host.on_event(DrainRequested, self._start_drain)
+        self.host.register_event_handler(DrainRequested, self._start_drain)
 
     def _start_drain(self, event: DrainRequested) -> None:
         if self.draining:
--- a/wagtailrill/runtime/driver.py
+++ b/wagtailrill/runtime/driver.py
@@ -19,7 +19,7 @@
     LogEvent,
     RefuseRequest,
     ReplayAnswer,
-    SendOrder,
+    SendBackendRequest,
     SendPeer,
 )
 from ..core.events import (
@@ -30,8 +30,13 @@
     RequestArrived,
     StoreReplied,
 )
-from ..core.orders import AttemptOutcome, AttemptResult, CallerRequest, Order
-from ..core.refusals import Ran, Refusal, RefusalCode
+from ..core.refusals import MayHaveRun, Refusal, RefusalCode
+from ..core.request_models import (
+    AttemptOutcome,
+    AttemptResult,
+    BackendRequest,
+    CallerRequest,
+)
 from ..gateway.backend_pool import BackendPool
 from ..gateway.caller_protocol import Exchange
 from ..gateway.dialects import (
@@ -56,7 +61,7 @@
 INTERNAL_ERROR = Refusal(
     RefusalCode.INTERNAL_ERROR,
     "The request could not be handled; see the instance's log.",
-    Ran.UNKNOWN,
+    MayHaveRun.UNKNOWN,
 )
 # The end of a server's other connections is known this long after the first.
 CRASH_NOTICE_S = 0.04
@@ -119,7 +124,7 @@
 
 @attrs.define(eq=False, slots=True)
 class RunningAttempt:
-    """An order that is under way."""
+    """A request to a backend server that is in progress."""
 
     pool: BackendPool
     span: HopSpan
@@ -142,7 +147,7 @@
             SendPeer: lambda command: parts.transport.send(command.envelope),
             CallStore: self._call_store,
             CallBackend: self._call_backend,
-            SendOrder: self._send_order,
+            SendBackendRequest: self._send_order,
             CancelAttempt: self._cancel_attempt,
             CloseConnections: self._close_connections,
             RefuseRequest: self._refuse,
@@ -182,7 +187,7 @@
         """Run a request; its answer goes to the exchange."""
         self._open[req.request_id] = OpenRequest(
             exchange,
-            req.caller_id,
+            req.caller_request_id,
             self._loop.time(),
             self._parts.tracing.start_request(req),
         )
@@ -267,7 +272,7 @@
         call = self._parts.control.encode(operation)
         # Attempts have positive numbers.
         attempt_id = -command.call_id
-        order = Order(
+        order = BackendRequest(
             attempt_id=attempt_id,
             request_id=0,
             backend_server=command.backend_server,
@@ -299,8 +304,8 @@
         timeout = self._loop.call_later(call.timeout_s, pool.cancel, attempt_id)
         pool.exchange(order, ended)
 
-    def _send_order(self, command: SendOrder) -> None:
-        order = command.order
+    def _send_order(self, command: SendBackendRequest) -> None:
+        order = command.request
         pool = self._pool(order.backend_server)
         if pool is None:
             result = AttemptResult(order.attempt_id, AttemptOutcome.CONNECT_FAILED, 0.0)
--- a/wagtailrill/servers/choice.py
+++ b/wagtailrill/servers/choice.py
@@ -4,7 +4,7 @@
 """
 
 from ..core.context import Context
-from ..core.orders import AttemptResult
+from ..core.request_models import AttemptResult
 from .load import LoadTable
 from .models import ServerRow
 from .table import ServerTable
--- a/wagtailrill/servers/control.py
+++ b/wagtailrill/servers/control.py
@@ -8,7 +8,7 @@
 import attrs
 from expression import Result
 
-from ..core.orders import LoadReport
+from ..core.request_models import LoadReport
 
 
 @attrs.frozen
--- a/wagtailrill/servers/load.py
+++ b/wagtailrill/servers/load.py
@@ -11,7 +11,7 @@
 import attrs
 
 from ..core.context import Context
-from ..core.orders import AttemptOutcome, LoadReport
+from ..core.request_models import AttemptOutcome, LoadReport
 from .const import (
     BASE_LATENCY_INITIAL_S,
     BASE_LATENCY_STEP_RATIO,
--- a/wagtailrill/servers/relay.py
+++ b/wagtailrill/servers/relay.py
@@ -50,12 +50,12 @@
         self._known_version = 0
         discovery.on_entries_read = self._record_changes
         duties.register(READER_DUTY, self, READER_DUTY_WEIGHT)
-        ctx.timers.subscribe(RELAY_TICK_S, self._tick)
+        ctx.timers.call_every(RELAY_TICK_S, self._tick)
 
     def attach(self, host: ComponentHost) -> None:
         """Register the handlers of messages."""
-        host.on_messages([EntriesRequest], self._on_request)
-        host.on_messages([EntriesAnswer], self._on_answer)
+        host.register_message_handler([EntriesRequest], self._on_request)
+        host.register_message_handler([EntriesAnswer], self._on_answer)
 
     def on_duty_taken(
         self, duty: str, fence: int, predecessor_may_act_s: float
--- a/wagtailrill/servers/table.py
+++ b/wagtailrill/servers/table.py
@@ -185,7 +185,7 @@
             if now_s - g[0] < GONE_ADDRESS_RETENTION_S
         }
         self._gone_addresses[name] = (now_s, row.entry.address)
-        self._ctx.emit(CloseConnections(name))
+        self._ctx.emit_command(CloseConnections(name))
         self._ctx.log(
             LogName.SERVER_GONE,
             backend_server=name,
--- a/wagtailrill/stand_ins/virtual_servers.py
+++ b/wagtailrill/stand_ins/virtual_servers.py
@@ -7,9 +7,14 @@
 import attrs
 from expression import Error, Ok
 
-from ..core.commands import CallBackend, CancelAttempt, Command, SendOrder
+from ..core.commands import CallBackend, CancelAttempt, Command, SendBackendRequest
 from ..core.events import AttemptEnded, BackendReplied
-from ..core.orders import AttemptOutcome, AttemptResult, LoadReport, Order
+from ..core.request_models import (
+    AttemptOutcome,
+    AttemptResult,
+    BackendRequest,
+    LoadReport,
+)
 from ..servers.control import (
     CheckReachable,
     CheckSameProcess,
@@ -50,10 +55,10 @@
 
 @attrs.define(eq=False)
 class Exchange:
-    """An order on its way, on a connection of one process."""
+    """A request in progress on a connection of one process."""
 
     row: NodeRow
-    order: Order
+    order: BackendRequest
     server: "VirtualServer"
     started_s: float
     running: bool = False
@@ -95,7 +100,7 @@
         self._rng = random.Random(seed)
         self._heartbeat_s = heartbeat_s
         self._by_attempt: dict[tuple[NodeRow, int], Exchange] = {}
-        fleet.on_command(SendOrder, self._send_order)
+        fleet.on_command(SendBackendRequest, self._send_order)
         fleet.on_command(CallBackend, self._call)
         fleet.on_command(CancelAttempt, self._cancel)
 
@@ -276,8 +281,8 @@
     # Requests
 
     def _send_order(self, name: str, command: Command) -> None:
-        assert isinstance(command, SendOrder)
-        row, order = self.fleet.nodes[name], command.order
+        assert isinstance(command, SendBackendRequest)
+        row, order = self.fleet.nodes[name], command.request
         server = self.by_name.get(order.backend_server)
         if server is None or server.down:
             failed = AttemptResult(
@@ -320,7 +325,7 @@
             self.fleet.now_s,
             order.backend_server,
             server.model.starts,
-            order.caller_id,
+            order.caller_request_id,
             order.organisation,
             order.key_position,
         )
@@ -362,7 +367,7 @@
             outcome=outcome,
             latency_s=self.fleet.now_s - exchange.started_s,
             status=200 if outcome is AttemptOutcome.ANSWERED else 0,
-            body=order.caller_id.encode(),
+            body=order.caller_request_id.encode(),
             load=load if answered else None,
         )
         self.results[row.name, order.attempt_id] = result
