Name an attempt's assignment and backend request after their types

Folder: wagtailrill/requests. Names only: Attempt.placed -> assignment, AttemptRunner's choice -> server_choice, _build_order -> _build_backend_request, ORDER_TIMEOUT_MIN_S -> BACKEND_REQUEST_TIMEOUT_MIN_S, parameters placed -> assignment.

--- a/wagtailrill/requests/attempts.py
+++ b/wagtailrill/requests/attempts.py
@@ -23,7 +23,7 @@
 
 # Part of a server's connection limit that the instances divide among themselves.
 DIVIDED_CONNECTIONS_RATIO = 0.9
-ORDER_TIMEOUT_MIN_S = 0.001
+BACKEND_REQUEST_TIMEOUT_MIN_S = 0.001
 NOT_RUN_OUTCOMES = frozenset(
     {
         AttemptOutcome.SHED,
@@ -45,21 +45,21 @@
         self,
         ctx: Context,
         servers: ServerTable,
-        choice: ServerChoice,
+        server_choice: ServerChoice,
         counters: RequestCounters,
         list_instances: Callable[[], tuple[str, ...]],
     ) -> None:
         self.on_attempt_ended: OnAttemptEnded = lambda row, attempt, result: None
         self._ctx = ctx
         self._servers = servers
-        self._choice = choice
+        self._server_choice = server_choice
         self._counters = counters
         self._list_instances = list_instances
         self._attempt_ids = itertools.count(1)
         self._running_by_id: dict[int, tuple[RequestRow, Attempt]] = {}
 
     def start_attempt(
-        self, row: RequestRow, placed: ServerAssignment, is_hedge: bool = False
+        self, row: RequestRow, assignment: ServerAssignment, is_hedge: bool = False
     ) -> None:
         """Send a request to the backend server that was chosen for it."""
         self._ctx.invariants.check(
@@ -67,14 +67,18 @@
             "non_idempotent_sent_once",
             f"request {row.req.request_id}",
         )
-        attempt = Attempt(next(self._attempt_ids), placed, self._ctx.now_s, is_hedge)
+        attempt = Attempt(
+            next(self._attempt_ids), assignment, self._ctx.now_s, is_hedge
+        )
         row.state = RequestState.RUNNING
         row.attempts[attempt.attempt_id] = attempt
         row.attempt_history.append(attempt)
-        row.tried_servers |= {placed.server.name}
+        row.tried_servers |= {assignment.server.name}
         self._running_by_id[attempt.attempt_id] = (row, attempt)
-        self._choice.record_send(placed.server)
-        self._ctx.emit_command(SendBackendRequest(self._build_order(row, attempt)))
+        self._server_choice.record_send(assignment.server)
+        self._ctx.emit_command(
+            SendBackendRequest(self._build_backend_request(row, attempt))
+        )
 
     def cancel_attempts(self, row: RequestRow) -> None:
         """Cancel the attempts at a request that are still running."""
@@ -95,10 +99,10 @@
         if result.outcome not in NOT_RUN_OUTCOMES:
             row.possible_runs += 1
         if result.outcome in POSSIBLE_RESTART_OUTCOMES:
-            self._servers.doubt_warmth(attempt.placed.server, result.outcome.value)
+            self._servers.doubt_warmth(attempt.assignment.server, result.outcome.value)
         elif result.outcome is AttemptOutcome.ANSWERED:
-            self._servers.confirm_warmth(attempt.placed.server, attempt.started_s)
-        self._choice.record_result(attempt.placed.server, result)
+            self._servers.confirm_warmth(attempt.assignment.server, attempt.started_s)
+        self._server_choice.record_result(attempt.assignment.server, result)
         self.on_attempt_ended(row, attempt, result)
 
     def _get_connection_limit(self, server: ServerRow) -> int:
@@ -111,7 +115,9 @@
             int(server_limit * DIVIDED_CONNECTIONS_RATIO / len(self._list_instances())),
         )
 
-    def _build_order(self, row: RequestRow, attempt: Attempt) -> BackendRequest:
+    def _build_backend_request(
+        self, row: RequestRow, attempt: Attempt
+    ) -> BackendRequest:
         req = row.req
         time_left_s = row.deadline_s - self._ctx.now_s
         if req.time_left_s is not None:
@@ -121,16 +127,16 @@
         return BackendRequest(
             attempt_id=attempt.attempt_id,
             request_id=req.request_id,
-            backend_server=attempt.placed.server.name,
+            backend_server=attempt.assignment.server.name,
             method=req.method,
             target=f"{req.path}?{req.query}" if req.query else req.path,
             headers=row.headers,
             body=req.body,
             expires_unix_s=self._ctx.wall_s + time_left_s,
-            timeout_s=max(time_left_s, ORDER_TIMEOUT_MIN_S),
+            timeout_s=max(time_left_s, BACKEND_REQUEST_TIMEOUT_MIN_S),
             caller_request_id=req.caller_request_id,
             organisation=row.organisation,
-            connections_max=self._get_connection_limit(attempt.placed.server),
+            connections_max=self._get_connection_limit(attempt.assignment.server),
             key_position=row.key_position,
             attempt_number=req.attempt_number + row.attempts_made - 1,
         )
--- a/wagtailrill/requests/models.py
+++ b/wagtailrill/requests/models.py
@@ -30,7 +30,7 @@
     """
 
     attempt_id: int
-    placed: ServerAssignment
+    assignment: ServerAssignment
     started_s: float
     is_hedge: bool = False
     outcome: AttemptOutcome | None = None
--- a/wagtailrill/requests/pipeline.py
+++ b/wagtailrill/requests/pipeline.py
@@ -316,19 +316,19 @@
     ) -> None:
         """Tell the other components how an attempt ended."""
         deps, service = self._deps, row.service
-        deps.placement.report_end(service.name, attempt.placed, result)
+        deps.placement.report_end(service.name, attempt.assignment, result)
         if result.outcome is AttemptOutcome.ANSWERED:
             deps.retry_budget.record_latency(service.name, result.latency_s)
             if deps.crash_guard.has_suspects():
                 deps.crash_guard.record_answer(self._get_fingerprint(row))
         elif result.outcome is AttemptOutcome.LOST:
             deps.crash_guard.record_connection_loss(
-                self._get_fingerprint(row), attempt.placed.server
+                self._get_fingerprint(row), attempt.assignment.server
             )
         elif result.outcome is AttemptOutcome.MISDIRECTED and service.keyed:
             assert row.key_position is not None
             deps.key_router.report_misdirection(
-                service.name, row.key_position, attempt.placed.server.name
+                service.name, row.key_position, attempt.assignment.server.name
             )
 
     def _retry_request(self, row: RequestRow, outcome: AttemptOutcome) -> None:
--- a/wagtailrill/requests/request_log.py
+++ b/wagtailrill/requests/request_log.py
@@ -52,7 +52,7 @@
             if row.attempts_made == 1
             else LogName.REQUEST_ANSWERED_LATER
         )
-        server = attempt.placed.server.name
+        server = attempt.assignment.server.name
         self.ctx.log(
             name, **self._build_fields(row), backend_server=server, status=status
         )
@@ -63,9 +63,9 @@
             LogName.REQUEST_RETRIED, **self._build_fields(row), outcome=outcome
         )
 
-    def log_hedge(self, row: RequestRow, placed: ServerAssignment) -> None:
+    def log_hedge(self, row: RequestRow, assignment: ServerAssignment) -> None:
         """Log that a request is also sent to a second server."""
-        server = placed.server.name
+        server = assignment.server.name
         self.ctx.log(
             LogName.REQUEST_HEDGED, **self._build_fields(row), backend_server=server
         )
@@ -123,6 +123,6 @@
 def _format_attempt(attempt: Attempt) -> str:
     """Return server, outcome, latency in seconds and the instance that chose it."""
     outcome = attempt.outcome.value if attempt.outcome is not None else "running"
-    placed_by = attempt.placed.placement_ref.dispatcher or "own_choice"
-    name = attempt.placed.server.name
+    placed_by = attempt.assignment.placement_ref.dispatcher or "own_choice"
+    name = attempt.assignment.server.name
     return f"{name}:{outcome}:{attempt.latency_s:.3f}:{placed_by}"
