Correct when a rate limit result is reported

Folder: wagtailrill/requests. One docstring: the result can also come after the issuer has stayed silent.

--- a/wagtailrill/requests/interfaces.py
+++ b/wagtailrill/requests/interfaces.py
@@ -27,7 +27,7 @@
     def take_token(
         self, organisation: str, on_result: Callable[[RateLimitResult], None]
     ) -> None:
-        """Take a token; `on_result` is called at once or when the issuer answers."""
+        """Take a token; `on_result` gets the result, at once or after a short wait."""
         ...
 
 
