--- a/tests/platform/test_decoders.py
+++ b/tests/platform/test_decoders.py
@@ -1,4 +1,4 @@
-"""Guards how the platform's words become the product's types."""
+"""Guards the decoders of the platform's configuration, server entries and settings."""
 
 import json
 import math
@@ -7,7 +7,7 @@
 from hypothesis import given, strategies as st
 
 from wagtailrill.declaration.models import TenantKeyRule
-from wagtailrill.platform.configuration import PlatformConfigurations
+from wagtailrill.platform.configuration import PlatformConfigurationDecoder
 from wagtailrill.platform.discovery import PlatformServerEntries
 from wagtailrill.platform.settings import parse_settings
 from wagtailrill.platform.units import WireError, seconds
@@ -84,28 +84,28 @@
 [platform]
 address = "10.200.1.7:8382"
 """
-CONFIGURATIONS = PlatformConfigurations({"north": "sea"})
+CONFIGURATION_DECODER = PlatformConfigurationDecoder({"north": "sea"})
 
 
-def decode(fields):
+def decode_configuration(fields):
     value = fields if isinstance(fields, bytes) else json.dumps(fields).encode()
-    return CONFIGURATIONS.decode(Item("op/config", value, 5))
+    return CONFIGURATION_DECODER.decode(Item("op/config", value, 5))
 
 
-def test_configuration_becomes_a_declaration():
-    """Guards against routes, rates or limits that are read wrongly."""
-    declaration = decode(CONFIGURATION).ok
-    by_name = {service.name: service for service in declaration.services}
-    (desk,) = by_name["desk"].routes
+def test_configuration_is_decoded_into_a_declaration():
+    """Guards against routes, rates or limits that are decoded wrongly."""
+    declaration = decode_configuration(CONFIGURATION).ok
+    service_by_name = {service.name: service for service in declaration.services}
+    (desk,) = service_by_name["desk"].routes
     assert (desk.host, desk.path, desk.idempotent) == ("a.example", "/x/", False)
     assert (desk.timeout_s, desk.target_latency_s, desk.priority) == (1.0, 0.5, 1)
     assert desk.tenant_key is TenantKeyRule.REQUIRED
-    (split,) = by_name["box"].routes
+    (split,) = service_by_name["box"].routes
     assert [(p.service, p.weight) for p in split.split] == [("box", 90), ("roll", 10)]
     assert split.tenant_key is TenantKeyRule.NONE
-    assert by_name["roll"].keyed
-    assert not by_name["box"].keyed
-    assert by_name["box"].cold_start.requests_per_s == 10.0
+    assert service_by_name["roll"].keyed
+    assert not service_by_name["box"].keyed
+    assert service_by_name["box"].cold_start.requests_per_s == 10.0
     lines, free = declaration.organisations
     assert (lines.rate_per_s, lines.burst, len(lines.tenant_keys)) == (153, 150, 2)
     assert math.isinf(free.rate_per_s)
@@ -127,40 +127,40 @@
         (("routes", "columns"), "name"),
     ],
 )
-def test_odd_configuration_is_refused_and_stops_nothing(path, value):
-    """Guards against a malformed or absurd value that comes into force."""
+def test_malformed_configuration_value_is_rejected(path, value):
+    """Guards against a malformed or out-of-range value that takes effect or raises."""
     fields = json.loads(json.dumps(CONFIGURATION))
-    target = fields
-    for step in path[:-1]:
-        target = target[step]
-    target[path[-1]] = value
-    assert decode(fields).is_error()
+    parent = fields
+    for key in path[:-1]:
+        parent = parent[key]
+    parent[path[-1]] = value
+    assert decode_configuration(fields).is_error()
 
 
 @pytest.mark.parametrize("value", [b"", b"{", b"[]", b"\xff", b"[" * 100_000])
-def test_unreadable_configuration_is_refused(value):
-    """Guards against bytes that end the process."""
-    assert decode(value).is_error()
+def test_configuration_that_is_no_json_object_is_rejected(value):
+    """Guards against bytes whose decoding raises, which would end the process."""
+    assert decode_configuration(value).is_error()
 
 
-def test_evacuations_close_data_centres():
-    """Guards against a zone that stays in use while it is evacuated."""
+def test_evacuated_zones_are_closed_data_centres():
+    """Guards against requests to a zone that the operator is evacuating."""
     keys = frozenset({"op/config", "op/evacuate/north"})
-    assert CONFIGURATIONS.closed(keys) == frozenset({"north"})
+    assert CONFIGURATION_DECODER.closed(keys) == frozenset({"north"})
 
 
-def entry_of(fields):
+def decode_entry(fields):
     value = fields if isinstance(fields, bytes) else json.dumps(fields).encode()
     return PlatformServerEntries().decode(Item("servers/i-1", value, 9))
 
 
-def test_entry_names_a_server():
-    """Guards against a cold or restarted server that looks like the former one."""
-    entry = entry_of(ENTRY).ok
+def test_entry_is_decoded_into_a_server():
+    """Guards against a cold or restarted server that is taken for its predecessor."""
+    entry = decode_entry(ENTRY).ok
     assert (entry.name, entry.service, entry.slots) == ("i-1", "box", 6)
     assert entry.cold_left_s == 1.5
     assert entry.state is ServerState.READY
-    assert entry_of(ENTRY | {"born": 5}).ok.start_id != entry.start_id
+    assert decode_entry(ENTRY | {"born": 5}).ok.start_id != entry.start_id
 
 
 @pytest.mark.parametrize(
@@ -179,19 +179,19 @@
         {k: v for k, v in ENTRY.items() if k != "zone"},
     ],
 )
-def test_foreign_entry_names_no_server(fields):
-    """Guards against entries of other writers that are used or end the process."""
-    assert entry_of(fields).is_error()
+def test_malformed_entry_is_rejected(fields):
+    """Guards against malformed entries, which any writer can store, that are used."""
+    assert decode_entry(fields).is_error()
 
 
 @given(st.binary(max_size=200))
-def test_no_bytes_of_an_entry_raise(value):
-    """Guards against an entry that ends the process."""
-    entry_of(value)
+def test_decoding_arbitrary_entry_never_raises(value):
+    """Guards against an entry whose decoding raises, which would end the process."""
+    decode_entry(value)
 
 
-def test_settings_are_read_and_new_fields_ignored():
-    """Guards against a platform that adds a field and stops all machines."""
+def test_settings_are_parsed_and_unknown_fields_ignored():
+    """Guards against a field that the platform adds and that stops every instance."""
     cfg = parse_settings(SETTINGS.encode()).ok
     assert (cfg.instance, cfg.data_centre, cfg.peer_port) == ("n-1", "north", 7560)
     assert cfg.store_address == "10.200.1.7:8382"
@@ -200,7 +200,7 @@
 
 
 @pytest.mark.parametrize(
-    ("line", "by"),
+    ("line", "replacement"),
     [
         ('zone = "north"', "zone = 4"),
         ("internal_ports = [7560,7575]", "internal_ports = []"),
@@ -210,21 +210,21 @@
         ("[limits]", "[limits"),
     ],
 )
-def test_wrong_settings_are_said_to_be_wrong(line, by):
-    """Guards against a process that starts with settings it has not understood."""
-    assert parse_settings(SETTINGS.replace(line, by).encode()).is_error()
+def test_malformed_settings_are_rejected(line, replacement):
+    """Guards against a process that runs with settings which it misunderstands."""
+    assert parse_settings(SETTINGS.replace(line, replacement).encode()).is_error()
 
 
 @pytest.mark.parametrize(
     ("text", "expected_s"), [("1500ms", 1.5), ("2.5s", 2.5), ("0ms", 0.0)]
 )
-def test_times(text, expected_s):
-    """Guards against milliseconds that are taken for seconds."""
+def test_durations_are_parsed_in_seconds(text, expected_s):
+    """Guards against milliseconds that are read as seconds."""
     assert seconds(text, "x") == pytest.approx(expected_s)
 
 
 @pytest.mark.parametrize("value", ["", "5", "5m", "-1s", "1e3s", "9" * 30 + "s", 4])
-def test_no_times(value):
-    """Guards against times that overflow or are guessed."""
+def test_malformed_durations_are_rejected(value):
+    """Guards against durations that overflow, or whose unit is guessed."""
     with pytest.raises(WireError):
         seconds(value, "x")
--- a/tests/platform/test_program.py
+++ b/tests/platform/test_program.py
@@ -1,4 +1,8 @@
-"""Runs the real program with the platform's settings against the stand-ins."""
+"""Runs the program with the platform's settings against the stand-ins.
+
+Guards the parts that only meet in the whole process: start, readiness, listeners for
+requests and administration, and the planned stop.
+"""
 
 import base64
 import json
@@ -32,17 +36,17 @@
 SERVICES = {"desk": False, "box": False, "roll": True}
 KEY = b"Bearer k1"
 HOST_BY_PREFIX = {"/x/": b"a.example", "/y/": b"b.example", "/z/": b"b.example"}
-# A bare start took 9 s beside twelve busy processes on six cores.
-PATIENCE_S = 60.0
+# The start alone took 9 s with twelve other busy processes on six cores.
+WAIT_MAX_S = 60.0
 
 
-def free_port() -> int:
+def find_free_port() -> int:
     with socket.socket() as sock:
         sock.bind(("127.0.0.1", 0))
         return sock.getsockname()[1]
 
 
-def settings_of(store: str, ports: dict[str, int]) -> str:
+def make_settings(store: str, ports: dict[str, int]) -> str:
     return f"""
 node = "n-1"
 zone = "north"
@@ -65,7 +69,7 @@
 """
 
 
-def configuration() -> bytes:
+def make_configuration() -> bytes:
     """Return the operator's configuration with a route to each service."""
     fields = json.loads(json.dumps(CONFIGURATION))
     rows = fields["routes"]["rows"]
@@ -80,8 +84,8 @@
 
 
 @attrs.define
-class Site:
-    """The program beside the stand-ins."""
+class RunningProgram:
+    """The program under test and the stand-ins that it uses."""
 
     store: str
     ports: dict[str, int]
@@ -89,38 +93,44 @@
     apps: dict[str, BackendApplication]
     pool: httpcore.AsyncConnectionPool
 
-    async def async_ask(self, method, path, headers=(), content=b"", port="front"):
+    async def async_send_request(
+        self, method, path, headers=(), content=b"", port="front"
+    ):
         url = f"http://127.0.0.1:{self.ports[port]}{path}"
         host = HOST_BY_PREFIX.get(path[:3], b"127.0.0.1")
-        sent = [(b"host", host), (b"request-id", b"q-1"), *headers]
-        return await self.pool.request(method, url, headers=sent, content=content)
+        all_headers = [(b"host", host), (b"request-id", b"q-1"), *headers]
+        return await self.pool.request(
+            method, url, headers=all_headers, content=content
+        )
 
     async def async_write(self, key: str, value: bytes) -> None:
         fields = {"key": key, "value": base64.b64encode(value).decode()}
         url = f"http://{self.store}{WRITE_PATH}"
         await self.pool.request("PUT", url, content=json.dumps(fields).encode())
 
-    async def async_until_ready(self) -> None:
-        deadline_s = time.monotonic() + PATIENCE_S
+    async def async_wait_until_ready(self) -> None:
+        deadline_s = time.monotonic() + WAIT_MAX_S
         while time.monotonic() < deadline_s:
             try:
-                if (await self.async_ask("GET", "/ready", port="ready")).status == 200:
+                if (
+                    await self.async_send_request("GET", "/ready", port="ready")
+                ).status == 200:
                     return
             except (httpcore.ConnectError, httpcore.RemoteProtocolError):
                 pass
             await anyio.sleep(0.05)
         pytest.fail("the program is not ready")
 
-    async def async_until_served(self, path: str, headers) -> None:
-        deadline_s = time.monotonic() + PATIENCE_S
+    async def async_wait_until_served(self, path: str, headers) -> None:
+        deadline_s = time.monotonic() + WAIT_MAX_S
         while time.monotonic() < deadline_s:
-            if (await self.async_ask("GET", path, headers)).status == 200:
+            if (await self.async_send_request("GET", path, headers)).status == 200:
                 return
             await anyio.sleep(0.1)
         pytest.fail(f"{path} is not served")
 
 
-async def async_with_site(tmp_path, scenario):
+async def async_run_scenario(tmp_path, scenario):
     async with AsyncExitStack() as stack:
         store = await stack.enter_async_context(async_serve(StoreStandIn()))
         pool = await stack.enter_async_context(httpcore.AsyncConnectionPool())
@@ -134,98 +144,107 @@
             address = await stack.enter_async_context(serving)
             tasks.start_soon(async_announce, app, address, "north", store)
             apps[service] = app
-        ports = {name: free_port() for name in ("front", "ready", "peer")}
+        ports = {name: find_free_port() for name in ("front", "ready", "peer")}
         file = tmp_path / "node.toml"
-        file.write_text(settings_of(store, ports))
+        file.write_text(make_settings(store, ports))
         process = subprocess.Popen(
             [sys.executable, "-m", "wagtailrill.platform"],
             cwd=ROOT,
             env={"WAGTAILRILL_CONFIG": str(file), "PATH": ""},
             stdout=(tmp_path / "out.log").open("wb"),
         )
-        site = Site(store, ports, process, apps, pool)
+        program = RunningProgram(store, ports, process, apps, pool)
         try:
-            await scenario(site)
+            await scenario(program)
         finally:
             process.kill()
             process.wait()
             tasks.cancel_scope.cancel()
 
 
-def run(tmp_path, scenario):
-    anyio.run(async_with_site, tmp_path, scenario)
+def run_scenario(tmp_path, scenario):
+    anyio.run(async_run_scenario, tmp_path, scenario)
 
 
 def test_each_kind_of_request_is_served_until_a_planned_stop(tmp_path):
-    """Guards against a program that starts, but does not serve some kind of request."""
+    """Guards against a program that starts but cannot serve some kind of request.
+
+    It also has to keep serving during a planned stop, and never log a tenant key.
+    """
 
-    async def scenario(site):
-        await site.async_write("op/config", configuration())
-        await site.async_until_ready()
-        await site.async_until_served("/y/1", ())
+    async def scenario(program):
+        await program.async_write("op/config", make_configuration())
+        await program.async_wait_until_ready()
+        await program.async_wait_until_served("/y/1", ())
         keyed = [(b"authorization", KEY), (b"shard-key", b"77")]
-        await site.async_until_served("/z/1", keyed)
-        order = await site.async_ask(
+        await program.async_wait_until_served("/z/1", keyed)
+        answer = await program.async_send_request(
             "POST", "/x/1", [(b"authorization", KEY), (b"deadline-ms", b"900")], b"{}"
         )
-        assert order.status == 200
-        headers = dict((n.lower(), v) for n, v in order.headers)
+        assert answer.status == 200
+        headers = dict((n.lower(), v) for n, v in answer.headers)
         assert headers[b"request-id"] == b"q-1"
         assert b"upstream-signature" in headers
-        answer = json.loads(order.content)
-        assert answer["organisation"] == "lines"
-        assert "k1" not in order.content.decode()
-        assert (await site.async_ask("POST", "/x/1", content=b"{}")).status == 401
+        fields = json.loads(answer.content)
+        assert fields["organisation"] == "lines"
+        assert "k1" not in answer.content.decode()
+        assert (
+            await program.async_send_request("POST", "/x/1", content=b"{}")
+        ).status == 401
         unknown = [(b"authorization", b"Bearer nobody")]
-        assert (await site.async_ask("POST", "/x/1", unknown)).status == 401
-        assert (await site.async_ask("GET", "/none/1")).status == 404
-        metrics = await site.async_ask("GET", "/metrics", port="ready")
+        assert (await program.async_send_request("POST", "/x/1", unknown)).status == 401
+        assert (await program.async_send_request("GET", "/none/1")).status == 404
+        metrics = await program.async_send_request("GET", "/metrics", port="ready")
         assert b"wagtailrill_answers_total" in metrics.content
-        site.process.send_signal(signal.SIGTERM)
+        program.process.send_signal(signal.SIGTERM)
         await anyio.sleep(0.2)
-        assert (await site.async_ask("GET", "/ready", port="ready")).status == 503
-        assert (await site.async_ask("GET", "/y/1")).status == 200
-        with anyio.fail_after(PATIENCE_S):
-            while site.process.poll() is None:
+        assert (
+            await program.async_send_request("GET", "/ready", port="ready")
+        ).status == 503
+        assert (await program.async_send_request("GET", "/y/1")).status == 200
+        with anyio.fail_after(WAIT_MAX_S):
+            while program.process.poll() is None:
                 await anyio.sleep(0.05)
-        assert site.process.returncode == 0
+        assert program.process.returncode == 0
 
-    run(tmp_path, scenario)
+    run_scenario(tmp_path, scenario)
     lines = [json.loads(x) for x in (tmp_path / "out.log").read_text().splitlines()]
     assert {"started", "stop_requested", "stopped"} <= {x["event"] for x in lines}
     assert not any(x["event"] in ("step_failed", "invariant_violated") for x in lines)
     assert "k1" not in (tmp_path / "out.log").read_text().replace('"k1', "")
 
 
-def test_program_without_configuration_promises_nothing_and_then_serves(tmp_path):
-    """Guards against 404 or 401 from a program that knows no configuration yet."""
+def test_requests_get_503_until_a_valid_configuration_arrives(tmp_path):
+    """Guards against 404 or 401 from a program that has no configuration yet."""
 
-    async def scenario(site):
-        deadline_s = time.monotonic() + PATIENCE_S
+    async def scenario(program):
+        deadline_s = time.monotonic() + WAIT_MAX_S
         answer = None
         while answer is None and time.monotonic() < deadline_s:
             try:
-                answer = await site.async_ask("GET", "/y/1")
+                answer = await program.async_send_request("GET", "/y/1")
             except httpcore.ConnectError:
                 await anyio.sleep(0.05)
         assert answer is not None
         assert answer.status == 503
-        assert (await site.async_ask("GET", "/ready", port="ready")).status == 503
-        await site.async_write("op/config", b'{"version": "r1", "routes": 5}')
+        assert (
+            await program.async_send_request("GET", "/ready", port="ready")
+        ).status == 503
+        await program.async_write("op/config", b'{"version": "r1", "routes": 5}')
         await anyio.sleep(0.3)
-        assert (await site.async_ask("GET", "/y/1")).status == 503
-        await site.async_write("op/config", configuration())
-        await site.async_until_ready()
-        await site.async_until_served("/y/1", ())
+        assert (await program.async_send_request("GET", "/y/1")).status == 503
+        await program.async_write("op/config", make_configuration())
+        await program.async_wait_until_ready()
+        await program.async_wait_until_served("/y/1", ())
 
-    run(tmp_path, scenario)
+    run_scenario(tmp_path, scenario)
 
 
-def test_settings_that_cannot_be_read_end_the_program(tmp_path):
-    """Guards against a program that runs with settings it has not understood."""
+def test_program_exits_with_an_error_on_malformed_settings(tmp_path):
+    """Guards against a program that runs with settings which it misunderstands."""
     file = tmp_path / "node.toml"
     file.write_text("node = 5")
-    done = subprocess.run(
+    completed = subprocess.run(
         [sys.executable, "-m", "wagtailrill.platform"],
         cwd=ROOT,
         env={"WAGTAILRILL_CONFIG": str(file), "PATH": ""},
@@ -233,5 +252,5 @@
         text=True,
         timeout=60,
     )
-    assert done.returncode == 2
-    assert "node.toml" in done.stderr
+    assert completed.returncode == 2
+    assert "node.toml" in completed.stderr
--- a/tests/platform/test_store_client.py
+++ b/tests/platform/test_store_client.py
@@ -1,4 +1,4 @@
-"""Guards the client of the store against the published protocol, over HTTP."""
+"""Guards that the store client follows the published protocol, over HTTP."""
 
 import anyio
 import pytest
@@ -24,8 +24,8 @@
 TIMEOUT_S = 0.3
 
 
-def run(scenario):
-    """Run a scenario with the stand-in and a client of it."""
+def run_scenario(scenario):
+    """Run a scenario with the store stand-in and a client of it."""
 
     async def async_main():
         app = StoreStandIn()
@@ -38,45 +38,45 @@
     return anyio.run(async_main)
 
 
-def put(key, value=b"v", expected=None):
+def make_put_commit(key, value=b"v", expected=None):
     conditions = () if expected is None else (Expected(key, expected),)
     return Commit(conditions, (Put(key, value),))
 
 
-def test_written_key_is_read_with_its_revision():
-    """Guards against values or revisions that change on the way."""
+def test_written_key_is_read_back_with_its_revision():
+    """Guards against values or revisions that are altered in encoding or decoding."""
 
     async def scenario(app, store):
-        written = (await store.async_call(put("a", b"\x00\xff"))).ok
+        written = (await store.async_call(make_put_commit("a", b"\x00\xff"))).ok
         return written, (await store.async_call(Get("a"))).ok.item
 
-    written, item = run(scenario)
+    written, item = run_scenario(scenario)
     assert (item.value, item.revision) == (b"\x00\xff", written.revision)
 
 
-def test_missing_key_is_no_error():
-    """Guards against an absent key that looks like an outage."""
+def test_absent_key_is_not_an_error():
+    """Guards against an absent key that is reported as an outage."""
 
     async def scenario(app, store):
         return (await store.async_call(Get("none"))).ok
 
-    assert run(scenario).item is None
+    assert run_scenario(scenario).item is None
 
 
-def test_condition_that_fails_shows_what_is_there():
-    """Guards against a lost write that its writer takes for done."""
+def test_conflict_returns_the_stored_items():
+    """Guards against a rejected write that its writer takes for committed."""
 
     async def scenario(app, store):
-        await store.async_call(put("a", b"1"))
-        return (await store.async_call(put("a", b"2", expected=0))).error
+        await store.async_call(make_put_commit("a", b"1"))
+        return (await store.async_call(make_put_commit("a", b"2", expected=0))).error
 
-    error = run(scenario)
+    error = run_scenario(scenario)
     assert error.kind is StoreErrorKind.CONFLICT
     assert error.items[0].value == b"1"
 
 
-def test_long_prefix_is_read_page_by_page():
-    """Guards against keys beyond the first page that are never seen."""
+def test_long_listing_is_read_page_by_page():
+    """Guards against keys beyond the first page that are never read."""
 
     async def scenario(app, store):
         for number in range(700):
@@ -89,28 +89,28 @@
                 return found
             after = page.items[-1].key
 
-    assert run(scenario) == [f"s/{n:04}" for n in range(700)]
+    assert run_scenario(scenario) == [f"s/{n:04}" for n in range(700)]
 
 
 def test_watch_returns_changes_and_removals():
-    """Guards against a change that is missed while nobody watches."""
+    """Guards against changes between two watches that are missed."""
 
     async def scenario(app, store):
-        first = (await store.async_call(put("a/1"))).ok.revision
+        first_revision = (await store.async_call(make_put_commit("a/1"))).ok.revision
         app.write("a/2", b"x")
         app.write("a/1", None)
-        return (await store.async_call(WatchPrefix("a/", first, 1.0))).ok
+        return (await store.async_call(WatchPrefix("a/", first_revision, 1.0))).ok
 
-    changes = run(scenario)
+    changes = run_scenario(scenario)
     assert [e.key for e in changes.events] == ["a/2", "a/1"]
     assert isinstance(changes.events[1], Removed)
 
 
-def test_waiting_watch_is_woken_by_a_change():
-    """Guards against changes that are known only when the watch ends."""
+def test_pending_watch_returns_on_a_change():
+    """Guards against changes that are reported only when the wait time is over."""
 
     async def scenario(app, store):
-        revision = (await store.async_call(put("a/1"))).ok.revision
+        revision = (await store.async_call(make_put_commit("a/1"))).ok.revision
         async with anyio.create_task_group() as tasks:
 
             async def async_change():
@@ -122,23 +122,23 @@
                 watched = await store.async_call(WatchPrefix("a/", revision, 10.0))
         return watched.ok
 
-    assert [e.key for e in run(scenario).events] == ["a/2"]
+    assert [e.key for e in run_scenario(scenario).events] == ["a/2"]
 
 
-def test_forgotten_history_is_said():
-    """Guards against a watch that silently leaves changes out."""
+def test_watch_from_a_compacted_revision_fails():
+    """Guards against a watch that silently omits changes."""
 
     async def scenario(app, store):
-        revision = (await store.async_call(put("a/1"))).ok.revision
+        revision = (await store.async_call(make_put_commit("a/1"))).ok.revision
         app.write("a/2", b"x")
         app.model.forget_history()
         return (await store.async_call(WatchPrefix("a/", revision, 0.1))).error
 
-    assert run(scenario).kind is StoreErrorKind.COMPACTED
+    assert run_scenario(scenario).kind is StoreErrorKind.COMPACTED
 
 
-def test_lease_removes_its_keys():
-    """Guards against a member that stays registered when it is lost."""
+def test_revoked_lease_removes_its_keys():
+    """Guards against a lost member that stays registered."""
 
     async def scenario(app, store):
         lease = (await store.async_call(LeaseGrant(5.0))).ok
@@ -150,17 +150,17 @@
         again = (await store.async_call(LeaseRenew(lease.lease_id))).error
         return renewed.ttl_s, before.lease_id == lease.lease_id, after, again.kind
 
-    assert run(scenario) == (5.0, True, None, StoreErrorKind.LEASE_ENDED)
+    assert run_scenario(scenario) == (5.0, True, None, StoreErrorKind.LEASE_ENDED)
 
 
 @pytest.mark.parametrize("key", ["op/config", "servers/i-1"])
-def test_keys_of_others_are_not_written(key):
-    """Guards against a mistake that looks like an outage."""
+def test_write_to_a_foreign_key_is_invalid(key):
+    """Guards against a write to a forbidden key that is reported as an outage."""
 
     async def scenario(app, store):
-        return (await store.async_call(put(key))).error
+        return (await store.async_call(make_put_commit(key))).error
 
-    assert run(scenario).kind is StoreErrorKind.INVALID
+    assert run_scenario(scenario).kind is StoreErrorKind.INVALID
 
 
 @pytest.mark.parametrize(
@@ -171,32 +171,32 @@
         (Outage.SILENT, StoreErrorKind.NO_ANSWER),
     ],
 )
-def test_outages_are_told_apart(outage, kind):
-    """Guards against a call that may take effect and counts as refused."""
+def test_refusal_and_missing_response_are_distinguished(outage, kind):
+    """Guards against a call that may have taken effect but is reported as refused."""
 
     async def scenario(app, store):
         app.faults = StoreFaults(outage=outage)
-        error = (await store.async_call(put("a"))).error
+        error = (await store.async_call(make_put_commit("a"))).error
         app.faults = StoreFaults()
         return error.kind, (await store.async_call(Get("a"))).is_ok()
 
-    assert run(scenario) == (kind, True)
+    assert run_scenario(scenario) == (kind, True)
 
 
-def test_write_whose_answer_is_lost_may_have_taken_effect():
-    """Guards against a write that is repeated as if nothing had happened."""
+def test_lost_response_is_no_answer_although_the_write_took_effect():
+    """Guards against a committed write that is reported as not carried out."""
 
     async def scenario(app, store):
         app.faults = StoreFaults(lost_answer_probability=1.0)
-        error = (await store.async_call(put("a"))).error
+        error = (await store.async_call(make_put_commit("a"))).error
         app.faults = StoreFaults()
         return error.kind, (await store.async_call(Get("a"))).ok.item is not None
 
-    assert run(scenario) == (StoreErrorKind.NO_ANSWER, True)
+    assert run_scenario(scenario) == (StoreErrorKind.NO_ANSWER, True)
 
 
-def test_store_that_refuses_this_client_alone_is_an_outage_here():
-    """Guards against a client that waits for an outage of everybody."""
+def test_refusal_of_this_client_alone_is_reported():
+    """Guards against a client that detects only an outage for all clients."""
 
     async def scenario(app, store):
         app.faults = StoreFaults(outage=Outage.BUSY, clients=("127.0.0.1",))
@@ -204,11 +204,11 @@
         app.faults = StoreFaults(outage=Outage.BUSY, clients=("10.0.0.1",))
         return refused, (await store.async_call(Get("a"))).is_ok()
 
-    assert run(scenario) == (True, True)
+    assert run_scenario(scenario) == (True, True)
 
 
-def test_address_without_listener_is_no_answer():
-    """Guards against an exception where the store is away."""
+def test_refused_connection_is_no_answer():
+    """Guards against an exception from the call when the store is unreachable."""
 
     async def async_main():
         async with PlatformStore(("127.0.0.1:1",), TIMEOUT_S) as store:
--- a/wagtailrill/daemon/__init__.py
+++ b/wagtailrill/daemon/__init__.py
@@ -1,1 +1,1 @@
-"""The daemon: runs the decision code of one instance with its I/O."""
+"""Daemon that runs one instance with wagtailrill's own interface."""
--- a/wagtailrill/daemon/__main__.py
+++ b/wagtailrill/daemon/__main__.py
@@ -1,4 +1,4 @@
-"""Command `wagtailrilld`."""
+"""Command `wagtailrilld`: reads a settings file and runs one instance."""
 
 import argparse
 import sys
@@ -6,7 +6,7 @@
 
 import anyio
 
-from ..native.assembly import process_settings
+from ..native.assembly import make_process_settings
 from ..observability.logs import configure_logs
 from ..runtime.process import Process
 from ..settings.models import InstanceSettings
@@ -19,11 +19,11 @@
 async def async_run_instance(cfg: InstanceSettings) -> None:
     """Run one instance until a planned stop has ended."""
     writer = configure_logs(cfg.log_level, cfg.instance)
-    await Process(process_settings(cfg), writer).async_run()
+    await Process(make_process_settings(cfg), writer).async_run()
 
 
 def main() -> int:
-    """Run one instance until it is stopped; return the exit status."""
+    """Parse the arguments and run one instance; return the exit status."""
     parser = argparse.ArgumentParser(
         prog="wagtailrilld",
         description="Run one wagtailrill instance.",
@@ -32,11 +32,11 @@
     parser.add_argument("--settings", type=Path, required=True, help="settings file")
     args = parser.parse_args()
     try:
-        text = args.settings.read_bytes()
+        content = args.settings.read_bytes()
     except OSError as exc:
         print(f"cannot read {args.settings}: {exc.strerror}", file=sys.stderr)
         return EXIT_USAGE
-    result = parse(text)
+    result = parse(content)
     if result.is_error():
         for finding in result.error:
             print(f"{args.settings}: {finding}", file=sys.stderr)
--- a/wagtailrill/native/__init__.py
+++ b/wagtailrill/native/__init__.py
@@ -1,1 +1,1 @@
-"""wagtailrill's own interface to callers, backend servers and operators."""
+"""Adapter to wagtailrill's own headers, control calls and declaration format."""
--- a/wagtailrill/native/assembly.py
+++ b/wagtailrill/native/assembly.py
@@ -1,4 +1,7 @@
-"""A process of the product with its own interface around it."""
+"""Builds the settings of a process that uses wagtailrill's own interface.
+
+Used by the daemon.
+"""
 
 import secrets
 from typing import Final
@@ -13,9 +16,9 @@
 from ..platform.store_client import PlatformStore
 from ..router.models import DeclaredServers, EnvironmentAdapter, RouterSettings
 from ..runtime.const import INCARNATION_BITS
-from ..runtime.process import ProcessSettings, Surroundings
+from ..runtime.process import ExternalInterfaces, ProcessSettings
 from ..settings.models import InstanceSettings
-from .configuration import NativeConfigurations, declared_servers
+from .configuration import NativeConfigurations, list_declared_servers
 from .control import CONTROL_NAMES
 from .dialect import NAMES
 
@@ -23,32 +26,32 @@
 IDLE_TIMEOUT_S: Final = 75.0
 
 
-def process_settings(cfg: InstanceSettings) -> ProcessSettings:
-    """Return the settings of a process for an instance's own settings."""
-    backends = HeaderBackends(NAMES)
-    prefix = cfg.deployment
+def make_process_settings(cfg: InstanceSettings) -> ProcessSettings:
+    """Return the process settings for an instance's settings."""
+    backend_dialect = HeaderBackends(NAMES)
+    store_prefix = cfg.deployment
     return ProcessSettings(
         router=RouterSettings(
             identity=Identity(
                 cfg.instance, secrets.randbits(INCARNATION_BITS) + 1, cfg.data_centre
             ),
-            fleet=FleetSettings(f"{prefix}/fleet/", cfg.peer_address),
-            key_table_prefix=f"{prefix}/keys/",
-            claim_prefix=f"{prefix}/claims/",
+            fleet=FleetSettings(f"{store_prefix}/fleet/", cfg.peer_address),
+            key_table_prefix=f"{store_prefix}/keys/",
+            claim_prefix=f"{store_prefix}/claims/",
         ),
         adapter=EnvironmentAdapter(
             configuration_decoder=NativeConfigurations(cfg.deployment),
-            servers=DeclaredServers(declared_servers),
+            servers=DeclaredServers(list_declared_servers),
             key_format=StructuredKeyFormat(),
-            is_reserved_header=backends.reserved,
+            is_reserved_header=backend_dialect.reserved,
             needs_idempotency_key=True,
         ),
-        surroundings=Surroundings(
+        external=ExternalInterfaces(
             store=PlatformStore(cfg.store_addresses, cfg.store_timeout_s),
-            callers=HeaderCallers(NAMES),
-            backends=backends,
-            control=JsonControl(CONTROL_NAMES),
-            tracing=_tracing(cfg.trace_sample_ratio),
+            caller_dialect=HeaderCallers(NAMES),
+            backend_dialect=backend_dialect,
+            control_dialect=JsonControl(CONTROL_NAMES),
+            tracing=_make_tracing(cfg.trace_sample_ratio),
         ),
         caller_address=cfg.caller_address,
         peer_address=cfg.peer_address,
@@ -59,16 +62,16 @@
             HEADER_TIMEOUT_S,
             IDLE_TIMEOUT_S,
         ),
-        balancer_lag_s=cfg.load_balancer_lag_s,
-        stop_s=cfg.load_balancer_lag_s + cfg.drain_s,
+        load_balancer_lag_s=cfg.load_balancer_lag_s,
+        stop_timeout_s=cfg.load_balancer_lag_s + cfg.drain_s,
         peer_secrets=cfg.peer_secrets,
     )
 
 
-def _tracing(sample_ratio: float) -> Tracing:
+def _make_tracing(sample_ratio: float) -> Tracing:
     if sample_ratio <= 0.0:
         return NoTracing()
-    # The library takes 15 MB of memory, so it is loaded only when it is used.
+    # The library takes 15 MB of memory, so it is imported only when tracing is on.
     from ..observability.tracing import JsonSpanExporter, OpenTelemetryTracing
 
     return OpenTelemetryTracing(sample_ratio, JsonSpanExporter())
--- a/wagtailrill/native/configuration.py
+++ b/wagtailrill/native/configuration.py
@@ -1,4 +1,7 @@
-"""The services declaration in the store, and the backend servers that it names."""
+"""Decodes the services declaration in the store, and lists its backend servers.
+
+Used by the router's configuration follower and by the command-line tool.
+"""
 
 import attrs
 from expression import Result
@@ -8,7 +11,7 @@
 from ..servers.models import ServerEntry, ServerState
 from ..store.models import Item
 
-STATES = {
+_SERVER_STATE_BY_DECLARED = {
     BackendServerState.IN: ServerState.READY,
     BackendServerState.LEAVING: ServerState.LEAVING,
 }
@@ -16,30 +19,30 @@
 
 @attrs.frozen
 class NativeConfigurations:
-    """Decodes the declaration of a deployment."""
+    """Implements `ConfigurationDecoder` for the declaration of a deployment."""
 
     deployment: str
 
     @property
     def prefix(self) -> str:
-        """Return the prefix of all keys that belong to the configuration."""
+        """Return the prefix of the configuration's store keys."""
         return f"{self.deployment}/config"
 
     def declaration_key(self) -> str:
-        """Return the key that holds the declaration."""
+        """Return the store key that holds the declaration."""
         return self.prefix
 
     def decode(self, item: Item) -> Result[Declaration, str]:
-        """Return the declaration, or the first finding."""
+        """Return the declaration, or the first reason why it is invalid."""
         return parse(item.value).map_error(lambda findings: str(findings[0]))
 
     def closed(self, keys: frozenset[str]) -> frozenset[str]:
-        """Return no data centres: the declaration itself says which are out."""
+        """Return no data centres: the declaration itself lists the closed ones."""
         return frozenset()
 
 
-def declared_servers(configuration: Configuration) -> dict[str, ServerEntry]:
-    """Return the entries of the backend servers that a declaration names."""
+def list_declared_servers(configuration: Configuration) -> dict[str, ServerEntry]:
+    """Return the backend servers that a configuration declares, by name."""
     return {
         entry.name: ServerEntry(
             name=entry.name,
@@ -48,7 +51,7 @@
             data_centre=entry.data_centre,
             slots=entry.slots,
             connections_max=entry.connections,
-            state=STATES[entry.state],
+            state=_SERVER_STATE_BY_DECLARED[entry.state],
             revision=configuration.version,
         )
         for service in configuration.services.values()
--- a/wagtailrill/native/control.py
+++ b/wagtailrill/native/control.py
@@ -1,4 +1,4 @@
-"""Names of the control calls of wagtailrill's own interface."""
+"""Paths and field names of wagtailrill's own control calls to backend servers."""
 
 from typing import Final
 
--- a/wagtailrill/native/dialect.py
+++ b/wagtailrill/native/dialect.py
@@ -1,4 +1,4 @@
-"""Names of the headers of wagtailrill's own interface."""
+"""Header names of wagtailrill's own interface to callers and backend servers."""
 
 from typing import Final
 
--- a/wagtailrill/platform/__init__.py
+++ b/wagtailrill/platform/__init__.py
@@ -1,1 +1,1 @@
-"""Interfaces of the platform: key-value store and instance list."""
+"""Adapter to the hosting platform: settings, store, configuration and wire names."""
--- a/wagtailrill/platform/__main__.py
+++ b/wagtailrill/platform/__main__.py
@@ -1,10 +1,11 @@
-"""Entry point: `python -m wagtailrill.platform`."""
+"""Entry point of `python -m wagtailrill.platform`."""
 
 import gc
 import sys
 
-# Objects that are made while modules load stay; to look among them for garbage takes a
-# tenth of the start, and callers wait for it after a loss of power.
+# Objects created while modules are imported live as long as the process. Scanning them
+# for garbage takes a tenth of the start-up time, which callers wait for after a power
+# failure.
 gc.disable()
 
 from .program import main  # noqa: E402
--- a/wagtailrill/platform/assembly.py
+++ b/wagtailrill/platform/assembly.py
@@ -1,4 +1,4 @@
-"""A process of the product with the platform around it."""
+"""Builds the settings of a process that runs on the platform; used by `program`."""
 
 import secrets
 from pathlib import Path
@@ -22,10 +22,10 @@
     RouterSettings,
 )
 from ..runtime.const import INCARNATION_BITS
-from ..runtime.process import ProcessSettings, Surroundings
+from ..runtime.process import ExternalInterfaces, ProcessSettings
 from ..servers.warmth import ColdSettings
 from . import wire
-from .configuration import PlatformConfigurations
+from .configuration import PlatformConfigurationDecoder
 from .control import CONTROL_NAMES
 from .dialect import NAMES
 from .discovery import PlatformServerEntries
@@ -33,14 +33,15 @@
 from .store_client import PlatformStore
 
 STORE_TIMEOUT_S: Final = 1.0
-# The platform asks every second and takes an instance out after two misses.
-BALANCER_LAG_S: Final = 2.6
-# In force until the operator's configuration says otherwise.
-FIRST_CALLER_LIMITS: Final = CallerLimits(16_384, 67_108_864, 3.0, 15.0)
+# The platform checks readiness every second and stops sending requests to an instance
+# after two failed checks.
+LOAD_BALANCER_LAG_S: Final = 2.6
+# Apply until the first configuration of the operator replaces them.
+INITIAL_CALLER_LIMITS: Final = CallerLimits(16_384, 67_108_864, 3.0, 15.0)
 
 
-def allowances_of(bounds: Bounds) -> Allowances:
-    """Return what the whole fleet may do by the platform's bounds."""
+def make_allowances(bounds: Bounds) -> Allowances:
+    """Return the fleet-wide limits that the platform's bounds set."""
     return Allowances(
         rates=RateSettings(
             bounds.quota_window_s, bounds.quota_excess, bounds.quota_allowance
@@ -55,36 +56,39 @@
 
 
 class SettingsFile:
-    """The settings file; the platform may change it while the process runs."""
+    """Settings file, which the platform may change while the process runs."""
 
     def __init__(self, path: Path, cfg: PlatformSettings) -> None:
         self._path = path
-        self._allowances = allowances_of(cfg.bounds)
+        self._allowances = make_allowances(cfg.bounds)
 
-    def reload(self) -> Allowances | None:
-        """Return the allowances if they have changed."""
+    def reload_allowances(self) -> Allowances | None:
+        """Return the allowances if they have changed, otherwise None.
+
+        A file that cannot be read or parsed is logged and changes nothing.
+        """
         try:
             parsed = parse_settings(self._path.read_bytes())
         except OSError as exc:
             reason = str(exc)
         else:
             if parsed.is_ok():
-                return self._changed(allowances_of(parsed.ok.bounds))
+                return self._replace_if_changed(make_allowances(parsed.ok.bounds))
             reason = parsed.error
         structlog.get_logger().warning("settings_invalid", reason=reason)
         return None
 
-    def _changed(self, allowances: Allowances) -> Allowances | None:
+    def _replace_if_changed(self, allowances: Allowances) -> Allowances | None:
         if allowances == self._allowances:
             return None
         self._allowances = allowances
         return allowances
 
 
-def process_settings(path: Path, cfg: PlatformSettings) -> ProcessSettings:
-    """Return the product's settings for a process of the platform."""
+def make_process_settings(path: Path, cfg: PlatformSettings) -> ProcessSettings:
+    """Return the process settings for the platform's settings file at `path`."""
     peer_address = f"{cfg.ip}:{cfg.peer_port}"
-    backends = HeaderBackends(NAMES)
+    backend_dialect = HeaderBackends(NAMES)
     return ProcessSettings(
         router=RouterSettings(
             identity=Identity(
@@ -93,26 +97,26 @@
             fleet=FleetSettings(wire.FLEET_PREFIX, peer_address),
             key_table_prefix=wire.KEY_TABLE_PREFIX,
             claim_prefix=wire.CLAIM_PREFIX,
-            allowances=allowances_of(cfg.bounds),
+            allowances=make_allowances(cfg.bounds),
         ),
         adapter=EnvironmentAdapter(
-            configuration_decoder=PlatformConfigurations(cfg.data_centres),
+            configuration_decoder=PlatformConfigurationDecoder(cfg.data_centres),
             servers=DiscoveredServers(wire.SERVER_PREFIX, PlatformServerEntries()),
             key_format=OpaqueKeyFormat(),
-            is_reserved_header=backends.reserved,
+            is_reserved_header=backend_dialect.reserved,
         ),
-        surroundings=Surroundings(
+        external=ExternalInterfaces(
             store=PlatformStore((cfg.store_address,), STORE_TIMEOUT_S),
-            callers=HeaderCallers(NAMES),
-            backends=backends,
-            control=JsonControl(CONTROL_NAMES),
+            caller_dialect=HeaderCallers(NAMES),
+            backend_dialect=backend_dialect,
+            control_dialect=JsonControl(CONTROL_NAMES),
             tracing=NoTracing(),
         ),
         caller_address=cfg.caller_address,
         peer_address=peer_address,
         admin_address=cfg.ready_address,
-        caller_limits=FIRST_CALLER_LIMITS,
-        balancer_lag_s=BALANCER_LAG_S,
-        stop_s=cfg.bounds.stop_s,
-        reload=SettingsFile(path, cfg).reload,
+        caller_limits=INITIAL_CALLER_LIMITS,
+        load_balancer_lag_s=LOAD_BALANCER_LAG_S,
+        stop_timeout_s=cfg.bounds.stop_s,
+        reload_allowances=SettingsFile(path, cfg).reload_allowances,
     )
--- a/wagtailrill/platform/configuration.py
+++ b/wagtailrill/platform/configuration.py
@@ -1,4 +1,7 @@
-"""The operator's configuration and the zones that it takes out."""
+"""Decodes the operator's configuration into a declaration, and the closed zones.
+
+Used by the router's configuration follower.
+"""
 
 import json
 import math
@@ -23,55 +26,68 @@
 from ..organisations.keys import hash_opaque_key
 from ..store.models import Item
 from . import wire
-from .units import WireError, mapping, number, rows, seconds, text, whole
+from .units import (
+    WireError,
+    get_integer,
+    get_number,
+    get_text,
+    parse_mapping,
+    parse_rows,
+    seconds,
+)
 
-_IDEMPOTENT_KINDS = {"safe": True, "unsafe": False}
+_IDEMPOTENT_BY_KIND = {"safe": True, "unsafe": False}
 
 
 @attrs.frozen
-class PlatformConfigurations:
-    """Decodes the operator's keys into a declaration.
+class PlatformConfigurationDecoder:
+    """Implements `ConfigurationDecoder` for the store keys that the operator writes.
 
-    `data_centres` are those of the settings file, by name, with their regions.
+    `data_centres` are those of the settings file: regions by name.
     """
 
     data_centres: Mapping[str, str]
 
     @property
     def prefix(self) -> str:
-        """Return the prefix of the operator's keys."""
+        """Return the prefix of the operator's store keys."""
         return wire.OPERATOR_PREFIX
 
     def declaration_key(self) -> str:
-        """Return the key whose change makes a new declaration."""
+        """Return the store key that holds the configuration."""
         return wire.CONFIGURATION_KEY
 
     def decode(self, item: Item) -> Result[Declaration, str]:
-        """Return the declaration of the configuration's key, or what is wrong."""
+        """Return the declaration of a configuration, or the reason it is invalid."""
         try:
-            return Ok(self._declaration(_load(item.value)))
+            return Ok(self._parse_declaration(_parse_json(item.value)))
         except WireError as exc:
             return Error(str(exc))
 
     def closed(self, keys: frozenset[str]) -> frozenset[str]:
-        """Return the data centres that the operator has taken out."""
-        start = len(wire.EVACUATION_PREFIX)
+        """Return the data centres that the operator has evacuated."""
+        prefix_length = len(wire.EVACUATION_PREFIX)
         return frozenset(
-            key[start:] for key in keys if key.startswith(wire.EVACUATION_PREFIX)
+            key[prefix_length:]
+            for key in keys
+            if key.startswith(wire.EVACUATION_PREFIX)
         )
 
-    def _declaration(self, fields: Mapping[str, Any]) -> Declaration:
-        # Without tenants no request carries a key.
-        keyless = fields.get("tenants") is None
-        routes = [_route(row, keyless) for row in rows(fields.get("routes"), "routes")]
-        services = rows(fields.get("services"), "services")
-        names = {text(row, "name") for row in services}
-        by_service: dict[str, list[Route]] = {name: [] for name in names}
+    def _parse_declaration(self, fields: Mapping[str, Any]) -> Declaration:
+        # Without tenants no request needs a tenant key.
+        without_tenants = fields.get("tenants") is None
+        routes = [
+            _parse_route(row, without_tenants)
+            for row in parse_rows(fields.get("routes"), "routes")
+        ]
+        service_rows = parse_rows(fields.get("services"), "services")
+        names = {get_text(row, "name") for row in service_rows}
+        routes_by_service: dict[str, list[Route]] = {name: [] for name in names}
         for service, route in routes:
             unknown = {service, *(part.service for part in route.split)} - names
             if unknown:
                 raise WireError(f"route {route.name} names unknown services")
-            by_service[service].append(route)
+            routes_by_service[service].append(route)
         tenants = fields.get("tenants")
         return Declaration(
             deployment=str(fields.get("version", "")),
@@ -80,109 +96,119 @@
                 for name, region in self.data_centres.items()
             ),
             services=tuple(
-                _service(row, tuple(by_service[text(row, "name")])) for row in services
+                _parse_service(row, tuple(routes_by_service[get_text(row, "name")]))
+                for row in service_rows
             ),
             organisations=(
                 ()
                 if tenants is None
-                else tuple(_organisation(row) for row in rows(tenants, "tenants"))
+                else tuple(
+                    _parse_organisation(row) for row in parse_rows(tenants, "tenants")
+                )
+            ),
+            caller_limits=_parse_caller_limits(
+                parse_mapping(fields.get("limits"), "limits")
             ),
-            caller_limits=_caller_limits(mapping(fields.get("limits"), "limits")),
         )
 
 
-def _load(value: bytes) -> Mapping[str, Any]:
+def _parse_json(value: bytes) -> Mapping[str, Any]:
     try:
-        return mapping(json.loads(value), "the configuration")
+        return parse_mapping(json.loads(value), "the configuration")
     except (ValueError, RecursionError) as exc:
         raise WireError(f"the configuration is not JSON: {exc}") from exc
 
 
-def _route(row: dict[str, Any], keyless: bool) -> tuple[str, Route]:
-    """Return a route and the service that it is listed under."""
-    kind = text(row, "kind")
-    if kind not in _IDEMPOTENT_KINDS:
+def _parse_route(row: dict[str, Any], without_tenants: bool) -> tuple[str, Route]:
+    """Return the name of the service that the route is listed under, and the route."""
+    kind = get_text(row, "kind")
+    if kind not in _IDEMPOTENT_BY_KIND:
         raise WireError(f"kind {kind!r:.40} is unknown")
-    split = _split(row.get("traffic_split"))
-    service = split[0].service if split else text(row, "service")
+    split = _parse_split(row.get("traffic_split"))
+    service = split[0].service if split else get_text(row, "service")
     timeout_s = seconds(row.get("timeout"), "timeout")
-    target_s = row.get("target_latency")
+    target_latency = row.get("target_latency")
     return service, Route(
         method="",
-        path=text(row, "prefix"),
-        idempotent=_IDEMPOTENT_KINDS[kind],
+        path=get_text(row, "prefix"),
+        idempotent=_IDEMPOTENT_BY_KIND[kind],
         tenant_key=(
             TenantKeyRule.NONE
-            if keyless or row.get("public")
+            if without_tenants or row.get("public")
             else TenantKeyRule.REQUIRED
         ),
         timeout_s=timeout_s,
-        name=text(row, "name"),
-        host=text(row, "host").lower(),
+        name=get_text(row, "name"),
+        host=get_text(row, "host").lower(),
         by_prefix=True,
-        priority=whole(row, "priority") if "priority" in row else 0,
+        priority=get_integer(row, "priority") if "priority" in row else 0,
         target_latency_s=(
-            None if target_s is None else seconds(target_s, "target_latency")
+            None
+            if target_latency is None
+            else seconds(target_latency, "target_latency")
+        ),
+        attempts_max=(
+            max(get_integer(row, "max_attempts"), 1) if "max_attempts" in row else 1
         ),
-        attempts_max=max(whole(row, "max_attempts"), 1) if "max_attempts" in row else 1,
         split=split,
     )
 
 
-def _split(value: Any) -> tuple[SplitPart, ...]:
+def _parse_split(value: Any) -> tuple[SplitPart, ...]:
     if value is None:
         return ()
     if not isinstance(value, list):
         raise WireError("traffic_split is not a list")
-    parts = [mapping(part, "a part of traffic_split") for part in value]
+    parts = [parse_mapping(part, "a part of traffic_split") for part in value]
     split = tuple(
-        SplitPart(text(part, "service"), number(part, "weight")) for part in parts
+        SplitPart(get_text(part, "service"), get_number(part, "weight"))
+        for part in parts
     )
     return tuple(part for part in split if part.weight > 0.0)
 
 
-def _service(row: dict[str, Any], routes: tuple[Route, ...]) -> Service:
-    cold = None
+def _parse_service(row: dict[str, Any], routes: tuple[Route, ...]) -> Service:
+    cold_start = None
     if "warmup_per_s" in row:
         duration_s = seconds(row["warmup"], "warmup") if "warmup" in row else 0.0
-        cold = ColdStart(duration_s, number(row, "warmup_per_s"))
+        cold_start = ColdStart(duration_s, get_number(row, "warmup_per_s"))
     return Service(
-        name=text(row, "name"),
+        name=get_text(row, "name"),
         routes=routes,
         backend_servers=(),
         keyed=bool(row.get("sharded")),
         checks_grants=True,
-        cold_start=cold,
+        cold_start=cold_start,
         connections_max=(
-            whole(row, "max_connections") if "max_connections" in row else 0
+            get_integer(row, "max_connections") if "max_connections" in row else 0
         ),
         health_path=str(row.get("health_check_path", "")),
         transfer_warm_s=seconds(row["warm"], "warm") if "warm" in row else 0.0,
     )
 
 
-def _organisation(row: dict[str, Any]) -> Organisation:
-    # A rate of 0, or none, is no limit.
-    rate_per_s = number(row, "rate_per_s") if "rate_per_s" in row else 0.0
-    burst = number(row, "burst") if "burst" in row else 0.0
-    keys = row.get("api_keys", [])
-    if not isinstance(keys, list):
+def _parse_organisation(row: dict[str, Any]) -> Organisation:
+    # A rate of 0 or a missing rate means that the organisation is not rate limited.
+    rate_per_s = get_number(row, "rate_per_s") if "rate_per_s" in row else 0.0
+    burst = get_number(row, "burst") if "burst" in row else 0.0
+    api_keys = row.get("api_keys", [])
+    if not isinstance(api_keys, list):
         raise WireError("api_keys is not a list")
     return Organisation(
-        name=text(row, "name"),
+        name=get_text(row, "name"),
         rate_per_s=rate_per_s or math.inf,
         burst=burst if rate_per_s else math.inf,
         tenant_keys=tuple(
-            hash_opaque_key(key.encode()) for key in keys if isinstance(key, str)
+            hash_opaque_key(key.encode()) for key in api_keys if isinstance(key, str)
         ),
-        priority=whole(row, "priority") if "priority" in row else None,
+        priority=get_integer(row, "priority") if "priority" in row else None,
     )
 
 
-def _caller_limits(fields: Mapping[str, Any]) -> CallerLimits:
+def _parse_caller_limits(fields: Mapping[str, Any]) -> CallerLimits:
     return CallerLimits(
-        header_max_bytes=whole(fields, "max_header_bytes", 1),
-        body_max_bytes=whole(fields, "max_body_bytes", 1),
+        header_max_bytes=get_integer(fields, "max_header_bytes", 1),
+        body_max_bytes=get_integer(fields, "max_body_bytes", 1),
         header_timeout_s=seconds(fields.get("header_timeout"), "header_timeout"),
         idle_timeout_s=seconds(fields.get("idle_timeout"), "idle_timeout"),
     )
--- a/wagtailrill/platform/control.py
+++ b/wagtailrill/platform/control.py
@@ -1,4 +1,4 @@
-"""Names of the platform's control calls to backend servers."""
+"""Paths and field names of the platform's control calls to backend servers."""
 
 from typing import Final
 
@@ -10,7 +10,7 @@
     grant_path="/grant",
     release_path="/release",
     first="from",
-    last="target",  # the last position, not a server
+    last="target",  # the last key position of the range, not a server
     fence="fence",
     duration="hold_time",
     duration_of=milliseconds,
--- a/wagtailrill/platform/dialect.py
+++ b/wagtailrill/platform/dialect.py
@@ -1,4 +1,4 @@
-"""Names of the platform's headers."""
+"""Header names of the platform, for the gateway's callers and backend servers."""
 
 from typing import Final
 
--- a/wagtailrill/platform/discovery.py
+++ b/wagtailrill/platform/discovery.py
@@ -1,4 +1,4 @@
-"""Entries by which backend servers announce themselves."""
+"""Decodes the store entries with which backend servers register on the platform."""
 
 import json
 from typing import Any
@@ -8,38 +8,38 @@
 from ..servers.models import ServerEntry, ServerState
 from ..store.models import Item
 from . import wire
-from .units import WireError, mapping, seconds, text, whole
+from .units import WireError, get_integer, get_text, parse_mapping, seconds
 
-_STATES = {"ready": ServerState.READY, "draining": ServerState.LEAVING}
+_STATE_BY_NAME = {"ready": ServerState.READY, "draining": ServerState.LEAVING}
 
 
 class PlatformServerEntries:
-    """Decodes the entries of backend servers; others may write there, too."""
+    """Implements `EntryDecoder`; entries are untrusted, as others may write them."""
 
     def decode(self, item: Item) -> Result[ServerEntry, str]:
-        """Return the entry, or why it names no server to use."""
+        """Return the entry, or the reason why it is invalid."""
         try:
-            fields = mapping(json.loads(item.value), "the entry")
-            return Ok(_entry(item, fields))
+            fields = parse_mapping(json.loads(item.value), "the entry")
+            return Ok(_parse_entry(item, fields))
         except (ValueError, RecursionError) as exc:  # includes WireError
             return Error(str(exc) or type(exc).__name__)
 
 
-def _entry(item: Item, fields: Any) -> ServerEntry:
+def _parse_entry(item: Item, fields: Any) -> ServerEntry:
     name = item.key.removeprefix(wire.SERVER_PREFIX)
-    state = text(fields, "state")
-    if state not in _STATES:
+    state = get_text(fields, "state")
+    if state not in _STATE_BY_NAME:
         raise WireError(f"state {state!r:.40} is unknown")
-    # Unix milliseconds of the start: a server may start again under its name.
-    born_ms = whole(fields, "born") if "born" in fields else 0
+    # Start time in Unix milliseconds: a restarted server may keep its name.
+    born_ms = get_integer(fields, "born") if "born" in fields else 0
     return ServerEntry(
         name=name,
-        service=text(fields, "service"),
-        address=_address(text(fields, "address")),
-        data_centre=text(fields, "zone"),
-        slots=whole(fields, "slots", 1),
+        service=get_text(fields, "service"),
+        address=_check_address(get_text(fields, "address")),
+        data_centre=get_text(fields, "zone"),
+        slots=get_integer(fields, "slots", 1),
         connections_max=0,
-        state=_STATES[state],
+        state=_STATE_BY_NAME[state],
         start_id=f"{name}/{born_ms}",
         cold_left_s=(
             seconds(fields["warmup_left"], "warmup_left")
@@ -50,7 +50,7 @@
     )
 
 
-def _address(value: str) -> str:
+def _check_address(value: str) -> str:
     host, _, port = value.rpartition(":")
     if not host or not port.isdigit() or not 0 < int(port) < 65_536:
         raise WireError(f"address {value!r:.40} is not IP:port")
--- a/wagtailrill/platform/program.py
+++ b/wagtailrill/platform/program.py
@@ -1,4 +1,4 @@
-"""Program that runs one instance on the platform."""
+"""Command that runs one instance on the platform."""
 
 import gc
 import os
@@ -11,17 +11,17 @@
 from ..observability.logs import configure_logs
 from ..runtime.process import Process
 from ..settings.models import LogLevel
-from .assembly import process_settings
+from .assembly import make_process_settings
 from .settings import PlatformSettings, parse_settings
 
 SETTINGS_VARIABLE: Final = "WAGTAILRILL_CONFIG"
 EXIT_USAGE: Final = 2
 
 
-async def async_main(path: Path, cfg: PlatformSettings) -> None:
-    """Run one instance until it is stopped."""
+async def async_run_instance(path: Path, cfg: PlatformSettings) -> None:
+    """Run one instance until a planned stop has ended."""
     writer = configure_logs(LogLevel.INFO, cfg.instance)
-    await Process(process_settings(path, cfg), writer).async_run()
+    await Process(make_process_settings(path, cfg), writer).async_run()
 
 
 def main() -> int:
@@ -37,5 +37,5 @@
         return EXIT_USAGE
     gc.freeze()
     gc.enable()
-    anyio.run(async_main, path, result.ok)
+    anyio.run(async_run_instance, path, result.ok)
     return 0
--- a/wagtailrill/platform/settings.py
+++ b/wagtailrill/platform/settings.py
@@ -1,4 +1,4 @@
-"""The settings file that the platform writes for a process."""
+"""Parses the settings file that the platform writes for a process."""
 
 import tomllib
 from collections.abc import Mapping
@@ -7,17 +7,20 @@
 import attrs
 from expression import Error, Ok, Result
 
-from .units import WireError, mapping, seconds, text, whole
+from .units import WireError, get_integer, get_text, parse_mapping, seconds
 
 
 @attrs.frozen
 class Bounds:
-    """Figures of the platform's promises; durations in seconds.
-
-    The names are the platform's where they say what they hold. `apply_s` is the time
-    within which a configuration is in force, `leave_s` the time after which a leaving
-    server gets nothing more, and `connections_lost_s` the time after which a machine
-    counts as calm again.
+    """Limits that the platform guarantees to its users, with their defaults.
+
+    Fields that end in `_s` are durations in seconds. `leave_s` is the time after which
+    a draining server receives no more requests, `stop_s` the time in which a process
+    has to stop, `apply_s` the time within which a configuration takes effect and
+    `calm_s` the time after which a machine counts as stable again. `evacuate_s` is the
+    time in which a data centre is evacuated, `grant_max_s` the longest grant of a key.
+    `retry_share`, `quota_excess` and `cold_excess_factor` are ratios; the
+    `_allowance` fields and `cold_excess_requests` are numbers of requests.
     """
 
     leave_s: float = 2.0
@@ -38,7 +41,11 @@
 
 @attrs.frozen
 class PlatformSettings:
-    """Settings of one process as the platform gives them."""
+    """Settings of one process, as the platform provides them.
+
+    Addresses are `IP:port`. `data_centres` are regions by data centre. `cpu_share` is
+    the number of processors that the process may use.
+    """
 
     instance: str
     data_centre: str
@@ -53,11 +60,12 @@
     heartbeat_s: float
     cpu_share: float
     memory_mb: int
-    files_max: int
+    file_descriptors_max: int
     bounds: Bounds
 
 
-_BOUND_READERS = {
+# Fields of `Bounds` by the platform's names, and whether the value is a duration.
+_BOUND_FIELDS = {
     "drain": ("leave_s", True),
     "grace": ("stop_s", True),
     "apply": ("apply_s", True),
@@ -76,55 +84,57 @@
 
 
 def parse_settings(content: bytes) -> Result[PlatformSettings, str]:
-    """Return the settings of a file, or what is wrong with it."""
+    """Return the settings of a TOML file, or the reason why it is invalid."""
     try:
-        return Ok(_settings(tomllib.loads(content.decode())))
+        return Ok(_build_settings(tomllib.loads(content.decode())))
     except (tomllib.TOMLDecodeError, UnicodeDecodeError, WireError) as exc:
         return Error(str(exc))
 
 
-def _settings(fields: Mapping[str, Any]) -> PlatformSettings:
-    listen = mapping(fields.get("listen"), "listen")
-    limits = mapping(fields.get("limits"), "limits")
-    store = mapping(fields.get("platform"), "platform")
-    zones = mapping(fields.get("zones", {}), "zones")
+def _build_settings(fields: Mapping[str, Any]) -> PlatformSettings:
+    listen = parse_mapping(fields.get("listen"), "listen")
+    limits = parse_mapping(fields.get("limits"), "limits")
+    platform = parse_mapping(fields.get("platform"), "platform")
+    zones = parse_mapping(fields.get("zones", {}), "zones")
     ports = fields.get("internal_ports")
     if not isinstance(ports, list) or not ports or type(ports[0]) is not int:
         raise WireError("internal_ports is not a list of ports")
-    share = limits.get("cpu_share", 1.0)
+    cpu_share = limits.get("cpu_share", 1.0)
     return PlatformSettings(
-        instance=text(fields, "node"),
-        data_centre=text(fields, "zone"),
-        region=text(fields, "region"),
-        ip=text(fields, "ip"),
+        instance=get_text(fields, "node"),
+        data_centre=get_text(fields, "zone"),
+        region=get_text(fields, "region"),
+        ip=get_text(fields, "ip"),
         data_centres={name: str(region) for name, region in zones.items()},
-        caller_address=text(listen, "front"),
-        ready_address=text(listen, "ready"),
+        caller_address=get_text(listen, "front"),
+        ready_address=get_text(listen, "ready"),
         peer_port=ports[0],
-        store_address=text(store, "address"),
-        store_ttl_min_s=seconds(store.get("ttl_min", "1000ms"), "ttl_min"),
+        store_address=get_text(platform, "address"),
+        store_ttl_min_s=seconds(platform.get("ttl_min", "1000ms"), "ttl_min"),
         heartbeat_s=seconds(fields.get("heartbeat", "1s"), "heartbeat"),
-        cpu_share=float(share) if type(share) in (int, float) else 1.0,
-        memory_mb=whole(limits, "memory_mb"),
-        files_max=whole(limits, "max_fds"),
-        bounds=_bounds(fields.get("bounds", [])),
+        cpu_share=float(cpu_share) if type(cpu_share) in (int, float) else 1.0,
+        memory_mb=get_integer(limits, "memory_mb"),
+        file_descriptors_max=get_integer(limits, "max_fds"),
+        bounds=_parse_bounds(fields.get("bounds", [])),
     )
 
 
-def _bounds(lines: Any) -> Bounds:
-    if not isinstance(lines, list):
+def _parse_bounds(assignments: Any) -> Bounds:
+    if not isinstance(assignments, list):
         raise WireError("bounds is not a list")
     values: dict[str, float] = {}
-    for line in lines:
-        name, _, value = str(line).partition("=")
-        if name not in _BOUND_READERS:
+    for assignment in assignments:
+        name, _, value = str(assignment).partition("=")
+        if name not in _BOUND_FIELDS:
             continue
-        field, is_time = _BOUND_READERS[name]
-        values[field] = seconds(value, name) if is_time else _plain(value, name)
+        field, is_duration = _BOUND_FIELDS[name]
+        values[field] = (
+            seconds(value, name) if is_duration else _parse_number(value, name)
+        )
     return Bounds(**values)
 
 
-def _plain(value: str, name: str) -> float:
+def _parse_number(value: str, name: str) -> float:
     try:
         return float(value)
     except ValueError:
--- a/wagtailrill/platform/store_client.py
+++ b/wagtailrill/platform/store_client.py
@@ -1,4 +1,7 @@
-"""Client of the platform's key-value store."""
+"""HTTP client of the platform's key-value store.
+
+Used by both kinds of processes and by the command-line tool.
+"""
 
 import base64
 import json
@@ -34,15 +37,23 @@
     StoreResult,
     WatchPrefix,
 )
-from .units import WireError, mapping, milliseconds, seconds, text, whole
+from .units import (
+    WireError,
+    get_integer,
+    get_text,
+    milliseconds,
+    parse_mapping,
+    seconds,
+)
 
-ANSWER_MAX_BYTES: Final = 8_388_608
+RESPONSE_MAX_BYTES: Final = 8_388_608
 CONNECTIONS_MAX: Final = 8
 KEEPALIVE_S: Final = 30.0
+# Added to the wait time of a watch, so that the store ends the wait first.
 WATCH_MARGIN_S: Final = 1.0
 _MS_PER_S: Final = 1000.0
 _JSON_HEADER: Final = ("Content-Type", "application/json")
-_ERROR_KINDS: Final = {
+_ERROR_KIND_BY_STATUS: Final = {
     400: StoreErrorKind.INVALID,
     403: StoreErrorKind.INVALID,
     404: StoreErrorKind.LEASE_ENDED,
@@ -55,7 +66,9 @@
 
 
 @attrs.frozen
-class _Request:
+class _HttpRequest:
+    """HTTP request to the store; `wait_s` is added to the timeout of the call."""
+
     method: str
     target: str
     body: dict[str, Any] | None = None
@@ -63,22 +76,24 @@
 
 
 @attrs.frozen
-class _Exchange:
-    """How an operation becomes a request and a response becomes a reply."""
+class _OperationCodec:
+    """Converts an operation to a request and the response's fields to a reply."""
 
-    request: Callable[[Any], _Request]
-    reply: Callable[[Any], StoreReply]
+    encode_request: Callable[[Any], _HttpRequest]
+    decode_reply: Callable[[Any], StoreReply]
 
 
 class PlatformStore:
-    """Implements `Store` over HTTP; calls end within `timeout_s`, watches later.
+    """Implements `Store` over HTTP.
 
-    A call without an answer makes the following ones use the next address.
+    A call ends within `timeout_s` seconds, a watch up to its `wait_s` plus
+    `WATCH_MARGIN_S` later. After a call without a response the client switches to the
+    next address.
     """
 
     def __init__(self, addresses: tuple[str, ...], timeout_s: float) -> None:
-        self._bases = tuple(f"http://{address}" for address in addresses)
-        self._current = 0
+        self._base_urls = tuple(f"http://{address}" for address in addresses)
+        self._address_index = 0
         self._timeout_s = timeout_s
         self._pool = httpcore.AsyncConnectionPool(
             max_connections=CONNECTIONS_MAX,
@@ -93,13 +108,13 @@
         await self.async_close()
 
     async def async_close(self) -> None:
-        """Close the connections."""
+        """Close all connections."""
         await self._pool.aclose()
 
     async def async_call(self, operation: StoreOperation) -> StoreResult:
-        """Carry out one operation."""
-        exchange = _EXCHANGES[type(operation)]
-        request = exchange.request(operation)
+        """Carry out one operation; failures are returned as `StoreError`."""
+        codec = _CODEC_BY_OPERATION[type(operation)]
+        request = codec.encode_request(operation)
         try:
             with anyio.fail_after(self._timeout_s + request.wait_s):
                 status, content = await self._async_send(request)
@@ -110,112 +125,120 @@
             httpcore.ProtocolError,
             OSError,
         ) as exc:
-            self._current = (self._current + 1) % len(self._bases)
+            self._address_index = (self._address_index + 1) % len(self._base_urls)
             message = f"{type(exc).__name__}: {exc}"
             return Error(StoreError(StoreErrorKind.NO_ANSWER, message))
         try:
-            return _interpret(operation, exchange, status, content)
+            return _decode_result(operation, codec, status, content)
         except (ValueError, KeyError, TypeError, RecursionError) as exc:
-            message = f"malformed answer: {exc}"
+            message = f"malformed response: {exc}"
             return Error(StoreError(StoreErrorKind.NO_ANSWER, message))
 
-    async def _async_send(self, request: _Request) -> tuple[int, bytes]:
+    async def _async_send(self, request: _HttpRequest) -> tuple[int, bytes]:
         content = b"" if request.body is None else json.dumps(request.body).encode()
         async with self._pool.stream(
             request.method,
-            self._bases[self._current] + request.target,
+            self._base_urls[self._address_index] + request.target,
             headers=[_JSON_HEADER] if content else [],
             content=content,
         ) as response:
             chunks, size = [], 0
             async for chunk in response.aiter_stream():
                 size += len(chunk)
-                if size > ANSWER_MAX_BYTES:
-                    raise httpcore.RemoteProtocolError("the answer is too large")
+                if size > RESPONSE_MAX_BYTES:
+                    raise httpcore.RemoteProtocolError("the response is too large")
                 chunks.append(chunk)
             return response.status, b"".join(chunks)
 
 
-def _interpret(
-    operation: StoreOperation, exchange: _Exchange, status: int, content: bytes
+def _decode_result(
+    operation: StoreOperation, codec: _OperationCodec, status: int, content: bytes
 ) -> StoreResult:
     if status == 404 and isinstance(operation, Get):
         return Ok(Found(None))
     if status == 200:
-        fields = mapping(json.loads(content or b"{}"), "the answer")
-        return Ok(exchange.reply(fields))
-    kind = _ERROR_KINDS.get(status, StoreErrorKind.NO_ANSWER)
+        fields = parse_mapping(json.loads(content or b"{}"), "the response")
+        return Ok(codec.decode_reply(fields))
+    kind = _ERROR_KIND_BY_STATUS.get(status, StoreErrorKind.NO_ANSWER)
     items: tuple[Item, ...] = ()
     if kind is StoreErrorKind.CONFLICT:
-        fields = mapping(json.loads(content), "the answer")
-        items = tuple(_item(entry) for entry in fields.get("items", []) if entry)
+        fields = parse_mapping(json.loads(content), "the response")
+        items = tuple(_decode_item(entry) for entry in fields.get("items", []) if entry)
     return Error(StoreError(kind, f"status {status}", items))
 
 
-def _item(fields: Any) -> Item:
-    entry = mapping(fields, "an item")
+def _decode_item(fields: Any) -> Item:
+    entry = parse_mapping(fields, "an item")
     value = entry.get("value")
     return Item(
-        key=text(entry, "key"),
+        key=get_text(entry, "key"),
         value=base64.b64decode(value, validate=True) if value else b"",
-        revision=whole(entry, "rev"),
-        created_revision=whole(entry, "create_rev") if "create_rev" in entry else 0,
-        lease_id=whole(entry, "lease") if "lease" in entry else 0,
+        revision=get_integer(entry, "rev"),
+        created_revision=(
+            get_integer(entry, "create_rev") if "create_rev" in entry else 0
+        ),
+        lease_id=get_integer(entry, "lease") if "lease" in entry else 0,
     )
 
 
-def _event(fields: Any) -> Item | Removed:
-    entry = mapping(fields, "an event")
+def _decode_event(fields: Any) -> Item | Removed:
+    entry = parse_mapping(fields, "an event")
     if entry.get("deleted"):
-        return Removed(text(entry, "key"), whole(entry, "rev"))
-    return _item(entry)
+        return Removed(get_text(entry, "key"), get_integer(entry, "rev"))
+    return _decode_item(entry)
 
 
-def _entries(value: Any, name: str) -> list[Any]:
+def _check_list(value: Any, name: str) -> list[Any]:
     if not isinstance(value, list):
         raise WireError(f"{name} is not a list")
     return value
 
 
-def _found(fields: Any) -> Found:
-    return Found(_item(fields))
+def _decode_found(fields: Any) -> Found:
+    return Found(_decode_item(fields))
 
 
-def _listed(fields: Any) -> Listed:
-    items = tuple(_item(entry) for entry in _entries(fields.get("items"), "items"))
-    return Listed(items, bool(fields["has_more"]), whole(fields, "store_revision"))
+def _decode_listed(fields: Any) -> Listed:
+    items = tuple(
+        _decode_item(entry) for entry in _check_list(fields.get("items"), "items")
+    )
+    return Listed(
+        items, bool(fields["has_more"]), get_integer(fields, "store_revision")
+    )
 
 
-def _changes(fields: Any) -> Changes:
-    events = _entries(fields.get("events"), "events")
-    return Changes(tuple(map(_event, events)), whole(fields, "store_revision"))
+def _decode_changes(fields: Any) -> Changes:
+    events = _check_list(fields.get("events"), "events")
+    return Changes(
+        tuple(map(_decode_event, events)), get_integer(fields, "store_revision")
+    )
 
 
-def _leased(fields: Any) -> Leased:
-    lease_id = whole(fields, "lease") if "lease" in fields else 0
+def _decode_leased(fields: Any) -> Leased:
+    lease_id = get_integer(fields, "lease") if "lease" in fields else 0
     return Leased(lease_id, seconds(fields.get("ttl_time"), "ttl_time"))
 
 
-def _list_request(operation: ListPrefix) -> _Request:
+def _encode_list(operation: ListPrefix) -> _HttpRequest:
     query = {"prefix": operation.prefix}
     if operation.after:
         query["after"] = operation.after
     if operation.stale:
         query["stale_ok"] = "1"
-    return _Request("GET", f"/kv-range?{urlencode(query)}")
+    return _HttpRequest("GET", f"/kv-range?{urlencode(query)}")
 
 
-def _watch_request(operation: WatchPrefix) -> _Request:
+def _encode_watch(operation: WatchPrefix) -> _HttpRequest:
     query = {
         "prefix": operation.prefix,
         "after": operation.after_revision,
         "wait_ms": round(operation.wait_s * _MS_PER_S),
     }
     target = f"/kv-watch?{urlencode(query)}"
-    return _Request("GET", target, wait_s=operation.wait_s + WATCH_MARGIN_S)
+    return _HttpRequest("GET", target, wait_s=operation.wait_s + WATCH_MARGIN_S)
 
 
-def _commit_request(operation: Commit) -> _Request:
+def _encode_commit(operation: Commit) -> _HttpRequest:
     body = {
         "expected_rev": [
             {"key": entry.key, "rev": entry.revision} for entry in operation.expected
@@ -230,25 +253,31 @@
         ],
         "remove": list(operation.removes),
     }
-    return _Request("POST", "/kv-txn", body)
+    return _HttpRequest("POST", "/kv-txn", body)
 
 
-_EXCHANGES: Final[dict[type, _Exchange]] = {
-    Get: _Exchange(
-        lambda op: _Request("GET", f"/kv-key?{urlencode({'key': op.key})}"), _found
+_CODEC_BY_OPERATION: Final[dict[type, _OperationCodec]] = {
+    Get: _OperationCodec(
+        lambda op: _HttpRequest("GET", f"/kv-key?{urlencode({'key': op.key})}"),
+        _decode_found,
+    ),
+    ListPrefix: _OperationCodec(_encode_list, _decode_listed),
+    WatchPrefix: _OperationCodec(_encode_watch, _decode_changes),
+    Commit: _OperationCodec(
+        _encode_commit, lambda fields: Committed(get_integer(fields, "rev"))
     ),
-    ListPrefix: _Exchange(_list_request, _listed),
-    WatchPrefix: _Exchange(_watch_request, _changes),
-    Commit: _Exchange(_commit_request, lambda f: Committed(whole(f, "rev"))),
-    LeaseGrant: _Exchange(
-        lambda op: _Request("POST", "/kv-lease", {"ttl_time": milliseconds(op.ttl_s)}),
-        _leased,
+    LeaseGrant: _OperationCodec(
+        lambda op: _HttpRequest(
+            "POST", "/kv-lease", {"ttl_time": milliseconds(op.ttl_s)}
+        ),
+        _decode_leased,
     ),
-    LeaseRenew: _Exchange(
-        lambda op: _Request("POST", f"/kv-keep/{quote(str(op.lease_id))}", {}), _leased
+    LeaseRenew: _OperationCodec(
+        lambda op: _HttpRequest("POST", f"/kv-keep/{quote(str(op.lease_id))}", {}),
+        _decode_leased,
     ),
-    LeaseRevoke: _Exchange(
-        lambda op: _Request("DELETE", f"/kv-lease-end/{quote(str(op.lease_id))}"),
+    LeaseRevoke: _OperationCodec(
+        lambda op: _HttpRequest("DELETE", f"/kv-lease-end/{quote(str(op.lease_id))}"),
         lambda fields: Revoked(),
     ),
 }
--- a/wagtailrill/platform/wire.py
+++ b/wagtailrill/platform/wire.py
@@ -1,15 +1,15 @@
-"""Names that the platform uses in headers, paths and keys."""
+"""Names that the platform uses in headers, and prefixes of keys in its store."""
 
 from typing import Final
 
 # Headers, in lower case.
 REQUEST_ID: Final = b"request-id"
-# Milliseconds that the caller still waits; the field's deadline.
+# Milliseconds that the caller still waits; a deadline in the platform's terms.
 TIME_LEFT_MS: Final = b"deadline-ms"
 TENANT: Final = b"tenant"
-# Identifier of the one process that may run the request.
+# Name of the only backend server process that may run the request.
 EXPECTED_SERVER: Final = b"target-instance"
-# Running, waiting, slots and, from some services, slowness in per cent.
+# Running and waiting requests, slots and, from some services, slowness in per cent.
 LOAD: Final = b"upstream-load"
 NOT_RUN: Final = b"not-executed"
 SERVER_ID: Final = b"instance-id"
@@ -18,7 +18,7 @@
 AUTHORIZATION: Final = b"authorization"
 AUTHORIZATION_SCHEME: Final = b"bearer "
 
-# Keys of the store.
+# Store keys that the platform's operator and the backend servers write.
 OPERATOR_PREFIX: Final = "op/"
 CONFIGURATION_KEY: Final = "op/config"
 EVACUATION_PREFIX: Final = "op/evacuate/"
@@ -26,7 +26,7 @@
 
 KEY_POSITIONS: Final = 65_536
 
-# Keys that this product writes.
+# Store keys that wagtailrill writes.
 FLEET_PREFIX: Final = "wagtailrill/fleet/"
 KEY_TABLE_PREFIX: Final = "wagtailrill/keys/"
 CLAIM_PREFIX: Final = "wagtailrill/claims/"
--- a/wagtailrill/runtime/__init__.py
+++ b/wagtailrill/runtime/__init__.py
@@ -1,1 +1,1 @@
-"""Process of one instance: event loop, listeners and clients."""
+"""Runs one instance in a process: event loop, listeners, clients, admin interface."""
--- a/wagtailrill/runtime/const.py
+++ b/wagtailrill/runtime/const.py
@@ -1,11 +1,11 @@
-"""Constants of a process."""
+"""Intervals and sizes that the process of an instance uses."""
 
 from typing import Final
 
 SEED_BITS: Final = 62
 INCARNATION_BITS: Final = 62
 CLEANUP_INTERVAL_S: Final = 0.25
-DRAIN_TICK_S: Final = 0.1
-# The process has ended so long before it would be killed.
+DRAIN_CHECK_INTERVAL_S: Final = 0.1
+# The process ends this long before the stop timeout, after which it is killed.
 STOP_MARGIN_S: Final = 0.4
 RELOAD_INTERVAL_S: Final = 5.0
--- a/wagtailrill/runtime/driver.py
+++ b/wagtailrill/runtime/driver.py
@@ -1,4 +1,7 @@
-"""Drives a router: hands it events and carries out its commands."""
+"""Runs a router on the event loop: passes it events and executes its commands.
+
+Used by the process of an instance and, for callers' requests, by the gateway.
+"""
 
 import asyncio
 import time
@@ -58,160 +61,175 @@
 )
 from ..store.models import Store
 
-INTERNAL_ERROR = Refusal(
+INTERNAL_ERROR_REFUSAL = Refusal(
     RefusalCode.INTERNAL_ERROR,
     "The request could not be handled; see the instance's log.",
     MayHaveRun.UNKNOWN,
 )
-# The end of a server's other connections is known this long after the first.
-CRASH_NOTICE_S = 0.04
+# When a server process crashes, all of its connections are reported as closed within
+# this time after the first one.
+SAME_PROCESS_CHECK_DELAY_S = 0.04
 CONTROL_HEADERS = ((b"content-type", b"application/json"),)
 _LOG = structlog.get_logger()
 
 
-def now_s() -> float:
-    """Return the seconds since the machine's start.
+def read_clock_s() -> float:
+    """Return the seconds since the machine was started.
 
-    This clock goes on while the machine is suspended, so that leases end in time.
+    This clock also counts the time in which the machine is suspended, so that leases
+    expire on time.
     """
     return time.clock_gettime(time.CLOCK_BOOTTIME)
 
 
-class Decisions(Protocol):
-    """Decision code of one instance."""
+class EventDrivenRouter(Protocol):
+    """Router of one instance, without input and output of its own.
+
+    `now_s` is monotonic time and `wall_s` Unix time, both in seconds.
+    """
 
     def start(self, now_s: float, wall_s: float) -> list[Command]:
-        """Return the first commands."""
+        """Start the router; return the first commands to execute."""
         ...
 
     def step(self, event: Event | None, now_s: float, wall_s: float) -> list[Command]:
-        """Handle an event and due timers."""
+        """Handle an event, if any, and due timers; return the commands to execute."""
         ...
 
     def next_due_s(self) -> float | None:
-        """Return the time of the next timer."""
+        """Return the monotonic time of the next timer in seconds, None without one."""
         ...
 
     def address_of(self, backend_server: str) -> str | None:
-        """Return the address of a backend server."""
+        """Return the address of a backend server, None if it is unknown."""
         ...
 
 
 @attrs.frozen
-class DriverParts:
-    """What the driver connects."""
+class DriverDependencies:
+    """Router, clients, message formats and observability that a driver connects."""
 
-    decisions: Decisions
+    router: EventDrivenRouter
     store: Store
-    callers: CallerDialect
-    backends: BackendDialect
-    control: ControlDialect
+    caller_dialect: CallerDialect
+    backend_dialect: BackendDialect
+    control_dialect: ControlDialect
     transport: PeerLink
     metrics: Metrics
     tracing: Tracing
-    log: Callable[[LogEvent], None]
+    write_log: Callable[[LogEvent], None]
 
 
 @attrs.define(eq=False, slots=True)
 class OpenRequest:
-    """A caller's request that waits for its answer."""
+    """A caller's request that has not been answered; `started_s` is event loop time.
+
+    `caller_request_id` is the caller's own identifier of the request.
+    """
 
     exchange: Exchange
-    caller_id: str
+    caller_request_id: str
     started_s: float
     span: CallerSpan
 
 
 @attrs.define(eq=False, slots=True)
 class RunningAttempt:
-    """A request to a backend server that is in progress."""
+    """An attempt in progress, with its connection pool and trace span."""
 
     pool: BackendPool
     span: HopSpan
 
 
 class Driver:
-    """Runs one router on the event loop; implements the gateway's `RequestHandler`."""
+    """Runs one router on the event loop; implements the gateway's `RequestHandler`.
+
+    `pools` holds the connections to each backend server, by its name.
+    """
 
-    def __init__(self, parts: DriverParts) -> None:
+    def __init__(self, deps: DriverDependencies) -> None:
         self.pools: dict[str, BackendPool] = {}
-        self._parts = parts
+        self._deps = deps
         self._loop = asyncio.get_running_loop()
-        self._open: dict[int, OpenRequest] = {}
-        self._running: dict[int, RunningAttempt] = {}
-        self._results: dict[int, AttemptResult] = {}
+        self._open_requests: dict[int, OpenRequest] = {}
+        self._running_attempts: dict[int, RunningAttempt] = {}
+        self._attempt_results: dict[int, AttemptResult] = {}
         self._timer: asyncio.TimerHandle | None = None
         self._timer_due_s = 0.0
         self._tasks: set[asyncio.Task[None]] = set()
-        self._handlers: dict[type, Callable[[Any], None]] = {
-            SendPeer: lambda command: parts.transport.send(command.envelope),
+        self._command_handlers: dict[type, Callable[[Any], None]] = {
+            SendPeer: lambda command: deps.transport.send(command.envelope),
             CallStore: self._call_store,
             CallBackend: self._call_backend,
-            SendBackendRequest: self._send_order,
+            SendBackendRequest: self._send_backend_request,
             CancelAttempt: self._cancel_attempt,
             CloseConnections: self._close_connections,
-            RefuseRequest: self._refuse,
-            AnswerRequest: self._answer,
-            ReplayAnswer: self._replay,
-            LogEvent: parts.log,
+            RefuseRequest: self._refuse_request,
+            AnswerRequest: self._answer_request,
+            ReplayAnswer: self._replay_answer,
+            LogEvent: deps.write_log,
         }
 
     def start(self) -> None:
-        """Start the router."""
-        commands = self._parts.decisions.start(now_s(), time.time())
-        self._carry_out(commands)
+        """Start the router and execute its first commands."""
+        commands = self._deps.router.start(read_clock_s(), time.time())
+        self._execute_commands(commands)
         self._arm_timer()
 
-    def open_requests(self) -> int:
-        """Return the number of callers that wait for an answer."""
-        return len(self._open)
+    def count_open_requests(self) -> int:
+        """Return the number of requests that have not been answered."""
+        return len(self._open_requests)
 
-    def dispatch(self, event: Event | None) -> bool:
-        """Hand an event to the router and carry out its commands.
+    def dispatch_event(self, event: Event | None) -> bool:
+        """Pass an event to the router and execute its commands.
 
-        Return whether the router handled it.
+        None stands for due timers alone. Return whether the router handled the event
+        without an exception; an exception is logged and counted.
         """
-        decisions = self._parts.decisions
+        router = self._deps.router
         try:
-            commands = decisions.step(event, now_s(), time.time())
+            commands = router.step(event, read_clock_s(), time.time())
         except Exception:
             _LOG.exception("step_failed", event_type=type(event).__name__)
-            self._parts.metrics.record_failed_step(type(event).__name__)
+            self._deps.metrics.record_failed_step(type(event).__name__)
             self._arm_timer()
             return False
-        self._carry_out(commands)
+        self._execute_commands(commands)
         self._arm_timer()
         return True
 
     def request_arrived(self, req: CallerRequest, exchange: Exchange) -> None:
-        """Run a request; its answer goes to the exchange."""
-        self._open[req.request_id] = OpenRequest(
+        """Start to handle a request; its answer is written to the exchange."""
+        self._open_requests[req.request_id] = OpenRequest(
             exchange,
             req.caller_request_id,
             self._loop.time(),
-            self._parts.tracing.start_request(req),
+            self._deps.tracing.start_request(req),
         )
-        if not self.dispatch(RequestArrived(req)):
-            self._refuse(RefuseRequest(req.request_id, INTERNAL_ERROR))
+        if not self.dispatch_event(RequestArrived(req)):
+            self._refuse_request(RefuseRequest(req.request_id, INTERNAL_ERROR_REFUSAL))
 
     def caller_left(self, request_id: int) -> None:
-        """Tell the router that a caller closed its connection."""
-        if self._open.pop(request_id, None) is not None:
-            self.dispatch(CallerLeft(request_id))
+        """Tell the router that the caller of a request closed its connection."""
+        if self._open_requests.pop(request_id, None) is not None:
+            self.dispatch_event(CallerLeft(request_id))
 
     def drop_expired_connections(self) -> None:
-        """Close idle connections that may be closed by their server soon."""
+        """Close idle connections that their backend server may close soon.
+
+        Pools without connections are removed once their server is unknown.
+        """
         for name, pool in list(self.pools.items()):
             pool.drop_expired()
-            if pool.unused and self._parts.decisions.address_of(name) is None:
+            if pool.unused and self._deps.router.address_of(name) is None:
                 del self.pools[name]
 
-    def _carry_out(self, commands: list[Command]) -> None:
+    def _execute_commands(self, commands: list[Command]) -> None:
         for command in commands:
-            self._handlers[type(command)](command)
+            self._command_handlers[type(command)](command)
 
     def _arm_timer(self) -> None:
-        due_s = self._parts.decisions.next_due_s()
+        due_s = self._deps.router.next_due_s()
         if self._timer is not None:
             if due_s is not None and self._timer_due_s <= due_s:
                 return
@@ -219,60 +237,60 @@
             self._timer = None
         if due_s is not None:
             self._timer_due_s = due_s
-            delay_s = max(0.0, due_s - now_s())
+            delay_s = max(0.0, due_s - read_clock_s())
             self._timer = self._loop.call_later(delay_s, self._run_timers)
 
     def _run_timers(self) -> None:
         self._timer = None
-        self.dispatch(None)
+        self.dispatch_event(None)
 
-    def _spawn(self, coroutine: Coroutine[Any, Any, None]) -> None:
+    def _start_task(self, coroutine: Coroutine[Any, Any, None]) -> None:
         task = self._loop.create_task(coroutine)
         self._tasks.add(task)
         task.add_done_callback(self._tasks.discard)
 
     def _call_store(self, command: CallStore) -> None:
-        self._spawn(self._async_call_store(command))
+        self._start_task(self._async_call_store(command))
 
-    async def _async_check(self, command: CallBackend) -> None:
-        pool = self._pool(command.backend_server)
+    async def _async_check_reachable(self, command: CallBackend) -> None:
+        pool = self._get_pool(command.backend_server)
         result: ControlResult = Error(ControlError(ControlErrorKind.NOT_SENT))
         if pool is not None and await pool.async_check():
             result = Ok(Reachable())
-        self.dispatch(BackendReplied(command.call_id, result))
+        self.dispatch_event(BackendReplied(command.call_id, result))
 
     def _check_same_process(self, command: CallBackend) -> None:
         opened_before_s = self._loop.time()
 
-        def check() -> None:
+        def report_same_process() -> None:
             pool = self.pools.get(command.backend_server)
             result: ControlResult = Error(ControlError(ControlErrorKind.NO_ANSWER))
             if pool is not None and pool.has_connection_from_before(opened_before_s):
                 result = Ok(Reachable())
-            self.dispatch(BackendReplied(command.call_id, result))
+            self.dispatch_event(BackendReplied(command.call_id, result))
 
-        self._loop.call_later(CRASH_NOTICE_S, check)
+        self._loop.call_later(SAME_PROCESS_CHECK_DELAY_S, report_same_process)
 
     async def _async_call_store(self, command: CallStore) -> None:
-        result = await self._parts.store.async_call(command.operation)
-        self._parts.metrics.record_store_call(
+        result = await self._deps.store.async_call(command.operation)
+        self._deps.metrics.record_store_call(
             type(command.operation).__name__,
             "ok" if result.is_ok() else result.error.kind.value,
         )
-        self.dispatch(StoreReplied(command.call_id, result))
+        self.dispatch_event(StoreReplied(command.call_id, result))
 
     def _call_backend(self, command: CallBackend) -> None:
         operation = command.operation
         if isinstance(operation, CheckReachable):
-            self._spawn(self._async_check(command))
+            self._start_task(self._async_check_reachable(command))
             return
         if isinstance(operation, CheckSameProcess):
             self._check_same_process(command)
             return
-        call = self._parts.control.encode(operation)
-        # Attempts have positive numbers.
+        call = self._deps.control_dialect.encode(operation)
+        # Negative, as identifiers of attempts at callers' requests are positive.
         attempt_id = -command.call_id
-        order = BackendRequest(
+        backend_request = BackendRequest(
             attempt_id=attempt_id,
             request_id=0,
             backend_server=command.backend_server,
@@ -283,64 +301,72 @@
             expires_unix_s=0.0,
             timeout_s=call.timeout_s,
         )
-        pool = self._pool(command.backend_server)
+        pool = self._get_pool(command.backend_server)
 
-        def ended(result: AttemptResult) -> None:
+        def report_result(result: AttemptResult) -> None:
             timeout.cancel()
-            decoded = self._parts.control.decode(operation, result)
-            self._parts.metrics.record_control_call(
+            decoded = self._deps.control_dialect.decode(operation, result)
+            self._deps.metrics.record_control_call(
                 type(operation).__name__,
                 "ok" if decoded.is_ok() else decoded.error.kind.value,
             )
-            self.dispatch(BackendReplied(command.call_id, decoded))
+            self.dispatch_event(BackendReplied(command.call_id, decoded))
 
         if pool is None:
             timeout = self._loop.call_soon(
-                lambda: ended(
+                lambda: report_result(
                     AttemptResult(attempt_id, AttemptOutcome.CONNECT_FAILED, 0.0)
                 )
             )
             return
         timeout = self._loop.call_later(call.timeout_s, pool.cancel, attempt_id)
-        pool.exchange(order, ended)
+        pool.exchange(backend_request, report_result)
 
-    def _send_order(self, command: SendBackendRequest) -> None:
-        order = command.request
-        pool = self._pool(order.backend_server)
+    def _send_backend_request(self, command: SendBackendRequest) -> None:
+        backend_request = command.request
+        pool = self._get_pool(backend_request.backend_server)
         if pool is None:
-            result = AttemptResult(order.attempt_id, AttemptOutcome.CONNECT_FAILED, 0.0)
-            self._loop.call_soon(self._attempt_ended, result)
+            result = AttemptResult(
+                backend_request.attempt_id, AttemptOutcome.CONNECT_FAILED, 0.0
+            )
+            self._loop.call_soon(self._handle_attempt_end, result)
             return
-        request = self._open.get(order.request_id)
-        span = self._parts.tracing.start_attempt(
-            request.span if request is not None else None, order
+        open_request = self._open_requests.get(backend_request.request_id)
+        span = self._deps.tracing.start_attempt(
+            open_request.span if open_request is not None else None, backend_request
         )
         if span.headers:
-            order = attrs.evolve(order, headers=(*order.headers, *span.headers))
-        self._running[order.attempt_id] = RunningAttempt(pool, span)
-        pool.exchange(order, self._attempt_ended)
-
-    def _attempt_ended(self, result: AttemptResult) -> None:
-        running = self._running.pop(result.attempt_id, None)
-        if running is not None:
-            running.span.end(result)
-        self._parts.metrics.record_attempt(result.outcome.value, result.latency_s)
-        self._results[result.attempt_id] = result
-        self.dispatch(AttemptEnded(result))
-        self._results.pop(result.attempt_id, None)
+            backend_request = attrs.evolve(
+                backend_request, headers=(*backend_request.headers, *span.headers)
+            )
+        self._running_attempts[backend_request.attempt_id] = RunningAttempt(pool, span)
+        pool.exchange(backend_request, self._handle_attempt_end)
+
+    def _handle_attempt_end(self, result: AttemptResult) -> None:
+        attempt = self._running_attempts.pop(result.attempt_id, None)
+        if attempt is not None:
+            attempt.span.end(result)
+        self._deps.metrics.record_attempt(result.outcome.value, result.latency_s)
+        self._attempt_results[result.attempt_id] = result
+        self.dispatch_event(AttemptEnded(result))
+        self._attempt_results.pop(result.attempt_id, None)
 
     def _cancel_attempt(self, command: CancelAttempt) -> None:
-        running = self._running.get(command.attempt_id)
-        if running is not None:
-            self._loop.call_soon(running.pool.cancel, command.attempt_id)
+        attempt = self._running_attempts.get(command.attempt_id)
+        if attempt is not None:
+            self._loop.call_soon(attempt.pool.cancel, command.attempt_id)
+
+    def _get_pool(self, backend_server: str) -> BackendPool | None:
+        """Return the pool of a server's present address, None for an unknown server.
 
-    def _pool(self, backend_server: str) -> BackendPool | None:
-        address = self._parts.decisions.address_of(backend_server)
+        The pool is created when there is none for this address.
+        """
+        address = self._deps.router.address_of(backend_server)
         if address is None:
             return None
         pool = self.pools.get(backend_server)
         if pool is None or pool.address != address:
-            pool = BackendPool(address, self._parts.backends)
+            pool = BackendPool(address, self._deps.backend_dialect)
             self.pools[backend_server] = pool
         return pool
 
@@ -349,27 +375,32 @@
         if pool is not None:
             pool.close_idle()
 
-    def _refuse(self, command: RefuseRequest) -> None:
+    def _refuse_request(self, command: RefuseRequest) -> None:
         refusal = command.refusal
-        request = self._open.get(command.request_id)
-        if request is not None:
-            answer = self._parts.callers.refusal(refusal, request.caller_id)
-            self._settle(command.request_id, answer, refusal.code.value)
+        open_request = self._open_requests.get(command.request_id)
+        if open_request is not None:
+            answer = self._deps.caller_dialect.refusal(
+                refusal, open_request.caller_request_id
+            )
+            self._complete_request(command.request_id, answer, refusal.code.value)
 
-    def _answer(self, command: AnswerRequest) -> None:
-        result = self._results[command.attempt_id]
+    def _answer_request(self, command: AnswerRequest) -> None:
+        result = self._attempt_results[command.attempt_id]
         answer = CallerAnswer(result.status, result.headers, result.body)
-        self._settle(command.request_id, answer, "answered")
+        self._complete_request(command.request_id, answer, "answered")
 
-    def _replay(self, command: ReplayAnswer) -> None:
+    def _replay_answer(self, command: ReplayAnswer) -> None:
         answer = CallerAnswer(command.status, command.headers, command.body)
-        self._settle(command.request_id, answer, "replayed")
-
-    def _settle(self, request_id: int, answer: CallerAnswer, code: str) -> None:
-        request = self._open.pop(request_id, None)
-        if request is None:
+        self._complete_request(command.request_id, answer, "replayed")
+
+    def _complete_request(
+        self, request_id: int, answer: CallerAnswer, code: str
+    ) -> None:
+        """Write the answer of a request; `code` names the outcome in metrics."""
+        open_request = self._open_requests.pop(request_id, None)
+        if open_request is None:
             return
-        elapsed_s = self._loop.time() - request.started_s
-        self._parts.metrics.record_answer(answer.status, code, elapsed_s)
-        request.span.end(answer.status, code)
-        request.exchange.settle(answer)
+        elapsed_s = self._loop.time() - open_request.started_s
+        self._deps.metrics.record_answer(answer.status, code, elapsed_s)
+        open_request.span.end(answer.status, code)
+        open_request.exchange.settle(answer)
--- a/wagtailrill/runtime/process.py
+++ b/wagtailrill/runtime/process.py
@@ -1,4 +1,4 @@
-"""Assembly of one instance's process."""
+"""Assembles and runs the process of one instance; used by the start commands."""
 
 import asyncio
 import contextlib
@@ -30,51 +30,54 @@
 from .admin import AdminApplication
 from .const import (
     CLEANUP_INTERVAL_S,
-    DRAIN_TICK_S,
+    DRAIN_CHECK_INTERVAL_S,
     RELOAD_INTERVAL_S,
     SEED_BITS,
     STOP_MARGIN_S,
 )
-from .driver import Driver, DriverParts
+from .driver import Driver, DriverDependencies
 
 _LOG = structlog.get_logger()
 
 
 @attrs.frozen
-class Surroundings:
-    """How a process speaks to the outside."""
+class ExternalInterfaces:
+    """Client of the store, formats of HTTP messages, and tracing of a process."""
 
     store: Store
-    callers: CallerDialect
-    backends: BackendDialect
-    control: ControlDialect
+    caller_dialect: CallerDialect
+    backend_dialect: BackendDialect
+    control_dialect: ControlDialect
     tracing: Tracing
 
 
 @attrs.frozen
 class ProcessSettings:
-    """Settings of a process; durations in seconds.
-
-    After a request to stop, the load balancer may send new connections for
-    `balancer_lag_s`; everything has to end within `stop_s`. `reload` reads the
-    settings again and returns the allowances, None if they are as before.
+    """Settings of a process; durations in seconds, addresses as `host:port`.
+
+    After a request to stop, the load balancer may open new connections for
+    `load_balancer_lag_s`; the process has to end within `stop_timeout_s`.
+    `caller_limits` apply until a configuration sets others. `peer_secrets` sign the
+    frames between instances; without them the fleet's secret in the store does.
+    `reload_allowances` reads the settings again and returns the allowances, None if
+    they have not changed.
     """
 
     router: RouterSettings
     adapter: EnvironmentAdapter
-    surroundings: Surroundings
+    external: ExternalInterfaces
     caller_address: str
     peer_address: str
     admin_address: str
     caller_limits: CallerLimits
-    balancer_lag_s: float
-    stop_s: float
+    load_balancer_lag_s: float
+    stop_timeout_s: float
     peer_secrets: tuple[bytes, ...] = attrs.field(repr=False, default=())
-    reload: Callable[[], Allowances | None] = lambda: None
+    reload_allowances: Callable[[], Allowances | None] = lambda: None
 
 
 class Process:
-    """One instance with its listeners, links and clients."""
+    """One instance with its listeners, its links to peers and its clients."""
 
     def __init__(self, cfg: ProcessSettings, writer: LineWriter) -> None:
         self.cfg = cfg
@@ -86,35 +89,40 @@
         self._writer = writer
         self.codec = FrameCodec(make_registry(), cfg.peer_secrets)
         self.transport = PeerTransport(
-            self.codec, lambda envelope: self.driver.dispatch(PeerReceived(envelope))
+            self.codec,
+            lambda envelope: self.driver.dispatch_event(PeerReceived(envelope)),
         )
-        around = cfg.surroundings
+        external = cfg.external
         self.driver: Driver = Driver(
-            DriverParts(
-                decisions=self.router,
-                store=around.store,
-                callers=around.callers,
-                backends=around.backends,
-                control=around.control,
+            DriverDependencies(
+                router=self.router,
+                store=external.store,
+                caller_dialect=external.caller_dialect,
+                backend_dialect=external.backend_dialect,
+                control_dialect=external.control_dialect,
                 transport=self.transport,
                 metrics=self.metrics,
-                tracing=around.tracing,
-                log=self.events.write,
+                tracing=external.tracing,
+                write_log=self.events.write,
             )
         )
-        self.callers = CallerServerState(self.driver, around.callers, cfg.caller_limits)
-        self.router.configuration.add_listener(self._configure)
-        self.router.members.add_listener(self._members_changed)
-        self.metrics.add_source(self._gauges)
-        admin = AdminApplication(self.router, self.metrics, self._begin_stop)
-        self.caller_server = _server(
-            _no_application, cfg.caller_address, protocol_class(self.callers)
+        self.caller_server_state = CallerServerState(
+            self.driver, external.caller_dialect, cfg.caller_limits
+        )
+        self.router.configuration.add_listener(self._apply_configuration)
+        self.router.members.add_listener(self._update_peers)
+        self.metrics.add_source(self._collect_gauges)
+        admin = AdminApplication(self.router, self.metrics, self._start_drain)
+        self.caller_server = _make_server(
+            _unused_application,
+            cfg.caller_address,
+            protocol_class(self.caller_server_state),
         )
-        self.admin_server = _server(admin, cfg.admin_address, "httptools")
+        self.admin_server = _make_server(admin, cfg.admin_address, "httptools")
         self._stopping = anyio.Event()
 
     async def async_run(self) -> None:
-        """Run until a planned stop has ended."""
+        """Run the instance until a planned stop has ended."""
         _LOG.info("started", caller_address=self.cfg.caller_address)
         async with anyio.create_task_group() as tg:
             host, _, port = self.cfg.peer_address.rpartition(":")
@@ -122,35 +130,35 @@
             tg.start_soon(self._async_handle_signals)
             tg.start_soon(self.caller_server.serve)
             tg.start_soon(self.admin_server.serve)
-            tg.start_soon(self._async_watch_connections)
-            tg.start_soon(self._async_watch_settings)
+            tg.start_soon(self._async_clean_up_connections)
+            tg.start_soon(self._async_poll_settings)
             self.driver.start()
             await self._stopping.wait()
-            await self._async_stop()
+            await self._async_drain()
             tg.cancel_scope.cancel()
-        self.cfg.surroundings.tracing.shutdown()
-        _LOG.info("stopped", open_requests=self.driver.open_requests())
+        self.cfg.external.tracing.shutdown()
+        _LOG.info("stopped", open_requests=self.driver.count_open_requests())
         self._writer.flush()
 
-    def _configure(self, configuration: Configuration) -> None:
+    def _apply_configuration(self, configuration: Configuration) -> None:
         limits = configuration.declaration.caller_limits
         if limits is not None:
-            self.callers.limits = limits
+            self.caller_server_state.limits = limits
 
-    def _members_changed(self) -> None:
+    def _update_peers(self) -> None:
         members = self.router.members.get_other_members().values()
         self.transport.set_addresses({m.instance: m.address for m in members})
         secret = self.router.members.secret
         if not self.cfg.peer_secrets and secret:
             self.codec.secrets = (secret,)
 
-    def _gauges(self) -> Mapping[str, float]:
+    def _collect_gauges(self) -> Mapping[str, float]:
         status = self.router.get_status()
         gauges = {n: float(v) for n, v in status.items() if isinstance(v, bool | int)}
         return {
             **gauges,
             **self.router.collect_gauges(),
-            "caller_connections": len(self.callers.connections),
+            "caller_connections": len(self.caller_server_state.connections),
             "log_lines_left_out": self.events.left_out,
             "log_lines_dropped": self._writer.dropped,
         }
@@ -161,66 +169,73 @@
         ) as signals:
             async for received in signals:
                 if received is signal.SIGHUP:
-                    self._reload("signal")
+                    self._reload_settings("signal")
                     continue
                 _LOG.info("stop_requested", signal=received.name)
-                self._begin_stop()
+                self._start_drain()
 
-    def _begin_stop(self) -> None:
-        self.driver.dispatch(DrainRequested(self.cfg.stop_s - STOP_MARGIN_S))
+    def _start_drain(self) -> None:
+        self.driver.dispatch_event(
+            DrainRequested(self.cfg.stop_timeout_s - STOP_MARGIN_S)
+        )
         self._stopping.set()
 
-    async def _async_watch_settings(self) -> None:
+    async def _async_poll_settings(self) -> None:
         while True:
             await anyio.sleep(RELOAD_INTERVAL_S)
-            self._reload("interval")
+            self._reload_settings("interval")
 
-    def _reload(self, reason: str) -> None:
-        allowances = self.cfg.reload()
+    def _reload_settings(self, reason: str) -> None:
+        allowances = self.cfg.reload_allowances()
         if allowances is not None:
             self.router.apply_allowances(allowances)
             _LOG.info("settings_reloaded", reason=reason, allowances=str(allowances))
         elif reason == "signal":
             _LOG.info("settings_unchanged", reason=reason)
 
-    async def _async_stop(self) -> None:
-        """Finish open requests while the load balancer takes this instance out."""
-        self.callers.stopping = True
-        end_s = anyio.current_time() + self.cfg.stop_s - STOP_MARGIN_S
-        await anyio.sleep(min(self.cfg.balancer_lag_s, self.cfg.stop_s / 2))
+    async def _async_drain(self) -> None:
+        """Finish open requests while the load balancer removes this instance."""
+        self.caller_server_state.stopping = True
+        end_s = anyio.current_time() + self.cfg.stop_timeout_s - STOP_MARGIN_S
+        await anyio.sleep(
+            min(self.cfg.load_balancer_lag_s, self.cfg.stop_timeout_s / 2)
+        )
         while anyio.current_time() < end_s:
-            for conn in list(self.callers.connections):
+            for conn in list(self.caller_server_state.connections):
                 conn.shutdown()
-            if not self.callers.connections and not self.driver.open_requests():
+            if (
+                not self.caller_server_state.connections
+                and not self.driver.count_open_requests()
+            ):
                 return
-            await anyio.sleep(DRAIN_TICK_S)
+            await anyio.sleep(DRAIN_CHECK_INTERVAL_S)
 
-    async def _async_watch_connections(self) -> None:
+    async def _async_clean_up_connections(self) -> None:
         loop = asyncio.get_running_loop()
         while True:
             await anyio.sleep(CLEANUP_INTERVAL_S)
             self.driver.drop_expired_connections()
             now_s = loop.time()
-            for conn in list(self.callers.connections):
+            for conn in list(self.caller_server_state.connections):
                 conn.check_times(now_s)
 
 
 class _Server(uvicorn.Server):
-    """Server without signal handlers: a signal starts a planned stop instead."""
+    """Server without signal handlers, as `Process` handles signals itself."""
 
     @contextlib.contextmanager
     def capture_signals(self) -> Iterator[None]:
-        """Leave signals to the process."""
+        """Install no signal handlers."""
         yield
 
 
-async def _no_application(scope: Any, receive: Any, send: Any) -> None:
-    """Stand for an application: the protocol serves requests itself."""
+async def _unused_application(scope: Any, receive: Any, send: Any) -> None:
+    """Fill uvicorn's required argument; `CallerProtocol` serves requests itself."""
 
 
-def _server(app: Any, address: str, http: Any) -> uvicorn.Server:
+def _make_server(app: Any, address: str, http: Any) -> uvicorn.Server:
     host, _, port = address.rpartition(":")
-    # uvloop's libuv may use io_uring, so the event loop is asyncio's own.
+    # uvloop is not used, as its libuv may use io_uring.
     return _Server(
         uvicorn.Config(
             app,
