Reword locals of platform, runtime and their tests

Folders: platform, runtime and tests/platform.

Process.events -> event_log; _stopping -> _stop_requested KEY, SERVICES (of the tests) -> CREDENTIAL, KEYED_BY_SERVICE

--- a/tests/platform/test_decoders.py
+++ b/tests/platform/test_decoders.py
@@ -96,13 +96,24 @@
     """Guards against routes, rates or limits that are decoded wrongly."""
     declaration = decode_configuration(CONFIGURATION).ok
     service_by_name = {service.name: service for service in declaration.services}
-    (desk,) = service_by_name["desk"].routes
-    assert (desk.host, desk.path, desk.idempotent) == ("a.example", "/x/", False)
-    assert (desk.timeout_s, desk.target_latency_s, desk.priority) == (1.0, 0.5, 1)
-    assert desk.tenant_key is TenantKeyRule.REQUIRED
-    (split,) = service_by_name["box"].routes
-    assert [(p.service, p.weight) for p in split.split] == [("box", 90), ("roll", 10)]
-    assert split.tenant_key is TenantKeyRule.NONE
+    (desk_route,) = service_by_name["desk"].routes
+    assert (desk_route.host, desk_route.path, desk_route.idempotent) == (
+        "a.example",
+        "/x/",
+        False,
+    )
+    assert (desk_route.timeout_s, desk_route.target_latency_s, desk_route.priority) == (
+        1.0,
+        0.5,
+        1,
+    )
+    assert desk_route.tenant_key is TenantKeyRule.REQUIRED
+    (split_route,) = service_by_name["box"].routes
+    assert [(p.service, p.weight) for p in split_route.split] == [
+        ("box", 90),
+        ("roll", 10),
+    ]
+    assert split_route.tenant_key is TenantKeyRule.NONE
     assert service_by_name["roll"].keyed
     assert not service_by_name["box"].keyed
     assert service_by_name["box"].cold_start.requests_per_s == 10.0
--- a/tests/platform/test_program.py
+++ b/tests/platform/test_program.py
@@ -33,8 +33,8 @@
 from .test_decoders import CONFIGURATION
 
 ROOT = Path(__file__).parents[2]
-SERVICES = {"desk": False, "box": False, "roll": True}
-KEY = b"Bearer k1"
+KEYED_BY_SERVICE = {"desk": False, "box": False, "roll": True}
+CREDENTIAL = b"Bearer k1"
 HOST_BY_PREFIX = {"/x/": b"a.example", "/y/": b"b.example", "/z/": b"b.example"}
 # The start alone took 9 s with twelve other busy processes on six cores.
 WAIT_MAX_S = 60.0
@@ -103,7 +103,7 @@
             method, url, headers=all_headers, content=content
         )
 
-    async def async_write(self, key: str, value: bytes) -> None:
+    async def async_write_key(self, key: str, value: bytes) -> None:
         fields = {"key": key, "value": base64.b64encode(value).decode()}
         url = f"http://{self.store}{WRITE_PATH}"
         await self.pool.request("PUT", url, content=json.dumps(fields).encode())
@@ -136,12 +136,12 @@
         pool = await stack.enter_async_context(httpcore.AsyncConnectionPool())
         tasks = await stack.enter_async_context(anyio.create_task_group())
         apps = {}
-        for service, keyed in SERVICES.items():
+        for service, keyed in KEYED_BY_SERVICE.items():
             cfg = ServerModelSettings(f"{service}-1", service, keyed=keyed)
             model = ServerModel(cfg, random.Random(1), time.monotonic())
             app = BackendApplication(model, PLATFORM)
-            serving = async_serve(app, make_backend_server(app))
-            address = await stack.enter_async_context(serving)
+            server = async_serve(app, make_backend_server(app))
+            address = await stack.enter_async_context(server)
             tasks.start_soon(async_announce, app, address, "north", store)
             apps[service] = app
         ports = {name: find_free_port() for name in ("front", "ready", "peer")}
@@ -173,13 +173,16 @@
     """
 
     async def scenario(program):
-        await program.async_write("op/config", make_configuration())
+        await program.async_write_key("op/config", make_configuration())
         await program.async_wait_until_ready()
         await program.async_wait_until_served("/y/1", ())
-        keyed = [(b"authorization", KEY), (b"shard-key", b"77")]
-        await program.async_wait_until_served("/z/1", keyed)
+        keyed_headers = [(b"authorization", CREDENTIAL), (b"shard-key", b"77")]
+        await program.async_wait_until_served("/z/1", keyed_headers)
         answer = await program.async_send_request(
-            "POST", "/x/1", [(b"authorization", KEY), (b"deadline-ms", b"900")], b"{}"
+            "POST",
+            "/x/1",
+            [(b"authorization", CREDENTIAL), (b"deadline-ms", b"900")],
+            b"{}",
         )
         assert answer.status == 200
         headers = dict((n.lower(), v) for n, v in answer.headers)
@@ -191,8 +194,10 @@
         assert (
             await program.async_send_request("POST", "/x/1", content=b"{}")
         ).status == 401
-        unknown = [(b"authorization", b"Bearer nobody")]
-        assert (await program.async_send_request("POST", "/x/1", unknown)).status == 401
+        unknown_credential = [(b"authorization", b"Bearer nobody")]
+        assert (
+            await program.async_send_request("POST", "/x/1", unknown_credential)
+        ).status == 401
         assert (await program.async_send_request("GET", "/none/1")).status == 404
         metrics = await program.async_send_request("GET", "/metrics", port="ready")
         assert b"wagtailrill_answers_total" in metrics.content
@@ -208,9 +213,13 @@
         assert program.process.returncode == 0
 
     run_scenario(tmp_path, scenario)
-    lines = [json.loads(x) for x in (tmp_path / "out.log").read_text().splitlines()]
-    assert {"started", "stop_requested", "stopped"} <= {x["event"] for x in lines}
-    assert not any(x["event"] in ("step_failed", "invariant_violated") for x in lines)
+    lines = [
+        json.loads(line) for line in (tmp_path / "out.log").read_text().splitlines()
+    ]
+    assert {"started", "stop_requested", "stopped"} <= {line["event"] for line in lines}
+    assert not any(
+        line["event"] in ("step_failed", "invariant_violated") for line in lines
+    )
     assert "k1" not in (tmp_path / "out.log").read_text().replace('"k1', "")
 
 
@@ -230,10 +239,10 @@
         assert (
             await program.async_send_request("GET", "/ready", port="ready")
         ).status == 503
-        await program.async_write("op/config", b'{"version": "r1", "routes": 5}')
+        await program.async_write_key("op/config", b'{"version": "r1", "routes": 5}')
         await anyio.sleep(0.3)
         assert (await program.async_send_request("GET", "/y/1")).status == 503
-        await program.async_write("op/config", make_configuration())
+        await program.async_write_key("op/config", make_configuration())
         await program.async_wait_until_ready()
         await program.async_wait_until_served("/y/1", ())
 
--- a/tests/platform/test_store_client.py
+++ b/tests/platform/test_store_client.py
@@ -47,11 +47,11 @@
     """Guards against values or revisions that are altered in encoding or decoding."""
 
     async def scenario(app, store):
-        written = (await store.async_call(make_put_commit("a", b"\x00\xff"))).ok
-        return written, (await store.async_call(Get("a"))).ok.item
+        commit = (await store.async_call(make_put_commit("a", b"\x00\xff"))).ok
+        return commit, (await store.async_call(Get("a"))).ok.item
 
-    written, item = run_scenario(scenario)
-    assert (item.value, item.revision) == (b"\x00\xff", written.revision)
+    commit, item = run_scenario(scenario)
+    assert (item.value, item.revision) == (b"\x00\xff", commit.revision)
 
 
 def test_absent_key_is_not_an_error():
@@ -81,13 +81,13 @@
     async def scenario(app, store):
         for number in range(700):
             app.write(f"s/{number:04}", b"x")
-        found, after = [], ""
+        keys, after_key = [], ""
         while True:
-            page = (await store.async_call(ListPrefix("s/", after))).ok
-            found += [item.key for item in page.items]
+            page = (await store.async_call(ListPrefix("s/", after_key))).ok
+            keys += [item.key for item in page.items]
             if not page.more:
-                return found
-            after = page.items[-1].key
+                return keys
+            after_key = page.items[-1].key
 
     assert run_scenario(scenario) == [f"s/{n:04}" for n in range(700)]
 
@@ -113,14 +113,14 @@
         revision = (await store.async_call(make_put_commit("a/1"))).ok.revision
         async with anyio.create_task_group() as tasks:
 
-            async def async_change():
+            async def async_write_change():
                 await anyio.sleep(0.1)
                 app.write("a/2", b"x")
 
-            tasks.start_soon(async_change)
+            tasks.start_soon(async_write_change)
             with anyio.fail_after(2.0):
-                watched = await store.async_call(WatchPrefix("a/", revision, 10.0))
-        return watched.ok
+                result = await store.async_call(WatchPrefix("a/", revision, 10.0))
+        return result.ok
 
     assert [e.key for e in run_scenario(scenario).events] == ["a/2"]
 
@@ -143,12 +143,17 @@
     async def scenario(app, store):
         lease = (await store.async_call(LeaseGrant(5.0))).ok
         await store.async_call(Commit((), (Put("m", b"x", lease.lease_id),)))
-        renewed = (await store.async_call(LeaseRenew(lease.lease_id))).ok
-        before = (await store.async_call(Get("m"))).ok.item
+        renewed_lease = (await store.async_call(LeaseRenew(lease.lease_id))).ok
+        item_before = (await store.async_call(Get("m"))).ok.item
         await store.async_call(LeaseRevoke(lease.lease_id))
-        after = (await store.async_call(Get("m"))).ok.item
-        again = (await store.async_call(LeaseRenew(lease.lease_id))).error
-        return renewed.ttl_s, before.lease_id == lease.lease_id, after, again.kind
+        item_after = (await store.async_call(Get("m"))).ok.item
+        renewal_error = (await store.async_call(LeaseRenew(lease.lease_id))).error
+        return (
+            renewed_lease.ttl_s,
+            item_before.lease_id == lease.lease_id,
+            item_after,
+            renewal_error.kind,
+        )
 
     assert run_scenario(scenario) == (5.0, True, None, StoreErrorKind.LEASE_ENDED)
 
@@ -200,9 +205,9 @@
 
     async def scenario(app, store):
         app.faults = StoreFaults(outage=Outage.BUSY, clients=("127.0.0.1",))
-        refused = (await store.async_call(Get("a"))).is_error()
+        is_refused = (await store.async_call(Get("a"))).is_error()
         app.faults = StoreFaults(outage=Outage.BUSY, clients=("10.0.0.1",))
-        return refused, (await store.async_call(Get("a"))).is_ok()
+        return is_refused, (await store.async_call(Get("a"))).is_ok()
 
     assert run_scenario(scenario) == (True, True)
 
--- a/wagtailrill/platform/configuration.py
+++ b/wagtailrill/platform/configuration.py
@@ -81,11 +81,14 @@
             for row in parse_rows(fields.get("routes"), "routes")
         ]
         service_rows = parse_rows(fields.get("services"), "services")
-        names = {get_text(row, "name") for row in service_rows}
-        routes_by_service: dict[str, list[Route]] = {name: [] for name in names}
+        service_names = {get_text(row, "name") for row in service_rows}
+        routes_by_service: dict[str, list[Route]] = {name: [] for name in service_names}
         for service, route in routes:
-            unknown = {service, *(part.service for part in route.split)} - names
-            if unknown:
+            unknown_services = {
+                service,
+                *(part.service for part in route.split),
+            } - service_names
+            if unknown_services:
                 raise WireError(f"route {route.name} names unknown services")
             routes_by_service[service].append(route)
         tenants = fields.get("tenants")
--- a/wagtailrill/platform/discovery.py
+++ b/wagtailrill/platform/discovery.py
@@ -31,7 +31,7 @@
     if state not in _STATE_BY_NAME:
         raise WireError(f"state {state!r:.40} is unknown")
     # Start time in Unix milliseconds: a restarted server may keep its name.
-    born_ms = get_integer(fields, "born") if "born" in fields else 0
+    started_unix_ms = get_integer(fields, "born") if "born" in fields else 0
     return ServerEntry(
         name=name,
         service=get_text(fields, "service"),
@@ -40,7 +40,7 @@
         slots=get_integer(fields, "slots", 1),
         connections_max=0,
         state=_STATE_BY_NAME[state],
-        start_id=f"{name}/{born_ms}",
+        start_id=f"{name}/{started_unix_ms}",
         cold_left_s=(
             seconds(fields["warmup_left"], "warmup_left")
             if "warmup_left" in fields
--- a/wagtailrill/runtime/driver.py
+++ b/wagtailrill/runtime/driver.py
@@ -304,22 +304,22 @@
         pool = self._get_pool(command.backend_server)
 
         def report_result(result: AttemptResult) -> None:
-            timeout.cancel()
-            decoded = self._deps.control_dialect.decode(operation, result)
+            timeout_handle.cancel()
+            control_result = self._deps.control_dialect.decode(operation, result)
             self._deps.metrics.record_control_call(
                 type(operation).__name__,
-                "ok" if decoded.is_ok() else decoded.error.kind.value,
+                "ok" if control_result.is_ok() else control_result.error.kind.value,
             )
-            self.dispatch_event(BackendReplied(command.call_id, decoded))
+            self.dispatch_event(BackendReplied(command.call_id, control_result))
 
         if pool is None:
-            timeout = self._loop.call_soon(
+            timeout_handle = self._loop.call_soon(
                 lambda: report_result(
                     AttemptResult(attempt_id, AttemptOutcome.CONNECT_FAILED, 0.0)
                 )
             )
             return
-        timeout = self._loop.call_later(call.timeout_s, pool.cancel, attempt_id)
+        timeout_handle = self._loop.call_later(call.timeout_s, pool.cancel, attempt_id)
         pool.exchange(backend_request, report_result)
 
     def _send_backend_request(self, command: SendBackendRequest) -> None:
--- a/wagtailrill/runtime/process.py
+++ b/wagtailrill/runtime/process.py
@@ -1,4 +1,4 @@
-"""Assembles and runs the process of one instance; used by the start commands."""
+"""Assembles and runs the process of one instance; used by the daemon and `platform`."""
 
 import asyncio
 import contextlib
@@ -85,7 +85,7 @@
         rng = random.Random(secrets.randbits(SEED_BITS))
         self.router = Router(cfg.router, cfg.adapter, rng, invariants)
         self.metrics = Metrics()
-        self.events = EventLog()
+        self.event_log = EventLog()
         self._writer = writer
         self.codec = FrameCodec(make_registry(), cfg.peer_secrets)
         self.transport = PeerTransport(
@@ -103,7 +103,7 @@
                 transport=self.transport,
                 metrics=self.metrics,
                 tracing=external.tracing,
-                write_log=self.events.write,
+                write_log=self.event_log.write,
             )
         )
         self.caller_server_state = CallerServerState(
@@ -119,7 +119,7 @@
             protocol_class(self.caller_server_state),
         )
         self.admin_server = _make_server(admin, cfg.admin_address, "httptools")
-        self._stopping = anyio.Event()
+        self._stop_requested = anyio.Event()
 
     async def async_run(self) -> None:
         """Run the instance until a planned stop has ended."""
@@ -133,7 +133,7 @@
             tg.start_soon(self._async_clean_up_connections)
             tg.start_soon(self._async_poll_settings)
             self.driver.start()
-            await self._stopping.wait()
+            await self._stop_requested.wait()
             await self._async_drain()
             tg.cancel_scope.cancel()
         self.cfg.external.tracing.shutdown()
@@ -159,7 +159,7 @@
             **gauges,
             **self.router.collect_gauges(),
             "caller_connections": len(self.caller_server_state.connections),
-            "log_lines_left_out": self.events.left_out,
+            "log_lines_left_out": self.event_log.left_out,
             "log_lines_dropped": self._writer.dropped,
         }
 
@@ -167,18 +167,18 @@
         with anyio.open_signal_receiver(
             signal.SIGTERM, signal.SIGINT, signal.SIGHUP
         ) as signals:
-            async for received in signals:
-                if received is signal.SIGHUP:
+            async for received_signal in signals:
+                if received_signal is signal.SIGHUP:
                     self._reload_settings("signal")
                     continue
-                _LOG.info("stop_requested", signal=received.name)
+                _LOG.info("stop_requested", signal=received_signal.name)
                 self._start_drain()
 
     def _start_drain(self) -> None:
         self.driver.dispatch_event(
             DrainRequested(self.cfg.stop_timeout_s - STOP_MARGIN_S)
         )
-        self._stopping.set()
+        self._stop_requested.set()
 
     async def _async_poll_settings(self) -> None:
         while True:
