Rename names of platform and native that other folders use

Folders: platform and native, with their uses in cli, stand_ins and tests.

platform.units.seconds -> parse_duration_s platform.units.milliseconds -> format_duration platform.dialect.NAMES -> HEADER_NAMES native.dialect.NAMES -> HEADER_NAMES PlatformServerEntries -> PlatformEntryDecoder NativeConfigurations -> NativeConfigurationDecoder

--- a/tests/gateway/test_backend_pool.py
+++ b/tests/gateway/test_backend_pool.py
@@ -13,7 +13,7 @@
 )
 from wagtailrill.gateway.backend_pool import BackendPool
 from wagtailrill.gateway.header_dialect import HeaderBackends
-from wagtailrill.native.dialect import NAMES
+from wagtailrill.native.dialect import HEADER_NAMES
 
 ID = b"wagtailrill-request-id: c-1\r\n"
 # Closing sends a reset instead of the connection's regular end.
@@ -74,7 +74,7 @@
 ) -> list[AttemptResult]:
     listener = await asyncio.start_server(server.async_handle, "127.0.0.1", 0)
     port = listener.sockets[0].getsockname()[1]
-    pool = BackendPool(f"127.0.0.1:{port}", HeaderBackends(NAMES))
+    pool = BackendPool(f"127.0.0.1:{port}", HeaderBackends(HEADER_NAMES))
     results = []
     for order in orders:
         done = asyncio.get_running_loop().create_future()
@@ -204,7 +204,7 @@
     """Guards against requests that are not repeated although nothing was sent."""
 
     async def async_main():
-        pool = BackendPool("127.0.0.1:1", HeaderBackends(NAMES))
+        pool = BackendPool("127.0.0.1:1", HeaderBackends(HEADER_NAMES))
         done = asyncio.get_running_loop().create_future()
         pool.exchange(order_of(), done.set_result)
         return await done
@@ -219,7 +219,7 @@
         server = Server()
         listener = await asyncio.start_server(server.async_handle, "127.0.0.1", 0)
         port = listener.sockets[0].getsockname()[1]
-        pool = BackendPool(f"127.0.0.1:{port}", HeaderBackends(NAMES))
+        pool = BackendPool(f"127.0.0.1:{port}", HeaderBackends(HEADER_NAMES))
         results = []
         for number in (1, 2):
             pool.exchange(order_of(number, connections_max=1), results.append)
--- a/tests/gateway/test_caller_protocol.py
+++ b/tests/gateway/test_caller_protocol.py
@@ -8,7 +8,7 @@
 from wagtailrill.gateway.caller_protocol import CallerProtocol, CallerServerState
 from wagtailrill.gateway.dialects import CallerAnswer
 from wagtailrill.gateway.header_dialect import HeaderCallers
-from wagtailrill.native.dialect import NAMES
+from wagtailrill.native.dialect import HEADER_NAMES
 
 LIMITS = CallerLimits(500, 100, 0.2, 0.3)
 
@@ -46,7 +46,7 @@
 
 async def async_talk(handler, scenario, limits=LIMITS):
     loop = asyncio.get_running_loop()
-    state = CallerServerState(handler, HeaderCallers(NAMES), limits)
+    state = CallerServerState(handler, HeaderCallers(HEADER_NAMES), limits)
     server = await loop.create_server(lambda: CallerProtocol(state), "127.0.0.1", 0)
     port = server.sockets[0].getsockname()[1]
     reader, writer = await asyncio.open_connection("127.0.0.1", port)
--- a/tests/organisations/test_headers.py
+++ b/tests/organisations/test_headers.py
@@ -5,10 +5,10 @@
 
 from wagtailrill.core.refusals import RefusalCode
 from wagtailrill.gateway.header_dialect import HeaderBackends
-from wagtailrill.native.dialect import NAMES
+from wagtailrill.native.dialect import HEADER_NAMES as NATIVE_HEADER_NAMES
 from wagtailrill.organisations.headers import check_headers, strip_headers
 
-RESERVED = HeaderBackends(NAMES).reserved
+RESERVED = HeaderBackends(NATIVE_HEADER_NAMES).reserved
 HOST = (b"host", b"box.example")
 AMBIGUOUS_HEADERS = {
     "CR in value": ((b"a", b"x\ry"),),
--- a/tests/platform/test_decoders.py
+++ b/tests/platform/test_decoders.py
@@ -8,9 +8,9 @@
 
 from wagtailrill.declaration.models import TenantKeyRule
 from wagtailrill.platform.configuration import PlatformConfigurationDecoder
-from wagtailrill.platform.discovery import PlatformServerEntries
+from wagtailrill.platform.discovery import PlatformEntryDecoder
 from wagtailrill.platform.settings import parse_settings
-from wagtailrill.platform.units import WireError, seconds
+from wagtailrill.platform.units import WireError, parse_duration_s
 from wagtailrill.servers.models import ServerState
 from wagtailrill.store.models import Item
 
@@ -162,7 +162,7 @@
 
 def decode_entry(fields):
     value = fields if isinstance(fields, bytes) else json.dumps(fields).encode()
-    return PlatformServerEntries().decode(Item("servers/i-1", value, 9))
+    return PlatformEntryDecoder().decode(Item("servers/i-1", value, 9))
 
 
 def test_entry_is_decoded_into_a_server():
@@ -231,11 +231,11 @@
 )
 def test_durations_are_parsed_in_seconds(text, expected_s):
     """Guards against milliseconds that are read as seconds."""
-    assert seconds(text, "x") == pytest.approx(expected_s)
+    assert parse_duration_s(text, "x") == pytest.approx(expected_s)
 
 
 @pytest.mark.parametrize("value", ["", "5", "5m", "-1s", "1e3s", "9" * 30 + "s", 4])
 def test_malformed_durations_are_rejected(value):
     """Guards against durations that overflow, or whose unit is guessed."""
     with pytest.raises(WireError):
-        seconds(value, "x")
+        parse_duration_s(value, "x")
--- a/tests/runs/deployment.py
+++ b/tests/runs/deployment.py
@@ -24,7 +24,7 @@
 from wagtailrill.fleet.models import FleetSettings
 from wagtailrill.organisations.keys import OpaqueKeyFormat
 from wagtailrill.platform import wire
-from wagtailrill.platform.discovery import PlatformServerEntries
+from wagtailrill.platform.discovery import PlatformEntryDecoder
 from wagtailrill.router.models import (
     DiscoveredServers,
     EnvironmentAdapter,
@@ -237,7 +237,7 @@
         )
         adapter = EnvironmentAdapter(
             self._configurations,
-            DiscoveredServers(wire.SERVER_PREFIX, PlatformServerEntries()),
+            DiscoveredServers(wire.SERVER_PREFIX, PlatformEntryDecoder()),
             OpaqueKeyFormat(),
             lambda header: False,
         )
--- a/wagtailrill/cli/declaration_store.py
+++ b/wagtailrill/cli/declaration_store.py
@@ -4,7 +4,7 @@
 from expression import Error, Ok, Result
 
 from ..declaration.parse import parse
-from ..native.configuration import NativeConfigurations
+from ..native.configuration import NativeConfigurationDecoder
 from ..store.models import (
     Commit,
     Committed,
@@ -32,7 +32,7 @@
         deployment: str,
         patience_s: float = STORE_PATIENCE_S,
     ) -> None:
-        self.key = NativeConfigurations(deployment).declaration_key()
+        self.key = NativeConfigurationDecoder(deployment).declaration_key()
         self._store = store
         self._patience_s = patience_s
 
--- a/wagtailrill/native/assembly.py
+++ b/wagtailrill/native/assembly.py
@@ -18,9 +18,9 @@
 from ..runtime.const import INCARNATION_BITS
 from ..runtime.process import ExternalInterfaces, ProcessSettings
 from ..settings.models import InstanceSettings
-from .configuration import NativeConfigurations, list_declared_servers
+from .configuration import NativeConfigurationDecoder, list_declared_servers
 from .control import CONTROL_NAMES
-from .dialect import NAMES
+from .dialect import HEADER_NAMES
 
 HEADER_TIMEOUT_S: Final = 10.0
 IDLE_TIMEOUT_S: Final = 75.0
@@ -28,7 +28,7 @@
 
 def make_process_settings(cfg: InstanceSettings) -> ProcessSettings:
     """Return the process settings for an instance's settings."""
-    backend_dialect = HeaderBackends(NAMES)
+    backend_dialect = HeaderBackends(HEADER_NAMES)
     store_prefix = cfg.deployment
     return ProcessSettings(
         router=RouterSettings(
@@ -40,7 +40,7 @@
             claim_prefix=f"{store_prefix}/claims/",
         ),
         adapter=EnvironmentAdapter(
-            configuration_decoder=NativeConfigurations(cfg.deployment),
+            configuration_decoder=NativeConfigurationDecoder(cfg.deployment),
             servers=DeclaredServers(list_declared_servers),
             key_format=StructuredKeyFormat(),
             is_reserved_header=backend_dialect.reserved,
@@ -48,7 +48,7 @@
         ),
         external=ExternalInterfaces(
             store=PlatformStore(cfg.store_addresses, cfg.store_timeout_s),
-            caller_dialect=HeaderCallers(NAMES),
+            caller_dialect=HeaderCallers(HEADER_NAMES),
             backend_dialect=backend_dialect,
             control_dialect=JsonControl(CONTROL_NAMES),
             tracing=_make_tracing(cfg.trace_sample_ratio),
--- a/wagtailrill/native/configuration.py
+++ b/wagtailrill/native/configuration.py
@@ -18,7 +18,7 @@
 
 
 @attrs.frozen
-class NativeConfigurations:
+class NativeConfigurationDecoder:
     """Implements `ConfigurationDecoder` for the declaration of a deployment."""
 
     deployment: str
--- a/wagtailrill/native/dialect.py
+++ b/wagtailrill/native/dialect.py
@@ -5,7 +5,7 @@
 from ..gateway.header_dialect import HeaderNames
 from ..organisations.const import TENANT_KEY_HEADER
 
-NAMES: Final = HeaderNames(
+HEADER_NAMES: Final = HeaderNames(
     request_id=b"wagtailrill-request-id",
     time_left_ms=b"wagtailrill-deadline-ms",
     organisation=b"wagtailrill-organisation",
--- a/wagtailrill/platform/assembly.py
+++ b/wagtailrill/platform/assembly.py
@@ -27,8 +27,8 @@
 from . import wire
 from .configuration import PlatformConfigurationDecoder
 from .control import CONTROL_NAMES
-from .dialect import NAMES
-from .discovery import PlatformServerEntries
+from .dialect import HEADER_NAMES
+from .discovery import PlatformEntryDecoder
 from .settings import Bounds, PlatformSettings, parse_settings
 from .store_client import PlatformStore
 
@@ -88,7 +88,7 @@
 def make_process_settings(path: Path, cfg: PlatformSettings) -> ProcessSettings:
     """Return the process settings for the platform's settings file at `path`."""
     peer_address = f"{cfg.ip}:{cfg.peer_port}"
-    backend_dialect = HeaderBackends(NAMES)
+    backend_dialect = HeaderBackends(HEADER_NAMES)
     return ProcessSettings(
         router=RouterSettings(
             identity=Identity(
@@ -101,13 +101,13 @@
         ),
         adapter=EnvironmentAdapter(
             configuration_decoder=PlatformConfigurationDecoder(cfg.data_centres),
-            servers=DiscoveredServers(wire.SERVER_PREFIX, PlatformServerEntries()),
+            servers=DiscoveredServers(wire.SERVER_PREFIX, PlatformEntryDecoder()),
             key_format=OpaqueKeyFormat(),
             is_reserved_header=backend_dialect.reserved,
         ),
         external=ExternalInterfaces(
             store=PlatformStore((cfg.store_address,), STORE_TIMEOUT_S),
-            caller_dialect=HeaderCallers(NAMES),
+            caller_dialect=HeaderCallers(HEADER_NAMES),
             backend_dialect=backend_dialect,
             control_dialect=JsonControl(CONTROL_NAMES),
             tracing=NoTracing(),
--- a/wagtailrill/platform/configuration.py
+++ b/wagtailrill/platform/configuration.py
@@ -31,9 +31,9 @@
     get_integer,
     get_number,
     get_text,
+    parse_duration_s,
     parse_mapping,
     parse_rows,
-    seconds,
 )
 
 _IDEMPOTENT_BY_KIND = {"safe": True, "unsafe": False}
@@ -129,7 +129,7 @@
         raise WireError(f"kind {kind!r:.40} is unknown")
     split = _parse_split(row.get("traffic_split"))
     service = split[0].service if split else get_text(row, "service")
-    timeout_s = seconds(row.get("timeout"), "timeout")
+    timeout_s = parse_duration_s(row.get("timeout"), "timeout")
     target_latency = row.get("target_latency")
     return service, Route(
         method="",
@@ -148,7 +148,7 @@
         target_latency_s=(
             None
             if target_latency is None
-            else seconds(target_latency, "target_latency")
+            else parse_duration_s(target_latency, "target_latency")
         ),
         attempts_max=(
             max(get_integer(row, "max_attempts"), 1) if "max_attempts" in row else 1
@@ -173,7 +173,9 @@
 def _parse_service(row: dict[str, Any], routes: tuple[Route, ...]) -> Service:
     cold_start = None
     if "warmup_per_s" in row:
-        duration_s = seconds(row["warmup"], "warmup") if "warmup" in row else 0.0
+        duration_s = (
+            parse_duration_s(row["warmup"], "warmup") if "warmup" in row else 0.0
+        )
         cold_start = ColdStart(duration_s, get_number(row, "warmup_per_s"))
     return Service(
         name=get_text(row, "name"),
@@ -186,7 +188,7 @@
             get_integer(row, "max_connections") if "max_connections" in row else 0
         ),
         health_path=str(row.get("health_check_path", "")),
-        transfer_warm_s=seconds(row["warm"], "warm") if "warm" in row else 0.0,
+        transfer_warm_s=parse_duration_s(row["warm"], "warm") if "warm" in row else 0.0,
     )
 
 
@@ -212,6 +214,8 @@
     return CallerLimits(
         header_max_bytes=get_integer(fields, "max_header_bytes", 1),
         body_max_bytes=get_integer(fields, "max_body_bytes", 1),
-        header_timeout_s=seconds(fields.get("header_timeout"), "header_timeout"),
-        idle_timeout_s=seconds(fields.get("idle_timeout"), "idle_timeout"),
+        header_timeout_s=parse_duration_s(
+            fields.get("header_timeout"), "header_timeout"
+        ),
+        idle_timeout_s=parse_duration_s(fields.get("idle_timeout"), "idle_timeout"),
     )
--- a/wagtailrill/platform/control.py
+++ b/wagtailrill/platform/control.py
@@ -4,7 +4,7 @@
 
 from ..gateway.json_control import ControlNames
 from . import wire
-from .units import milliseconds
+from .units import format_duration
 
 CONTROL_NAMES: Final = ControlNames(
     grant_path="/grant",
@@ -13,7 +13,7 @@
     last="target",  # the last key position of the range, not a server
     fence="fence",
     duration="hold_time",
-    duration_of=milliseconds,
+    duration_of=format_duration,
     handover="handover",
     handover_header=wire.HANDOVER,
 )
--- a/wagtailrill/platform/dialect.py
+++ b/wagtailrill/platform/dialect.py
@@ -5,7 +5,7 @@
 from ..gateway.header_dialect import HeaderNames
 from . import wire
 
-NAMES: Final = HeaderNames(
+HEADER_NAMES: Final = HeaderNames(
     request_id=wire.REQUEST_ID,
     time_left_ms=wire.TIME_LEFT_MS,
     organisation=wire.TENANT,
--- a/wagtailrill/platform/discovery.py
+++ b/wagtailrill/platform/discovery.py
@@ -8,12 +8,12 @@
 from ..servers.models import ServerEntry, ServerState
 from ..store.models import Item
 from . import wire
-from .units import WireError, get_integer, get_text, parse_mapping, seconds
+from .units import WireError, get_integer, get_text, parse_duration_s, parse_mapping
 
 _STATE_BY_NAME = {"ready": ServerState.READY, "draining": ServerState.LEAVING}
 
 
-class PlatformServerEntries:
+class PlatformEntryDecoder:
     """Implements `EntryDecoder`; entries are untrusted, as others may write them."""
 
     def decode(self, item: Item) -> Result[ServerEntry, str]:
@@ -42,7 +42,7 @@
         state=_STATE_BY_NAME[state],
         start_id=f"{name}/{started_unix_ms}",
         cold_left_s=(
-            seconds(fields["warmup_left"], "warmup_left")
+            parse_duration_s(fields["warmup_left"], "warmup_left")
             if "warmup_left" in fields
             else 0.0
         ),
--- a/wagtailrill/platform/settings.py
+++ b/wagtailrill/platform/settings.py
@@ -7,7 +7,7 @@
 import attrs
 from expression import Error, Ok, Result
 
-from .units import WireError, get_integer, get_text, parse_mapping, seconds
+from .units import WireError, get_integer, get_text, parse_duration_s, parse_mapping
 
 
 @attrs.frozen
@@ -110,8 +110,8 @@
         ready_address=get_text(listen, "ready"),
         peer_port=ports[0],
         store_address=get_text(platform, "address"),
-        store_ttl_min_s=seconds(platform.get("ttl_min", "1000ms"), "ttl_min"),
-        heartbeat_s=seconds(fields.get("heartbeat", "1s"), "heartbeat"),
+        store_ttl_min_s=parse_duration_s(platform.get("ttl_min", "1000ms"), "ttl_min"),
+        heartbeat_s=parse_duration_s(fields.get("heartbeat", "1s"), "heartbeat"),
         cpu_share=float(cpu_share) if type(cpu_share) in (int, float) else 1.0,
         memory_mb=get_integer(limits, "memory_mb"),
         file_descriptors_max=get_integer(limits, "max_fds"),
@@ -129,7 +129,7 @@
             continue
         field, is_duration = _BOUND_FIELDS[name]
         values[field] = (
-            seconds(value, name) if is_duration else _parse_number(value, name)
+            parse_duration_s(value, name) if is_duration else _parse_number(value, name)
         )
     return Bounds(**values)
 
--- a/wagtailrill/platform/store_client.py
+++ b/wagtailrill/platform/store_client.py
@@ -39,11 +39,11 @@
 )
 from .units import (
     WireError,
+    format_duration,
     get_integer,
     get_text,
-    milliseconds,
+    parse_duration_s,
     parse_mapping,
-    seconds,
 )
 
 RESPONSE_MAX_BYTES: Final = 8_388_608
@@ -216,7 +216,7 @@
 
 def _decode_leased(fields: Any) -> Leased:
     lease_id = get_integer(fields, "lease") if "lease" in fields else 0
-    return Leased(lease_id, seconds(fields.get("ttl_time"), "ttl_time"))
+    return Leased(lease_id, parse_duration_s(fields.get("ttl_time"), "ttl_time"))
 
 
 def _encode_list(operation: ListPrefix) -> _HttpRequest:
@@ -268,7 +268,7 @@
     ),
     LeaseGrant: _OperationCodec(
         lambda op: _HttpRequest(
-            "POST", "/kv-lease", {"ttl_time": milliseconds(op.ttl_s)}
+            "POST", "/kv-lease", {"ttl_time": format_duration(op.ttl_s)}
         ),
         _decode_leased,
     ),
--- a/wagtailrill/platform/units.py
+++ b/wagtailrill/platform/units.py
@@ -17,7 +17,7 @@
     """A value does not have the platform's format; the text names it and the fault."""
 
 
-def seconds(value: Any, name: str) -> float:
+def parse_duration_s(value: Any, name: str) -> float:
     """Return the seconds of a duration such as `1500ms`; raise `WireError`."""
     match = _DURATION_PATTERN.fullmatch(value) if isinstance(value, str) else None
     if match is None:
@@ -28,7 +28,7 @@
     return duration_s
 
 
-def milliseconds(duration_s: float) -> str:
+def format_duration(duration_s: float) -> str:
     """Return a duration in the platform's format, in whole milliseconds."""
     return f"{round(duration_s * 1000.0)}ms"
 
--- a/wagtailrill/stand_ins/backend_server.py
+++ b/wagtailrill/stand_ins/backend_server.py
@@ -23,9 +23,9 @@
 from ..gateway.header_dialect import HeaderNames
 from ..gateway.json_control import ControlNames
 from ..native.control import CONTROL_NAMES as NATIVE_CONTROL
-from ..native.dialect import NAMES as NATIVE_NAMES
+from ..native.dialect import HEADER_NAMES as NATIVE_NAMES
 from ..platform.control import CONTROL_NAMES as PLATFORM_CONTROL
-from ..platform.dialect import NAMES as PLATFORM_NAMES
+from ..platform.dialect import HEADER_NAMES as PLATFORM_NAMES
 from .http import (
     DisconnectedError,
     Receive,
--- a/wagtailrill/stand_ins/store.py
+++ b/wagtailrill/stand_ins/store.py
@@ -13,7 +13,7 @@
 import attrs
 from expression import Result
 
-from ..platform.units import milliseconds, seconds
+from ..platform.units import format_duration, parse_duration_s
 from ..store.models import (
     Changes,
     Commit,
@@ -224,7 +224,7 @@
         case "POST", "kv-txn":
             return _commit_of(request.json())
         case "POST", "kv-lease":
-            return LeaseGrant(seconds(request.json()["ttl_time"], "ttl_time"))
+            return LeaseGrant(parse_duration_s(request.json()["ttl_time"], "ttl_time"))
         case "POST", "kv-keep":
             return LeaseRenew(int(rest))
         case "DELETE", "kv-lease-end":
@@ -299,7 +299,7 @@
         case Committed(revision):
             return {"rev": revision}
         case Leased(lease_id, ttl_s):
-            return {"lease": lease_id, "ttl_time": milliseconds(ttl_s)}
+            return {"lease": lease_id, "ttl_time": format_duration(ttl_s)}
         case Revoked() | Found():
             return {}
 
