Name the dependencies of the pipeline and of hedging as elsewhere

Folders: wagtailrill/requests and its use in router. The other folders keep Parts for the classes that hold the dependencies of a component.

PipelineDependencies -> PipelineParts, HedgingDependencies -> HedgingParts, _deps -> _parts, deps -> parts, Router._make_pipeline_dependencies -> _make_pipeline_parts.

--- a/wagtailrill/requests/hedging.py
+++ b/wagtailrill/requests/hedging.py
@@ -18,7 +18,7 @@
 
 
 @attrs.frozen
-class HedgingDependencies:
+class HedgingParts:
     """What `Hedging` uses.
 
     `is_open` returns whether a request still has no answer. `build_query` returns what
@@ -38,43 +38,43 @@
 class Hedging:
     """Sends a second attempt to another server while the first still runs."""
 
-    def __init__(self, deps: HedgingDependencies) -> None:
-        self._deps = deps
+    def __init__(self, parts: HedgingParts) -> None:
+        self._parts = parts
 
     def schedule_hedge(self, row: RequestRow) -> None:
         """Hedge a request if it takes longer than usual."""
         if not row.route.idempotent or row.service.keyed or row.req.attempt_number:
             return
-        delay_s = self._deps.retry_budget.get_hedge_delay_s(row.service.name)
+        delay_s = self._parts.retry_budget.get_hedge_delay_s(row.service.name)
         if delay_s is not None:
-            row.hedge_timer = self._deps.ctx.timers.call_later(
+            row.hedge_timer = self._parts.ctx.timers.call_later(
                 delay_s, lambda: self._request_placement(row)
             )
 
     def _request_placement(self, row: RequestRow) -> None:
-        deps = self._deps
-        if not deps.is_open(row) or len(row.attempts) != 1:
+        parts = self._parts
+        if not parts.is_open(row) or len(row.attempts) != 1:
             return
         if row.possible_runs + len(row.attempts) >= row.route.attempts_max:
             return
-        if not deps.retry_budget.has_budget(row.service.name):
+        if not parts.retry_budget.has_budget(row.service.name):
             return
-        row.hedge_placement_id = deps.placement.find_server(
-            deps.build_query(row, True),
+        row.hedge_placement_id = parts.placement.find_server(
+            parts.build_query(row, True),
             lambda result: self._handle_placement_result(row, result),
         )
 
     def _handle_placement_result(
         self, row: RequestRow, result: ServerAssignment | NoServerAvailable
     ) -> None:
-        deps = self._deps
+        parts = self._parts
         row.hedge_placement_id = 0
         if isinstance(result, NoServerAvailable):
             return
-        still_useful = deps.is_open(row) and len(row.attempts) == 1
-        if not still_useful or not deps.retry_budget.take_attempt(row.service.name):
-            deps.placement.report_end(row.service.name, result, NOT_SENT)
+        still_useful = parts.is_open(row) and len(row.attempts) == 1
+        if not still_useful or not parts.retry_budget.take_attempt(row.service.name):
+            parts.placement.report_end(row.service.name, result, NOT_SENT)
             return
-        deps.counters.hedges += 1
-        deps.log.log_hedge(row, result)
-        deps.attempts.start_attempt(row, result, is_hedge=True)
+        parts.counters.hedges += 1
+        parts.log.log_hedge(row, result)
+        parts.attempts.start_attempt(row, result, is_hedge=True)
--- a/wagtailrill/requests/pipeline.py
+++ b/wagtailrill/requests/pipeline.py
@@ -35,7 +35,7 @@
     MISDIRECTED_RETRY_DELAY_S,
     TIME_LEFT_MIN_S,
 )
-from .hedging import NOT_SENT, Hedging, HedgingDependencies
+from .hedging import NOT_SENT, Hedging, HedgingParts
 from .interfaces import KeyRouter, RateLimitResult, RateLimits, RetryBudget
 from .models import (
     Attempt,
@@ -64,7 +64,7 @@
 
 
 @attrs.frozen
-class PipelineDependencies:
+class PipelineParts:
     """The components that requests pass through."""
 
     ctx: Context
@@ -83,27 +83,27 @@
 class Pipeline:
     """Table of the open requests of this instance; moves each to its next step."""
 
-    def __init__(self, deps: PipelineDependencies) -> None:
+    def __init__(self, parts: PipelineParts) -> None:
         self.counters = RequestCounters()
-        self._deps = deps
-        self._ctx = deps.ctx
-        self._log = RequestLog(deps.ctx, deps.checks)
+        self._parts = parts
+        self._ctx = parts.ctx
+        self._log = RequestLog(parts.ctx, parts.checks)
         self._rows: dict[int, RequestRow] = {}
-        self._waiting = WaitingRequests(deps.ctx, self._request_placement)
+        self._waiting = WaitingRequests(parts.ctx, self._request_placement)
         self._stops_at_s = float("inf")
         self._attempts = AttemptRunner(
-            deps.ctx,
-            deps.servers,
-            deps.server_choice,
+            parts.ctx,
+            parts.servers,
+            parts.server_choice,
             self.counters,
-            deps.list_instances,
+            parts.list_instances,
         )
         self._attempts.on_attempt_ended = self._handle_attempt_result
         self._hedging = Hedging(
-            HedgingDependencies(
-                deps.ctx,
-                deps.retry_budget,
-                deps.placement,
+            HedgingParts(
+                parts.ctx,
+                parts.retry_budget,
+                parts.placement,
                 self._attempts,
                 self.counters,
                 self._log,
@@ -120,7 +120,7 @@
 
     def configure(self, configuration: Configuration) -> None:
         """Apply a configuration."""
-        self._deps.checks.configure(configuration)
+        self._parts.checks.configure(configuration)
 
     def set_stop_time(self, stops_at_s: float) -> None:
         """Refuse new requests whose deadline is after this monotonic time."""
@@ -134,14 +134,14 @@
 
     def _handle_arrival(self, event: RequestArrived) -> None:
         req = event.request
-        row = self._deps.checks.check_request(req)
+        row = self._parts.checks.check_request(req)
         if isinstance(row, Refusal):
             self._log.log_failed_checks(req, row)
             self._emit_refusal(req.request_id, row)
             return
         self._rows[req.request_id] = row
         increment_counter(self.counters.requests, row.service.name)
-        self._deps.retry_budget.count_request(row.service.name)
+        self._parts.retry_budget.count_request(row.service.name)
         row.deadline_timer = self._ctx.timers.call_at(
             row.deadline_s, lambda: self._handle_deadline(row)
         )
@@ -157,14 +157,14 @@
 
     def _take_token(self, row: RequestRow) -> None:
         if self._is_open(row):
-            self._deps.rate_limits.take_token(
+            self._parts.rate_limits.take_token(
                 row.organisation,
                 lambda result: self._handle_token_result(row, result),
             )
 
     def _refuse_if_blocked(self, row: RequestRow) -> bool:
         """Refuse a request that crashes backend servers; return whether it is one."""
-        guard = self._deps.crash_guard
+        guard = self._parts.crash_guard
         if not guard.has_suspects():
             return False
         if guard.is_blocked(self._get_fingerprint(row)):
@@ -200,7 +200,7 @@
             self._request_placement(row)
             return
         row.state = RequestState.CLAIMING
-        row.claim_id = self._deps.claims.create_claim(
+        row.claim_id = self._parts.claims.create_claim(
             ClaimKey(row.organisation, row.service.name, row.idempotency_key),
             compute_request_digest(row.req),
             parse_uuid7_time_ms(row.idempotency_key) or 0,
@@ -229,7 +229,7 @@
 
     def _request_placement(self, row: RequestRow) -> None:
         """Ask for a backend server, unless the request may no longer be sent."""
-        if row.tenant is not None and not self._deps.checks.tenant_keys.is_still_valid(
+        if row.tenant is not None and not self._parts.checks.tenant_keys.is_still_valid(
             row.tenant
         ):
             self._refuse_request(row, TENANT_KEY_WITHDRAWN)
@@ -239,7 +239,7 @@
             return
         row.state = RequestState.PLACING
         row.placement_id = 0
-        row.placement_id = self._deps.placement.find_server(
+        row.placement_id = self._parts.placement.find_server(
             self._build_placement_query(row),
             lambda result: self._handle_placement_result(row, result),
         )
@@ -253,7 +253,7 @@
                 self._attempts.start_attempt(row, result)
                 self._hedging.schedule_hedge(row)
             else:
-                self._deps.placement.report_end(row.service.name, result, NOT_SENT)
+                self._parts.placement.report_end(row.service.name, result, NOT_SENT)
             return
         if not self._is_open(row):
             return
@@ -315,19 +315,19 @@
         self, row: RequestRow, attempt: Attempt, result: AttemptResult
     ) -> None:
         """Tell the other components how an attempt ended."""
-        deps, service = self._deps, row.service
-        deps.placement.report_end(service.name, attempt.assignment, result)
+        parts, service = self._parts, row.service
+        parts.placement.report_end(service.name, attempt.assignment, result)
         if result.outcome is AttemptOutcome.ANSWERED:
-            deps.retry_budget.record_latency(service.name, result.latency_s)
-            if deps.crash_guard.has_suspects():
-                deps.crash_guard.record_answer(self._get_fingerprint(row))
+            parts.retry_budget.record_latency(service.name, result.latency_s)
+            if parts.crash_guard.has_suspects():
+                parts.crash_guard.record_answer(self._get_fingerprint(row))
         elif result.outcome is AttemptOutcome.LOST:
-            deps.crash_guard.record_connection_loss(
+            parts.crash_guard.record_connection_loss(
                 self._get_fingerprint(row), attempt.assignment.server
             )
         elif result.outcome is AttemptOutcome.MISDIRECTED and service.keyed:
             assert row.key_position is not None
-            deps.key_router.report_misdirection(
+            parts.key_router.report_misdirection(
                 service.name, row.key_position, attempt.assignment.server.name
             )
 
@@ -359,7 +359,7 @@
             return False
         if row.deadline_s - self._ctx.now_s < TIME_LEFT_MIN_S or row.req.attempt_number:
             return False
-        return self._deps.retry_budget.take_attempt(row.service.name)
+        return self._parts.retry_budget.take_attempt(row.service.name)
 
     # Ends of requests
 
@@ -369,7 +369,7 @@
         self._attempts.cancel_attempts(row)
         if row.claim_id:
             answer = StoredAnswer(result.status, result.headers, result.body)
-            self._deps.claims.complete_claim(
+            self._parts.claims.complete_claim(
                 row.claim_id, ClaimOutcome.ANSWERED, answer
             )
             row.claim_id = 0
@@ -397,11 +397,11 @@
         self._waiting.discard(row)
         if row.claim_id:
             outcome = ClaimOutcome.UNKNOWN if row.may_have_run else ClaimOutcome.NOT_RUN
-            self._deps.claims.complete_claim(row.claim_id, outcome)
+            self._parts.claims.complete_claim(row.claim_id, outcome)
             row.claim_id = 0
         for placement_id in (row.placement_id, row.hedge_placement_id):
             if placement_id:
-                self._deps.placement.cancel_query(placement_id, row.service.name)
+                self._parts.placement.cancel_query(placement_id, row.service.name)
         for timer in (row.deadline_timer, row.hedge_timer):
             if timer is not None:
                 timer.cancel()
--- a/wagtailrill/router/router.py
+++ b/wagtailrill/router/router.py
@@ -21,7 +21,7 @@
 from ..placement.component import Placement, PlacementParts
 from ..rates.component import RateLimiter
 from ..requests.checks import ArrivalChecks, parse_key_position
-from ..requests.pipeline import Pipeline, PipelineDependencies
+from ..requests.pipeline import Pipeline, PipelineParts
 from ..retries.extra_attempts import ExtraAttemptBudget
 from ..servers.choice import ServerChoice
 from ..servers.discovery import Discovery, DiscoverySettings
@@ -90,7 +90,7 @@
             ctx, self.servers, lambda: tuple(self.members.get_other_members())
         )
         self.claims = Claims(ctx, self.members, cfg.claim_prefix)
-        self.pipeline = Pipeline(self._make_pipeline_dependencies())
+        self.pipeline = Pipeline(self._make_pipeline_parts())
         self._attach_components()
 
     def start(self, now_s: float, wall_s: float) -> list[Command]:
@@ -183,9 +183,9 @@
         cfg = DiscoverySettings(servers.prefix)
         return Discovery(ctx, cfg, servers.decoder, self.servers.update_entries)
 
-    def _make_pipeline_dependencies(self) -> PipelineDependencies:
+    def _make_pipeline_parts(self) -> PipelineParts:
         adapter = self._adapter
-        return PipelineDependencies(
+        return PipelineParts(
             ctx=self.ctx,
             checks=ArrivalChecks(
                 self.ctx,
