Restore the names of the fields of RateSettings

Folder: wagtailrill/rates.

The log line settings_reloaded writes str() of these settings, so their field names leave the process: RateSettings.excess_ratio -> excess, RateSettings.allowance_requests -> allowance. The class docstring says what they hold.

--- a/wagtailrill/rates/models.py
+++ b/wagtailrill/rates/models.py
@@ -10,17 +10,18 @@
     """Tolerance by which the fleet may exceed a rate limit.
 
     Any window of `window_s` seconds admits at most
-    (rate * window + burst) * (1 + `excess_ratio`) + `allowance_requests` requests.
+    (rate * window + burst) * (1 + `excess`) + `allowance` requests. `excess` is a
+    ratio to the declared requests; `allowance` is a number of requests.
     """
 
     window_s: float = 5.0
-    excess_ratio: float = 0.0
-    allowance_requests: float = 0.0
+    excess: float = 0.0
+    allowance: float = 0.0
 
     def compute_bound(self, limit: "RateLimit") -> float:
         """Return the maximum number of requests of an organisation in any window."""
         declared = limit.rate_per_s * self.window_s + limit.burst
-        return declared * (1.0 + self.excess_ratio) + self.allowance_requests
+        return declared * (1.0 + self.excess) + self.allowance
 
     def compute_bucket_limit(
         self,
