--- a/tests/peer/test_tcp.py
+++ b/tests/peer/test_tcp.py
@@ -1,4 +1,4 @@
-"""Guards the peer transport against hostile input and lost connections."""
+"""Guards the peer transport against malicious input and lost connections."""
 
 import socket
 
@@ -9,7 +9,7 @@
 
 from wagtailrill.peer.const import FRAME_MAX_BYTES
 from wagtailrill.peer.errors import PeerDecodeError
-from wagtailrill.peer.frame import FrameCodec, with_length
+from wagtailrill.peer.frame import FrameCodec, add_length_prefix
 from wagtailrill.peer.registry import Envelope, MessageRegistry
 from wagtailrill.peer.tcp import PeerTransport
 
@@ -33,21 +33,21 @@
     return registry
 
 
-def envelope(sequence=1, text="hello"):
+def make_envelope(sequence=1, text="hello"):
     return Envelope("a", 1, "b", 0, sequence, Note(text, (1, 2)))
 
 
-def test_frame_survives_secret_rotation(registry):
-    """Guards against an outage while peer secrets are being rotated."""
+def test_frames_are_accepted_during_secret_rotation(registry):
+    """Guards against an outage while peer secrets are rotated."""
     old = FrameCodec(registry, (b"old", b"new"))
     new = FrameCodec(registry, (b"new", b"old"))
-    assert new.decode(old.encode(envelope())) == envelope()
-    assert old.decode(new.encode(envelope())) == envelope()
+    assert new.decode(old.encode(make_envelope())) == make_envelope()
+    assert old.decode(new.encode(make_envelope())) == make_envelope()
 
 
-def test_foreign_secret_is_rejected(registry):
-    """Guards against messages of processes without the shared secret."""
-    frame = FrameCodec(registry, (b"other",)).encode(envelope())
+def test_frame_with_an_unknown_secret_is_rejected(registry):
+    """Guards against messages from processes that do not have the secret."""
+    frame = FrameCodec(registry, (b"other",)).encode(make_envelope())
     with pytest.raises(PeerDecodeError):
         FrameCodec(registry, (b"ours",)).decode(frame)
 
@@ -58,13 +58,13 @@
         b"",
         b"GET / HTTP/1.1\r\n\r\n",
         (FRAME_MAX_BYTES + 1).to_bytes(4, "big") + b"x",
-        with_length(b"x" * 100),
-        with_length(b""),
+        add_length_prefix(b"x" * 100),
+        add_length_prefix(b""),
     ],
-    ids=["empty", "http", "too long", "not authentic", "no frame"],
+    ids=["empty", "http", "too long", "not authentic", "empty frame"],
 )
 def test_hostile_bytes_do_not_stop_the_listener(registry, data):
-    """Guards against a bad peer message that ends the process."""
+    """Guards against an invalid frame that terminates the process."""
     received = []
 
     async def async_main():
@@ -79,18 +79,18 @@
             async with await anyio.connect_tcp("127.0.0.1", port) as stream:
                 await stream.send(data)
             transport.set_addresses({"b": f"127.0.0.1:{port}"})
-            transport.send(envelope())
+            transport.send(make_envelope())
             with anyio.fail_after(5.0):
                 while not received:
                     await anyio.sleep(0.01)
             tg.cancel_scope.cancel()
 
     anyio.run(async_main)
-    assert received == [envelope()]
+    assert received == [make_envelope()]
 
 
 def test_messages_arrive_after_the_receiver_restarts(registry):
-    """Guards against a sender that dies with its connection."""
+    """Guards against a sender that stops for good when its connection is lost."""
     received = []
 
     async def async_serve_once(port, sender, text):
@@ -99,7 +99,7 @@
             tg.start_soon(transport.async_serve, "127.0.0.1", port)
             with anyio.fail_after(10.0):
                 while not any(e.message.text == text for e in received):
-                    sender.send(envelope(len(received) + 1, text))
+                    sender.send(make_envelope(len(received) + 1, text))
                     await anyio.sleep(0.05)
             tg.cancel_scope.cancel()
 
@@ -120,8 +120,8 @@
     assert {e.message.text for e in received} == {"first", "second"}
 
 
-def test_lost_and_regained_peer_is_logged_once_each(registry):
-    """Guards against a cut between instances that the logs do not show."""
+def test_loss_and_return_of_a_peer_are_logged_once_each(registry):
+    """Guards against a network partition that does not appear in the logs."""
 
     async def async_main():
         codec = FrameCodec(registry, (b"secret",))
@@ -137,12 +137,12 @@
                 tg.start_soon(sender.async_serve, "127.0.0.1", 0)
                 await anyio.sleep(0.05)
                 for number in range(4):
-                    sender.send(envelope(number))
+                    sender.send(make_envelope(number))
                     await anyio.sleep(0.15)
                 tg.start_soon(receiver.async_serve, "127.0.0.1", port)
                 with anyio.fail_after(20.0):
                     while not received:
-                        sender.send(envelope(9))
+                        sender.send(make_envelope(9))
                         await anyio.sleep(0.05)
                 tg.cancel_scope.cancel()
         return [line["event"] for line in lines]
--- a/tests/store/test_mirror.py
+++ b/tests/store/test_mirror.py
@@ -1,4 +1,4 @@
-"""Guards copies of a prefix against cut watches and forgotten history."""
+"""Guards mirrors of a prefix against failed watches and compacted history."""
 
 from expression import Error, Ok
 
@@ -16,91 +16,95 @@
 )
 
 
-class Bench:
-    """A mirror whose store calls the test answers."""
+class MirrorHarness:
+    """A mirror whose store calls are answered by the test."""
 
     def __init__(self):
         self.ctx = make_context()
-        self.changes = []
+        self.changed_keys = []
         self.mirror = PrefixMirror(
-            self.ctx, MirrorSettings("op/"), lambda keys: self.changes.append(keys)
+            self.ctx, MirrorSettings("op/"), lambda keys: self.changed_keys.append(keys)
         )
         self.mirror.start()
 
     def reply(self, cls, result):
-        """Answer the latest call of a kind."""
+        """Reply to the latest call with an operation of a class."""
         call = store_calls(self.ctx, cls)[-1]
         self.ctx.commands.clear()
         self.ctx.handle_store_reply(call.call_id, result)
         return call.operation
 
 
-def item(key, revision):
+def make_item(key, revision):
     return Item(key, b"v%d" % revision, revision)
 
 
-def listed(*items, revision=10, more=False):
+def make_page(*items, revision=10, more=False):
     return Ok(Listed(tuple(items), more, revision))
 
 
-def failed(kind):
+def make_error(kind):
     return Error(StoreError(kind))
 
 
-def test_watch_continues_from_the_list():
-    """Guards against changes between the list and the watch."""
-    bench = Bench()
-    bench.reply(ListPrefix, listed(item("op/a", 3), revision=10))
-    operation = bench.reply(WatchPrefix, Ok(Changes((item("op/a", 12),), 12)))
+def test_watch_continues_from_the_revision_of_the_list():
+    """Guards against missing changes between the list and the watch."""
+    harness = MirrorHarness()
+    harness.reply(ListPrefix, make_page(make_item("op/a", 3), revision=10))
+    operation = harness.reply(WatchPrefix, Ok(Changes((make_item("op/a", 12),), 12)))
     assert operation.after_revision == 10
-    assert bench.mirror.items["op/a"].revision == 12
-
-
-def test_pages_watch_from_the_revision_of_the_first():
-    """Guards against changes that happen while later pages are read."""
-    bench = Bench()
-    bench.reply(ListPrefix, listed(item("op/a", 3), revision=10, more=True))
-    bench.reply(ListPrefix, listed(item("op/b", 4), revision=15))
-    assert bench.reply(WatchPrefix, Ok(Changes((), 15))).after_revision == 10
-    assert set(bench.mirror.items) == {"op/a", "op/b"}
-
-
-def test_cut_watch_is_followed_by_a_list_at_once():
-    """Guards against changes that a cut watch has not told of."""
-    bench = Bench()
-    bench.reply(ListPrefix, listed(item("op/a", 3)))
-    bench.reply(WatchPrefix, failed(StoreErrorKind.NO_ANSWER))
-    bench.reply(ListPrefix, listed(item("op/a", 3), item("op/b", 11), revision=11))
-    assert "op/b" in bench.mirror.items
-    assert bench.changes[-1] == {"op/b"}
-
-
-def test_forgotten_history_is_read_anew():
-    """Guards against a copy that stays behind when the store forgets its history."""
-    bench = Bench()
-    bench.reply(ListPrefix, listed(item("op/a", 3), item("op/b", 4)))
-    bench.reply(WatchPrefix, failed(StoreErrorKind.COMPACTED))
-    bench.reply(ListPrefix, listed(item("op/b", 4), revision=40))
-    assert set(bench.mirror.items) == {"op/b"}
-
-
-def test_contents_stay_during_an_outage_and_both_ends_are_logged():
-    """Guards against an instance that forgets all when the store is away."""
-    bench = Bench()
-    bench.reply(ListPrefix, listed(item("op/a", 3)))
-    bench.reply(WatchPrefix, failed(StoreErrorKind.REFUSED))
-    lost = logged(bench.ctx)
-    bench.reply(ListPrefix, failed(StoreErrorKind.REFUSED))
-    assert set(bench.mirror.items) == {"op/a"}
-    advance(bench.ctx, 1.0)
-    bench.reply(ListPrefix, listed(item("op/a", 3)))
-    assert "store_watch_lost" in lost
-    assert "store_watch_regained" in logged(bench.ctx)
+    assert harness.mirror.items["op/a"].revision == 12
+
+
+def test_watch_continues_from_the_revision_of_the_first_page():
+    """Guards against missing changes made while later pages are read."""
+    harness = MirrorHarness()
+    harness.reply(ListPrefix, make_page(make_item("op/a", 3), revision=10, more=True))
+    harness.reply(ListPrefix, make_page(make_item("op/b", 4), revision=15))
+    assert harness.reply(WatchPrefix, Ok(Changes((), 15))).after_revision == 10
+    assert set(harness.mirror.items) == {"op/a", "op/b"}
+
+
+def test_failed_watch_is_followed_by_a_list_at_once():
+    """Guards against missing changes that a failed watch has not returned."""
+    harness = MirrorHarness()
+    harness.reply(ListPrefix, make_page(make_item("op/a", 3)))
+    harness.reply(WatchPrefix, make_error(StoreErrorKind.NO_ANSWER))
+    harness.reply(
+        ListPrefix, make_page(make_item("op/a", 3), make_item("op/b", 11), revision=11)
+    )
+    assert "op/b" in harness.mirror.items
+    assert harness.changed_keys[-1] == {"op/b"}
+
+
+def test_compacted_history_is_followed_by_a_list():
+    """Guards against an outdated mirror after the store has compacted its history."""
+    harness = MirrorHarness()
+    harness.reply(ListPrefix, make_page(make_item("op/a", 3), make_item("op/b", 4)))
+    harness.reply(WatchPrefix, make_error(StoreErrorKind.COMPACTED))
+    harness.reply(ListPrefix, make_page(make_item("op/b", 4), revision=40))
+    assert set(harness.mirror.items) == {"op/b"}
+
+
+def test_items_are_kept_during_an_outage_whose_start_and_end_are_logged():
+    """Guards against an instance that loses its data when the store is unavailable."""
+    harness = MirrorHarness()
+    harness.reply(ListPrefix, make_page(make_item("op/a", 3)))
+    harness.reply(WatchPrefix, make_error(StoreErrorKind.REFUSED))
+    lines_during_outage = logged(harness.ctx)
+    harness.reply(ListPrefix, make_error(StoreErrorKind.REFUSED))
+    assert set(harness.mirror.items) == {"op/a"}
+    advance(harness.ctx, 1.0)
+    harness.reply(ListPrefix, make_page(make_item("op/a", 3)))
+    assert "store_watch_lost" in lines_during_outage
+    assert "store_watch_regained" in logged(harness.ctx)
 
 
 def test_older_event_changes_nothing():
-    """Guards against a change that comes late and undoes a newer one."""
-    bench = Bench()
-    bench.reply(ListPrefix, listed(item("op/a", 9)))
-    bench.reply(WatchPrefix, Ok(Changes((item("op/a", 5), Removed("op/a", 6)), 10)))
-    assert bench.mirror.items["op/a"].revision == 9
+    """Guards against a late change that overwrites a newer one."""
+    harness = MirrorHarness()
+    harness.reply(ListPrefix, make_page(make_item("op/a", 9)))
+    harness.reply(
+        WatchPrefix, Ok(Changes((make_item("op/a", 5), Removed("op/a", 6)), 10))
+    )
+    assert harness.mirror.items["op/a"].revision == 9
--- a/wagtailrill/gateway/__init__.py
+++ b/wagtailrill/gateway/__init__.py
@@ -1,1 +1,1 @@
-"""HTTP towards callers and backend servers."""
+"""HTTP connections to callers and to backend servers."""
--- a/wagtailrill/gateway/backend_connection.py
+++ b/wagtailrill/gateway/backend_connection.py
@@ -1,4 +1,7 @@
-"""One connection to a backend server; it carries one exchange at a time."""
+"""One HTTP/1.1 connection to a backend server, with one exchange at a time.
+
+Used by `BackendPool`.
+"""
 
 import asyncio
 import enum
@@ -10,9 +13,9 @@
 
 from ..core.request_models import Headers
 from .const import KEEP_ALIVE_MARGIN_S
-from .sockets import find_dead_peers
+from .sockets import set_tcp_options
 
-KEEP_ALIVE_TIMEOUT = re.compile(rb"timeout\s*=\s*(\d+)", re.IGNORECASE)
+KEEP_ALIVE_TIMEOUT_PATTERN = re.compile(rb"timeout\s*=\s*(\d+)", re.IGNORECASE)
 STATUSES_WITHOUT_BODY = frozenset({204, 304})
 
 
@@ -20,29 +23,33 @@
     """How an exchange ended."""
 
     ANSWERED = "answered"
-    LOST = "lost"  # the connection ended before a whole answer
-    MALFORMED = "malformed"  # bytes that are no answer, or too many
+    LOST = "lost"  # the connection closed before the response was complete
+    MALFORMED = "malformed"  # not an HTTP response, or a body that is too large
 
 
 @attrs.frozen
-class RawAnswer:
-    """A whole answer; header names are lower case."""
+class RawResponse:
+    """A complete response; header names are in lower case.
+
+    `closes_connection` means that the connection cannot be used again.
+    """
 
     status: int
     headers: Headers
     body: bytes
-    closes: bool
+    closes_connection: bool
 
 
-OnEnd = Callable[[ExchangeEnd, RawAnswer | None], None]
-Belongs = Callable[[RawAnswer], bool]
+EndCallback = Callable[[ExchangeEnd, RawResponse | None], None]
+ResponseMatcher = Callable[[RawResponse], bool]
 
 
 class BackendConnection(asyncio.Protocol):
-    """Sends requests and reads answers.
+    """Sends requests and parses their responses.
 
-    An answer that does not belong to the request is dropped, and the next one on the
-    connection is awaited.
+    A response that does not match the request, such as a late one to an earlier
+    request, is discarded, and the next one on the connection is awaited. Times in
+    seconds are those of the event loop's clock.
     """
 
     def __init__(
@@ -52,158 +59,180 @@
     ) -> None:
         self.usable_until_s = float("inf")
         self.opened_s = 0.0
-        self.used_s = 0.0
+        self.last_used_s = 0.0
         self.generation = 0
         self.transport: asyncio.Transport | None = None
         self._loop = asyncio.get_running_loop()
-        self._max_bytes = response_max_bytes
+        self._response_max_bytes = response_max_bytes
         self._on_idle_close = on_idle_close
-        self._on_end: OnEnd | None = None
-        self._belongs: Belongs = lambda answer: True
-        self._head_only = False
-        self._eof = False
-        self._answer: RawAnswer | None = None
-        self._begin_answer()
+        self._on_end: EndCallback | None = None
+        self._matches_request: ResponseMatcher = lambda response: True
+        self._is_head_request = False
+        self._at_eof = False
+        self._response: RawResponse | None = None
+        self._reset_parser()
 
     @property
-    def open(self) -> bool:
-        """Return whether the connection can carry another exchange."""
+    def is_open(self) -> bool:
+        """Return whether the transport is open."""
         return self.transport is not None and not self.transport.is_closing()
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
-        """Keep the transport."""
+        """Store the transport and set its socket options."""
         assert isinstance(transport, asyncio.Transport)
         self.transport = transport
-        find_dead_peers(transport)
+        set_tcp_options(transport)
 
-    def send(
-        self, data: bytes, head_only: bool, belongs: Belongs, on_end: OnEnd
+    def send_request(
+        self,
+        data: bytes,
+        is_head_request: bool,
+        matches_request: ResponseMatcher,
+        on_end: EndCallback,
     ) -> None:
-        """Send a request; `on_end` is called once unless the exchange is dropped."""
+        """Send a request; `on_end` is called once unless the connection is aborted."""
         assert self.transport is not None
-        self._on_end, self._belongs, self._head_only = on_end, belongs, head_only
-        self._begin_answer()
+        self._on_end, self._matches_request, self._is_head_request = (
+            on_end,
+            matches_request,
+            is_head_request,
+        )
+        self._reset_parser()
         self.transport.write(data)
 
-    def drop(self) -> None:
-        """Close the connection without telling anybody."""
+    def abort(self) -> None:
+        """Close the connection at once, without calling back."""
         self._on_end = None
         if self.transport is not None:
             self.transport.abort()
 
     def data_received(self, data: bytes) -> None:
-        """Read answers; bytes that nobody waits for end the connection."""
+        """Parse a response; bytes outside an exchange close the connection."""
         if self._on_end is None:
-            self._close_idle()
+            self._abort_transport()
             return
         malformed = False
         try:
             self._parser.feed_data(data)
         except (httptools.HttpParserUpgrade, httptools.HttpParserError):
             malformed = True
-        answer = self._whole_answer()
-        if answer is not None:
-            # Bytes after a whole answer belong to nobody; the answer stands.
-            closes = answer.closes or malformed or self._extra_bytes
-            self._end(ExchangeEnd.ANSWERED, attrs.evolve(answer, closes=closes))
+        response = self._get_response()
+        if response is not None:
+            # Bytes after a complete response do not invalidate it, but the connection
+            # cannot be used again.
+            closes_connection = (
+                response.closes_connection or malformed or self._has_extra_bytes
+            )
+            self._end_exchange(
+                ExchangeEnd.ANSWERED,
+                attrs.evolve(response, closes_connection=closes_connection),
+            )
         elif malformed:
-            self._end(ExchangeEnd.MALFORMED, None)
+            self._end_exchange(ExchangeEnd.MALFORMED, None)
 
     def eof_received(self) -> bool:
-        """Complete an answer whose end is the end of the connection."""
-        self._eof = True
-        if self._on_end is not None and self._until_eof():
-            self._complete()
-            self._end(ExchangeEnd.ANSWERED, self._answer)
+        """Complete a response whose body ends with the connection."""
+        self._at_eof = True
+        if self._on_end is not None and self._is_delimited_by_eof():
+            self._finish_response()
+            self._end_exchange(ExchangeEnd.ANSWERED, self._response)
         return False
 
     def connection_lost(self, exc: Exception | None) -> None:
-        """End the exchange that is under way."""
+        """End the running exchange, or report the close of an idle connection."""
         self.transport = None
         if self._on_end is None:
             self._on_idle_close(self)
         else:
-            self._end(ExchangeEnd.LOST, None)
+            self._end_exchange(ExchangeEnd.LOST, None)
 
     # Callbacks of the parser
 
     def on_message_begin(self) -> None:
-        """Notice bytes behind a whole answer."""
-        self._extra_bytes = self._answer is not None
+        """Detect bytes after a complete response."""
+        self._has_extra_bytes = self._response is not None
 
     def on_header(self, name: bytes, value: bytes) -> None:
         """Collect a header."""
         self._headers.append((name.lower(), value))
 
     def on_headers_complete(self) -> None:
-        """Learn the status; the parser does not know that HEAD has no body."""
+        """Store the status; finish a HEAD response, as the parser awaits its body."""
         self._status = self._parser.get_status_code()
-        if self._head_only:
-            self._complete(closes=True)
+        if self._is_head_request:
+            self._finish_response(closes_connection=True)
 
     def on_body(self, body: bytes) -> None:
-        """Collect the body."""
-        self._size += len(body)
-        if self._size > self._max_bytes:
-            raise ValueError("the answer is too large")
-        self._body.append(body)
+        """Collect a part of the body; raise `ValueError` if it becomes too large."""
+        self._body_bytes += len(body)
+        if self._body_bytes > self._response_max_bytes:
+            raise ValueError("the response body is too large")
+        self._body_chunks.append(body)
 
     def on_message_complete(self) -> None:
-        """End the exchange, unless the answer is another request's."""
+        """Finish the response, unless it is an interim (1xx) one."""
         if 100 <= self._status < 200:
-            self._reset_fields()
+            self._reset_message()
             return
-        self._complete()
+        self._finish_response()
 
-    def _whole_answer(self) -> RawAnswer | None:
-        return self._answer
+    def _get_response(self) -> RawResponse | None:
+        """Return the response if the parser's callbacks have completed it."""
+        return self._response
 
-    def _until_eof(self) -> bool:
-        """Return whether the answer under way has no length of its own."""
+    def _is_delimited_by_eof(self) -> bool:
+        """Return whether only the end of the connection ends the current response."""
         if not self._status or self._status in STATUSES_WITHOUT_BODY:
             return False
         names = {name for name, _ in self._headers}
         return b"content-length" not in names and b"transfer-encoding" not in names
 
-    def _complete(self, closes: bool = False) -> None:
-        if self._answer is not None:
+    def _finish_response(self, closes_connection: bool = False) -> None:
+        if self._response is not None:
             return
-        closes = closes or self._eof or not self._parser.should_keep_alive()
-        answer = RawAnswer(
-            self._status, tuple(self._headers), b"".join(self._body), closes
+        closes_connection = (
+            closes_connection or self._at_eof or not self._parser.should_keep_alive()
+        )
+        response = RawResponse(
+            self._status,
+            tuple(self._headers),
+            b"".join(self._body_chunks),
+            closes_connection,
         )
-        if not self._belongs(answer) and not self._eof:
-            self._reset_fields()
+        if not self._matches_request(response) and not self._at_eof:
+            self._reset_message()
             return
-        self._note_keep_alive()
-        self._answer = answer
+        self._apply_keep_alive_timeout()
+        self._response = response
 
-    def _end(self, end: ExchangeEnd, answer: RawAnswer | None) -> None:
+    def _end_exchange(self, end: ExchangeEnd, response: RawResponse | None) -> None:
         on_end, self._on_end = self._on_end, None
-        if answer is None or answer.closes:
-            self._close_idle()
-        self.used_s = self._loop.time()
+        if response is None or response.closes_connection:
+            self._abort_transport()
+        self.last_used_s = self._loop.time()
         if on_end is not None:
-            on_end(end, answer)
+            on_end(end, response)
 
-    def _note_keep_alive(self) -> None:
+    def _apply_keep_alive_timeout(self) -> None:
         for name, value in self._headers:
-            if name == b"keep-alive" and (found := KEEP_ALIVE_TIMEOUT.search(value)):
-                timeout_s = int(found[1]) - KEEP_ALIVE_MARGIN_S
+            if name == b"keep-alive" and (
+                match := KEEP_ALIVE_TIMEOUT_PATTERN.search(value)
+            ):
+                timeout_s = int(match[1]) - KEEP_ALIVE_MARGIN_S
                 self.usable_until_s = self._loop.time() + timeout_s
 
-    def _close_idle(self) -> None:
+    def _abort_transport(self) -> None:
         if self.transport is not None:
             self.transport.abort()
 
-    def _begin_answer(self) -> None:
+    def _reset_parser(self) -> None:
         self._parser = httptools.HttpResponseParser(self)
-        self._answer = None
-        self._extra_bytes = False
-        self._reset_fields()
+        self._response = None
+        self._has_extra_bytes = False
+        self._reset_message()
 
-    def _reset_fields(self) -> None:
+    def _reset_message(self) -> None:
         self._status = 0
         self._headers: list[tuple[bytes, bytes]] = []
-        self._body: list[bytes] = []
-        self._size = 0
+        self._body_chunks: list[bytes] = []
+        self._body_bytes = 0
--- a/wagtailrill/gateway/backend_pool.py
+++ b/wagtailrill/gateway/backend_pool.py
@@ -1,4 +1,7 @@
-"""Connections to one backend server and the exchange of requests on them."""
+"""Pool of connections to one backend server, and the requests in progress on them.
+
+The driver keeps one pool for each backend server.
+"""
 
 import asyncio
 from collections.abc import Callable
@@ -6,16 +9,16 @@
 import attrs
 
 from ..core.request_models import AttemptOutcome, AttemptResult, BackendRequest
-from .backend_connection import BackendConnection, ExchangeEnd, RawAnswer
+from .backend_connection import BackendConnection, ExchangeEnd, RawResponse
 from .const import (
     CONNECT_TIMEOUT_S,
     CONNECTION_IDLE_MAX_S,
     HOP_BY_HOP_HEADERS,
     RESPONSE_MAX_BYTES,
 )
-from .dialects import AnswerFields, BackendDialect
+from .dialects import BackendDialect, ResponseFields
 
-OnResult = Callable[[AttemptResult], None]
+ResultCallback = Callable[[AttemptResult], None]
 
 OUTCOME_BY_END = {
     ExchangeEnd.LOST: AttemptOutcome.LOST,
@@ -27,19 +30,19 @@
 class RunningExchange:
     """A request in progress on a connection, or one that waits for a new connection."""
 
-    order: BackendRequest
+    request: BackendRequest
     started_s: float
-    on_result: OnResult
+    on_result: ResultCallback
     conn: BackendConnection | None = None
-    task: asyncio.Task[None] | None = None
-    fields: AnswerFields | None = None
+    connect_task: asyncio.Task[None] | None = None
+    fields: ResponseFields | None = None
 
 
 class BackendPool:
     """Open connections to one backend server.
 
-    The connection used last is taken first, so that those beyond need grow idle and
-    are closed by their age.
+    Requests take the most recently used idle connection, so that surplus ones stay
+    idle until they expire.
     """
 
     def __init__(
@@ -49,195 +52,221 @@
         response_max_bytes: int = RESPONSE_MAX_BYTES,
     ) -> None:
         self.address = address
-        self.opened = 0
+        self.opened_count = 0
         self._dialect = dialect
         self._response_max_bytes = response_max_bytes
         self._host, _, port = address.rpartition(":")
         self._port = int(port)
         self._host_line = b"host: " + address.encode() + b"\r\n"
         self._idle: list[BackendConnection] = []
-        self._busy: dict[int, RunningExchange] = {}
+        self._running: dict[int, RunningExchange] = {}
         self._generation = 0
         self._loop = asyncio.get_running_loop()
 
     @property
     def unused(self) -> bool:
-        """Return whether there is no connection."""
-        return not self._idle and not self._busy
+        """Return whether the pool has neither connections nor requests."""
+        return not self._idle and not self._running
 
-    def exchange(self, order: BackendRequest, on_result: OnResult) -> None:
-        """Send a request; `on_result` is called once, also when that fails."""
-        running = RunningExchange(order, self._loop.time(), on_result)
-        conn = self._take_idle()
+    def exchange(self, request: BackendRequest, on_result: ResultCallback) -> None:
+        """Send a request; `on_result` is called once, also if sending fails."""
+        exchange = RunningExchange(request, self._loop.time(), on_result)
+        conn = self._take_idle_connection()
         if conn is not None:
-            self._busy[order.attempt_id] = running
-            self._send(running, conn)
-        elif order.connections_max and self._connections() >= order.connections_max:
-            self._report(running, AttemptOutcome.CONNECT_FAILED)
+            self._running[request.attempt_id] = exchange
+            self._send_on_connection(exchange, conn)
+        elif (
+            request.connections_max
+            and self._count_connections() >= request.connections_max
+        ):
+            self._report_outcome(exchange, AttemptOutcome.CONNECT_FAILED)
         else:
-            self._busy[order.attempt_id] = running
-            running.task = self._loop.create_task(self._async_connect(running))
+            self._running[request.attempt_id] = exchange
+            exchange.connect_task = self._loop.create_task(
+                self._async_connect(exchange)
+            )
 
     async def async_check(self) -> bool:
-        """Return whether a connection can be opened; it is kept."""
-        conn = await self._async_open(CONNECT_TIMEOUT_S)
+        """Return whether a new connection could be opened, and keep it as idle."""
+        conn = await self._async_open_connection(CONNECT_TIMEOUT_S)
         if conn is None:
             return False
         self._idle.insert(0, conn)
         return True
 
     def has_connection_from_before(self, time_s: float) -> bool:
-        """Return whether a connection is open that was opened before a loop time."""
-        busy = (running.conn for running in self._busy.values())
+        """Return whether a connection opened before a time of the loop is open."""
+        busy = (exchange.conn for exchange in self._running.values())
         return any(
-            conn is not None and conn.open and conn.opened_s < time_s
+            conn is not None and conn.is_open and conn.opened_s < time_s
             for conn in (*self._idle, *busy)
         )
 
     def cancel(self, attempt_id: int) -> None:
-        """Abandon a request; its connection is closed."""
-        running = self._busy.pop(attempt_id, None)
-        if running is None:
+        """Cancel a request, close its connection and report `CANCELLED`."""
+        exchange = self._running.pop(attempt_id, None)
+        if exchange is None:
             return
-        if running.task is not None:
-            running.task.cancel()
-        if running.conn is not None:
-            running.conn.drop()
-        self._report(running, AttemptOutcome.CANCELLED)
+        if exchange.connect_task is not None:
+            exchange.connect_task.cancel()
+        if exchange.conn is not None:
+            exchange.conn.abort()
+        self._report_outcome(exchange, AttemptOutcome.CANCELLED)
 
     def close_idle(self) -> None:
-        """Close idle connections, and busy ones after their exchange."""
+        """Close idle connections now, and busy ones after their exchange."""
         self._generation += 1
         while self._idle:
-            self._idle.pop().drop()
+            self._idle.pop().abort()
 
     def drop_expired(self) -> None:
-        """Close idle connections that may be closed by the server soon."""
+        """Close idle connections that the server may close soon."""
         now_s = self._loop.time()
-        for conn in [conn for conn in self._idle if not _usable(conn, now_s)]:
+        for conn in [conn for conn in self._idle if not _is_usable(conn, now_s)]:
             self._idle.remove(conn)
-            conn.drop()
+            conn.abort()
 
-    def _connections(self) -> int:
-        return len(self._idle) + len(self._busy)
+    def _count_connections(self) -> int:
+        return len(self._idle) + len(self._running)
 
-    def _take_idle(self) -> BackendConnection | None:
+    def _take_idle_connection(self) -> BackendConnection | None:
         now_s = self._loop.time()
         while self._idle:
             conn = self._idle.pop()
-            if _usable(conn, now_s):
+            if _is_usable(conn, now_s):
                 return conn
-            conn.drop()
+            conn.abort()
         return None
 
-    async def _async_connect(self, running: RunningExchange) -> None:
-        conn = await self._async_open(min(CONNECT_TIMEOUT_S, running.order.timeout_s))
-        running.task = None
+    async def _async_connect(self, exchange: RunningExchange) -> None:
+        conn = await self._async_open_connection(
+            min(CONNECT_TIMEOUT_S, exchange.request.timeout_s)
+        )
+        exchange.connect_task = None
         if conn is None:
-            self._busy.pop(running.order.attempt_id, None)
-            self._report(running, AttemptOutcome.CONNECT_FAILED)
+            self._running.pop(exchange.request.attempt_id, None)
+            self._report_outcome(exchange, AttemptOutcome.CONNECT_FAILED)
         else:
-            self._send(running, conn)
+            self._send_on_connection(exchange, conn)
 
-    async def _async_open(self, timeout_s: float) -> BackendConnection | None:
-        conn = BackendConnection(self._response_max_bytes, self._idle_closed)
+    async def _async_open_connection(
+        self, timeout_s: float
+    ) -> BackendConnection | None:
+        conn = BackendConnection(self._response_max_bytes, self._remove_idle_connection)
         conn.generation = self._generation
         try:
             async with asyncio.timeout(timeout_s):
                 await self._loop.create_connection(lambda: conn, self._host, self._port)
         except OSError:  # includes TimeoutError
             return None
-        self.opened += 1
-        conn.used_s = conn.opened_s = self._loop.time()
-        return conn if conn.open else None
-
-    def _send(self, running: RunningExchange, conn: BackendConnection) -> None:
-        running.conn = conn
-        order = running.order
-        conn.send(
-            self._encode(order),
-            order.method == "HEAD",
-            lambda answer: self._belongs(running, answer),
-            lambda end, answer: self._ended(running, conn, end, answer),
+        self.opened_count += 1
+        conn.last_used_s = conn.opened_s = self._loop.time()
+        return conn if conn.is_open else None
+
+    def _send_on_connection(
+        self, exchange: RunningExchange, conn: BackendConnection
+    ) -> None:
+        exchange.conn = conn
+        request = exchange.request
+        conn.send_request(
+            self._encode_request(request),
+            request.method == "HEAD",
+            lambda response: self._matches_request(exchange, response),
+            lambda end, response: self._finish_exchange(exchange, conn, end, response),
         )
 
-    def _belongs(self, running: RunningExchange, answer: RawAnswer) -> bool:
-        fields = self._dialect.read_answer(answer.status, answer.headers)
-        running.fields = fields
+    def _matches_request(
+        self, exchange: RunningExchange, response: RawResponse
+    ) -> bool:
+        fields = self._dialect.parse_response(response.status, response.headers)
+        exchange.fields = fields
         return (
-            fields.caller_id is None
-            or fields.caller_id == running.order.caller_request_id
+            fields.caller_request_id is None
+            or fields.caller_request_id == exchange.request.caller_request_id
         )
 
-    def _ended(
+    def _finish_exchange(
         self,
-        running: RunningExchange,
+        exchange: RunningExchange,
         conn: BackendConnection,
         end: ExchangeEnd,
-        answer: RawAnswer | None,
+        response: RawResponse | None,
     ) -> None:
-        self._busy.pop(running.order.attempt_id, None)
-        if answer is None or running.fields is None:
-            self._report(running, OUTCOME_BY_END[end])
+        self._running.pop(exchange.request.attempt_id, None)
+        if response is None or exchange.fields is None:
+            self._report_outcome(exchange, OUTCOME_BY_END[end])
             return
-        keep = not answer.closes and conn.open and conn.generation == self._generation
-        if keep:
+        is_reusable = (
+            not response.closes_connection
+            and conn.is_open
+            and conn.generation == self._generation
+        )
+        if is_reusable:
             self._idle.append(conn)
-        elif conn.open:
-            conn.drop()
-        fields = running.fields
-        foreign = fields.caller_id not in (None, running.order.caller_request_id)
-        running.on_result(
+        elif conn.is_open:
+            conn.abort()
+        fields = exchange.fields
+        is_mismatched = fields.caller_request_id not in (
+            None,
+            exchange.request.caller_request_id,
+        )
+        exchange.on_result(
             AttemptResult(
-                attempt_id=running.order.attempt_id,
-                outcome=AttemptOutcome.BAD_ANSWER if foreign else fields.outcome,
-                latency_s=self._loop.time() - running.started_s,
-                status=answer.status,
-                headers=_caller_headers(answer),
-                body=answer.body,
+                attempt_id=exchange.request.attempt_id,
+                outcome=AttemptOutcome.BAD_ANSWER if is_mismatched else fields.outcome,
+                latency_s=self._loop.time() - exchange.started_s,
+                status=response.status,
+                headers=_select_end_to_end_headers(response),
+                body=response.body,
                 start_id=fields.start_id,
                 load=fields.load,
             )
         )
 
-    def _idle_closed(self, conn: BackendConnection) -> None:
+    def _remove_idle_connection(self, conn: BackendConnection) -> None:
         if conn in self._idle:
             self._idle.remove(conn)
 
-    def _report(self, running: RunningExchange, outcome: AttemptOutcome) -> None:
-        latency_s = self._loop.time() - running.started_s
-        running.on_result(AttemptResult(running.order.attempt_id, outcome, latency_s))
+    def _report_outcome(
+        self, exchange: RunningExchange, outcome: AttemptOutcome
+    ) -> None:
+        latency_s = self._loop.time() - exchange.started_s
+        exchange.on_result(
+            AttemptResult(exchange.request.attempt_id, outcome, latency_s)
+        )
 
-    def _encode(self, order: BackendRequest) -> bytes:
-        parts = [f"{order.method} {order.target} HTTP/1.1\r\n".encode("latin-1")]
-        named_host = False
-        for name, value in order.headers:
+    def _encode_request(self, request: BackendRequest) -> bytes:
+        parts = [f"{request.method} {request.target} HTTP/1.1\r\n".encode("latin-1")]
+        has_host = False
+        for name, value in request.headers:
             if name == b"content-length":
                 continue
-            named_host |= name == b"host"
+            has_host |= name == b"host"
             parts.append(name + b": " + value + b"\r\n")
-        if not named_host:
+        if not has_host:
             parts.append(self._host_line)
-        for name, value in self._dialect.order_headers(order):
+        for name, value in self._dialect.build_request_headers(request):
             parts.append(name + b": " + value + b"\r\n")
-        if order.body or order.method not in ("GET", "HEAD", "DELETE", "OPTIONS"):
-            parts.append(b"content-length: %d\r\n" % len(order.body))
+        if request.body or request.method not in ("GET", "HEAD", "DELETE", "OPTIONS"):
+            parts.append(b"content-length: %d\r\n" % len(request.body))
         parts.append(b"\r\n")
-        parts.append(order.body)
+        parts.append(request.body)
         return b"".join(parts)
 
 
-def _usable(conn: BackendConnection, now_s: float) -> bool:
+def _is_usable(conn: BackendConnection, now_s: float) -> bool:
     return (
-        conn.open
+        conn.is_open
         and now_s < conn.usable_until_s
-        and now_s - conn.used_s < CONNECTION_IDLE_MAX_S
+        and now_s - conn.last_used_s < CONNECTION_IDLE_MAX_S
     )
 
 
-def _caller_headers(answer: RawAnswer) -> tuple[tuple[bytes, bytes], ...]:
+def _select_end_to_end_headers(
+    response: RawResponse,
+) -> tuple[tuple[bytes, bytes], ...]:
     return tuple(
         (name, value)
-        for name, value in answer.headers
+        for name, value in response.headers
         if name not in HOP_BY_HOP_HEADERS and name != b"content-length"
     )
--- a/wagtailrill/gateway/caller_protocol.py
+++ b/wagtailrill/gateway/caller_protocol.py
@@ -1,4 +1,7 @@
-"""Connections of callers: requests are read, run at once and answered in order."""
+"""HTTP/1.1 connections of callers: parses requests and writes responses in order.
+
+The process runs one listener with this protocol; the driver handles the requests.
+"""
 
 import asyncio
 import itertools
@@ -12,17 +15,18 @@
 from ..core.refusals import Refusal, RefusalCode
 from ..core.request_models import CallerRequest
 from ..declaration.models import CallerLimits
-from .const import HOP_BY_HOP_HEADERS, PIPELINE_MAX
+from .const import HOP_BY_HOP_HEADERS, PIPELINED_REQUESTS_MAX
 from .dialects import CallerAnswer, CallerDialect
 
-REASONS = {status.value: status.phrase.encode() for status in HTTPStatus}
+REASON_PHRASES = {status.value: status.phrase.encode() for status in HTTPStatus}
 STATUS_LINES = {
-    status: b"HTTP/1.1 %d %s\r\n" % (status, reason)
-    for status, reason in REASONS.items()
+    status: b"HTTP/1.1 %d %s\r\n" % (status, phrase)
+    for status, phrase in REASON_PHRASES.items()
 }
-CONTINUE = b"HTTP/1.1 100 Continue\r\n\r\n"
+CONTINUE_RESPONSE = b"HTTP/1.1 100 Continue\r\n\r\n"
+# Pipelined requests with these methods run before the earlier ones are answered.
 CONCURRENT_METHODS = frozenset({"GET", "HEAD"})
-NO_BODY_STATUSES = frozenset({204, 304})
+STATUSES_WITHOUT_BODY = frozenset({204, 304})
 
 HEADERS_TOO_LARGE = Refusal(
     RefusalCode.HEADERS_TOO_LARGE, "The request headers are too large."
@@ -30,44 +34,48 @@
 BODY_TOO_LARGE = Refusal(
     RefusalCode.REQUEST_TOO_LARGE, "The request body is too large."
 )
-TOO_SLOW = Refusal(RefusalCode.REQUEST_TOO_SLOW, "The request took too long to send.")
-MALFORMED = Refusal(RefusalCode.BAD_REQUEST, "The bytes are not an HTTP/1.1 request.")
+REQUEST_TOO_SLOW = Refusal(
+    RefusalCode.REQUEST_TOO_SLOW, "The request took too long to send."
+)
+MALFORMED_REQUEST = Refusal(
+    RefusalCode.BAD_REQUEST, "The bytes are not an HTTP/1.1 request."
+)
 
 
 class RequestHandler(Protocol):
-    """Runs requests through the decision code."""
+    """Handles requests; implemented by the driver."""
 
     def request_arrived(self, req: CallerRequest, exchange: "Exchange") -> None:
-        """Run a request; its answer goes to the exchange."""
+        """Handle a request; its response is given to the exchange."""
         ...
 
     def caller_left(self, request_id: int) -> None:
-        """Tell that the caller closed its connection."""
+        """Handle that the caller closed the connection before the response."""
         ...
 
 
 @attrs.define(eq=False)
 class Exchange:
-    """One request on a connection and its answer."""
+    """One request on a connection and its response."""
 
     protocol: "CallerProtocol"
     request_id: int
     keep_alive: bool
-    head_only: bool = False
-    answer: CallerAnswer | None = None
-    # Not run before those ahead of it are answered.
-    deferred: CallerRequest | None = None
+    is_head_request: bool = False
+    response: CallerAnswer | None = None
+    # Handled only when the requests before it on the connection have been answered.
+    deferred_request: CallerRequest | None = None
 
-    def settle(self, answer: CallerAnswer) -> None:
-        """Give the answer; it is written once those before it are."""
-        if self.answer is None:
-            self.answer = answer
-            self.protocol.flush()
+    def settle(self, response: CallerAnswer) -> None:
+        """Set the response, unless there is one; it is written in its turn."""
+        if self.response is None:
+            self.response = response
+            self.protocol.flush_responses()
 
 
 @attrs.define
 class CallerServerState:
-    """What all connections of one listener share."""
+    """State that all connections of one listener share."""
 
     handler: RequestHandler
     dialect: CallerDialect
@@ -82,8 +90,9 @@
 class CallerProtocol(asyncio.Protocol):
     """One caller's connection.
 
-    uvicorn's own protocol runs the requests of a connection one after the other; here
-    requests that are sent without waiting run at the same time.
+    uvicorn's own protocol runs pipelined requests one after the other; this one runs
+    them concurrently and writes their responses in the order of the requests. Times in
+    seconds are those of the event loop's clock.
     """
 
     def __init__(self, state: CallerServerState) -> None:
@@ -92,15 +101,15 @@
         self._transport: asyncio.Transport | None = None
         self._parser = httptools.HttpRequestParser(self)
         self._pending: deque[Exchange] = deque()
-        self._broken = False
+        self._ignores_input = False
         self.idle_since_s: float | None = self._loop.time()
         self.reading_since_s: float | None = None
-        self._reset_message()
+        self._reset_request()
 
     # Connection
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
-        """Begin to serve a connection."""
+        """Store the transport and add the connection to those of the listener."""
         assert isinstance(transport, asyncio.Transport)
         self._transport = transport
         self._state.connections.add(self)
@@ -111,29 +120,29 @@
         self._transport = None
         while self._pending:
             exchange = self._pending.popleft()
-            if exchange.answer is None and exchange.deferred is None:
+            if exchange.response is None and exchange.deferred_request is None:
                 self._state.handler.caller_left(exchange.request_id)
 
     def eof_received(self) -> bool:
-        """Close: a caller that sends no more has left."""
+        """Close the connection: a caller that has closed its side has left."""
         return False
 
     def shutdown(self) -> None:
-        """Close when idle; otherwise after the last answer."""
+        """Close the connection if it is idle; otherwise its last response closes it."""
         if not self._pending and self.reading_since_s is None:
             self.close()
 
     def close(self) -> None:
-        """Close after what is written has been sent."""
+        """Close the connection after the written data has been sent."""
         if self._transport is not None:
             self._transport.close()
 
     def check_times(self, now_s: float) -> None:
-        """Close a connection that is idle, or whose request comes too slowly."""
+        """Close the connection if it is idle for too long; refuse a slow request."""
         limits = self._state.limits
         if self.reading_since_s is not None:
             if now_s - self.reading_since_s > limits.header_timeout_s:
-                self._break_off(TOO_SLOW)
+                self._refuse_input(REQUEST_TOO_SLOW)
         elif (
             self.idle_since_s is not None
             and now_s - self.idle_since_s > limits.idle_timeout_s
@@ -143,54 +152,54 @@
     # Reading
 
     def data_received(self, data: bytes) -> None:
-        """Feed received bytes to the parser."""
-        if self._broken:
+        """Pass received bytes to the parser."""
+        if self._ignores_input:
             return
         if self.reading_since_s is None:
             self.reading_since_s = self._loop.time()
-        self._head_bytes += len(data)
+        self._received_bytes += len(data)
         try:
             self._parser.feed_data(data)
         except httptools.HttpParserUpgrade:
-            self._break_off(MALFORMED)
+            self._refuse_input(MALFORMED_REQUEST)
         except httptools.HttpParserError:
-            if not self._broken:
-                self._break_off(MALFORMED)
+            if not self._ignores_input:
+                self._refuse_input(MALFORMED_REQUEST)
 
     def on_message_begin(self) -> None:
         """Start a request."""
-        self._reset_message()
+        self._reset_request()
         self.reading_since_s = self._loop.time()
 
     def on_url(self, url: bytes) -> None:
-        """Collect the request target."""
+        """Collect a part of the request target."""
         self._url += url
 
     def on_header(self, name: bytes, value: bytes) -> None:
-        """Collect a header."""
+        """Collect a header; refuse the request if the headers become too large."""
         self._headers.append((name.lower(), value))
         self._header_bytes += len(name) + len(value)
         if self._header_bytes > self._state.limits.header_max_bytes:
-            self._break_off(HEADERS_TOO_LARGE)
+            self._refuse_input(HEADERS_TOO_LARGE)
 
     def on_headers_complete(self) -> None:
-        """Ask for the body of a caller that waits to be asked."""
-        self.reading_since_s = None if self._broken else self._loop.time()
-        expects = (b"expect", b"100-continue")
-        if expects in self._headers and not self._pending and self._transport:
-            self._transport.write(CONTINUE)
+        """Send the interim response 100 if the caller expects it."""
+        self.reading_since_s = None if self._ignores_input else self._loop.time()
+        expect_header = (b"expect", b"100-continue")
+        if expect_header in self._headers and not self._pending and self._transport:
+            self._transport.write(CONTINUE_RESPONSE)
 
     def on_body(self, body: bytes) -> None:
-        """Collect the body."""
+        """Collect a part of the body; refuse the request if it becomes too large."""
         self._body_bytes += len(body)
         if self._body_bytes > self._state.limits.body_max_bytes:
-            self._break_off(BODY_TOO_LARGE)
+            self._refuse_input(BODY_TOO_LARGE)
         else:
-            self._body.append(body)
+            self._body_chunks.append(body)
 
     def on_message_complete(self) -> None:
-        """Run a whole request."""
-        if self._broken:
+        """Pass the request to the handler, or defer it."""
+        if self._ignores_input:
             return
         self.reading_since_s = None
         self.idle_since_s = None
@@ -199,54 +208,57 @@
         target = httptools.parse_url(self._url)
         host = next((v for n, v in self._headers if n == b"host"), b"")
         headers = tuple(self._headers)
-        fields = state.dialect.read(headers)
+        fields = state.dialect.parse_headers(headers)
         req = CallerRequest(
             request_id=next(state.request_ids),
             method=method,
             path=(target.path or b"/").decode("latin-1"),
             query=(target.query or b"").decode("latin-1"),
             headers=headers,
-            body=b"".join(self._body),
+            body=b"".join(self._body_chunks),
             host=host.decode("latin-1").lower(),
-            caller_request_id=fields.caller_id,
+            caller_request_id=fields.caller_request_id,
             time_left_s=fields.time_left_s,
             credential=fields.credential,
             key_position=fields.key_position,
-            attempt_number=fields.attempt,
+            attempt_number=fields.attempt_number,
             idempotency_key=fields.idempotency_key,
         )
         exchange = Exchange(
             self,
             req.request_id,
             keep_alive=self._parser.should_keep_alive(),
-            head_only=method == "HEAD",
+            is_head_request=method == "HEAD",
         )
         self._pending.append(exchange)
-        if len(self._pending) >= PIPELINE_MAX and self._transport is not None:
+        if len(self._pending) >= PIPELINED_REQUESTS_MAX and self._transport is not None:
             self._transport.pause_reading()
         if len(self._pending) > 1 and method not in CONCURRENT_METHODS:
-            # It must not have run if an earlier answer closes the connection.
-            exchange.deferred = req
+            # If an earlier response closes the connection, the caller may send the
+            # request again, so it must not have run.
+            exchange.deferred_request = req
             return
         state.handler.request_arrived(req, exchange)
 
     # Writing
 
-    def flush(self) -> None:
-        """Write the answers that are due."""
+    def flush_responses(self) -> None:
+        """Write the responses whose predecessors have all been written."""
         transport = self._transport
         while transport is not None and self._pending:
             exchange = self._pending[0]
-            if exchange.deferred is not None:
-                req, exchange.deferred = exchange.deferred, None
+            if exchange.deferred_request is not None:
+                req, exchange.deferred_request = exchange.deferred_request, None
                 self._state.handler.request_arrived(req, exchange)
-            if exchange.answer is None:
+            if exchange.response is None:
                 return
             self._pending.popleft()
             close = not exchange.keep_alive or (
                 self._state.stopping and not self._pending
             )
-            transport.write(_encode(exchange.answer, close, exchange.head_only))
+            transport.write(
+                _encode_response(exchange.response, close, exchange.is_head_request)
+            )
             if close:
                 self._abandon_pending()
                 transport.close()
@@ -256,51 +268,53 @@
             transport.resume_reading()
 
     def _abandon_pending(self) -> None:
-        """Drop requests behind an answer that closes the connection."""
+        """Drop the requests after a response that closes the connection."""
         while self._pending:
             exchange = self._pending.popleft()
-            if exchange.answer is None and exchange.deferred is None:
+            if exchange.response is None and exchange.deferred_request is None:
                 self._state.handler.caller_left(exchange.request_id)
 
-    def _break_off(self, refusal: Refusal) -> None:
-        """Refuse what cannot be read; nothing after it on the connection is read."""
-        self._broken = True
+    def _refuse_input(self, refusal: Refusal) -> None:
+        """Refuse the current request and ignore all further input."""
+        self._ignores_input = True
         self.reading_since_s = None
         exchange = Exchange(self, next(self._state.request_ids), keep_alive=False)
         self._pending.append(exchange)
-        fields = self._state.dialect.read(tuple(self._headers))
-        exchange.settle(self._state.dialect.refusal(refusal, fields.caller_id))
+        fields = self._state.dialect.parse_headers(tuple(self._headers))
+        exchange.settle(self._state.dialect.refusal(refusal, fields.caller_request_id))
 
-    def _reset_message(self) -> None:
+    def _reset_request(self) -> None:
         self._url = b""
         self._headers: list[tuple[bytes, bytes]] = []
         self._header_bytes = 0
-        self._head_bytes = 0
-        self._body: list[bytes] = []
+        self._received_bytes = 0
+        self._body_chunks: list[bytes] = []
         self._body_bytes = 0
 
 
-def _encode(answer: CallerAnswer, close: bool, head_only: bool) -> bytes:
+def _encode_response(
+    response: CallerAnswer, close: bool, is_head_request: bool
+) -> bytes:
     parts: list[bytes] = [
-        STATUS_LINES.get(answer.status) or b"HTTP/1.1 %d \r\n" % answer.status
+        STATUS_LINES.get(response.status) or b"HTTP/1.1 %d \r\n" % response.status
     ]
-    for name, value in answer.headers:
+    for name, value in response.headers:
         if name not in HOP_BY_HOP_HEADERS and name != b"content-length":
             parts.append(name + b": " + value + b"\r\n")
-    if answer.status not in NO_BODY_STATUSES:
-        parts.append(b"content-length: %d\r\n" % len(answer.body))
+    if response.status not in STATUSES_WITHOUT_BODY:
+        parts.append(b"content-length: %d\r\n" % len(response.body))
     if close:
         parts.append(b"connection: close\r\n")
     parts.append(b"\r\n")
-    if not head_only and answer.status not in NO_BODY_STATUSES:
-        parts.append(answer.body)
+    if not is_head_request and response.status not in STATUSES_WITHOUT_BODY:
+        parts.append(response.body)
     return b"".join(parts)
 
 
 def protocol_class(state: CallerServerState) -> Any:
-    """Return what uvicorn calls to make the protocol of a connection."""
+    """Return a factory of protocols, as uvicorn's setting `http` takes it."""
 
-    def make(*_: object, **__: object) -> CallerProtocol:
+    def make_protocol(*_: object, **__: object) -> CallerProtocol:
         return CallerProtocol(state)
 
-    return make
+    return make_protocol
--- a/wagtailrill/gateway/const.py
+++ b/wagtailrill/gateway/const.py
@@ -1,10 +1,10 @@
-"""Constants of the HTTP side."""
+"""Constants of the HTTP connections to callers and backend servers."""
 
 from typing import Final
 
 CONNECT_TIMEOUT_S: Final = 0.5
 CONTROL_TIMEOUT_S: Final = 0.25
-# Network devices between two hosts forget connections that are idle for minutes.
+# Network devices between two hosts drop connections that are idle for minutes.
 CONNECTION_IDLE_MAX_S: Final = 10.0
 RESPONSE_MAX_BYTES: Final = 8_388_608
 CLEANUP_INTERVAL_S: Final = 0.25
@@ -20,13 +20,15 @@
         b"upgrade",
     }
 )
-# Requests of one connection that are run at the same time.
-PIPELINE_MAX: Final = 32
-# A connection is not used for the last part of the time that its peer keeps it open.
+# Unanswered requests on one connection at which reading from it pauses.
+PIPELINED_REQUESTS_MAX: Final = 32
+# A connection is not reused this shortly before the server's keep-alive timeout, since
+# the server might close it while a request is on its way.
 KEEP_ALIVE_MARGIN_S: Final = 0.7
-# Dead connections show within about three seconds: first probe, interval, probes.
+# A dead peer is detected within about three seconds: the idle time plus one interval
+# for each probe.
 TCP_KEEP_ALIVE_IDLE_S: Final = 1
 TCP_KEEP_ALIVE_INTERVAL_S: Final = 1
 TCP_KEEP_ALIVE_PROBES: Final = 2
-# Sent bytes that stay unacknowledged this long end the connection.
+# A connection is closed when sent bytes stay unacknowledged for this long.
 TCP_USER_TIMEOUT_MS: Final = 1500
--- a/wagtailrill/gateway/dialects.py
+++ b/wagtailrill/gateway/dialects.py
@@ -1,4 +1,8 @@
-"""Interfaces by which the HTTP side learns the headers of callers and servers."""
+"""Interfaces to the HTTP headers and control calls of an environment.
+
+A dialect maps the header names and formats of one environment to the models of the
+decision code. The driver and the HTTP connections use these interfaces.
+"""
 
 from typing import Protocol
 
@@ -17,7 +21,7 @@
 
 @attrs.frozen
 class CallerAnswer:
-    """A whole answer for a caller."""
+    """A complete response for a caller."""
 
     status: int
     headers: tuple[tuple[bytes, bytes], ...]
@@ -26,45 +30,45 @@
 
 @attrs.frozen
 class CallerFields:
-    """What the headers of a request say of it; see `CallerRequest`."""
+    """Values from the headers of a caller's request, as in `CallerRequest`."""
 
-    caller_id: str = ""
+    caller_request_id: str = ""
     time_left_s: float | None = None
     credential: bytes | None = attrs.field(repr=False, default=None)
     key_position: int | None = None
-    attempt: int = 0
+    attempt_number: int = 0
     idempotency_key: bytes | None = None
 
 
 class CallerDialect(Protocol):
-    """Headers that callers send and that refusals carry."""
+    """Headers of callers' requests, and the format of refusals."""
 
-    def read(self, headers: Headers) -> CallerFields:
-        """Return what the headers say; a malformed one counts as absent."""
+    def parse_headers(self, headers: Headers) -> CallerFields:
+        """Return the values of the headers; malformed ones count as absent."""
         ...
 
-    def refusal(self, refusal: Refusal, caller_id: str) -> CallerAnswer:
-        """Return the answer that tells a caller of a refusal."""
+    def refusal(self, refusal: Refusal, caller_request_id: str) -> CallerAnswer:
+        """Return the response that tells a caller of a refusal."""
         ...
 
 
 @attrs.frozen
-class AnswerFields:
-    """What a backend server's answer says beside its status and body.
+class ResponseFields:
+    """Values from the status and headers of a backend server's response.
 
-    `outcome` says whether the request ran and succeeded. `caller_id` is the echoed
-    name of the request, None if the answer has none.
+    `outcome` says whether the request was run and succeeded. `caller_request_id` is
+    the request id that the server echoes, None if the response has none.
     """
 
     outcome: AttemptOutcome
-    caller_id: str | None = None
+    caller_request_id: str | None = None
     start_id: str = ""
     load: LoadReport | None = None
 
 
 @attrs.frozen
-class ControlCall:
-    """A control call as an HTTP request."""
+class ControlRequest:
+    """HTTP request of a control call; `timeout_s` limits the whole call."""
 
     target: str
     body: bytes
@@ -72,30 +76,30 @@
 
 
 class ControlDialect(Protocol):
-    """Control calls to backend servers."""
+    """HTTP requests and results of control calls to backend servers."""
 
-    def encode(self, operation: GrantKeys | ReleaseKeys) -> ControlCall:
-        """Return the request of a call."""
+    def encode(self, operation: GrantKeys | ReleaseKeys) -> ControlRequest:
+        """Return the HTTP request of an operation."""
         ...
 
     def decode(
         self, operation: GrantKeys | ReleaseKeys, result: AttemptResult
     ) -> ControlResult:
-        """Return what the end of the exchange means."""
+        """Return the result of an operation from that of its HTTP request."""
         ...
 
 
 class BackendDialect(Protocol):
-    """Headers of requests to backend servers and of their answers."""
+    """Headers of requests to backend servers and of their responses."""
 
     def reserved(self, name: bytes) -> bool:
-        """Return whether a caller's header is not passed on."""
+        """Return whether a header of a caller's request is not passed on."""
         ...
 
-    def order_headers(self, order: BackendRequest) -> Headers:
-        """Return the headers that the request carries besides the caller's own."""
+    def build_request_headers(self, request: BackendRequest) -> Headers:
+        """Return the headers that are sent besides those of the caller."""
         ...
 
-    def read_answer(self, status: int, headers: Headers) -> AnswerFields:
-        """Return what an answer says; header names are lower case."""
+    def parse_response(self, status: int, headers: Headers) -> ResponseFields:
+        """Return the values of a response; header names are in lower case."""
         ...
--- a/wagtailrill/gateway/header_dialect.py
+++ b/wagtailrill/gateway/header_dialect.py
@@ -1,4 +1,7 @@
-"""Callers' and backend servers' headers, by a table of their names."""
+"""Implements the dialects of callers and backend servers from a table of header names.
+
+The native and the platform environment each provide such a table.
+"""
 
 import json
 
@@ -6,27 +9,27 @@
 
 from ..core.refusals import Refusal
 from ..core.request_models import AttemptOutcome, BackendRequest, Headers, LoadReport
-from .dialects import AnswerFields, CallerAnswer, CallerFields
+from .dialects import CallerAnswer, CallerFields, ResponseFields
 
 JSON_HEADER = (b"content-type", b"application/json")
-RETRY_AFTER = b"retry-after"
+RETRY_AFTER_HEADER = b"retry-after"
 MS_PER_S = 1000.0
 TIME_LEFT_MAX_MS = 86_400_000
 MISDIRECTED_STATUS = 421
 FAILURE_STATUS_MIN = 500
-ATTEMPTS_MAX = 100
-KEY_POSITIONS = 65_536
-# The answered request itself is still counted as running in the reported load.
-RAN = frozenset({AttemptOutcome.ANSWERED, AttemptOutcome.FAILED})
+ATTEMPT_NUMBER_MAX = 100
+KEY_POSITION_COUNT = 65_536
+# The load reported with these outcomes still counts the request itself as running.
+RAN_OUTCOMES = frozenset({AttemptOutcome.ANSWERED, AttemptOutcome.FAILED})
 
 
 @attrs.frozen
 class HeaderNames:
-    """Names of headers in lower case; an empty name is a header that is not used.
+    """Names of headers in lower case; an empty name means that it is not used.
 
-    `credential_scheme` comes before the tenant key in its header. `key_position` is
-    read from callers if `callers_name_keys`, and otherwise sent to backend servers.
-    Callers' headers with the `reserved_prefix` are not passed on.
+    `credential_scheme` precedes the tenant key in its header. `key_position` is read
+    from callers if `callers_name_keys`, and otherwise sent to backend servers. Headers
+    of callers that start with `reserved_prefix` are not passed on.
     """
 
     request_id: bytes
@@ -52,39 +55,43 @@
     def __init__(self, names: HeaderNames) -> None:
         self._names = names
 
-    def read(self, headers: Headers) -> CallerFields:
-        """Return what the headers say; a malformed one counts as absent."""
+    def parse_headers(self, headers: Headers) -> CallerFields:
+        """Return the values of the headers; malformed ones count as absent."""
         names = self._names
         fields = dict(headers)
         position = fields.get(names.key_position) if names.callers_name_keys else None
         return CallerFields(
-            caller_id=fields.get(names.request_id, b"").decode("latin-1"),
-            time_left_s=_time_left_s(fields.get(names.time_left_ms)),
-            credential=self._credential(headers),
-            key_position=_key_position(position),
-            attempt=_attempt(fields.get(names.attempt)),
-            idempotency_key=_only(headers, names.idempotency_key),
+            caller_request_id=fields.get(names.request_id, b"").decode("latin-1"),
+            time_left_s=_parse_time_left_s(fields.get(names.time_left_ms)),
+            credential=self._get_credential(headers),
+            key_position=_parse_key_position(position),
+            attempt_number=_parse_attempt_number(fields.get(names.attempt)),
+            idempotency_key=_get_single_value(headers, names.idempotency_key),
         )
 
-    def refusal(self, refusal: Refusal, caller_id: str) -> CallerAnswer:
-        """Return the answer that tells a caller of a refusal."""
+    def refusal(self, refusal: Refusal, caller_request_id: str) -> CallerAnswer:
+        """Return the response that tells a caller of a refusal."""
         fields: dict[str, str | float] = {
             "code": refusal.code.value,
             "message": refusal.message,
             "ran": refusal.may_have_run.value,
         }
         headers = [JSON_HEADER]
-        if caller_id and self._names.request_id:
-            headers.append((self._names.request_id, caller_id.encode("latin-1")))
+        if caller_request_id and self._names.request_id:
+            headers.append(
+                (self._names.request_id, caller_request_id.encode("latin-1"))
+            )
         if refusal.retry_after_s is not None:
             fields["retry_after_s"] = round(refusal.retry_after_s, 3)
-            headers.append((RETRY_AFTER, f"{refusal.retry_after_s:.3f}".encode()))
+            headers.append(
+                (RETRY_AFTER_HEADER, f"{refusal.retry_after_s:.3f}".encode())
+            )
         body = json.dumps(fields).encode()
         return CallerAnswer(refusal.status, tuple(headers), body)
 
-    def _credential(self, headers: Headers) -> bytes | None:
-        """Return the key of the one header that carries it, None if there is none."""
-        value = _only(headers, self._names.credential)
+    def _get_credential(self, headers: Headers) -> bytes | None:
+        """Return the tenant key, None unless exactly one header carries one."""
+        value = _get_single_value(headers, self._names.credential)
         scheme = self._names.credential_scheme
         if value is None or value[: len(scheme)].lower() != scheme:
             return None
@@ -96,7 +103,7 @@
 
     def __init__(self, names: HeaderNames) -> None:
         self._names = names
-        self._own = frozenset(
+        self._reserved_names = frozenset(
             {
                 names.request_id,
                 names.time_left_ms,
@@ -109,40 +116,47 @@
         )
 
     def reserved(self, name: bytes) -> bool:
-        """Return whether a caller's header is not passed on."""
+        """Return whether a header of a caller's request is not passed on."""
         prefix = self._names.reserved_prefix
-        return name in self._own or (prefix != b"" and name.startswith(prefix))
+        return name in self._reserved_names or (
+            prefix != b"" and name.startswith(prefix)
+        )
 
-    def order_headers(self, order: BackendRequest) -> Headers:
-        """Return the headers that the request carries besides the caller's own."""
+    def build_request_headers(self, request: BackendRequest) -> Headers:
+        """Return the headers that are sent besides those of the caller."""
         names = self._names
         values = [
-            (names.request_id, order.caller_request_id.encode("latin-1")),
-            (names.time_left_ms, b"%d" % (order.timeout_s * MS_PER_S)),
-            (names.expected_server, order.backend_server.encode()),
-            (names.organisation, order.organisation.encode()),
-            (names.expires, b"%.3f" % order.expires_unix_s),
-            (names.attempt, b"%d" % order.attempt_number),
+            (names.request_id, request.caller_request_id.encode("latin-1")),
+            (names.time_left_ms, b"%d" % (request.timeout_s * MS_PER_S)),
+            (names.expected_server, request.backend_server.encode()),
+            (names.organisation, request.organisation.encode()),
+            (names.expires, b"%.3f" % request.expires_unix_s),
+            (names.attempt, b"%d" % request.attempt_number),
         ]
-        if order.key_position is not None and not names.callers_name_keys:
-            values.append((names.key_position, b"%d" % order.key_position))
+        if request.key_position is not None and not names.callers_name_keys:
+            values.append((names.key_position, b"%d" % request.key_position))
         return tuple((name, value) for name, value in values if name and value)
 
-    def read_answer(self, status: int, headers: Headers) -> AnswerFields:
-        """Return what an answer says; header names are lower case."""
+    def parse_response(self, status: int, headers: Headers) -> ResponseFields:
+        """Return the values of a response; header names are in lower case."""
         names = self._names
         fields = dict(headers)
         request_id = fields.get(names.request_id)
-        outcome = _outcome(status, fields.get(names.not_run))
-        return AnswerFields(
+        outcome = _classify_outcome(status, fields.get(names.not_run))
+        return ResponseFields(
             outcome=outcome,
-            caller_id=None if request_id is None else request_id.decode("latin-1"),
+            caller_request_id=(
+                None if request_id is None else request_id.decode("latin-1")
+            ),
             start_id=fields.get(names.start_id, b"").decode("latin-1"),
-            load=_load(fields.get(names.load), 1 if outcome in RAN else 0),
+            load=_parse_load(
+                fields.get(names.load), 1 if outcome in RAN_OUTCOMES else 0
+            ),
         )
 
 
-def _outcome(status: int, not_run: bytes | None) -> AttemptOutcome:
+def _classify_outcome(status: int, not_run: bytes | None) -> AttemptOutcome:
+    """Return the outcome by the status and the reason why the request was not run."""
     if status == MISDIRECTED_STATUS:
         return AttemptOutcome.MISDIRECTED
     if not_run == b"fenced":
@@ -154,46 +168,48 @@
     return AttemptOutcome.ANSWERED
 
 
-def _load(value: bytes | None, finished: int) -> LoadReport | None:
-    """Return the load of a header: running, waiting, slots, slowness in per cent.
+def _parse_load(value: bytes | None, finished_requests: int) -> LoadReport | None:
+    """Return the load of a header value, None if it is absent or malformed.
 
-    `finished` requests that are counted as running have ended.
+    The value is `running,waiting,slots[,slowness]`, the slowness in per cent; it still
+    counts `finished_requests` as running.
     """
     if value is None:
         return None
     try:
-        figures = [int(part) for part in value.split(b",")]
+        numbers = [int(part) for part in value.split(b",")]
     except ValueError:
         return None
-    if len(figures) < 3 or min(figures) < 0:
+    if len(numbers) < 3 or min(numbers) < 0:
         return None
-    slowness = figures[3] / 100.0 if len(figures) > 3 else 1.0
-    running = max(figures[0] - finished, 0)
-    return LoadReport(running, figures[1], figures[2], slowness)
+    slowness = numbers[3] / 100.0 if len(numbers) > 3 else 1.0
+    running = max(numbers[0] - finished_requests, 0)
+    return LoadReport(running, numbers[1], numbers[2], slowness)
 
 
-def _only(headers: Headers, wanted: bytes) -> bytes | None:
-    """Return the value of a header that occurs once."""
-    if not wanted:
+def _get_single_value(headers: Headers, header_name: bytes) -> bytes | None:
+    """Return the value of a header, None unless it occurs exactly once."""
+    if not header_name:
         return None
-    values = [value for name, value in headers if name == wanted]
+    values = [value for name, value in headers if name == header_name]
     return values[0] if len(values) == 1 else None
 
 
-def _time_left_s(value: bytes | None) -> float | None:
+def _parse_time_left_s(value: bytes | None) -> float | None:
     if value is None or not value.isdigit():
         return None
     return min(int(value), TIME_LEFT_MAX_MS) / MS_PER_S
 
 
-def _key_position(value: bytes | None) -> int | None:
+def _parse_key_position(value: bytes | None) -> int | None:
     if value is None or not value.isdigit() or len(value) > 5:
         return None
     position = int(value)
-    return position if position < KEY_POSITIONS else None
+    return position if position < KEY_POSITION_COUNT else None
 
 
-def _attempt(value: bytes | None) -> int:
+def _parse_attempt_number(value: bytes | None) -> int:
+    """Return the attempt number: 0 if absent, 1 if malformed."""
     if value is None:
         return 0
-    return min(int(value), ATTEMPTS_MAX) if value.isdigit() else 1
+    return min(int(value), ATTEMPT_NUMBER_MAX) if value.isdigit() else 1
--- a/wagtailrill/gateway/json_control.py
+++ b/wagtailrill/gateway/json_control.py
@@ -1,4 +1,7 @@
-"""Control calls to backend servers with JSON bodies, by a table of their names."""
+"""Encodes control calls to backend servers as HTTP requests with JSON bodies.
+
+The driver uses it through `ControlDialect`; paths, fields and headers are configurable.
+"""
 
 import json
 from collections.abc import Callable
@@ -17,14 +20,14 @@
     KeysReleased,
     ReleaseKeys,
 )
-from .dialects import ControlCall
+from .dialects import ControlRequest
 
 GRANT_TIMEOUT_S = 0.5
-# A release is answered when the work that runs on the keys has ended.
+# A server answers a release only when the work that runs on the keys has ended.
 RELEASE_TIMEOUT_S = 4.0
 OK_STATUS = 200
 FENCED_STATUS = 409
-MAY_HAVE_RUN = frozenset(
+MAY_HAVE_RUN_OUTCOMES = frozenset(
     {
         AttemptOutcome.LOST,
         AttemptOutcome.BAD_ANSWER,
@@ -36,7 +39,10 @@
 
 @attrs.frozen
 class ControlNames:
-    """Paths, fields and headers of the calls; `duration` writes a time in seconds."""
+    """Paths, JSON fields and response header of the control calls.
+
+    `duration_of` converts a duration in seconds to the value of the field `duration`.
+    """
 
     grant_path: str
     release_path: str
@@ -55,8 +61,8 @@
     def __init__(self, names: ControlNames) -> None:
         self._names = names
 
-    def encode(self, operation: GrantKeys | ReleaseKeys) -> ControlCall:
-        """Return the request of a call."""
+    def encode(self, operation: GrantKeys | ReleaseKeys) -> ControlRequest:
+        """Return the HTTP request of an operation."""
         names = self._names
         fields: dict[str, Any] = {
             names.first: operation.first,
@@ -65,21 +71,21 @@
         }
         if isinstance(operation, ReleaseKeys):
             body = json.dumps(fields).encode()
-            return ControlCall(names.release_path, body, RELEASE_TIMEOUT_S)
+            return ControlRequest(names.release_path, body, RELEASE_TIMEOUT_S)
         fields[names.duration] = names.duration_of(operation.duration_s)
         if operation.handover:
             fields[names.handover] = operation.handover
-        return ControlCall(
+        return ControlRequest(
             names.grant_path, json.dumps(fields).encode(), GRANT_TIMEOUT_S
         )
 
     def decode(
         self, operation: GrantKeys | ReleaseKeys, result: AttemptResult
     ) -> ControlResult:
-        """Return what the end of the exchange means."""
+        """Return the result of an operation from that of its HTTP request."""
         if result.outcome is AttemptOutcome.CONNECT_FAILED:
             return Error(ControlError(ControlErrorKind.NOT_SENT))
-        if result.outcome in MAY_HAVE_RUN:
+        if result.outcome in MAY_HAVE_RUN_OUTCOMES:
             return Error(ControlError(ControlErrorKind.NO_ANSWER))
         if result.status == FENCED_STATUS:
             return Error(ControlError(ControlErrorKind.FENCED, result.status))
--- a/wagtailrill/gateway/sockets.py
+++ b/wagtailrill/gateway/sockets.py
@@ -1,4 +1,7 @@
-"""Options of TCP sockets."""
+"""TCP socket options, so that the operating system detects dead peers.
+
+Used for the connections to backend servers and to the store.
+"""
 
 import asyncio
 import socket
@@ -10,7 +13,8 @@
     TCP_USER_TIMEOUT_MS,
 )
 
-# Options with which the system ends a connection whose peer has gone silent.
+# Each option as the arguments of `socket.setsockopt`. They make the system close a
+# connection whose peer stops responding, and send small writes without delay.
 SILENCE_OPTIONS: list[tuple[int, int, int]] = [
     (socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1),
     (socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, TCP_KEEP_ALIVE_IDLE_S),
@@ -21,8 +25,8 @@
 ]
 
 
-def find_dead_peers(transport: asyncio.BaseTransport) -> None:
-    """Let the system end a connection whose peer has gone silent."""
+def set_tcp_options(transport: asyncio.BaseTransport) -> None:
+    """Set the options on a transport's socket; do nothing if it has none."""
     sock = transport.get_extra_info("socket")
     if sock is None:
         return
--- a/wagtailrill/peer/__init__.py
+++ b/wagtailrill/peer/__init__.py
@@ -1,1 +1,1 @@
-"""Messages between the system's own processes."""
+"""Messages between the instances of a deployment: framing, codecs and transport."""
--- a/wagtailrill/peer/errors.py
+++ b/wagtailrill/peer/errors.py
@@ -2,4 +2,4 @@
 
 
 class PeerDecodeError(ValueError):
-    """A frame or message that is malformed, too large or not authentic."""
+    """A frame or message is malformed, too large or not authentic."""
--- a/wagtailrill/peer/frame.py
+++ b/wagtailrill/peer/frame.py
@@ -1,4 +1,7 @@
-"""Authenticated frames that carry peer messages."""
+"""Encodes, authenticates and decodes the frames that carry peer messages.
+
+Used by the TCP transport between instances.
+"""
 
 import hashlib
 import hmac
@@ -9,25 +12,25 @@
 import capnp
 
 from .const import (
-    AUTHENTICATOR_BYTES,
-    FRAME_LENGTH_BYTES,
     FRAME_MAX_BYTES,
+    LENGTH_PREFIX_BYTES,
+    MAC_BYTES,
     OLDEST_PROTOCOL_VERSION,
     PROTOCOL_VERSION,
 )
 from .errors import PeerDecodeError
 from .registry import Envelope, MessageRegistry
 
-_SCHEMA: Any = capnp.load(str(Path(__file__).with_name("frame.capnp"))).Frame
+_FRAME_SCHEMA: Any = capnp.load(str(Path(__file__).with_name("frame.capnp"))).Frame
 
 
 @attrs.define
 class FrameCodec:
     """Encodes and decodes frames.
 
-    Frames are signed with the first secret and accepted with any, so that secrets
-    can be rotated while old and new instances run together. Without a secret nothing
-    is accepted and nothing may be encoded.
+    Frames are authenticated with the first secret and accepted with any, so that
+    secrets can be rotated while instances with old and new settings run together.
+    Without secrets no frame is accepted, and `encode` must not be called.
     """
 
     registry: MessageRegistry
@@ -36,7 +39,7 @@
     def encode(self, envelope: Envelope) -> bytes:
         """Return the frame without its length prefix."""
         number, payload = self.registry.encode(envelope.message)
-        body: bytes = _SCHEMA.new_message(
+        body: bytes = _FRAME_SCHEMA.new_message(
             version=PROTOCOL_VERSION,
             sender=envelope.sender,
             incarnation=envelope.incarnation,
@@ -46,24 +49,24 @@
             number=number,
             payload=payload,
         ).to_bytes_packed()
-        return _authenticator(self.secrets[0], body) + body
+        return _compute_mac(self.secrets[0], body) + body
 
     def decode(self, frame: bytes) -> Envelope:
-        """Return the envelope; raise `PeerDecodeError` for a frame to be dropped."""
-        if not AUTHENTICATOR_BYTES < len(frame) <= FRAME_MAX_BYTES:
-            raise PeerDecodeError(f"frame of {len(frame)} bytes")
-        authenticator, body = frame[:AUTHENTICATOR_BYTES], frame[AUTHENTICATOR_BYTES:]
+        """Return the envelope; raise `PeerDecodeError` for an invalid frame."""
+        if not MAC_BYTES < len(frame) <= FRAME_MAX_BYTES:
+            raise PeerDecodeError(f"frame size of {len(frame)} bytes is out of range")
+        mac, body = frame[:MAC_BYTES], frame[MAC_BYTES:]
         if not any(
-            hmac.compare_digest(authenticator, _authenticator(secret, body))
+            hmac.compare_digest(mac, _compute_mac(secret, body))
             for secret in self.secrets
         ):
             raise PeerDecodeError("frame is not authentic")
         try:
-            fields = _SCHEMA.from_bytes_packed(body).to_dict()
+            fields = _FRAME_SCHEMA.from_bytes_packed(body).to_dict()
         except (capnp.KjException, ValueError) as exc:
             raise PeerDecodeError("malformed frame") from exc
         if fields["version"] < OLDEST_PROTOCOL_VERSION:
-            raise PeerDecodeError(f"protocol version {fields['version']}")
+            raise PeerDecodeError(f"unsupported protocol version {fields['version']}")
         return Envelope(
             sender=fields["sender"],
             incarnation=fields["incarnation"],
@@ -74,10 +77,11 @@
         )
 
 
-def _authenticator(secret: bytes, body: bytes) -> bytes:
-    return hmac.digest(secret, body, hashlib.sha256)[:AUTHENTICATOR_BYTES]
+def _compute_mac(secret: bytes, body: bytes) -> bytes:
+    """Return the message authentication code of a frame's body."""
+    return hmac.digest(secret, body, hashlib.sha256)[:MAC_BYTES]
 
 
-def with_length(frame: bytes) -> bytes:
-    """Return a frame with its length prefix for a stream."""
-    return len(frame).to_bytes(FRAME_LENGTH_BYTES, "big") + frame
+def add_length_prefix(frame: bytes) -> bytes:
+    """Return a frame with its length before it, as sent on a stream."""
+    return len(frame).to_bytes(LENGTH_PREFIX_BYTES, "big") + frame
--- a/wagtailrill/peer/link.py
+++ b/wagtailrill/peer/link.py
@@ -1,4 +1,7 @@
-"""Interface of the transport between instances."""
+"""Interface of the transport between instances, and the filter for replayed messages.
+
+The driver sends through `PeerLink`; the component host filters received messages.
+"""
 
 from typing import Protocol
 
@@ -7,30 +10,30 @@
 
 
 class PeerLink(Protocol):
-    """Delivers messages to other instances; delivery may fail without notice.
+    """Sends messages to other instances; delivery is not guaranteed or confirmed.
 
-    Messages from one sender incarnation to one receiver arrive in order or not at
-    all: receivers drop repeated and overtaken sequence numbers (`SequenceFilter`).
+    Messages from one sender incarnation to one receiver are handled in order or not at
+    all: receivers drop duplicate and out-of-order sequence numbers (`SequenceFilter`).
     """
 
     def send(self, envelope: Envelope) -> None:
-        """Queue a message, or drop it when the receiver cannot be reached."""
+        """Queue a message, or drop it if the receiver cannot be reached."""
         ...
 
 
 class SequenceFilter:
-    """Drops repeated and overtaken messages of each sender process."""
+    """Rejects duplicate and out-of-order messages of each sender process."""
 
     def __init__(self) -> None:
-        self._last: dict[tuple[str, int], int] = {}
+        self._last_sequences: dict[tuple[str, int], int] = {}
 
     def accept(self, envelope: Envelope) -> bool:
-        """Return whether the message is newer than all before it."""
+        """Return whether the message is newer than all earlier ones of its sender."""
         sender = (envelope.sender, envelope.incarnation)
-        if envelope.sequence <= self._last.get(sender, 0):
+        if envelope.sequence <= self._last_sequences.get(sender, 0):
             return False
-        self._last.pop(sender, None)
-        self._last[sender] = envelope.sequence
-        if len(self._last) > SENDERS_MAX:
-            del self._last[next(iter(self._last))]
+        self._last_sequences.pop(sender, None)
+        self._last_sequences[sender] = envelope.sequence
+        if len(self._last_sequences) > SENDERS_MAX:
+            del self._last_sequences[next(iter(self._last_sequences))]
         return True
--- a/wagtailrill/peer/registry.py
+++ b/wagtailrill/peer/registry.py
@@ -1,4 +1,7 @@
-"""Registry of peer messages and their conversion to Cap'n Proto structs."""
+"""Registry of peer messages, which converts them to and from Cap'n Proto structs.
+
+Each component registers its message classes; the frame codec encodes and decodes them.
+"""
 
 import types
 import typing
@@ -19,11 +22,11 @@
 
 @attrs.frozen
 class Envelope:
-    """A message with its authenticated sender.
+    """A message with its authenticated sender and its receiver.
 
-    `sequence` rises with each message from one sender incarnation to one receiver.
-    A receiver whose process is not `receiver_incarnation` drops the message; 0 stands
-    for any process.
+    `sequence` increases with each message from one sender incarnation to one receiver.
+    A receiver with another incarnation than `receiver_incarnation` drops the message,
+    unless that is 0.
     """
 
     sender: str
@@ -34,8 +37,8 @@
     message: PeerMessage
 
 
-def camel_case(name: str) -> str:
-    """Return a field name as Cap'n Proto schemas spell it."""
+def to_camel_case(name: str) -> str:
+    """Return a snake-case field name as Cap'n Proto schemas spell it."""
     head, *rest = name.split("_")
     return head + "".join(part.capitalize() for part in rest)
 
@@ -48,43 +51,64 @@
     return value
 
 
-def _value_codec(hint: Any) -> tuple[Encoder, Decoder]:
-    if attrs.has(hint):
-        return _class_codec(hint)
-    if typing.get_origin(hint) is tuple:
-        encode, decode = _value_codec(typing.get_args(hint)[0])
+def _make_value_codec(type_hint: Any) -> tuple[Encoder, Decoder]:
+    """Return the encoder and decoder of values with a type hint.
+
+    Raise `TypeError` for optional and other union types.
+    """
+    if attrs.has(type_hint):
+        return _make_class_codec(type_hint)
+    if typing.get_origin(type_hint) is tuple:
+        encode, decode = _make_value_codec(typing.get_args(type_hint)[0])
         if encode is _identity:
             return list, tuple
         return (
             lambda values: [encode(value) for value in values],
             lambda values: tuple(decode(value) for value in values),
         )
-    if isinstance(hint, types.UnionType):
-        raise TypeError(f"optional fields are not supported: {hint}")
-    if isinstance(hint, type) and issubclass(hint, str) and hint is not str:
-        return str, hint
+    if isinstance(type_hint, types.UnionType):
+        raise TypeError(f"optional fields are not supported: {type_hint}")
+    if (
+        isinstance(type_hint, type)
+        and issubclass(type_hint, str)
+        and type_hint is not str
+    ):
+        return str, type_hint
     return _identity, _identity
 
 
-def _class_codec(cls: type) -> tuple[Encoder, Decoder]:
-    hints = typing.get_type_hints(cls)
+def _make_class_codec(cls: type) -> tuple[Encoder, Decoder]:
+    """Return the encoder and decoder between an attrs class and a dict."""
+    type_hints = typing.get_type_hints(cls)
     fields = [
-        (field.name, camel_case(field.name), *_value_codec(hints[field.name]))
+        (
+            field.name,
+            to_camel_case(field.name),
+            *_make_value_codec(type_hints[field.name]),
+        )
         for field in attrs.fields(cls)
     ]
 
     def encode(value: Any) -> dict[str, Any]:
-        return {wire: enc(getattr(value, name)) for name, wire, enc, _ in fields}
+        return {
+            wire_name: encode_value(getattr(value, name))
+            for name, wire_name, encode_value, _ in fields
+        }
 
     def decode(data: dict[str, Any]) -> Any:
-        return cls(**{name: dec(data[wire]) for name, wire, _, dec in fields})
+        return cls(
+            **{
+                name: decode_value(data[wire_name])
+                for name, wire_name, _, decode_value in fields
+            }
+        )
 
     return encode, decode
 
 
 @attrs.frozen
 class MessageType:
-    """A message class with its number on the wire and its codec."""
+    """A message class with its wire number, Cap'n Proto struct and field codec."""
 
     number: int
     cls: type
@@ -94,10 +118,11 @@
 
 
 class MessageRegistry:
-    """Maps message classes to numbers and Cap'n Proto structs.
+    """Maps message classes to wire numbers and Cap'n Proto structs.
 
-    Fields may be int, float, bool, str, bytes, a `StrEnum`, a tuple of one such type,
-    or another attrs class; the struct has the same name and camel-case fields.
+    A struct has the name of its class, and the fields' names in camel case. Fields may
+    be of type int, float, bool, str, bytes, a `StrEnum`, another attrs class, or a
+    tuple of elements of one such type.
     """
 
     def __init__(self) -> None:
@@ -105,34 +130,37 @@
         self._by_number: dict[int, MessageType] = {}
 
     def register(self, schema_file: Path, classes: dict[int, type]) -> None:
-        """Register the classes of one schema file under their wire numbers."""
+        """Register the classes of one schema file by their wire numbers.
+
+        Raise `ValueError` if a number is already registered.
+        """
         schema = capnp.load(str(schema_file))
         for number, cls in classes.items():
             if number in self._by_number:
                 raise ValueError(f"message number {number} is registered twice")
-            encode, decode = _class_codec(cls)
-            entry = MessageType(
+            encode, decode = _make_class_codec(cls)
+            message_type = MessageType(
                 number, cls, getattr(schema, cls.__name__), encode, decode
             )
-            self._by_class[cls] = entry
-            self._by_number[number] = entry
+            self._by_class[cls] = message_type
+            self._by_number[number] = message_type
 
     def encode(self, message: PeerMessage) -> tuple[int, bytes]:
-        """Return the wire number and the bytes of a message."""
-        entry = self._by_class[type(message)]
-        struct = entry.schema.new_message(**entry.encode_fields(message))
-        return entry.number, struct.to_bytes_packed()
+        """Return the wire number and the packed struct of a message."""
+        message_type = self._by_class[type(message)]
+        struct = message_type.schema.new_message(**message_type.encode_fields(message))
+        return message_type.number, struct.to_bytes_packed()
 
     def decode(self, number: int, payload: bytes) -> PeerMessage:
-        """Return the message; raise `PeerDecodeError` on any malformed input."""
-        entry = self._by_number.get(number)
-        if entry is None:
+        """Return a message; raise `PeerDecodeError` for malformed input."""
+        message_type = self._by_number.get(number)
+        if message_type is None:
             raise PeerDecodeError(f"unknown message number {number}")
         try:
-            limit = DECODED_WORDS_BASE + DECODED_WORDS_PER_BYTE * len(payload)
-            struct = entry.schema.from_bytes_packed(
-                payload, traversal_limit_in_words=limit
+            words_max = DECODED_WORDS_BASE + DECODED_WORDS_PER_BYTE * len(payload)
+            struct = message_type.schema.from_bytes_packed(
+                payload, traversal_limit_in_words=words_max
             )
-            return entry.decode_fields(struct.to_dict())
+            return message_type.decode_fields(struct.to_dict())
         except (capnp.KjException, ValueError, TypeError, KeyError) as exc:
             raise PeerDecodeError(f"malformed message {number}") from exc
--- a/wagtailrill/store/__init__.py
+++ b/wagtailrill/store/__init__.py
@@ -1,1 +1,1 @@
-"""Interface of the key-value store and copies of its contents."""
+"""Interface of the key-value store, and local mirrors of its keys."""
--- a/wagtailrill/store/const.py
+++ b/wagtailrill/store/const.py
@@ -1,11 +1,11 @@
-"""Constants of copies of the store's contents."""
+"""Constants of the local mirrors of store keys."""
 
 from typing import Final
 
-# A waiting watch counts as one call, so it waits as long as the store allows.
-WATCH_WAIT_S: Final = 25.0
-# Changes that come in quick succession are fetched by one watch.
+# Each watch is a call to the store; the longest wait it allows makes the fewest calls.
+WATCH_WAIT_MAX_S: Final = 25.0
+# The pause collects changes in quick succession, so that one watch returns them.
 WATCH_PAUSE_S: Final = 0.1
-RETRY_FIRST_S: Final = 0.1
+RETRY_INITIAL_S: Final = 0.1
 RETRY_MAX_S: Final = 0.6
-RETRY_GROWTH: Final = 2.0
+RETRY_GROWTH_RATIO: Final = 2.0
--- a/wagtailrill/store/mirror.py
+++ b/wagtailrill/store/mirror.py
@@ -1,4 +1,7 @@
-"""A copy of the keys of one prefix, kept current by a watch."""
+"""Local mirror of the store keys with one prefix, kept current by watches.
+
+Used for the fleet's member keys and for the configuration.
+"""
 
 import enum
 from collections.abc import Callable
@@ -8,11 +11,11 @@
 from ..core.context import Context
 from ..core.log_events import LogName
 from .const import (
-    RETRY_FIRST_S,
-    RETRY_GROWTH,
+    RETRY_GROWTH_RATIO,
+    RETRY_INITIAL_S,
     RETRY_MAX_S,
     WATCH_PAUSE_S,
-    WATCH_WAIT_S,
+    WATCH_WAIT_MAX_S,
 )
 from .models import (
     Changes,
@@ -25,11 +28,11 @@
     WatchPrefix,
 )
 
-OnChange = Callable[[frozenset[str]], None]
+ChangeCallback = Callable[[frozenset[str]], None]
 
 
 class MirrorState(enum.Enum):
-    """What the mirror does next."""
+    """Which kind of store call the mirror makes."""
 
     LISTING = "listing"
     WATCHING = "watching"
@@ -37,21 +40,24 @@
 
 @attrs.frozen
 class MirrorSettings:
-    """The prefix to copy, and the pause between watches in seconds."""
+    """Prefix to mirror; pause between watches and longest wait of one in seconds."""
 
     prefix: str
     watch_pause_s: float = WATCH_PAUSE_S
-    watch_wait_s: float = WATCH_WAIT_S
+    watch_wait_max_s: float = WATCH_WAIT_MAX_S
 
 
 class PrefixMirror:
-    """Lists a prefix, then watches it; lists again when a watch was cut.
+    """Lists a prefix, then watches it; lists it again after a failed watch.
 
-    `items` holds the last known contents. `confirmed_s` is the monotonic time at which
-    the contents were last known to be complete, `-inf` before the first list.
+    `items` holds the last known keys, and `on_change` receives the changed ones.
+    `confirmed_s` is the monotonic time at which `items` was last known to be complete,
+    `-inf` before the first list.
     """
 
-    def __init__(self, ctx: Context, cfg: MirrorSettings, on_change: OnChange) -> None:
+    def __init__(
+        self, ctx: Context, cfg: MirrorSettings, on_change: ChangeCallback
+    ) -> None:
         self.items: dict[str, Item] = {}
         self.revision = 0
         self.confirmed_s = float("-inf")
@@ -60,81 +66,87 @@
         self._cfg = cfg
         self._on_change = on_change
         self._state = MirrorState.LISTING
-        self._listed: dict[str, Item] = {}
+        self._listed_items: dict[str, Item] = {}
         self._list_revision = 0
-        self._retry_s = RETRY_FIRST_S
+        self._retry_delay_s = RETRY_INITIAL_S
         self._started_s = 0.0
 
     def start(self) -> None:
-        """Begin to copy."""
-        self._list("")
+        """Start to mirror the prefix."""
+        self._request_page("")
 
     @property
     def complete(self) -> bool:
-        """Return whether the contents have been listed once."""
+        """Return whether the keys have been listed once."""
         return self.revision > 0
 
-    def _list(self, after: str) -> None:
+    def _request_page(self, after_key: str) -> None:
         self._state = MirrorState.LISTING
-        if not after:
-            self._listed, self._list_revision = {}, 0
+        if not after_key:
+            self._listed_items, self._list_revision = {}, 0
             self._started_s = self._ctx.now_s
-        self._ctx.call_store(ListPrefix(self._cfg.prefix, after), self._on_listed)
+        self._ctx.call_store(ListPrefix(self._cfg.prefix, after_key), self._on_page)
 
-    def _on_listed(self, result: StoreResult) -> None:
+    def _on_page(self, result: StoreResult) -> None:
         if result.is_error():
-            self._failed(result.error)
+            self._handle_error(result.error)
             return
         page = result.ok
         assert isinstance(page, Listed)
-        # Pages are no snapshot: the watch starts at the revision of the first one.
+        # The pages are read at different revisions: the watch starts at the first
+        # one's, so that no change between the pages is missed.
         self._list_revision = self._list_revision or page.revision
-        self._listed.update((item.key, item) for item in page.items)
+        self._listed_items.update((item.key, item) for item in page.items)
         if page.more and page.items:
-            self._list(page.items[-1].key)
+            self._request_page(page.items[-1].key)
             return
-        changed = {k for k, item in self._listed.items() if self.items.get(k) != item}
-        changed |= self.items.keys() - self._listed.keys()
-        self.items, self._listed = self._listed, {}
+        changed_keys = {
+            k for k, item in self._listed_items.items() if self.items.get(k) != item
+        }
+        changed_keys |= self.items.keys() - self._listed_items.keys()
+        self.items, self._listed_items = self._listed_items, {}
         self.revision = self._list_revision
-        self._succeeded()
-        self._on_change(frozenset(changed))
-        self._watch()
+        self._record_success()
+        self._on_change(frozenset(changed_keys))
+        self._start_watch()
 
-    def _watch(self) -> None:
+    def _start_watch(self) -> None:
         self._state = MirrorState.WATCHING
         self._started_s = self._ctx.now_s
         cfg = self._cfg
-        operation = WatchPrefix(cfg.prefix, self.revision, cfg.watch_wait_s)
-        self._ctx.call_store(operation, self._on_watched)
+        operation = WatchPrefix(cfg.prefix, self.revision, cfg.watch_wait_max_s)
+        self._ctx.call_store(operation, self._on_changes)
 
-    def _on_watched(self, result: StoreResult) -> None:
+    def _on_changes(self, result: StoreResult) -> None:
         if result.is_error():
-            self._failed(result.error)
+            self._handle_error(result.error)
             return
         changes = result.ok
         assert isinstance(changes, Changes)
-        changed = {event.key for event in changes.events if self._apply(event)}
+        changed_keys = {
+            event.key for event in changes.events if self._apply_event(event)
+        }
         self.revision = max(self.revision, changes.revision)
-        self._succeeded()
-        if changed:
-            self._on_change(frozenset(changed))
-            self._ctx.timers.call_later(self._cfg.watch_pause_s, self._watch)
+        self._record_success()
+        if changed_keys:
+            self._on_change(frozenset(changed_keys))
+            self._ctx.timers.call_later(self._cfg.watch_pause_s, self._start_watch)
         else:
-            self._watch()
+            self._start_watch()
 
-    def _apply(self, event: Item | Removed) -> bool:
-        known = self.items.get(event.key)
-        if known is not None and known.revision >= event.revision:
+    def _apply_event(self, event: Item | Removed) -> bool:
+        """Apply an event unless it is outdated; return whether `items` changed."""
+        known_item = self.items.get(event.key)
+        if known_item is not None and known_item.revision >= event.revision:
             return False
         if isinstance(event, Removed):
             return self.items.pop(event.key, None) is not None
         self.items[event.key] = event
         return True
 
-    def _succeeded(self) -> None:
+    def _record_success(self) -> None:
         self.confirmed_s = self._ctx.now_s
-        self._retry_s = RETRY_FIRST_S
+        self._retry_delay_s = RETRY_INITIAL_S
         if self.failing_since_s is not None:
             outage_s = self._ctx.now_s - self.failing_since_s
             self.failing_since_s = None
@@ -145,7 +157,7 @@
                 revision=self.revision,
             )
 
-    def _failed(self, error: StoreError) -> None:
+    def _handle_error(self, error: StoreError) -> None:
         if self.failing_since_s is None:
             self.failing_since_s = self._started_s
             self._ctx.log(
@@ -155,10 +167,10 @@
                 message=error.message,
                 revision=self.revision,
             )
-        # After a watch was cut, changes may be missing without a word of the store.
+        # After a failed watch, changes may be missing without the store reporting it.
         if self._state is MirrorState.WATCHING:
-            self._list("")
+            self._request_page("")
             return
-        delay_s = self._retry_s * self._ctx.rng.uniform(0.5, 1.0)
-        self._retry_s = min(self._retry_s * RETRY_GROWTH, RETRY_MAX_S)
-        self._ctx.timers.call_later(delay_s, lambda: self._list(""))
+        delay_s = self._retry_delay_s * self._ctx.rng.uniform(0.5, 1.0)
+        self._retry_delay_s = min(self._retry_delay_s * RETRY_GROWTH_RATIO, RETRY_MAX_S)
+        self._ctx.timers.call_later(delay_s, lambda: self._request_page(""))
--- a/wagtailrill/store/models.py
+++ b/wagtailrill/store/models.py
@@ -1,4 +1,7 @@
-"""Operations, replies and errors of the key-value store."""
+"""Operations, replies and errors of the key-value store.
+
+Components queue operations through `Context.call_store`; store clients execute them.
+"""
 
 import enum
 from typing import Protocol
@@ -16,9 +19,9 @@
 
 @attrs.frozen
 class ListPrefix:
-    """Read a page of the keys with a prefix, beginning after the key `after`.
+    """Read a page of the keys with a prefix, starting after the key `after`.
 
-    With `stale` the page costs less and may be seconds old.
+    With `stale` the call costs less, and the page may be outdated by seconds.
     """
 
     prefix: str
@@ -28,7 +31,7 @@
 
 @attrs.frozen
 class WatchPrefix:
-    """Wait up to `wait_s` for changes of a prefix later than `after_revision`."""
+    """Wait up to `wait_s` seconds for changes to a prefix after `after_revision`."""
 
     prefix: str
     after_revision: int
@@ -37,7 +40,7 @@
 
 @attrs.frozen
 class Expected:
-    """Revision that a key must have; 0 means that the key must be absent."""
+    """Condition on the revision of a key; 0 means that the key must not exist."""
 
     key: str
     revision: int
@@ -45,7 +48,7 @@
 
 @attrs.frozen
 class Put:
-    """A key to write; it is removed when its lease ends (0: no lease)."""
+    """Write of one key; it is removed when its lease ends (0: no lease)."""
 
     key: str
     value: bytes = attrs.field(repr=False)
@@ -54,7 +57,7 @@
 
 @attrs.frozen
 class Commit:
-    """Write and remove keys, all or nothing, if every expected revision holds."""
+    """Write and remove keys atomically if all expected revisions match."""
 
     expected: tuple[Expected, ...]
     puts: tuple[Put, ...] = ()
@@ -70,14 +73,14 @@
 
 @attrs.frozen
 class LeaseRenew:
-    """Extend a lease by its time to live."""
+    """Renew a lease for its time to live, counted from now."""
 
     lease_id: int
 
 
 @attrs.frozen
 class LeaseRevoke:
-    """End a lease and remove its keys."""
+    """Revoke a lease and remove its keys."""
 
     lease_id: int
 
@@ -100,7 +103,7 @@
 
 @attrs.frozen
 class Removed:
-    """A key that was removed at a revision."""
+    """Removal of a key at a revision."""
 
     key: str
     revision: int
@@ -108,14 +111,17 @@
 
 @attrs.frozen
 class Found:
-    """Answer of `Get`; `item` is None when the key is absent."""
+    """Reply to `Get`; `item` is None if the key does not exist."""
 
     item: Item | None
 
 
 @attrs.frozen
 class Listed:
-    """A page of keys; `revision` is the store's revision when it was read."""
+    """Reply to `ListPrefix`: a page of keys; `more` means that others follow it.
+
+    `revision` is the store's revision when the page was read.
+    """
 
     items: tuple[Item, ...]
     more: bool
@@ -124,7 +130,7 @@
 
 @attrs.frozen
 class Changes:
-    """Changes in order; the next watch continues after `revision`."""
+    """Reply to `WatchPrefix`: changes in order; `revision` starts the next watch."""
 
     events: tuple[Item | Removed, ...]
     revision: int
@@ -132,14 +138,14 @@
 
 @attrs.frozen
 class Committed:
-    """Revision of a successful commit."""
+    """Reply to a successful `Commit`, with its revision."""
 
     revision: int
 
 
 @attrs.frozen
 class Leased:
-    """A lease that was created or renewed."""
+    """Reply to `LeaseGrant` and `LeaseRenew`, with the time to live in seconds."""
 
     lease_id: int
     ttl_s: float
@@ -147,7 +153,7 @@
 
 @attrs.frozen
 class Revoked:
-    """A lease was ended."""
+    """Reply to `LeaseRevoke`."""
 
 
 StoreReply = Found | Listed | Changes | Committed | Leased | Revoked
@@ -156,17 +162,17 @@
 class StoreErrorKind(enum.Enum):
     """Reason why a store call failed."""
 
-    NO_ANSWER = "no_answer"  # the call may have taken effect, or may do so later
-    REFUSED = "refused"  # the store did nothing
-    CONFLICT = "conflict"  # an expected revision differs; nothing was done
+    NO_ANSWER = "no_answer"  # the call may have taken effect, or may still do so
+    REFUSED = "refused"  # the store did not execute the call
+    CONFLICT = "conflict"  # an expected revision differs; nothing was written
     LEASE_ENDED = "lease_ended"
-    COMPACTED = "compacted"  # the changes asked for are no longer known
-    INVALID = "invalid"  # the store does not accept such a call
+    COMPACTED = "compacted"  # the store no longer has the requested changes
+    INVALID = "invalid"  # the store does not accept the call
 
 
 @attrs.frozen
 class StoreError:
-    """Failure of a store call; `items` are the present ones after a conflict."""
+    """Failure of a store call; after a conflict, `items` holds the current items."""
 
     kind: StoreErrorKind
     message: str = ""
@@ -177,8 +183,8 @@
 
 
 class Store(Protocol):
-    """A key-value store with conditions, leases and watches."""
+    """Key-value store with conditional writes, leases and watches."""
 
     async def async_call(self, operation: StoreOperation) -> StoreResult:
-        """Carry out one operation."""
+        """Execute one operation and return its reply or error."""
         ...
