Rename names of gateway, peer and store that other folders use

Folders: wagtailrill/gateway, wagtailrill/peer, wagtailrill/store and all that use them. Only names change, and comments and docstrings that mention them.

Renamed (old -> new):

wagtailrill/gateway/sockets.py SILENCE_OPTIONS -> TCP_SOCKET_OPTIONS wagtailrill/gateway/json_control.py ControlNames: first -> first_field, last -> last_field, fence -> fence_field, duration -> duration_field, duration_of -> encode_duration, handover -> handover_field; JsonControl -> JsonControlDialect wagtailrill/gateway/dialects.py and its implementations ControlDialect.encode -> encode_operation, ControlDialect.decode -> decode_result, CallerAnswer -> CallerResponse, CallerDialect.refusal -> encode_refusal, BackendDialect.reserved -> is_reserved_header wagtailrill/gateway/header_dialect.py HeaderNames: callers_name_keys -> callers_send_key_position, attempt -> attempt_number; HeaderCallers -> HeaderCallerDialect, HeaderBackends -> HeaderBackendDialect wagtailrill/gateway/backend_pool.py BackendPool: unused -> is_empty, exchange -> send_request, async_check -> async_check_reachable, has_connection_from_before -> has_connection_opened_before, cancel -> cancel_attempt, close_idle -> close_connections, drop_expired -> close_expired_connections wagtailrill/gateway/caller_protocol.py RequestHandler: request_arrived -> handle_request, caller_left -> handle_disconnect; Exchange.settle -> set_response, CallerServerState -> CallerListenerState (stopping -> is_stopping), CallerProtocol.check_times -> enforce_timeouts, protocol_class -> make_protocol_factory wagtailrill/peer MessageRegistry: register -> register_classes, encode -> encode_message, decode -> decode_message; FrameCodec: encode -> encode_frame, decode -> decode_frame wagtailrill/store PrefixMirror.complete -> is_complete, Listed.more -> has_more, ListPrefix: after -> after_key, stale -> allow_stale wagtailrill/runtime/process.py Process.caller_server_state -> caller_listener_state

--- a/script/measure_capacity.py
+++ b/script/measure_capacity.py
@@ -31,7 +31,7 @@
         assert isinstance(command, SendPeer)
         if command.envelope.sender == command.envelope.receiver:
             return 0
-        return len(codec.encode(command.envelope)) + 4
+        return len(codec.encode_frame(command.envelope)) + 4
 
     run = Deployment(1, instances)
     run.start(servers_per_service=servers)
--- a/tests/gateway/test_backend_pool.py
+++ b/tests/gateway/test_backend_pool.py
@@ -15,7 +15,7 @@
     BackendRequest,
 )
 from wagtailrill.gateway.backend_pool import BackendPool
-from wagtailrill.gateway.header_dialect import HeaderBackends
+from wagtailrill.gateway.header_dialect import HeaderBackendDialect
 from wagtailrill.native.dialect import HEADER_NAMES
 
 REQUEST_ID_HEADER = b"wagtailrill-request-id: c-1\r\n"
@@ -81,18 +81,18 @@
 ) -> list[AttemptResult]:
     listener = await asyncio.start_server(server.async_handle, "127.0.0.1", 0)
     port = listener.sockets[0].getsockname()[1]
-    pool = BackendPool(f"127.0.0.1:{port}", HeaderBackends(HEADER_NAMES))
+    pool = BackendPool(f"127.0.0.1:{port}", HeaderBackendDialect(HEADER_NAMES))
     results = []
     for request in requests:
         result_future = asyncio.get_running_loop().create_future()
-        pool.exchange(request, result_future.set_result)
+        pool.send_request(request, result_future.set_result)
         try:
             async with asyncio.timeout(0.4):
                 results.append(await asyncio.shield(result_future))
         except TimeoutError:
-            pool.cancel(request.attempt_id)
+            pool.cancel_attempt(request.attempt_id)
             results.append(await result_future)
-    pool.close_idle()
+    pool.close_connections()
     listener.close()
     return results
 
@@ -232,9 +232,9 @@
     """Guards against requests that are not retried although nothing was sent."""
 
     async def async_main():
-        pool = BackendPool("127.0.0.1:1", HeaderBackends(HEADER_NAMES))
+        pool = BackendPool("127.0.0.1:1", HeaderBackendDialect(HEADER_NAMES))
         result_future = asyncio.get_running_loop().create_future()
-        pool.exchange(make_request(), result_future.set_result)
+        pool.send_request(make_request(), result_future.set_result)
         return await result_future
 
     assert asyncio.run(async_main()).outcome is AttemptOutcome.CONNECT_FAILED
@@ -250,12 +250,12 @@
         server = StubServer()
         listener = await asyncio.start_server(server.async_handle, "127.0.0.1", 0)
         port = listener.sockets[0].getsockname()[1]
-        pool = BackendPool(f"127.0.0.1:{port}", HeaderBackends(HEADER_NAMES))
+        pool = BackendPool(f"127.0.0.1:{port}", HeaderBackendDialect(HEADER_NAMES))
         results = []
         for number in (1, 2):
-            pool.exchange(make_request(number, connections_max=1), results.append)
+            pool.send_request(make_request(number, connections_max=1), results.append)
         await asyncio.sleep(0.1)
-        pool.cancel(1)
+        pool.cancel_attempt(1)
         listener.close()
         return [r.outcome for r in results]
 
--- a/tests/gateway/test_caller_protocol.py
+++ b/tests/gateway/test_caller_protocol.py
@@ -5,9 +5,9 @@
 import pytest
 
 from wagtailrill.declaration.models import CallerLimits
-from wagtailrill.gateway.caller_protocol import CallerProtocol, CallerServerState
-from wagtailrill.gateway.dialects import CallerAnswer
-from wagtailrill.gateway.header_dialect import HeaderCallers
+from wagtailrill.gateway.caller_protocol import CallerListenerState, CallerProtocol
+from wagtailrill.gateway.dialects import CallerResponse
+from wagtailrill.gateway.header_dialect import HeaderCallerDialect
 from wagtailrill.native.dialect import HEADER_NAMES
 
 LIMITS = CallerLimits(500, 100, 0.2, 0.3)
@@ -31,22 +31,22 @@
         self.exchanges = {}
         self.left_request_ids = []
 
-    def request_arrived(self, req, exchange):
+    def handle_request(self, req, exchange):
         self.requests.append(req)
         self.exchanges[req.path] = exchange
         if self.responds_at_once:
             self.respond(req.path)
 
     def respond(self, path):
-        self.exchanges[path].settle(CallerAnswer(200, (), path.encode()))
+        self.exchanges[path].set_response(CallerResponse(200, (), path.encode()))
 
-    def caller_left(self, request_id):
+    def handle_disconnect(self, request_id):
         self.left_request_ids.append(request_id)
 
 
 async def async_run_scenario(handler, async_scenario, limits=LIMITS):
     loop = asyncio.get_running_loop()
-    state = CallerServerState(handler, HeaderCallers(HEADER_NAMES), limits)
+    state = CallerListenerState(handler, HeaderCallerDialect(HEADER_NAMES), limits)
     server = await loop.create_server(lambda: CallerProtocol(state), "127.0.0.1", 0)
     port = server.sockets[0].getsockname()[1]
     reader, writer = await asyncio.open_connection("127.0.0.1", port)
@@ -177,13 +177,13 @@
         writer.write(b"GET / HTTP/1.1\r\nhost")
         await asyncio.sleep(0.25)
         for conn in list(state.connections):
-            conn.check_times(asyncio.get_running_loop().time())
+            conn.enforce_timeouts(asyncio.get_running_loop().time())
         return await async_read_available(reader)
 
     async def async_stay_idle(reader, writer, state):
         await asyncio.sleep(0.35)
         for conn in list(state.connections):
-            conn.check_times(asyncio.get_running_loop().time())
+            conn.enforce_timeouts(asyncio.get_running_loop().time())
         await async_read_available(reader)
         return reader.at_eof()
 
@@ -196,7 +196,7 @@
     handler = StubHandler()
 
     async def async_scenario(reader, writer, state):
-        state.stopping = True
+        state.is_stopping = True
         writer.write(make_get_request("/1"))
         return await async_read_available(reader)
 
--- a/tests/organisations/test_headers.py
+++ b/tests/organisations/test_headers.py
@@ -4,11 +4,11 @@
 from hypothesis import given, settings, strategies as st
 
 from wagtailrill.core.refusals import RefusalCode
-from wagtailrill.gateway.header_dialect import HeaderBackends
+from wagtailrill.gateway.header_dialect import HeaderBackendDialect
 from wagtailrill.native.dialect import HEADER_NAMES as NATIVE_HEADER_NAMES
 from wagtailrill.organisations.headers import check_headers, strip_headers
 
-RESERVED = HeaderBackends(NATIVE_HEADER_NAMES).reserved
+RESERVED = HeaderBackendDialect(NATIVE_HEADER_NAMES).is_reserved_header
 HOST = (b"host", b"box.example")
 AMBIGUOUS_HEADERS = {
     "CR in value": ((b"a", b"x\ry"),),
--- a/tests/peer/test_tcp.py
+++ b/tests/peer/test_tcp.py
@@ -29,7 +29,7 @@
     path = tmp_path_factory.mktemp("schema") / "note.capnp"
     path.write_text(SCHEMA)
     registry = MessageRegistry()
-    registry.register(path, {900: Note})
+    registry.register_classes(path, {900: Note})
     return registry
 
 
@@ -41,15 +41,15 @@
     """Guards against an outage while peer secrets are rotated."""
     old = FrameCodec(registry, (b"old", b"new"))
     new = FrameCodec(registry, (b"new", b"old"))
-    assert new.decode(old.encode(make_envelope())) == make_envelope()
-    assert old.decode(new.encode(make_envelope())) == make_envelope()
+    assert new.decode_frame(old.encode_frame(make_envelope())) == make_envelope()
+    assert old.decode_frame(new.encode_frame(make_envelope())) == make_envelope()
 
 
 def test_frame_with_an_unknown_secret_is_rejected(registry):
     """Guards against messages from processes that do not have the secret."""
-    frame = FrameCodec(registry, (b"other",)).encode(make_envelope())
+    frame = FrameCodec(registry, (b"other",)).encode_frame(make_envelope())
     with pytest.raises(PeerDecodeError):
-        FrameCodec(registry, (b"ours",)).decode(frame)
+        FrameCodec(registry, (b"ours",)).decode_frame(frame)
 
 
 @pytest.mark.parametrize(
--- a/tests/platform/test_store_client.py
+++ b/tests/platform/test_store_client.py
@@ -85,7 +85,7 @@
         while True:
             page = (await store.async_call(ListPrefix("s/", after_key))).ok
             keys += [item.key for item in page.items]
-            if not page.more:
+            if not page.has_more:
                 return keys
             after_key = page.items[-1].key
 
--- a/tests/stand_ins/test_backend_server.py
+++ b/tests/stand_ins/test_backend_server.py
@@ -221,7 +221,12 @@
     """Guards against a stand-in that speaks only the product's own interface."""
     app = make_application(PLATFORM)
     names, paths = PLATFORM.headers, PLATFORM.control
-    grant = {paths.first: 0, paths.last: 9, paths.fence: 1, paths.duration: "60000ms"}
+    grant = {
+        paths.first_field: 0,
+        paths.last_field: 9,
+        paths.fence_field: 1,
+        paths.duration_field: "60000ms",
+    }
     position = {PLATFORM.key_position.decode(): "7"}
 
     async def async_test(pool, address):
--- a/wagtailrill/fleet/members.py
+++ b/wagtailrill/fleet/members.py
@@ -106,7 +106,7 @@
 
     def get_complete_duration_s(self) -> float:
         """Return for how many seconds the mirror has been complete, -1 if it is not."""
-        if not self.mirror.complete:
+        if not self.mirror.is_complete:
             return -1.0
         return self._ctx.now_s - self._complete_since_s
 
@@ -115,7 +115,7 @@
 
         The result is -1 if it is registered, or while the mirror is not complete.
         """
-        if instance in self._members or not self.mirror.complete:
+        if instance in self._members or not self.mirror.is_complete:
             return -1.0
         since_s = self._vanished_since_s.get(instance, self._complete_since_s)
         return self._ctx.now_s - since_s
@@ -267,7 +267,7 @@
         item = self.mirror.items.get(key)
         if item is not None:
             self.secret = item.value
-        elif self.mirror.complete:
+        elif self.mirror.is_complete:
             put = Put(key, self._ctx.rng.randbytes(SECRET_BYTES))
             self._ctx.call_store(
                 Commit((Expected(key, 0),), (put,)), lambda result: None
--- a/wagtailrill/fleet/messages.py
+++ b/wagtailrill/fleet/messages.py
@@ -30,4 +30,4 @@
 
 def register_messages(registry: MessageRegistry) -> None:
     """Register the messages of this package."""
-    registry.register(SCHEMA_FILE, MESSAGES)
+    registry.register_classes(SCHEMA_FILE, MESSAGES)
--- a/wagtailrill/gateway/backend_pool.py
+++ b/wagtailrill/gateway/backend_pool.py
@@ -64,11 +64,11 @@
         self._loop = asyncio.get_running_loop()
 
     @property
-    def unused(self) -> bool:
+    def is_empty(self) -> bool:
         """Return whether the pool has neither connections nor requests."""
         return not self._idle and not self._running
 
-    def exchange(self, request: BackendRequest, on_result: ResultCallback) -> None:
+    def send_request(self, request: BackendRequest, on_result: ResultCallback) -> None:
         """Send a request; `on_result` is called once, also if sending fails."""
         exchange = RunningExchange(request, self._loop.time(), on_result)
         conn = self._take_idle_connection()
@@ -86,7 +86,7 @@
                 self._async_connect(exchange)
             )
 
-    async def async_check(self) -> bool:
+    async def async_check_reachable(self) -> bool:
         """Return whether a new connection could be opened, and keep it as idle."""
         conn = await self._async_open_connection(CONNECT_TIMEOUT_S)
         if conn is None:
@@ -94,7 +94,7 @@
         self._idle.insert(0, conn)
         return True
 
-    def has_connection_from_before(self, time_s: float) -> bool:
+    def has_connection_opened_before(self, time_s: float) -> bool:
         """Return whether a connection opened before a time of the loop is open."""
         busy = (exchange.conn for exchange in self._running.values())
         return any(
@@ -102,7 +102,7 @@
             for conn in (*self._idle, *busy)
         )
 
-    def cancel(self, attempt_id: int) -> None:
+    def cancel_attempt(self, attempt_id: int) -> None:
         """Cancel a request, close its connection and report `CANCELLED`."""
         exchange = self._running.pop(attempt_id, None)
         if exchange is None:
@@ -113,13 +113,13 @@
             exchange.conn.abort()
         self._report_outcome(exchange, AttemptOutcome.CANCELLED)
 
-    def close_idle(self) -> None:
+    def close_connections(self) -> None:
         """Close idle connections now, and busy ones after their exchange."""
         self._generation += 1
         while self._idle:
             self._idle.pop().abort()
 
-    def drop_expired(self) -> None:
+    def close_expired_connections(self) -> None:
         """Close idle connections that the server may close soon."""
         now_s = self._loop.time()
         for conn in [conn for conn in self._idle if not _is_usable(conn, now_s)]:
--- a/wagtailrill/gateway/caller_protocol.py
+++ b/wagtailrill/gateway/caller_protocol.py
@@ -16,7 +16,7 @@
 from ..core.request_models import CallerRequest
 from ..declaration.models import CallerLimits
 from .const import HOP_BY_HOP_HEADERS, PIPELINED_REQUESTS_MAX
-from .dialects import CallerAnswer, CallerDialect
+from .dialects import CallerDialect, CallerResponse
 
 REASON_PHRASES = {status.value: status.phrase.encode() for status in HTTPStatus}
 STATUS_LINES = {
@@ -45,11 +45,11 @@
 class RequestHandler(Protocol):
     """Handles requests; implemented by the driver."""
 
-    def request_arrived(self, req: CallerRequest, exchange: "Exchange") -> None:
+    def handle_request(self, req: CallerRequest, exchange: "Exchange") -> None:
         """Handle a request; its response is given to the exchange."""
         ...
 
-    def caller_left(self, request_id: int) -> None:
+    def handle_disconnect(self, request_id: int) -> None:
         """Handle that the caller closed the connection before the response."""
         ...
 
@@ -62,11 +62,11 @@
     request_id: int
     keep_alive: bool
     is_head_request: bool = False
-    response: CallerAnswer | None = None
+    response: CallerResponse | None = None
     # Handled only when the requests before it on the connection have been answered.
     deferred_request: CallerRequest | None = None
 
-    def settle(self, response: CallerAnswer) -> None:
+    def set_response(self, response: CallerResponse) -> None:
         """Set the response, unless there is one; it is written in its turn."""
         if self.response is None:
             self.response = response
@@ -74,7 +74,7 @@
 
 
 @attrs.define
-class CallerServerState:
+class CallerListenerState:
     """State that all connections of one listener share."""
 
     handler: RequestHandler
@@ -84,7 +84,7 @@
     request_ids: "itertools.count[int]" = attrs.field(
         factory=lambda: itertools.count(1)
     )
-    stopping: bool = False
+    is_stopping: bool = False
 
 
 class CallerProtocol(asyncio.Protocol):
@@ -95,7 +95,7 @@
     seconds are those of the event loop's clock.
     """
 
-    def __init__(self, state: CallerServerState) -> None:
+    def __init__(self, state: CallerListenerState) -> None:
         self._state = state
         self._loop = asyncio.get_running_loop()
         self._transport: asyncio.Transport | None = None
@@ -121,7 +121,7 @@
         while self._pending:
             exchange = self._pending.popleft()
             if exchange.response is None and exchange.deferred_request is None:
-                self._state.handler.caller_left(exchange.request_id)
+                self._state.handler.handle_disconnect(exchange.request_id)
 
     def eof_received(self) -> bool:
         """Close the connection: a caller that has closed its side has left."""
@@ -137,7 +137,7 @@
         if self._transport is not None:
             self._transport.close()
 
-    def check_times(self, now_s: float) -> None:
+    def enforce_timeouts(self, now_s: float) -> None:
         """Close the connection if it is idle for too long; refuse a slow request."""
         limits = self._state.limits
         if self.reading_since_s is not None:
@@ -238,7 +238,7 @@
             # request again, so it must not have run.
             exchange.deferred_request = req
             return
-        state.handler.request_arrived(req, exchange)
+        state.handler.handle_request(req, exchange)
 
     # Writing
 
@@ -249,12 +249,12 @@
             exchange = self._pending[0]
             if exchange.deferred_request is not None:
                 req, exchange.deferred_request = exchange.deferred_request, None
-                self._state.handler.request_arrived(req, exchange)
+                self._state.handler.handle_request(req, exchange)
             if exchange.response is None:
                 return
             self._pending.popleft()
             close = not exchange.keep_alive or (
-                self._state.stopping and not self._pending
+                self._state.is_stopping and not self._pending
             )
             transport.write(
                 _encode_response(exchange.response, close, exchange.is_head_request)
@@ -272,7 +272,7 @@
         while self._pending:
             exchange = self._pending.popleft()
             if exchange.response is None and exchange.deferred_request is None:
-                self._state.handler.caller_left(exchange.request_id)
+                self._state.handler.handle_disconnect(exchange.request_id)
 
     def _refuse_input(self, refusal: Refusal) -> None:
         """Refuse the current request and ignore all further input."""
@@ -281,7 +281,9 @@
         exchange = Exchange(self, next(self._state.request_ids), keep_alive=False)
         self._pending.append(exchange)
         fields = self._state.dialect.parse_headers(tuple(self._headers))
-        exchange.settle(self._state.dialect.refusal(refusal, fields.caller_request_id))
+        exchange.set_response(
+            self._state.dialect.encode_refusal(refusal, fields.caller_request_id)
+        )
 
     def _reset_request(self) -> None:
         self._url = b""
@@ -293,7 +295,7 @@
 
 
 def _encode_response(
-    response: CallerAnswer, close: bool, is_head_request: bool
+    response: CallerResponse, close: bool, is_head_request: bool
 ) -> bytes:
     parts: list[bytes] = [
         STATUS_LINES.get(response.status) or b"HTTP/1.1 %d \r\n" % response.status
@@ -311,7 +313,7 @@
     return b"".join(parts)
 
 
-def protocol_class(state: CallerServerState) -> Any:
+def make_protocol_factory(state: CallerListenerState) -> Any:
     """Return a factory of protocols, as uvicorn's setting `http` takes it."""
 
     def make_protocol(*_: object, **__: object) -> CallerProtocol:
--- a/wagtailrill/gateway/dialects.py
+++ b/wagtailrill/gateway/dialects.py
@@ -20,7 +20,7 @@
 
 
 @attrs.frozen
-class CallerAnswer:
+class CallerResponse:
     """A complete response for a caller."""
 
     status: int
@@ -47,7 +47,9 @@
         """Return the values of the headers; malformed ones count as absent."""
         ...
 
-    def refusal(self, refusal: Refusal, caller_request_id: str) -> CallerAnswer:
+    def encode_refusal(
+        self, refusal: Refusal, caller_request_id: str
+    ) -> CallerResponse:
         """Return the response that tells a caller of a refusal."""
         ...
 
@@ -78,11 +80,11 @@
 class ControlDialect(Protocol):
     """HTTP requests and results of control calls to backend servers."""
 
-    def encode(self, operation: GrantKeys | ReleaseKeys) -> ControlRequest:
+    def encode_operation(self, operation: GrantKeys | ReleaseKeys) -> ControlRequest:
         """Return the HTTP request of an operation."""
         ...
 
-    def decode(
+    def decode_result(
         self, operation: GrantKeys | ReleaseKeys, result: AttemptResult
     ) -> ControlResult:
         """Return the result of an operation from that of its HTTP request."""
@@ -92,7 +94,7 @@
 class BackendDialect(Protocol):
     """Headers of requests to backend servers and of their responses."""
 
-    def reserved(self, name: bytes) -> bool:
+    def is_reserved_header(self, name: bytes) -> bool:
         """Return whether a header of a caller's request is not passed on."""
         ...
 
--- a/wagtailrill/gateway/header_dialect.py
+++ b/wagtailrill/gateway/header_dialect.py
@@ -9,7 +9,7 @@
 
 from ..core.refusals import Refusal
 from ..core.request_models import AttemptOutcome, BackendRequest, Headers, LoadReport
-from .dialects import CallerAnswer, CallerFields, ResponseFields
+from .dialects import CallerFields, CallerResponse, ResponseFields
 
 JSON_HEADER = (b"content-type", b"application/json")
 RETRY_AFTER_HEADER = b"retry-after"
@@ -28,8 +28,8 @@
     """Names of headers in lower case; an empty name means that it is not used.
 
     `credential_scheme` precedes the tenant key in its header. `key_position` is read
-    from callers if `callers_name_keys`, and otherwise sent to backend servers. Headers
-    of callers that start with `reserved_prefix` are not passed on.
+    from callers if `callers_send_key_position`, and otherwise sent to backend servers.
+    Headers of callers that start with `reserved_prefix` are not passed on.
     """
 
     request_id: bytes
@@ -39,9 +39,9 @@
     credential: bytes
     credential_scheme: bytes
     key_position: bytes
-    callers_name_keys: bool
+    callers_send_key_position: bool
     expires: bytes
-    attempt: bytes
+    attempt_number: bytes
     idempotency_key: bytes
     load: bytes
     not_run: bytes
@@ -49,7 +49,7 @@
     reserved_prefix: bytes = b""
 
 
-class HeaderCallers:
+class HeaderCallerDialect:
     """Implements `CallerDialect`."""
 
     def __init__(self, names: HeaderNames) -> None:
@@ -59,17 +59,21 @@
         """Return the values of the headers; malformed ones count as absent."""
         names = self._names
         fields = dict(headers)
-        position = fields.get(names.key_position) if names.callers_name_keys else None
+        position = (
+            fields.get(names.key_position) if names.callers_send_key_position else None
+        )
         return CallerFields(
             caller_request_id=fields.get(names.request_id, b"").decode("latin-1"),
             time_left_s=_parse_time_left_s(fields.get(names.time_left_ms)),
             credential=self._get_credential(headers),
             key_position=_parse_key_position(position),
-            attempt_number=_parse_attempt_number(fields.get(names.attempt)),
+            attempt_number=_parse_attempt_number(fields.get(names.attempt_number)),
             idempotency_key=_get_single_value(headers, names.idempotency_key),
         )
 
-    def refusal(self, refusal: Refusal, caller_request_id: str) -> CallerAnswer:
+    def encode_refusal(
+        self, refusal: Refusal, caller_request_id: str
+    ) -> CallerResponse:
         """Return the response that tells a caller of a refusal."""
         fields: dict[str, str | float] = {
             "code": refusal.code.value,
@@ -87,7 +91,7 @@
                 (RETRY_AFTER_HEADER, f"{refusal.retry_after_s:.3f}".encode())
             )
         body = json.dumps(fields).encode()
-        return CallerAnswer(refusal.status, tuple(headers), body)
+        return CallerResponse(refusal.status, tuple(headers), body)
 
     def _get_credential(self, headers: Headers) -> bytes | None:
         """Return the tenant key, None unless exactly one header carries one."""
@@ -98,7 +102,7 @@
         return value[len(scheme) :].strip()
 
 
-class HeaderBackends:
+class HeaderBackendDialect:
     """Implements `BackendDialect`."""
 
     def __init__(self, names: HeaderNames) -> None:
@@ -111,11 +115,11 @@
                 names.expected_server,
                 names.credential,
                 names.expires,
-                names.attempt,
+                names.attempt_number,
             }
         )
 
-    def reserved(self, name: bytes) -> bool:
+    def is_reserved_header(self, name: bytes) -> bool:
         """Return whether a header of a caller's request is not passed on."""
         prefix = self._names.reserved_prefix
         return name in self._reserved_names or (
@@ -131,9 +135,9 @@
             (names.expected_server, request.backend_server.encode()),
             (names.organisation, request.organisation.encode()),
             (names.expires, b"%.3f" % request.expires_unix_s),
-            (names.attempt, b"%d" % request.attempt_number),
+            (names.attempt_number, b"%d" % request.attempt_number),
         ]
-        if request.key_position is not None and not names.callers_name_keys:
+        if request.key_position is not None and not names.callers_send_key_position:
             values.append((names.key_position, b"%d" % request.key_position))
         return tuple((name, value) for name, value in values if name and value)
 
--- a/wagtailrill/gateway/json_control.py
+++ b/wagtailrill/gateway/json_control.py
@@ -41,45 +41,45 @@
 class ControlNames:
     """Paths, JSON fields and response header of the control calls.
 
-    `duration_of` converts a duration in seconds to the value of the field `duration`.
+    `encode_duration` converts seconds to the value of `duration_field`.
     """
 
     grant_path: str
     release_path: str
-    first: str
-    last: str
-    fence: str
-    duration: str
-    duration_of: Callable[[float], Any]
-    handover: str
+    first_field: str
+    last_field: str
+    fence_field: str
+    duration_field: str
+    encode_duration: Callable[[float], Any]
+    handover_field: str
     handover_header: bytes
 
 
-class JsonControl:
+class JsonControlDialect:
     """Implements `ControlDialect`."""
 
     def __init__(self, names: ControlNames) -> None:
         self._names = names
 
-    def encode(self, operation: GrantKeys | ReleaseKeys) -> ControlRequest:
+    def encode_operation(self, operation: GrantKeys | ReleaseKeys) -> ControlRequest:
         """Return the HTTP request of an operation."""
         names = self._names
         fields: dict[str, Any] = {
-            names.first: operation.first,
-            names.last: operation.last,
-            names.fence: operation.fence,
+            names.first_field: operation.first,
+            names.last_field: operation.last,
+            names.fence_field: operation.fence,
         }
         if isinstance(operation, ReleaseKeys):
             body = json.dumps(fields).encode()
             return ControlRequest(names.release_path, body, RELEASE_TIMEOUT_S)
-        fields[names.duration] = names.duration_of(operation.duration_s)
+        fields[names.duration_field] = names.encode_duration(operation.duration_s)
         if operation.handover:
-            fields[names.handover] = operation.handover
+            fields[names.handover_field] = operation.handover
         return ControlRequest(
             names.grant_path, json.dumps(fields).encode(), GRANT_TIMEOUT_S
         )
 
-    def decode(
+    def decode_result(
         self, operation: GrantKeys | ReleaseKeys, result: AttemptResult
     ) -> ControlResult:
         """Return the result of an operation from that of its HTTP request."""
--- a/wagtailrill/gateway/sockets.py
+++ b/wagtailrill/gateway/sockets.py
@@ -15,7 +15,7 @@
 
 # Each option as the arguments of `socket.setsockopt`. They make the system close a
 # connection whose peer stops responding, and send small writes without delay.
-SILENCE_OPTIONS: list[tuple[int, int, int]] = [
+TCP_SOCKET_OPTIONS: list[tuple[int, int, int]] = [
     (socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1),
     (socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, TCP_KEEP_ALIVE_IDLE_S),
     (socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, TCP_KEEP_ALIVE_INTERVAL_S),
@@ -30,5 +30,5 @@
     sock = transport.get_extra_info("socket")
     if sock is None:
         return
-    for level, option, value in SILENCE_OPTIONS:
+    for level, option, value in TCP_SOCKET_OPTIONS:
         sock.setsockopt(level, option, value)
--- a/wagtailrill/native/assembly.py
+++ b/wagtailrill/native/assembly.py
@@ -9,8 +9,8 @@
 from ..core.context import Identity
 from ..declaration.models import CallerLimits
 from ..fleet.models import FleetSettings
-from ..gateway.header_dialect import HeaderBackends, HeaderCallers
-from ..gateway.json_control import JsonControl
+from ..gateway.header_dialect import HeaderBackendDialect, HeaderCallerDialect
+from ..gateway.json_control import JsonControlDialect
 from ..observability.tracer import NoTracing, Tracing
 from ..organisations.keys import StructuredKeyFormat
 from ..platform.store_client import PlatformStore
@@ -28,7 +28,7 @@
 
 def make_process_settings(cfg: InstanceSettings) -> ProcessSettings:
     """Return the process settings for an instance's settings."""
-    backend_dialect = HeaderBackends(HEADER_NAMES)
+    backend_dialect = HeaderBackendDialect(HEADER_NAMES)
     store_prefix = cfg.deployment
     return ProcessSettings(
         router=RouterSettings(
@@ -43,14 +43,14 @@
             configuration_decoder=NativeConfigurationDecoder(cfg.deployment),
             servers=DeclaredServers(list_declared_servers),
             key_format=StructuredKeyFormat(),
-            is_reserved_header=backend_dialect.reserved,
+            is_reserved_header=backend_dialect.is_reserved_header,
             needs_idempotency_key=True,
         ),
         external=ExternalInterfaces(
             store=PlatformStore(cfg.store_addresses, cfg.store_timeout_s),
-            caller_dialect=HeaderCallers(HEADER_NAMES),
+            caller_dialect=HeaderCallerDialect(HEADER_NAMES),
             backend_dialect=backend_dialect,
-            control_dialect=JsonControl(CONTROL_NAMES),
+            control_dialect=JsonControlDialect(CONTROL_NAMES),
             tracing=_make_tracing(cfg.trace_sample_ratio),
         ),
         caller_address=cfg.caller_address,
--- a/wagtailrill/native/control.py
+++ b/wagtailrill/native/control.py
@@ -7,11 +7,11 @@
 CONTROL_NAMES: Final = ControlNames(
     grant_path="/-/grant",
     release_path="/-/release",
-    first="first",
-    last="last",
-    fence="fence",
-    duration="duration_s",
-    duration_of=float,
-    handover="handover",
+    first_field="first",
+    last_field="last",
+    fence_field="fence",
+    duration_field="duration_s",
+    encode_duration=float,
+    handover_field="handover",
     handover_header=b"wagtailrill-handover",
 )
--- a/wagtailrill/peer/frame.py
+++ b/wagtailrill/peer/frame.py
@@ -36,9 +36,9 @@
     registry: MessageRegistry
     secrets: tuple[bytes, ...] = attrs.field(repr=False)
 
-    def encode(self, envelope: Envelope) -> bytes:
+    def encode_frame(self, envelope: Envelope) -> bytes:
         """Return the frame without its length prefix."""
-        number, payload = self.registry.encode(envelope.message)
+        number, payload = self.registry.encode_message(envelope.message)
         body: bytes = _FRAME_SCHEMA.new_message(
             version=PROTOCOL_VERSION,
             sender=envelope.sender,
@@ -51,7 +51,7 @@
         ).to_bytes_packed()
         return _compute_mac(self.secrets[0], body) + body
 
-    def decode(self, frame: bytes) -> Envelope:
+    def decode_frame(self, frame: bytes) -> Envelope:
         """Return the envelope; raise `PeerDecodeError` for an invalid frame."""
         if not MAC_BYTES < len(frame) <= FRAME_MAX_BYTES:
             raise PeerDecodeError(f"frame size of {len(frame)} bytes is out of range")
@@ -73,7 +73,7 @@
             receiver=fields["receiver"],
             receiver_incarnation=fields["receiverIncarnation"],
             sequence=fields["sequence"],
-            message=self.registry.decode(fields["number"], fields["payload"]),
+            message=self.registry.decode_message(fields["number"], fields["payload"]),
         )
 
 
--- a/wagtailrill/peer/registry.py
+++ b/wagtailrill/peer/registry.py
@@ -129,7 +129,7 @@
         self._by_class: dict[type, MessageType] = {}
         self._by_number: dict[int, MessageType] = {}
 
-    def register(self, schema_file: Path, classes: dict[int, type]) -> None:
+    def register_classes(self, schema_file: Path, classes: dict[int, type]) -> None:
         """Register the classes of one schema file by their wire numbers.
 
         Raise `ValueError` if a number is already registered.
@@ -145,13 +145,13 @@
             self._by_class[cls] = message_type
             self._by_number[number] = message_type
 
-    def encode(self, message: PeerMessage) -> tuple[int, bytes]:
+    def encode_message(self, message: PeerMessage) -> tuple[int, bytes]:
         """Return the wire number and the packed struct of a message."""
         message_type = self._by_class[type(message)]
         struct = message_type.schema.new_message(**message_type.encode_fields(message))
         return message_type.number, struct.to_bytes_packed()
 
-    def decode(self, number: int, payload: bytes) -> PeerMessage:
+    def decode_message(self, number: int, payload: bytes) -> PeerMessage:
         """Return a message; raise `PeerDecodeError` for malformed input."""
         message_type = self._by_number.get(number)
         if message_type is None:
--- a/wagtailrill/peer/tcp.py
+++ b/wagtailrill/peer/tcp.py
@@ -179,7 +179,7 @@
         if sender is None or not self._codec.secrets:
             self.counters.dropped_frames += 1
             return
-        sender.enqueue_frame(self._codec.encode(envelope))
+        sender.enqueue_frame(self._codec.encode_frame(envelope))
 
     async def async_serve(self, host: str, port: int) -> None:
         """Accept connections and pass on received messages until cancelled."""
@@ -222,7 +222,7 @@
     def _accept_frame(self, frame: bytes) -> None:
         """Pass on the message of a frame; an invalid frame is only counted."""
         try:
-            envelope = self._codec.decode(frame)
+            envelope = self._codec.decode_frame(frame)
         except PeerDecodeError:
             self.counters.rejected_frames += 1
             return
--- a/wagtailrill/placement/messages.py
+++ b/wagtailrill/placement/messages.py
@@ -78,4 +78,4 @@
 
 def register_messages(registry: MessageRegistry) -> None:
     """Register the peer messages of placement."""
-    registry.register(SCHEMA_FILE, MESSAGES)
+    registry.register_classes(SCHEMA_FILE, MESSAGES)
--- a/wagtailrill/platform/assembly.py
+++ b/wagtailrill/platform/assembly.py
@@ -9,8 +9,8 @@
 from ..core.context import Identity
 from ..declaration.models import CallerLimits
 from ..fleet.models import FleetSettings
-from ..gateway.header_dialect import HeaderBackends, HeaderCallers
-from ..gateway.json_control import JsonControl
+from ..gateway.header_dialect import HeaderBackendDialect, HeaderCallerDialect
+from ..gateway.json_control import JsonControlDialect
 from ..observability.tracer import NoTracing
 from ..organisations.keys import OpaqueKeyFormat
 from ..rates.models import RateSettings
@@ -88,7 +88,7 @@
 def make_process_settings(path: Path, cfg: PlatformSettings) -> ProcessSettings:
     """Return the process settings for the platform's settings file at `path`."""
     peer_address = f"{cfg.ip}:{cfg.peer_port}"
-    backend_dialect = HeaderBackends(HEADER_NAMES)
+    backend_dialect = HeaderBackendDialect(HEADER_NAMES)
     return ProcessSettings(
         router=RouterSettings(
             identity=Identity(
@@ -103,13 +103,13 @@
             configuration_decoder=PlatformConfigurationDecoder(cfg.data_centres),
             servers=DiscoveredServers(wire.SERVER_PREFIX, PlatformEntryDecoder()),
             key_format=OpaqueKeyFormat(),
-            is_reserved_header=backend_dialect.reserved,
+            is_reserved_header=backend_dialect.is_reserved_header,
         ),
         external=ExternalInterfaces(
             store=PlatformStore((cfg.store_address,), STORE_TIMEOUT_S),
-            caller_dialect=HeaderCallers(HEADER_NAMES),
+            caller_dialect=HeaderCallerDialect(HEADER_NAMES),
             backend_dialect=backend_dialect,
-            control_dialect=JsonControl(CONTROL_NAMES),
+            control_dialect=JsonControlDialect(CONTROL_NAMES),
             tracing=NoTracing(),
         ),
         caller_address=cfg.caller_address,
--- a/wagtailrill/platform/control.py
+++ b/wagtailrill/platform/control.py
@@ -9,11 +9,11 @@
 CONTROL_NAMES: Final = ControlNames(
     grant_path="/grant",
     release_path="/release",
-    first="from",
-    last="target",  # the last key position of the range, not a server
-    fence="fence",
-    duration="hold_time",
-    duration_of=format_duration,
-    handover="handover",
+    first_field="from",
+    last_field="target",  # the last key position of the range, not a server
+    fence_field="fence",
+    duration_field="hold_time",
+    encode_duration=format_duration,
+    handover_field="handover",
     handover_header=wire.HANDOVER,
 )
--- a/wagtailrill/platform/store_client.py
+++ b/wagtailrill/platform/store_client.py
@@ -14,7 +14,7 @@
 import httpcore
 from expression import Error, Ok
 
-from ..gateway.sockets import SILENCE_OPTIONS
+from ..gateway.sockets import TCP_SOCKET_OPTIONS
 from ..store.models import (
     Changes,
     Commit,
@@ -98,7 +98,7 @@
         self._pool = httpcore.AsyncConnectionPool(
             max_connections=CONNECTIONS_MAX,
             keepalive_expiry=KEEPALIVE_S,
-            socket_options=SILENCE_OPTIONS,
+            socket_options=TCP_SOCKET_OPTIONS,
         )
 
     async def __aenter__(self) -> Self:
@@ -221,9 +221,9 @@
 
 def _encode_list(operation: ListPrefix) -> _HttpRequest:
     query = {"prefix": operation.prefix}
-    if operation.after:
-        query["after"] = operation.after
-    if operation.stale:
+    if operation.after_key:
+        query["after"] = operation.after_key
+    if operation.allow_stale:
         query["stale_ok"] = "1"
     return _HttpRequest("GET", f"/kv-range?{urlencode(query)}")
 
--- a/wagtailrill/rates/messages.py
+++ b/wagtailrill/rates/messages.py
@@ -41,4 +41,4 @@
 
 def register_messages(registry: MessageRegistry) -> None:
     """Register the peer messages of this package."""
-    registry.register(SCHEMA_FILE, MESSAGES)
+    registry.register_classes(SCHEMA_FILE, MESSAGES)
--- a/wagtailrill/runtime/driver.py
+++ b/wagtailrill/runtime/driver.py
@@ -44,8 +44,8 @@
 from ..gateway.caller_protocol import Exchange
 from ..gateway.dialects import (
     BackendDialect,
-    CallerAnswer,
     CallerDialect,
+    CallerResponse,
     ControlDialect,
 )
 from ..observability.metrics import Metrics
@@ -198,7 +198,7 @@
         self._arm_timer()
         return True
 
-    def request_arrived(self, req: CallerRequest, exchange: Exchange) -> None:
+    def handle_request(self, req: CallerRequest, exchange: Exchange) -> None:
         """Start to handle a request; its answer is written to the exchange."""
         self._open_requests[req.request_id] = OpenRequest(
             exchange,
@@ -209,7 +209,7 @@
         if not self.dispatch_event(RequestArrived(req)):
             self._refuse_request(RefuseRequest(req.request_id, INTERNAL_ERROR_REFUSAL))
 
-    def caller_left(self, request_id: int) -> None:
+    def handle_disconnect(self, request_id: int) -> None:
         """Tell the router that the caller of a request closed its connection."""
         if self._open_requests.pop(request_id, None) is not None:
             self.dispatch_event(CallerLeft(request_id))
@@ -220,8 +220,8 @@
         Pools without connections are removed once their server is unknown.
         """
         for name, pool in list(self.pools.items()):
-            pool.drop_expired()
-            if pool.unused and self._deps.router.address_of(name) is None:
+            pool.close_expired_connections()
+            if pool.is_empty and self._deps.router.address_of(name) is None:
                 del self.pools[name]
 
     def _execute_commands(self, commands: list[Command]) -> None:
@@ -255,7 +255,7 @@
     async def _async_check_reachable(self, command: CallBackend) -> None:
         pool = self._get_pool(command.backend_server)
         result: ControlResult = Error(ControlError(ControlErrorKind.NOT_SENT))
-        if pool is not None and await pool.async_check():
+        if pool is not None and await pool.async_check_reachable():
             result = Ok(Reachable())
         self.dispatch_event(BackendReplied(command.call_id, result))
 
@@ -265,7 +265,7 @@
         def report_same_process() -> None:
             pool = self.pools.get(command.backend_server)
             result: ControlResult = Error(ControlError(ControlErrorKind.NO_ANSWER))
-            if pool is not None and pool.has_connection_from_before(opened_before_s):
+            if pool is not None and pool.has_connection_opened_before(opened_before_s):
                 result = Ok(Reachable())
             self.dispatch_event(BackendReplied(command.call_id, result))
 
@@ -287,7 +287,7 @@
         if isinstance(operation, CheckSameProcess):
             self._check_same_process(command)
             return
-        call = self._deps.control_dialect.encode(operation)
+        call = self._deps.control_dialect.encode_operation(operation)
         # Negative, as identifiers of attempts at callers' requests are positive.
         attempt_id = -command.call_id
         backend_request = BackendRequest(
@@ -305,7 +305,7 @@
 
         def report_result(result: AttemptResult) -> None:
             timeout_handle.cancel()
-            control_result = self._deps.control_dialect.decode(operation, result)
+            control_result = self._deps.control_dialect.decode_result(operation, result)
             self._deps.metrics.record_control_call(
                 type(operation).__name__,
                 "ok" if control_result.is_ok() else control_result.error.kind.value,
@@ -319,8 +319,10 @@
                 )
             )
             return
-        timeout_handle = self._loop.call_later(call.timeout_s, pool.cancel, attempt_id)
-        pool.exchange(backend_request, report_result)
+        timeout_handle = self._loop.call_later(
+            call.timeout_s, pool.cancel_attempt, attempt_id
+        )
+        pool.send_request(backend_request, report_result)
 
     def _send_backend_request(self, command: SendBackendRequest) -> None:
         backend_request = command.request
@@ -340,7 +342,7 @@
                 backend_request, headers=(*backend_request.headers, *span.headers)
             )
         self._running_attempts[backend_request.attempt_id] = RunningAttempt(pool, span)
-        pool.exchange(backend_request, self._handle_attempt_end)
+        pool.send_request(backend_request, self._handle_attempt_end)
 
     def _handle_attempt_end(self, result: AttemptResult) -> None:
         attempt = self._running_attempts.pop(result.attempt_id, None)
@@ -354,7 +356,7 @@
     def _cancel_attempt(self, command: CancelAttempt) -> None:
         attempt = self._running_attempts.get(command.attempt_id)
         if attempt is not None:
-            self._loop.call_soon(attempt.pool.cancel, command.attempt_id)
+            self._loop.call_soon(attempt.pool.cancel_attempt, command.attempt_id)
 
     def _get_pool(self, backend_server: str) -> BackendPool | None:
         """Return the pool of a server's present address, None for an unknown server.
@@ -373,28 +375,28 @@
     def _close_connections(self, command: CloseConnections) -> None:
         pool = self.pools.get(command.backend_server)
         if pool is not None:
-            pool.close_idle()
+            pool.close_connections()
 
     def _refuse_request(self, command: RefuseRequest) -> None:
         refusal = command.refusal
         open_request = self._open_requests.get(command.request_id)
         if open_request is not None:
-            answer = self._deps.caller_dialect.refusal(
+            answer = self._deps.caller_dialect.encode_refusal(
                 refusal, open_request.caller_request_id
             )
             self._complete_request(command.request_id, answer, refusal.code.value)
 
     def _answer_request(self, command: AnswerRequest) -> None:
         result = self._attempt_results[command.attempt_id]
-        answer = CallerAnswer(result.status, result.headers, result.body)
+        answer = CallerResponse(result.status, result.headers, result.body)
         self._complete_request(command.request_id, answer, "answered")
 
     def _replay_answer(self, command: ReplayAnswer) -> None:
-        answer = CallerAnswer(command.status, command.headers, command.body)
+        answer = CallerResponse(command.status, command.headers, command.body)
         self._complete_request(command.request_id, answer, "replayed")
 
     def _complete_request(
-        self, request_id: int, answer: CallerAnswer, code: str
+        self, request_id: int, answer: CallerResponse, code: str
     ) -> None:
         """Write the answer of a request; `code` names the outcome in metrics."""
         open_request = self._open_requests.pop(request_id, None)
@@ -403,4 +405,4 @@
         elapsed_s = self._loop.time() - open_request.started_s
         self._deps.metrics.record_answer(answer.status, code, elapsed_s)
         open_request.span.end(answer.status, code)
-        open_request.exchange.settle(answer)
+        open_request.exchange.set_response(answer)
--- a/wagtailrill/runtime/process.py
+++ b/wagtailrill/runtime/process.py
@@ -16,7 +16,7 @@
 from ..core.events import DrainRequested, PeerReceived
 from ..core.invariants import Invariants
 from ..declaration.models import CallerLimits, Configuration
-from ..gateway.caller_protocol import CallerServerState, protocol_class
+from ..gateway.caller_protocol import CallerListenerState, make_protocol_factory
 from ..gateway.dialects import BackendDialect, CallerDialect, ControlDialect
 from ..observability.logs import EventLog, LineWriter
 from ..observability.metrics import Metrics
@@ -106,7 +106,7 @@
                 write_log=self.event_log.write,
             )
         )
-        self.caller_server_state = CallerServerState(
+        self.caller_listener_state = CallerListenerState(
             self.driver, external.caller_dialect, cfg.caller_limits
         )
         self.router.configuration.add_listener(self._apply_configuration)
@@ -116,7 +116,7 @@
         self.caller_server = _make_server(
             _unused_application,
             cfg.caller_address,
-            protocol_class(self.caller_server_state),
+            make_protocol_factory(self.caller_listener_state),
         )
         self.admin_server = _make_server(admin, cfg.admin_address, "httptools")
         self._stop_requested = anyio.Event()
@@ -143,7 +143,7 @@
     def _apply_configuration(self, configuration: Configuration) -> None:
         limits = configuration.declaration.caller_limits
         if limits is not None:
-            self.caller_server_state.limits = limits
+            self.caller_listener_state.limits = limits
 
     def _update_peers(self) -> None:
         members = self.router.members.get_other_members().values()
@@ -158,7 +158,7 @@
         return {
             **gauges,
             **self.router.collect_gauges(),
-            "caller_connections": len(self.caller_server_state.connections),
+            "caller_connections": len(self.caller_listener_state.connections),
             "log_lines_left_out": self.event_log.left_out,
             "log_lines_dropped": self._writer.dropped,
         }
@@ -195,16 +195,16 @@
 
     async def _async_drain(self) -> None:
         """Finish open requests while the load balancer removes this instance."""
-        self.caller_server_state.stopping = True
+        self.caller_listener_state.is_stopping = True
         end_s = anyio.current_time() + self.cfg.stop_timeout_s - STOP_MARGIN_S
         await anyio.sleep(
             min(self.cfg.load_balancer_lag_s, self.cfg.stop_timeout_s / 2)
         )
         while anyio.current_time() < end_s:
-            for conn in list(self.caller_server_state.connections):
+            for conn in list(self.caller_listener_state.connections):
                 conn.shutdown()
             if (
-                not self.caller_server_state.connections
+                not self.caller_listener_state.connections
                 and not self.driver.count_open_requests()
             ):
                 return
@@ -216,8 +216,8 @@
             await anyio.sleep(CLEANUP_INTERVAL_S)
             self.driver.drop_expired_connections()
             now_s = loop.time()
-            for conn in list(self.caller_server_state.connections):
-                conn.check_times(now_s)
+            for conn in list(self.caller_listener_state.connections):
+                conn.enforce_timeouts(now_s)
 
 
 class _Server(uvicorn.Server):
--- a/wagtailrill/servers/discovery.py
+++ b/wagtailrill/servers/discovery.py
@@ -93,7 +93,7 @@
         assert isinstance(page, Listed)
         for item in page.items:
             self._decode_item(item)
-        if page.more and page.items:
+        if page.has_more and page.items:
             self._request_page(page.items[-1].key)
             return
         self._finish_read()
--- a/wagtailrill/servers/messages.py
+++ b/wagtailrill/servers/messages.py
@@ -45,4 +45,4 @@
 
 def register_messages(registry: MessageRegistry) -> None:
     """Register the messages of this package."""
-    registry.register(SCHEMA_FILE, MESSAGES)
+    registry.register_classes(SCHEMA_FILE, MESSAGES)
--- a/wagtailrill/stand_ins/backend_server.py
+++ b/wagtailrill/stand_ins/backend_server.py
@@ -132,18 +132,18 @@
     async def _async_grant(self, scope: Scope, body: bytes, send: Send) -> None:
         names, fields = self.speech.control, json.loads(body)
         granted = self.model.grant(
-            fields[names.first],
-            fields[names.last],
-            fields[names.fence],
-            _seconds(fields[names.duration]),
+            fields[names.first_field],
+            fields[names.last_field],
+            fields[names.fence_field],
+            _seconds(fields[names.duration_field]),
             time.monotonic(),
         )
         await self._async_send(send, 200 if granted else 409, {})
 
     async def _async_release(self, scope: Scope, body: bytes, send: Send) -> None:
         names, fields = self.speech.control, json.loads(body)
-        first, last = fields[names.first], fields[names.last]
-        self.model.release(first, last, fields[names.fence], time.monotonic())
+        first, last = fields[names.first_field], fields[names.last_field]
+        self.model.release(first, last, fields[names.fence_field], time.monotonic())
         while self.model.works_on(first, last):
             await anyio.sleep(RELEASE_POLL_S)
         handover = (names.handover_header, self.model.handover().encode())
--- a/wagtailrill/store/mirror.py
+++ b/wagtailrill/store/mirror.py
@@ -76,7 +76,7 @@
         self._request_page("")
 
     @property
-    def complete(self) -> bool:
+    def is_complete(self) -> bool:
         """Return whether the keys have been listed once."""
         return self.revision > 0
 
@@ -97,7 +97,7 @@
         # one's, so that no change between the pages is missed.
         self._list_revision = self._list_revision or page.revision
         self._listed_items.update((item.key, item) for item in page.items)
-        if page.more and page.items:
+        if page.has_more and page.items:
             self._request_page(page.items[-1].key)
             return
         changed_keys = {
--- a/wagtailrill/store/models.py
+++ b/wagtailrill/store/models.py
@@ -19,14 +19,14 @@
 
 @attrs.frozen
 class ListPrefix:
-    """Read a page of the keys with a prefix, starting after the key `after`.
+    """Read a page of the keys with a prefix, starting after `after_key`.
 
-    With `stale` the call costs less, and the page may be outdated by seconds.
+    With `allow_stale` the call costs less, and the page may be outdated by seconds.
     """
 
     prefix: str
-    after: str = ""
-    stale: bool = False
+    after_key: str = ""
+    allow_stale: bool = False
 
 
 @attrs.frozen
@@ -118,13 +118,13 @@
 
 @attrs.frozen
 class Listed:
-    """Reply to `ListPrefix`: a page of keys; `more` means that others follow it.
+    """Reply to `ListPrefix`: a page of keys; `has_more` means that others follow it.
 
     `revision` is the store's revision when the page was read.
     """
 
     items: tuple[Item, ...]
-    more: bool
+    has_more: bool
     revision: int
 
 
