Name the dependencies of the granter Parts, as all other folders do

In wagtailrill/keys only. Request handling went back to Parts while keys went to Dependencies; now every folder uses the same word.

Renamed (old -> new): GranterDependencies -> GranterParts; GrantDependencies -> GrantParts; _deps -> _parts; deps -> parts.

--- a/wagtailrill/keys/component.py
+++ b/wagtailrill/keys/component.py
@@ -26,7 +26,7 @@
     PUBLISH_INTERVAL_S,
     TICK_INTERVAL_S,
 )
-from .granter import Granter, GranterDependencies
+from .granter import Granter, GranterParts
 from .messages import KeyRoutesNotice, KeyRoutesRequest, KeyRoutesUpdate
 from .models import NO_ROUTES, KeyRoutes, KeyTable, SegmentRow, SegmentState
 from .planner import Capacity
@@ -253,7 +253,7 @@
         def mark_changed() -> None:
             row.segments_changed = True
 
-        deps = GranterDependencies(
+        parts = GranterParts(
             self._ctx,
             self._servers,
             row.name,
@@ -264,7 +264,7 @@
             lambda name, load: self.on_load_report(name, load),
             lambda name: self.get_last_report_s(name),
         )
-        row.granter = Granter(deps, row.usage, fence, predecessor_may_act_s)
+        row.granter = Granter(parts, row.usage, fence, predecessor_may_act_s)
 
     def on_predecessor_stopped(self, duty: str) -> None:
         """Pass on to the granter that its predecessor has stopped."""
--- a/wagtailrill/keys/granter.py
+++ b/wagtailrill/keys/granter.py
@@ -17,7 +17,7 @@
     FIRST_ASSIGNMENT_WAIT_MAX_S,
     PLAN_INTERVAL_S,
 )
-from .grants import GRANT_HELD_MAX_S, GrantDependencies, GrantManager
+from .grants import GRANT_HELD_MAX_S, GrantManager, GrantParts
 from .models import (
     FormerOwner,
     FormerOwnerRow,
@@ -46,7 +46,7 @@
 
 
 @attrs.frozen
-class GranterDependencies:
+class GranterParts:
     """Dependencies of `Granter`.
 
     `estimate_capacity` returns what a server can run, `holds_duty` whether the duty is
@@ -75,34 +75,34 @@
 
     def __init__(
         self,
-        deps: GranterDependencies,
+        parts: GranterParts,
         usage: UsageTable,
         duty_fence: int,
         predecessor_may_act_s: float,
     ) -> None:
         self.rows: list[SegmentRow] = []
         self.table_loaded = False
-        self._deps = deps
-        self._ctx = deps.ctx
+        self._parts = parts
+        self._ctx = parts.ctx
         self._usage = usage
-        self._predecessor_may_act_until_s = deps.ctx.now_s + predecessor_may_act_s
-        self._last_plan_s = self._started_s = deps.ctx.now_s
+        self._predecessor_may_act_until_s = parts.ctx.now_s + predecessor_may_act_s
+        self._last_plan_s = self._started_s = parts.ctx.now_s
         self._stopped = False
         self._is_first_assignment = False
         self._grants = GrantManager(
-            GrantDependencies(
-                deps.ctx,
-                deps.servers,
-                deps.service,
-                lambda: not self._stopped and deps.holds_duty(),
-                deps.on_segments_changed,
-                deps.on_load_report,
-                deps.get_last_report_s,
+            GrantParts(
+                parts.ctx,
+                parts.servers,
+                parts.service,
+                lambda: not self._stopped and parts.holds_duty(),
+                parts.on_segments_changed,
+                parts.on_load_report,
+                parts.get_last_report_s,
                 self._renew_oldest_grant,
             )
         )
         self._table_store = TableStore(
-            deps.ctx, deps.service, deps.table_key, duty_fence, self._on_taken_over
+            parts.ctx, parts.service, parts.table_key, duty_fence, self._on_taken_over
         )
         self._table_store.take_over_table()
 
@@ -125,7 +125,7 @@
 
     def tick(self) -> None:
         """Process all segments, and write the table if some get new owners."""
-        if self._stopped or not self.table_loaded or not self._deps.holds_duty():
+        if self._stopped or not self.table_loaded or not self._parts.holds_duty():
             return
         # Calls per server are limited, so the oldest grants are renewed first.
         for row in sorted(self.rows, key=lambda row: row.grant_sent_s):
@@ -166,7 +166,8 @@
 
     def _must_wait_for_expiry(self, former: FormerOwnerRow) -> bool:
         return (
-            former.release_failed or former.process.owner not in self._deps.servers.rows
+            former.release_failed
+            or former.process.owner not in self._parts.servers.rows
         )
 
     def explain_position(self, position: int) -> dict[str, str | int]:
@@ -196,14 +197,14 @@
         )
         self.rows = [_build_row(segment, held_until_s) for segment in table.segments]
         self.table_loaded = True
-        self._deps.on_segments_changed()
+        self._parts.on_segments_changed()
 
     def _write_targets(self, rows: list[SegmentRow]) -> None:
         """Write the table with the targets of some rows as owners."""
         fence = self._table_store.fence
         segments: dict[int, Segment] = {}
         for row in rows:
-            server = self._deps.servers.rows[row.target]
+            server = self._parts.servers.rows[row.target]
             fence += 1
             segments[id(row)] = attrs.evolve(
                 row.segment,
@@ -232,7 +233,7 @@
             return
         for row in rows:
             self._begin_move(row, segments[id(row)])
-        self._deps.on_segments_changed()
+        self._parts.on_segments_changed()
 
     def _begin_move(self, row: SegmentRow, segment: Segment) -> None:
         former_segment, row.segment = row.segment, segment
@@ -246,10 +247,12 @@
         row.grant_refused = row.call_pending = False
         row.held_until_s = float("-inf")
         row.moved_s = self._ctx.now_s
-        capacity = self._deps.estimate_capacity(self._deps.servers.rows[segment.owner])
+        capacity = self._parts.estimate_capacity(
+            self._parts.servers.rows[segment.owner]
+        )
         self._ctx.log(
             LogName.KEYS_MOVED,
-            service=self._deps.service,
+            service=self._parts.service,
             first=segment.first,
             last=segment.last,
             former_owner=former_segment.owner,
@@ -279,7 +282,7 @@
         return self._assign_rows(lost)
 
     def _is_owner_lost(self, row: SegmentRow) -> bool:
-        servers = self._deps.servers
+        servers = self._parts.servers
         server = servers.rows.get(row.segment.owner)
         return (
             row.grant_refused
@@ -342,7 +345,7 @@
         if not self._is_first_assignment:
             return True
         now_s = self._ctx.now_s
-        rows = self._deps.servers.rows_by_service.get(self._deps.service, ())
+        rows = self._parts.servers.rows_by_service.get(self._parts.service, ())
         last_joined_s = max((row.joined_s for row in rows), default=now_s)
         waited_s = now_s - self._started_s
         return (
@@ -361,20 +364,20 @@
 
     def _list_capacities(self) -> list[Capacity]:
         return [
-            self._deps.estimate_capacity(row)
-            for row in self._deps.servers.rows_by_service.get(self._deps.service, ())
+            self._parts.estimate_capacity(row)
+            for row in self._parts.servers.rows_by_service.get(self._parts.service, ())
             if self._may_own_keys(row)
         ]
 
     def _may_own_keys(self, server: ServerRow) -> bool:
-        servers = self._deps.servers
+        servers = self._parts.servers
         if not servers.accepts_work(server) or self._grants.is_owner_silent(
             server.name
         ):
             return False
         return not servers.is_cold(server) or all(
             servers.is_cold(row)
-            for row in servers.rows_by_service.get(self._deps.service, ())
+            for row in servers.rows_by_service.get(self._parts.service, ())
         )
 
     def _build_load_map(self) -> LoadMap:
--- a/wagtailrill/keys/grants.py
+++ b/wagtailrill/keys/grants.py
@@ -42,7 +42,7 @@
 
 
 @attrs.frozen
-class GrantDependencies:
+class GrantParts:
     """Dependencies of `GrantManager`.
 
     `may_call` returns whether the duty is still held, `get_last_report_s` the monotonic
@@ -67,9 +67,9 @@
     they refuse every grant with an older one, however late it arrives.
     """
 
-    def __init__(self, deps: GrantDependencies) -> None:
-        self._deps = deps
-        self._ctx = deps.ctx
+    def __init__(self, parts: GrantParts) -> None:
+        self._parts = parts
+        self._ctx = parts.ctx
         self._open_calls: Counter[str] = Counter()
         self._last_grant_s: dict[str, float] = {}
         # Consecutive failed grants by owner.
@@ -100,7 +100,7 @@
             row.call_pending
             or self._ctx.now_s - row.grant_sent_s < interval_s
             or self._open_calls[segment.owner] >= GRANT_CALLS_PER_SERVER_MAX
-            or not self._deps.may_call()
+            or not self._parts.may_call()
         ):
             return
         row.call_pending = True
@@ -142,8 +142,8 @@
         granted = result.ok
         assert isinstance(granted, KeysGranted)
         if granted.load is not None:
-            self._deps.on_load_report(segment.owner, granted.load)
-        self._deps.on_call_slot_freed(segment.owner)
+            self._parts.on_load_report(segment.owner, granted.load)
+        self._parts.on_call_slot_freed(segment.owner)
         if not is_current:
             return
         row.grant_failures = 0
@@ -151,7 +151,7 @@
             row.state = SegmentState.SERVING
             row.handover = ""
             self._log_segment(LogName.KEYS_GRANTED, row, segment.owner)
-            self._deps.on_segments_changed()
+            self._parts.on_segments_changed()
 
     def _on_grant_failed(
         self, row: SegmentRow, error: ControlError, previous_held_until_s: float
@@ -185,7 +185,7 @@
             return False
         last_answer_s = max(
             self._last_grant_s.get(owner, float("-inf")),
-            self._deps.get_last_report_s(owner),
+            self._parts.get_last_report_s(owner),
         )
         return self._ctx.now_s - last_answer_s >= OWNER_SILENCE_MAX_S
 
@@ -202,7 +202,7 @@
 
     def _check_former_owner(self, row: SegmentRow, former: FormerOwnerRow) -> None:
         now_s = self._ctx.now_s
-        server = self._deps.servers.rows.get(former.process.owner)
+        server = self._parts.servers.rows.get(former.process.owner)
         if server is not None and server.entry.start_id != former.process.start_id:
             former.keys_freed = True  # that process has ended
         elif now_s >= former.held_until_s:
@@ -255,7 +255,7 @@
         segment = row.segment
         self._ctx.log(
             event,
-            service=self._deps.service,
+            service=self._parts.service,
             backend_server=backend_server,
             first=segment.first,
             last=segment.last,
