Name the dependencies of the driver Parts again

wagtailrill/runtime: DriverDependencies -> DriverParts, Driver.__init__.deps -> parts, Driver._deps -> _parts, as the other classes of this pattern are named.

--- a/wagtailrill/runtime/driver.py
+++ b/wagtailrill/runtime/driver.py
@@ -106,7 +106,7 @@
 
 
 @attrs.frozen
-class DriverDependencies:
+class DriverParts:
     """Router, clients, message formats and observability that a driver connects."""
 
     router: EventDrivenRouter
@@ -147,9 +147,9 @@
     `pools` holds the connections to each backend server, by its name.
     """
 
-    def __init__(self, deps: DriverDependencies) -> None:
+    def __init__(self, parts: DriverParts) -> None:
         self.pools: dict[str, BackendPool] = {}
-        self._deps = deps
+        self._parts = parts
         self._loop = asyncio.get_running_loop()
         self._open_requests: dict[int, OpenRequest] = {}
         self._running_attempts: dict[int, RunningAttempt] = {}
@@ -158,7 +158,7 @@
         self._timer_due_s = 0.0
         self._tasks: set[asyncio.Task[None]] = set()
         self._command_handlers: dict[type, Callable[[Any], None]] = {
-            SendPeer: lambda command: deps.transport.send(command.envelope),
+            SendPeer: lambda command: parts.transport.send(command.envelope),
             CallStore: self._call_store,
             CallBackend: self._call_backend,
             SendBackendRequest: self._send_backend_request,
@@ -167,12 +167,12 @@
             RefuseRequest: self._refuse_request,
             AnswerRequest: self._answer_request,
             ReplayAnswer: self._replay_answer,
-            LogEvent: deps.write_log,
+            LogEvent: parts.write_log,
         }
 
     def start(self) -> None:
         """Start the router and execute its first commands."""
-        commands = self._deps.router.start(read_clock_s(), time.time())
+        commands = self._parts.router.start(read_clock_s(), time.time())
         self._execute_commands(commands)
         self._arm_timer()
 
@@ -186,12 +186,12 @@
         None stands for due timers alone. Return whether the router handled the event
         without an exception; an exception is logged and counted.
         """
-        router = self._deps.router
+        router = self._parts.router
         try:
             commands = router.step(event, read_clock_s(), time.time())
         except Exception:
             _LOG.exception("step_failed", event_type=type(event).__name__)
-            self._deps.metrics.record_failed_step(type(event).__name__)
+            self._parts.metrics.record_failed_step(type(event).__name__)
             self._arm_timer()
             return False
         self._execute_commands(commands)
@@ -204,7 +204,7 @@
             exchange,
             req.caller_request_id,
             self._loop.time(),
-            self._deps.tracing.start_request(req),
+            self._parts.tracing.start_request(req),
         )
         if not self.dispatch_event(RequestArrived(req)):
             self._refuse_request(RefuseRequest(req.request_id, INTERNAL_ERROR_REFUSAL))
@@ -221,7 +221,7 @@
         """
         for name, pool in list(self.pools.items()):
             pool.close_expired_connections()
-            if pool.is_empty and self._deps.router.address_of(name) is None:
+            if pool.is_empty and self._parts.router.address_of(name) is None:
                 del self.pools[name]
 
     def _execute_commands(self, commands: list[Command]) -> None:
@@ -229,7 +229,7 @@
             self._command_handlers[type(command)](command)
 
     def _arm_timer(self) -> None:
-        due_s = self._deps.router.next_due_s()
+        due_s = self._parts.router.next_due_s()
         if self._timer is not None:
             if due_s is not None and self._timer_due_s <= due_s:
                 return
@@ -272,8 +272,8 @@
         self._loop.call_later(SAME_PROCESS_CHECK_DELAY_S, report_same_process)
 
     async def _async_call_store(self, command: CallStore) -> None:
-        result = await self._deps.store.async_call(command.operation)
-        self._deps.metrics.record_store_call(
+        result = await self._parts.store.async_call(command.operation)
+        self._parts.metrics.record_store_call(
             type(command.operation).__name__,
             "ok" if result.is_ok() else result.error.kind.value,
         )
@@ -287,7 +287,7 @@
         if isinstance(operation, CheckSameProcess):
             self._check_same_process(command)
             return
-        call = self._deps.control_dialect.encode_operation(operation)
+        call = self._parts.control_dialect.encode_operation(operation)
         # Negative, as identifiers of attempts at callers' requests are positive.
         attempt_id = -command.call_id
         backend_request = BackendRequest(
@@ -305,8 +305,10 @@
 
         def report_result(result: AttemptResult) -> None:
             timeout_handle.cancel()
-            control_result = self._deps.control_dialect.decode_result(operation, result)
-            self._deps.metrics.record_control_call(
+            control_result = self._parts.control_dialect.decode_result(
+                operation, result
+            )
+            self._parts.metrics.record_control_call(
                 type(operation).__name__,
                 "ok" if control_result.is_ok() else control_result.error.kind.value,
             )
@@ -334,7 +336,7 @@
             self._loop.call_soon(self._handle_attempt_end, result)
             return
         open_request = self._open_requests.get(backend_request.request_id)
-        span = self._deps.tracing.start_attempt(
+        span = self._parts.tracing.start_attempt(
             open_request.span if open_request is not None else None, backend_request
         )
         if span.headers:
@@ -348,7 +350,7 @@
         attempt = self._running_attempts.pop(result.attempt_id, None)
         if attempt is not None:
             attempt.span.end(result)
-        self._deps.metrics.record_attempt(result.outcome.value, result.latency_s)
+        self._parts.metrics.record_attempt(result.outcome.value, result.latency_s)
         self._attempt_results[result.attempt_id] = result
         self.dispatch_event(AttemptEnded(result))
         self._attempt_results.pop(result.attempt_id, None)
@@ -363,12 +365,12 @@
 
         The pool is created when there is none for this address.
         """
-        address = self._deps.router.address_of(backend_server)
+        address = self._parts.router.address_of(backend_server)
         if address is None:
             return None
         pool = self.pools.get(backend_server)
         if pool is None or pool.address != address:
-            pool = BackendPool(address, self._deps.backend_dialect)
+            pool = BackendPool(address, self._parts.backend_dialect)
             self.pools[backend_server] = pool
         return pool
 
@@ -381,7 +383,7 @@
         refusal = command.refusal
         open_request = self._open_requests.get(command.request_id)
         if open_request is not None:
-            answer = self._deps.caller_dialect.encode_refusal(
+            answer = self._parts.caller_dialect.encode_refusal(
                 refusal, open_request.caller_request_id
             )
             self._complete_request(command.request_id, answer, refusal.code.value)
@@ -403,6 +405,6 @@
         if open_request is None:
             return
         elapsed_s = self._loop.time() - open_request.started_s
-        self._deps.metrics.record_answer(answer.status, code, elapsed_s)
+        self._parts.metrics.record_answer(answer.status, code, elapsed_s)
         open_request.span.end(answer.status, code)
         open_request.exchange.set_response(answer)
--- a/wagtailrill/runtime/process.py
+++ b/wagtailrill/runtime/process.py
@@ -35,7 +35,7 @@
     SEED_BITS,
     STOP_MARGIN_S,
 )
-from .driver import Driver, DriverDependencies
+from .driver import Driver, DriverParts
 
 _LOG = structlog.get_logger()
 
@@ -94,7 +94,7 @@
         )
         external = cfg.external
         self.driver: Driver = Driver(
-            DriverDependencies(
+            DriverParts(
                 router=self.router,
                 store=external.store,
                 caller_dialect=external.caller_dialect,
