--- a/tests/declaration/test_mutations.py
+++ b/tests/declaration/test_mutations.py
@@ -1,4 +1,4 @@
-"""Guards the changes that operators make by command."""
+"""Tests the declaration changes that operators make with the command-line tool."""
 
 import pytest
 
@@ -48,8 +48,8 @@
         ),
     ],
 )
-def test_change_touches_only_its_entry(result, lines):
-    """Guards against a command that changes or shows something else."""
+def test_mutation_changes_only_its_entry(result, lines):
+    """Guards against a command that also changes or shows another entry."""
     assert difference(OLD, result.ok) == lines
     assert difference(OLD, OLD) == ()
     assert parse(to_json(result.ok)).ok == result.ok
@@ -66,6 +66,6 @@
         withdraw_tenant_key(OLD, "aegean-lines", "x"),
     ],
 )
-def test_unknown_entry_is_refused(result):
-    """Guards against a mistyped name that reports success."""
+def test_unknown_or_used_name_is_refused(result):
+    """Guards against a command that reports success for a mistyped name."""
     assert result.is_error()
--- a/tests/declaration/test_parse.py
+++ b/tests/declaration/test_parse.py
@@ -1,4 +1,4 @@
-"""Guards the parser: an unchecked declaration reaches every instance."""
+"""Tests the declaration parser; what it accepts is applied by every instance."""
 
 import json
 from pathlib import Path
@@ -19,10 +19,10 @@
 DELETED = object()
 
 
-def changed(place, value):
-    """Return the example's text with one place changed."""
+def format_changed_example(location, value):
+    """Return the JSON text of the example with the value at one location changed."""
     document = json.loads(json.dumps(DECLARATION))
-    *parents, last = place
+    *parents, last = location
     target = document
     for step in parents:
         target = target[step]
@@ -33,13 +33,14 @@
     return json.dumps(document)
 
 
-def findings_of(text):
+def list_findings(text):
+    """Return the path and message of each finding."""
     return [(f.path, f.message) for f in parse(text).swap().default_value(())]
 
 
-ALIAS = DECLARATION["services"][0]["backend_servers"][1]
+OTHER_SERVER = DECLARATION["services"][0]["backend_servers"][1]
 FAULTS = [
-    (("deployment",), 5, "$.deployment", "must be a text, not a number"),
+    (("deployment",), 5, "$.deployment", "must be a string, not a number"),
     (("deployment",), DELETED, "$.deployment", "missing"),
     (("deployment",), "Bad Name", "$.deployment", "lower-case"),
     (("services",), {}, "$.services", "must be an array, not an object"),
@@ -47,8 +48,8 @@
     (("colour",), 1, "$.colour", "unknown"),
     (("odd name",), 1, '$["odd name"]', "unknown"),
     ((*SERVER, "slots"), 0, "$.services[0].backend_servers[0].slots", "between 1"),
-    ((*SERVER, "slots"), True, "$.services[0].backend_servers[0].slots", "whole"),
-    ((*SERVER, "slots"), 1.5, "$.services[0].backend_servers[0].slots", "whole"),
+    ((*SERVER, "slots"), True, "$.services[0].backend_servers[0].slots", "an integer"),
+    ((*SERVER, "slots"), 1.5, "$.services[0].backend_servers[0].slots", "an integer"),
     (("services", 2, "connections"), 0, "$.services[2].connections", "between 1"),
     (
         ("services", 0, "slots"),
@@ -62,13 +63,13 @@
     ((*SERVER, "address"), "1.2.3.4:0", "$.services[0].backend_servers[0].address", ""),
     (
         (*SERVER, "address"),
-        ALIAS["address"],
+        OTHER_SERVER["address"],
         "$.services[0].backend_servers[1].address",
         "already given at $.services[0].backend_servers[0]",
     ),
     (
         (*SERVER, "name"),
-        ALIAS["name"],
+        OTHER_SERVER["name"],
         "$.services[0].backend_servers[1].name",
         "already given",
     ),
@@ -122,10 +123,10 @@
 
 
 @pytest.mark.parametrize("fault", FAULTS, ids=lambda fault: f"{fault[2]}")
-def test_fault_is_found_at_its_path(fault):
-    """Guards against a bad declaration that is accepted or misplaced."""
-    place, value, path, part = fault
-    found = findings_of(changed(place, value))
+def test_invalid_value_is_reported_at_its_path(fault):
+    """Guards against an invalid value that is accepted, or reported at another path."""
+    location, value, path, part = fault
+    found = list_findings(format_changed_example(location, value))
     assert any(p == path and part in message for p, message in found), found
 
 
@@ -142,16 +143,19 @@
     ],
 )
 def test_text_that_is_no_declaration_gives_one_finding(text, part):
-    """Guards against unreadable texts that end the process."""
-    found = findings_of(text)
+    """Guards against an unreadable text that raises, which would end the process."""
+    found = list_findings(text)
     assert [p for p, _ in found] == ["$"]
     assert part in found[0][1]
 
 
 def test_findings_are_reported_together():
-    """Guards against operators who must fix one finding to see the next."""
+    """Guards against a parser that stops at the first finding.
+
+    Operators would see the next finding only after they had fixed the first one.
+    """
     text = '{"deployment": "d", "deployment": "d", "services": [{}], "x": 1}'
-    found = dict(findings_of(text))
+    found = dict(list_findings(text))
     assert {"$.deployment", "$.services[0].name", "$.x", "$.organisations"} <= set(
         found
     )
@@ -159,23 +163,23 @@
 
 
 @pytest.mark.parametrize("name", ["piraeus", "railcard"])
-def test_example_survives_its_text(name):
-    """Guards against texts that change a declaration."""
+def test_example_round_trips_through_its_text(name):
+    """Guards against a declaration that changes when it is written and parsed again."""
     declaration = parse((EXAMPLES / name / "services.json").read_text()).ok
     assert parse(to_json(declaration)).ok == declaration
     assert to_json(parse(to_json(declaration)).ok) == to_json(declaration)
 
 
 def test_backend_server_overrides_the_service_default():
-    """Guards against a default that replaces a server's own size."""
-    text = changed((*SERVER, "slots"), 9)
+    """Guards against a service default that replaces a backend server's own slots."""
+    text = format_changed_example((*SERVER, "slots"), 9)
     servers = parse(text).ok.services[0].backend_servers
     assert (servers[0].slots, servers[1].slots) == (9, 6)
     assert servers[0].state is BackendServerState.IN
     assert parse(to_json(parse(text).ok)).ok == parse(text).ok
 
 
-VALUES = st.recursive(
+JSON_VALUES = st.recursive(
     st.none()
     | st.booleans()
     | st.integers()
@@ -187,14 +191,14 @@
     ),
     max_leaves=6,
 )
-PLACES = st.sampled_from(sorted({fault[0] for fault in FAULTS}, key=str))
+LOCATIONS = st.sampled_from(sorted({fault[0] for fault in FAULTS}, key=str))
 
 
 @settings(derandomize=True, max_examples=300, deadline=None)
-@given(PLACES, VALUES)
-def test_changed_declaration_never_raises(place, value):
-    """Guards against texts of operators that end the process."""
-    result = parse(changed(place, value))
+@given(LOCATIONS, JSON_VALUES)
+def test_changed_declaration_never_raises(location, value):
+    """Guards against an invalid value that raises, which would end the process."""
+    result = parse(format_changed_example(location, value))
     if result.is_ok():
         assert parse(to_json(result.ok)).ok == result.ok
     else:
@@ -202,7 +206,7 @@
 
 
 @settings(derandomize=True, max_examples=200, deadline=None)
-@given(st.binary() | st.text() | VALUES.map(json.dumps))
+@given(st.binary() | st.text() | JSON_VALUES.map(json.dumps))
 def test_arbitrary_text_gives_findings(text):
-    """Guards against foreign texts that are accepted or end the process."""
+    """Guards against an arbitrary text that is accepted, or that raises."""
     assert parse(text).is_error()
--- a/tests/declaration/test_routing.py
+++ b/tests/declaration/test_routing.py
@@ -1,4 +1,4 @@
-"""Guards route matching: a wrong key reaches a server that does not own it."""
+"""Tests route matching; a wrong key sends a request to a server without that key."""
 
 import pytest
 from hypothesis import given, settings, strategies as st
@@ -26,7 +26,7 @@
     ],
 )
 def test_request_finds_its_route(path, route, key):
-    """Guards against requests sent to the wrong service or key."""
+    """Guards against a request that is routed to a wrong service or by a wrong key."""
     match = TABLE.match("GET", path)
     assert (match.route.path, match.key) == (route, key)
 
@@ -35,7 +35,7 @@
     "path", ["", "c", "/c/", "//", "/a/", "/a/x/", "/%63", "/A/x", "/a/x?y", "/a/é"]
 )
 def test_other_paths_find_no_route(path):
-    """Guards against requests that match a route by accident."""
+    """Guards against a path that matches a route which it only resembles."""
     assert TABLE.match("GET", path) is None
     assert TABLE.match("POST", "/c") is None
 
@@ -48,14 +48,14 @@
     ],
 )
 def test_ambiguous_key_is_refused(segment):
-    """Guards against a key that router and backend server read differently."""
+    """Guards against a key that router and backend server decode differently."""
     assert decode_key(segment) is None
 
 
 @settings(derandomize=True, deadline=None)
 @given(st.text(st.characters(codec="utf-8", exclude_characters="%/\\")))
 def test_all_encodings_of_a_key_are_one_key(text):
-    """Guards against one key with two owners."""
+    """Guards against two encodings of one key that get different owners."""
     escaped = "".join(f"%{byte:02x}" for byte in text.encode())
     upper = escaped.upper()
     assert decode_key(escaped) == decode_key(upper)
--- a/tests/settings/test_parse.py
+++ b/tests/settings/test_parse.py
@@ -1,4 +1,4 @@
-"""Guards the settings parser: a bad setting must stop the start, not the traffic."""
+"""Tests the settings parser; an invalid setting must prevent the start of a process."""
 
 import json
 from pathlib import Path
@@ -6,7 +6,7 @@
 import pytest
 from hypothesis import given, settings, strategies as st
 
-from tests.declaration.test_parse import VALUES
+from tests.declaration.test_parse import JSON_VALUES
 from wagtailrill.settings.models import Limits
 from wagtailrill.settings.parse import parse
 
@@ -42,8 +42,8 @@
 
 
 @pytest.mark.parametrize("fault", FAULTS, ids=lambda fault: fault[1])
-def test_fault_is_found_at_its_path(fault):
-    """Guards against a bad setting that is accepted, and quoted secrets."""
+def test_invalid_setting_is_reported_at_its_path(fault):
+    """Guards against an invalid setting that is accepted, and a secret in a finding."""
     change, path, part = fault
     found = parse(json.dumps(SETTINGS | change)).error
     assert any(f.path == path and part in f.message for f in found), found
@@ -51,14 +51,14 @@
 
 
 def test_missing_fields_are_reported_together():
-    """Guards against a start that fails once for each missing field."""
+    """Guards against a parser that reports only the first missing field."""
     required = {"instance", "deployment", "data_centre", "caller_address"}
     required |= {"peer_address", "admin_address", "store_addresses", "peer_secrets"}
     assert {f.path for f in parse("{}").error} == {f"$.{name}" for name in required}
 
 
-def test_examples_are_valid_and_do_not_collide():
-    """Guards against a demo that cannot start, and against printed secrets."""
+def test_examples_are_valid_and_have_distinct_addresses():
+    """Guards against examples that cannot start, and secrets in the settings' repr."""
     for deployment in ("piraeus", "railcard"):
         files = sorted((EXAMPLES / deployment / "instances").glob("*.json"))
         loaded = [parse(file.read_text()).ok for file in files]
@@ -68,8 +68,10 @@
 
 
 @settings(derandomize=True, max_examples=300, deadline=None)
-@given(st.sampled_from(sorted({n for change, _, _ in FAULTS for n in change})), VALUES)
+@given(
+    st.sampled_from(sorted({n for change, _, _ in FAULTS for n in change})), JSON_VALUES
+)
 def test_changed_settings_never_raise(name, value):
-    """Guards against settings that end the start without a finding."""
+    """Guards against settings that raise, so that the start ends without a finding."""
     result = parse(json.dumps(SETTINGS | {name: value}))
     assert result.is_ok() or result.error
--- a/wagtailrill/configuration/__init__.py
+++ b/wagtailrill/configuration/__init__.py
@@ -1,1 +1,1 @@
-"""The configuration in force and how it reaches every instance."""
+"""The configuration in force, which every instance follows in the store."""
--- a/wagtailrill/configuration/follower.py
+++ b/wagtailrill/configuration/follower.py
@@ -1,4 +1,7 @@
-"""Follows the configuration in the store."""
+"""Follows the configuration in the store and notifies its listeners of each change.
+
+The router uses it.
+"""
 
 from collections.abc import Callable
 from typing import Protocol
@@ -16,28 +19,32 @@
 
 
 class ConfigurationDecoder(Protocol):
-    """Where the configuration lies in the store, and how to read it."""
+    """Locates the configuration in the store and decodes it."""
 
     @property
     def prefix(self) -> str:
-        """Return the prefix of all keys that belong to the configuration."""
+        """Return the prefix of all store keys that belong to the configuration."""
         ...
 
     def declaration_key(self) -> str:
-        """Return the key that holds the declaration."""
+        """Return the store key that holds the declaration."""
         ...
 
     def decode(self, item: Item) -> Result[Declaration, str]:
-        """Return the declaration, or what is wrong with it."""
+        """Return the declaration, or the reason why it is invalid."""
         ...
 
     def closed(self, keys: frozenset[str]) -> frozenset[str]:
-        """Return the data centres that other keys take out."""
+        """Return the data centres that the given store keys take out of service."""
         ...
 
 
 class ConfigurationFollower:
-    """Applies each accepted declaration, and never a lower revision after a higher."""
+    """Applies each valid declaration, and never an older revision after a newer one.
+
+    `current` is the configuration in force, None until the first one is applied. An
+    invalid declaration is logged and the configuration in force is kept.
+    """
 
     def __init__(self, ctx: Context, decoder: ConfigurationDecoder) -> None:
         self.current: Configuration | None = None
@@ -45,45 +52,45 @@
         self._decoder = decoder
         self._listeners: list[ConfigurationListener] = []
         self._declaration: Declaration | None = None
-        self._revision = 0
-        self._seen_revision = 0
-        self._closed: frozenset[str] = frozenset()
+        self._declaration_revision = 0
+        self._last_read_revision = 0
+        self._closed_data_centres: frozenset[str] = frozenset()
         self._mirror = PrefixMirror(
             ctx, MirrorSettings(decoder.prefix), self._on_change
         )
 
     def start(self) -> None:
-        """Begin to follow."""
+        """Start following the configuration."""
         self._mirror.start()
 
     def add_listener(self, listener: ConfigurationListener) -> None:
-        """Add a receiver of each configuration that comes into force."""
+        """Add a function to call with each configuration that comes into force."""
         self._listeners.append(listener)
 
     @property
     def confirmed_s(self) -> float:
-        """Return when the configuration was last known to be the newest."""
+        """Return the monotonic time at which the configuration was last confirmed."""
         return self._mirror.confirmed_s
 
     def _on_change(self, keys: frozenset[str]) -> None:
         item = self._mirror.items.get(self._decoder.declaration_key())
-        applied = item is not None and self._read(item)
-        closed = self._decoder.closed(frozenset(self._mirror.items))
-        if closed != self._closed:
-            self._closed = closed
-            applied = True
+        changed = item is not None and self._read_declaration(item)
+        closed_data_centres = self._decoder.closed(frozenset(self._mirror.items))
+        if closed_data_centres != self._closed_data_centres:
+            self._closed_data_centres = closed_data_centres
+            changed = True
             self._ctx.log(
                 LogName.DATA_CENTRES_CLOSED,
-                data_centres=",".join(sorted(closed)),
+                data_centres=",".join(sorted(closed_data_centres)),
                 revision=self._mirror.revision,
             )
-        if applied and self._declaration is not None:
-            self._apply(self._declaration)
+        if changed and self._declaration is not None:
+            self._apply_declaration(self._declaration)
 
-    def _read(self, item: Item) -> bool:
-        if item.revision <= self._seen_revision:
+    def _read_declaration(self, item: Item) -> bool:
+        if item.revision <= self._last_read_revision:
             return False
-        self._seen_revision = item.revision
+        self._last_read_revision = item.revision
         decoded = self._decoder.decode(item)
         if decoded.is_error():
             self._ctx.log(
@@ -93,20 +100,23 @@
             )
             return False
         self._declaration = decoded.ok
-        self._revision = item.revision
+        self._declaration_revision = item.revision
         return True
 
-    def _apply(self, declaration: Declaration) -> None:
+    def _apply_declaration(self, declaration: Declaration) -> None:
         data_centres = tuple(
-            attrs.evolve(d, state=DataCentreState.OUT) if d.name in self._closed else d
+            attrs.evolve(d, state=DataCentreState.OUT)
+            if d.name in self._closed_data_centres
+            else d
             for d in declaration.data_centres
         )
         self.current = Configuration(
-            self._revision, attrs.evolve(declaration, data_centres=data_centres)
+            self._declaration_revision,
+            attrs.evolve(declaration, data_centres=data_centres),
         )
         self._ctx.log(
             LogName.CONFIGURATION_APPLIED,
-            revision=self._revision,
+            revision=self._declaration_revision,
             version=declaration.deployment,
             services=len(declaration.services),
             organisations=len(declaration.organisations),
--- a/wagtailrill/declaration/check.py
+++ b/wagtailrill/declaration/check.py
@@ -1,4 +1,7 @@
-"""Checks of JSON documents that collect all findings with their JSON path."""
+"""Reads JSON objects field by field and collects all findings with their JSON paths.
+
+The parsers of the services declaration and of the instance settings use it.
+"""
 
 import enum
 import ipaddress
@@ -17,13 +20,13 @@
 E = TypeVar("E", bound=enum.StrEnum)
 
 NAME_PATTERN: Final = re.compile(r"[a-z0-9][a-z0-9._-]{0,62}")
-_PLAIN_FIELD: Final = re.compile(r"[A-Za-z_][A-Za-z0-9_]*")
-_PORT: Final = re.compile(r"[0-9]{1,5}")
+_PLAIN_FIELD_PATTERN: Final = re.compile(r"[A-Za-z_][A-Za-z0-9_]*")
+_PORT_PATTERN: Final = re.compile(r"[0-9]{1,5}")
 _MISSING: Final[Any] = object()
 
 
 class JsonObject(dict[str, Any]):
-    """A JSON object that remembers which names occurred more than once."""
+    """A JSON object; `duplicates` are the field names that occur more than once."""
 
     duplicates: tuple[str, ...] = ()
 
@@ -31,7 +34,7 @@
 _JSON_TYPES: Final = {
     JsonObject: "an object",
     list: "an array",
-    str: "a text",
+    str: "a string",
     bool: "true or false",
     int: "a number",
     float: "a number",
@@ -39,7 +42,7 @@
 }
 
 
-def _object_of(pairs: list[tuple[str, Any]]) -> JsonObject:
+def _make_json_object(pairs: list[tuple[str, Any]]) -> JsonObject:
     result = JsonObject(pairs)
     if len(result) < len(pairs):
         seen: set[str] = set()
@@ -50,37 +53,43 @@
     return result
 
 
-def child_path(path: str, name: str) -> str:
-    """Return the JSON path of a field."""
-    if _PLAIN_FIELD.fullmatch(name):
+def format_field_path(path: str, name: str) -> str:
+    """Return the JSON path of a field of the object at `path`."""
+    if _PLAIN_FIELD_PATTERN.fullmatch(name):
         return f"{path}.{name}"
     return f"{path}[{json.dumps(name[:64])}]"
 
 
 def load_json(text: str | bytes, max_bytes: int) -> Result[Any, Finding]:
-    """Return the JSON value of a text, or the finding that it is not JSON."""
+    """Return the JSON value of a text, or a finding if it is too long or invalid."""
     if len(text) > max_bytes:
         return Error(Finding("$", f"The text is longer than {max_bytes} bytes."))
     try:
         decoded = text if isinstance(text, str) else text.decode()
         if len(decoded.encode()) > max_bytes:
             return Error(Finding("$", f"The text is longer than {max_bytes} bytes."))
-        return Ok(json.loads(decoded, object_pairs_hook=_object_of))
+        return Ok(json.loads(decoded, object_pairs_hook=_make_json_object))
     except json.JSONDecodeError as exc:
-        place = f"line {exc.lineno}, column {exc.colno}"
-        return Error(Finding("$", f"The text is not valid JSON at {place}: {exc.msg}."))
+        position = f"line {exc.lineno}, column {exc.colno}"
+        return Error(
+            Finding("$", f"The text is not valid JSON at {position}: {exc.msg}.")
+        )
     except UnicodeError:
         return Error(Finding("$", "The text is not valid UTF-8."))
     except RecursionError:
         return Error(Finding("$", "The text is nested too deeply."))
     except ValueError:
-        return Error(Finding("$", "The text holds a number with too many digits."))
+        return Error(Finding("$", "The text contains a number with too many digits."))
 
 
 def is_address(text: str) -> bool:
-    """Return whether a text is IP:port, with an IPv6 address in brackets."""
+    """Return whether a text has the form IP:port, with an IPv6 address in brackets."""
     host, separator, port = text.rpartition(":")
-    if not separator or not _PORT.fullmatch(port) or not 1 <= int(port) <= 65_535:
+    if (
+        not separator
+        or not _PORT_PATTERN.fullmatch(port)
+        or not 1 <= int(port) <= 65_535
+    ):
         return False
     bracketed = host.startswith("[") and host.endswith("]")
     try:
@@ -91,65 +100,69 @@
 
 
 def report_of(findings: Findings) -> tuple[Finding, ...]:
-    """Return the findings, cut off at `FINDINGS_MAX`."""
+    """Return the first `FINDINGS_MAX` findings, and one that counts the others."""
     if len(findings.items) <= FINDINGS_MAX:
         return tuple(findings.items)
-    more = len(findings.items) - FINDINGS_MAX
-    rest = Finding("$", f"There are {more} more problems.")
-    return (*findings.items[:FINDINGS_MAX], rest)
+    omitted_count = len(findings.items) - FINDINGS_MAX
+    summary = Finding("$", f"There are {omitted_count} more problems.")
+    return (*findings.items[:FINDINGS_MAX], summary)
 
 
 class ObjectReader:
-    """Reads the fields of a JSON object and records what is wrong with them.
+    """Reads the fields of a JSON object and records findings about them.
 
-    Each method returns a usable value even after a finding, so that one pass finds
-    every problem. `finish` reports the fields that nobody asked for.
+    Each method returns a value of its type even after a finding, so that one pass
+    reports every problem. A field without a default is required. `finish` reports the
+    fields that were not read. `is_object` is false if the value is not an object; this
+    is reported once, without a finding for each missing field.
     """
 
     def __init__(self, value: Any, path: str, findings: Findings) -> None:
         self.path = path
         self.findings = findings
-        self.valid = isinstance(value, JsonObject)
-        self._data: JsonObject = value if self.valid else JsonObject()
-        self._known: set[str] = set()
-        if not self.valid:
+        self.is_object = isinstance(value, JsonObject)
+        self._fields: JsonObject = value if self.is_object else JsonObject()
+        self._known_fields: set[str] = set()
+        if not self.is_object:
             found = _JSON_TYPES[type(value)]
             findings.add(path, f"This must be an object, not {found}.")
-        for name in self._data.duplicates:
-            findings.add(child_path(path, name), "The field is given more than once.")
+        for name in self._fields.duplicates:
+            findings.add(
+                format_field_path(path, name), "The field is given more than once."
+            )
 
-    def add(self, name: str, message: str) -> None:
-        """Record a problem of a field."""
-        self.findings.add(child_path(self.path, name), message)
+    def add_finding(self, name: str, message: str) -> None:
+        """Record a finding about a field."""
+        self.findings.add(format_field_path(self.path, name), message)
 
     def has(self, name: str) -> bool:
-        """Return whether a field is given."""
-        return name in self._data
+        """Return whether a field is present."""
+        return name in self._fields
 
-    def is_text(self, name: str) -> bool:
-        """Return whether a field is given and a text."""
-        return isinstance(self._data.get(name), str)
+    def is_string(self, name: str) -> bool:
+        """Return whether a field is present and a string."""
+        return isinstance(self._fields.get(name), str)
 
     def is_array(self, name: str) -> bool:
-        """Return whether a field is given and an array."""
-        return isinstance(self._data.get(name), list)
+        """Return whether a field is present and an array."""
+        return isinstance(self._fields.get(name), list)
 
     def finish(self) -> None:
-        """Report unknown fields."""
-        for name in self._data:
-            if name not in self._known:
-                self.add(name, "The field is unknown.")
-
-    def text(self, name: str, default: str = _MISSING) -> str:
-        """Return a text; without a default the field must be given."""
-        value = self._take(name, (str,), "a text", default)
+        """Report the fields that were not read as unknown."""
+        for name in self._fields:
+            if name not in self._known_fields:
+                self.add_finding(name, "The field is unknown.")
+
+    def read_string(self, name: str, default: str = _MISSING) -> str:
+        """Return a string, empty after a finding."""
+        value = self._read_value(name, (str,), "a string", default)
         return "" if value is None else str(value)
 
-    def name(self, name: str = "name", default: str = _MISSING) -> str:
+    def read_name(self, name: str = "name", default: str = _MISSING) -> str:
         """Return a name: lower-case letters, digits, `.`, `_` and `-`."""
-        value = self.text(name, default)
-        if self.is_text(name) and not NAME_PATTERN.fullmatch(value):
-            self.add(
+        value = self.read_string(name, default)
+        if self.is_string(name) and not NAME_PATTERN.fullmatch(value):
+            self.add_finding(
                 name,
                 "A name has 1 to 63 lower-case letters, digits, '.', '_' or '-' and "
                 "starts with a letter or digit.",
@@ -157,128 +170,135 @@
             return ""
         return value
 
-    def matching(self, name: str, pattern: re.Pattern[str], wanted: str) -> str:
-        """Return a text that matches a pattern; `wanted` describes it."""
-        value = self.text(name)
-        if self.is_text(name) and not pattern.fullmatch(value):
-            self.add(name, f"This must be {wanted}.")
+    def read_matching_string(
+        self, name: str, pattern: re.Pattern[str], expected: str
+    ) -> str:
+        """Return a string that matches a pattern; `expected` describes the pattern."""
+        value = self.read_string(name)
+        if self.is_string(name) and not pattern.fullmatch(value):
+            self.add_finding(name, f"This must be {expected}.")
         return value
 
-    def flag(self, name: str, default: bool = _MISSING) -> bool:
-        """Return true or false."""
-        return self._take(name, (bool,), "true or false", default) is True
+    def read_flag(self, name: str, default: bool = _MISSING) -> bool:
+        """Return a boolean, false after a finding."""
+        return self._read_value(name, (bool,), "true or false", default) is True
 
-    def integer(
+    def read_integer(
         self, name: str, minimum: int, maximum: int, default: int = _MISSING
     ) -> int:
-        """Return a whole number between two bounds."""
-        value = self._take(name, (int,), "a whole number", default)
+        """Return an integer between two bounds, `minimum` after a finding."""
+        value = self._read_value(name, (int,), "an integer", default)
         if value is None:
             return minimum
         if minimum <= value <= maximum:
             return int(value)
-        self.add(name, f"The number must be between {minimum} and {maximum}.")
+        self.add_finding(name, f"The number must be between {minimum} and {maximum}.")
         return minimum
 
     def positive(
         self, name: str, default: float = _MISSING, maximum: float = math.inf
     ) -> float:
-        """Return a positive finite number up to a maximum."""
-        value = self._take(name, (int, float), "a number", default)
+        """Return a positive finite number up to a maximum, 1.0 after a finding."""
+        value = self._read_value(name, (int, float), "a number", default)
         if value is None:
             return 1.0
-        number = _float_of(value)
+        number = _to_float(value)
         if not (math.isfinite(number) and number > 0.0):
-            self.add(name, "The number must be positive and finite.")
+            self.add_finding(name, "The number must be positive and finite.")
             return 1.0
         if number > maximum:
-            self.add(name, f"The number must be at most {maximum:g}.")
+            self.add_finding(name, f"The number must be at most {maximum:g}.")
             return 1.0
         return number
 
     def fraction(self, name: str, default: float) -> float:
-        """Return a number between 0 and 1."""
-        value = self._take(name, (int, float), "a number", default)
-        number = default if value is None else _float_of(value)
+        """Return a number between 0 and 1, `default` after a finding."""
+        value = self._read_value(name, (int, float), "a number", default)
+        number = default if value is None else _to_float(value)
         if 0.0 <= number <= 1.0:
             return number
-        self.add(name, "The number must be between 0 and 1.")
+        self.add_finding(name, "The number must be between 0 and 1.")
         return default
 
     def choice(self, name: str, options: type[E], default: E) -> E:
-        """Return a member of an enumeration."""
-        value = self._take(name, (str,), "a text", default)
+        """Return a member of an enumeration, `default` after a finding."""
+        value = self._read_value(name, (str,), "a string", default)
         if value is None:
             return default
         if value in list(options):
             return options(value)
         allowed = ", ".join(f'"{option}"' for option in options)
-        self.add(name, f"The value must be one of {allowed}.")
+        self.add_finding(name, f"The value must be one of {allowed}.")
         return default
 
-    def address(self, name: str, default: str = _MISSING) -> str:
-        """Return an address of the form IP:port."""
-        value = self.text(name, default)
-        if self.is_text(name):
-            self.check_address(value, child_path(self.path, name))
+    def read_address(self, name: str, default: str = _MISSING) -> str:
+        """Return a string, and report it if it is not of the form IP:port."""
+        value = self.read_string(name, default)
+        if self.is_string(name):
+            self.check_address(value, format_field_path(self.path, name))
         return value
 
     def check_address(self, value: str, path: str) -> None:
-        """Report a text that is not IP:port."""
+        """Report a string that is not of the form IP:port."""
         if not is_address(value):
             self.findings.add(path, "The address must be IP:port, such as 10.0.0.1:80.")
 
-    def items(
+    def read_items(
         self, name: str, maximum: int, optional: bool = False
     ) -> Iterator[tuple[Any, str]]:
-        """Yield the entries of an array with their paths."""
+        """Yield the entries of an array, up to `maximum`, with their JSON paths."""
         default: Any = [] if optional else _MISSING
-        values = self._take(name, (list,), "an array", default) or []
+        values = self._read_value(name, (list,), "an array", default) or []
         if len(values) > maximum:
-            self.add(name, f"There are more than {maximum} entries.")
+            self.add_finding(name, f"There are more than {maximum} entries.")
             values = values[:maximum]
-        path = child_path(self.path, name)
+        path = format_field_path(self.path, name)
         for index, value in enumerate(values):
             yield value, f"{path}[{index}]"
 
     def texts(
         self, name: str, maximum: int, optional: bool = False
     ) -> Iterator[tuple[str, str]]:
-        """Yield the texts of an array with their paths; a bad entry is empty."""
-        for value, path in self.items(name, maximum, optional):
+        """Yield the strings of an array with their JSON paths.
+
+        An entry that is not a string, or empty, is reported and yielded as empty.
+        """
+        for value, path in self.read_items(name, maximum, optional):
             if isinstance(value, str) and value:
                 yield value, path
                 continue
             found = "an empty one" if value == "" else _JSON_TYPES[type(value)]
-            self.findings.add(path, f"This must be a text, not {found}.")
+            self.findings.add(path, f"This must be a string, not {found}.")
             yield "", path
 
-    def nested(self, name: str) -> "ObjectReader | None":
+    def read_object(self, name: str) -> "ObjectReader | None":
         """Return a reader of an optional object field."""
-        self._known.add(name)
-        if name not in self._data:
+        self._known_fields.add(name)
+        if name not in self._fields:
             return None
-        path = child_path(self.path, name)
-        return ObjectReader(self._data[name], path, self.findings)
+        path = format_field_path(self.path, name)
+        return ObjectReader(self._fields[name], path, self.findings)
 
-    def _take(
-        self, name: str, kinds: Sequence[type], wanted: str, default: Any
+    def _read_value(
+        self, name: str, types: Sequence[type], expected: str, default: Any
     ) -> Any | None:
-        self._known.add(name)
-        if name not in self._data:
+        self._known_fields.add(name)
+        if name not in self._fields:
             if default is not _MISSING:
                 return default
-            if self.valid:
-                self.add(name, "The field is missing.")
+            if self.is_object:
+                self.add_finding(name, "The field is missing.")
             return None
-        value = self._data[name]
-        if type(value) in kinds:
+        value = self._fields[name]
+        if type(value) in types:
             return value
-        self.add(name, f"This must be {wanted}, not {_JSON_TYPES[type(value)]}.")
+        self.add_finding(
+            name, f"This must be {expected}, not {_JSON_TYPES[type(value)]}."
+        )
         return None
 
 
-def _float_of(value: float) -> float:
+def _to_float(value: float) -> float:
     try:
         return float(value)
     except OverflowError:
@@ -287,19 +307,19 @@
 
 @attrs.define
 class UniqueNames:
-    """Reports names that occur more than once."""
+    """Reports names that occur more than once; `kind` is their kind in messages."""
 
     kind: str
     findings: Findings
-    _seen: dict[str, str] = attrs.field(factory=dict)
+    _first_paths: dict[str, str] = attrs.field(factory=dict)
 
-    def add(self, name: str, path: str) -> None:
-        """Record a name with its path; an empty one is already reported."""
+    def add_name(self, name: str, path: str) -> None:
+        """Add a name with its JSON path; an empty name is reported elsewhere."""
         if not name:
             return
-        if name in self._seen:
-            first = self._seen[name]
-            message = f"The {self.kind} {name[:64]!a} is already given at {first}."
+        if name in self._first_paths:
+            first_path = self._first_paths[name]
+            message = f"The {self.kind} {name[:64]!a} is already given at {first_path}."
             self.findings.add(path, message)
         else:
-            self._seen[name] = path
+            self._first_paths[name] = path
--- a/wagtailrill/declaration/const.py
+++ b/wagtailrill/declaration/const.py
@@ -1,4 +1,4 @@
-"""Defaults and bounds of the services declaration."""
+"""Defaults and bounds of the services declaration, which the parser applies."""
 
 from typing import Final
 
@@ -19,16 +19,16 @@
 TENANT_KEYS_PER_ORGANISATION_MAX: Final = 16
 SLOTS_MAX: Final = 65_536
 CONNECTIONS_MAX: Final = 65_536
-# Far above every real value, and low enough that products of two stay finite.
+# Far above any real value, and low enough that the product of two is finite.
 RATE_MAX_PER_S: Final = 1e9
 BURST_MAX: Final = 1e9
 WEIGHT_MAX: Final = 1e6
 DURATION_MAX_S: Final = 86_400.0
-CALLER_BYTES_MAX: Final = 1_073_741_824
+CALLER_LIMIT_MAX_BYTES: Final = 1_073_741_824
 PRIORITY_MAX: Final = 1_000
 ATTEMPTS_MAX: Final = 16
 PATH_MAX_CHARACTERS: Final = 512
-# A text with more problems than this is reported up to here.
+# Findings beyond this number are only counted.
 FINDINGS_MAX: Final = 200
 
 HTTP_METHODS: Final = frozenset(
--- a/wagtailrill/declaration/difference.py
+++ b/wagtailrill/declaration/difference.py
@@ -1,4 +1,7 @@
-"""Difference of two declarations, for a person."""
+"""Describes the differences between two declarations to operators.
+
+The command-line tool uses it.
+"""
 
 from collections.abc import Callable
 from typing import Any, Final
@@ -15,7 +18,7 @@
     TenantKeyHash,
 )
 
-_LABELS: Final[dict[type, Callable[[Any], str]]] = {
+_LABEL_FORMATTERS: Final[dict[type, Callable[[Any], str]]] = {
     DataCentre: lambda d: f"data centre {d.name}",
     Service: lambda s: f"service {s.name}",
     BackendServerEntry: lambda b: f"backend server {b.name}",
@@ -27,54 +30,56 @@
 
 def difference(old: Declaration, new: Declaration) -> tuple[str, ...]:
     """Return one line for each addition (+), removal (-) and change (~)."""
-    return tuple(_compare("", old, new))
+    return tuple(_compare_entries("", old, new))
 
 
-def _compare(where: str, old: Any, new: Any) -> list[str]:
+def _compare_entries(prefix: str, old: Any, new: Any) -> list[str]:
     if old == new:
         return []
     lines: list[str] = []
     for field in attrs.fields(type(old)):
         before, after = getattr(old, field.name), getattr(new, field.name)
-        lines.extend(_compare_field(where, field.name, before, after))
+        lines.extend(_compare_field(prefix, field.name, before, after))
     return lines
 
 
-def _compare_field(where: str, name: str, before: Any, after: Any) -> list[str]:
+def _compare_field(prefix: str, name: str, before: Any, after: Any) -> list[str]:
     if before == after:
         return []
-    if _is_table(before) or _is_table(after):
-        return _compare_tables(where, before, after)
+    if _contains_entries(before) or _contains_entries(after):
+        return _compare_entry_tuples(prefix, before, after)
     if attrs.has(type(before)):
-        return _compare(f"{where}{name}: ", before, after)
-    return [f"~ {where}{name} {_shown(before)} -> {_shown(after)}"]
+        return _compare_entries(f"{prefix}{name}: ", before, after)
+    return [f"~ {prefix}{name} {_format_value(before)} -> {_format_value(after)}"]
 
 
-def _compare_tables(
-    where: str, before: tuple[Any, ...], after: tuple[Any, ...]
+def _compare_entry_tuples(
+    prefix: str, before: tuple[Any, ...], after: tuple[Any, ...]
 ) -> list[str]:
-    old = {_label(entry): entry for entry in before}
-    new = {_label(entry): entry for entry in after}
-    lines = [f"- {where}{label}" for label in old if label not in new]
-    lines += [f"+ {where}{label}" for label in new if label not in old]
+    old = {_get_label(entry): entry for entry in before}
+    new = {_get_label(entry): entry for entry in after}
+    lines = [f"- {prefix}{label}" for label in old if label not in new]
+    lines += [f"+ {prefix}{label}" for label in new if label not in old]
     for label in new:
         if label in old:
-            lines.extend(_compare(f"{where}{label}: ", old[label], new[label]))
-    order = [label for label in old if label in new]
-    if order != [label for label in new if label in old]:
-        lines.append(f"~ {where}order of entries")
+            lines.extend(_compare_entries(f"{prefix}{label}: ", old[label], new[label]))
+    kept_labels = [label for label in old if label in new]
+    if kept_labels != [label for label in new if label in old]:
+        lines.append(f"~ {prefix}order of entries")
     return lines
 
 
-def _is_table(value: Any) -> bool:
-    return isinstance(value, tuple) and bool(value) and type(value[0]) in _LABELS
+def _contains_entries(value: Any) -> bool:
+    return (
+        isinstance(value, tuple) and bool(value) and type(value[0]) in _LABEL_FORMATTERS
+    )
 
 
-def _label(entry: Any) -> str:
-    return _LABELS[type(entry)](entry)
+def _get_label(entry: Any) -> str:
+    return _LABEL_FORMATTERS[type(entry)](entry)
 
 
-def _shown(value: Any) -> str:
+def _format_value(value: Any) -> str:
     if isinstance(value, tuple):
         return ", ".join(map(str, value)) or "none"
     return str(value)
--- a/wagtailrill/declaration/models.py
+++ b/wagtailrill/declaration/models.py
@@ -1,4 +1,4 @@
-"""Models of the services declaration."""
+"""Models of the services declaration and of the configuration made from it."""
 
 import enum
 
@@ -45,7 +45,7 @@
 
 @attrs.frozen
 class SplitPart:
-    """A service that gets a share of a route's requests, by weight."""
+    """A service that gets a share of a route's requests in proportion to `weight`."""
 
     service: str
     weight: float
@@ -53,13 +53,13 @@
 
 @attrs.frozen
 class Route:
-    """Requests of a method and path; `{key}` in the path names the key segment.
+    """How requests of a method and path are handled.
 
-    With `by_prefix` the path is a prefix, which ends with a slash, and any method
-    matches. An empty `host` matches every host. `priority` is a rank, 0 the highest.
-    An answer within `target_latency_s` is as good as one at once. A request is sent to
-    at most `attempts_max` backend servers that run it. Without `split` all requests go
-    to the service that has the route.
+    The segment `{key}` of the path stands for the key. With `by_prefix` the path is a
+    prefix, which ends with a slash, and any method matches. An empty `host` matches
+    every host. `priority` is a rank, 0 the highest. An answer within `target_latency_s`
+    is as useful as an immediate one. At most `attempts_max` backend servers run a
+    request. Without `split` all requests go to the service that has the route.
     """
 
     method: str
@@ -78,13 +78,16 @@
 
     @property
     def target_s(self) -> float:
-        """Return the time in seconds within which an answer is fully useful."""
+        """Return the target latency in seconds, by default the timeout."""
         return self.target_latency_s or self.timeout_s
 
 
 @attrs.frozen
 class BackendServerEntry:
-    """A backend server; `slots` is its concurrency, fleet-wide."""
+    """A backend server with its limits for the whole fleet.
+
+    `slots` limits its concurrent requests, `connections` the connections to it.
+    """
 
     name: str
     address: str
@@ -96,7 +99,10 @@
 
 @attrs.frozen
 class SlowStart:
-    """Ramp after a start: `slots` at first, one more every `step_s` seconds."""
+    """Slow start of a backend server.
+
+    It has `slots` at first, and one more every `step_s` seconds.
+    """
 
     slots: int = DEFAULT_SLOW_START_SLOTS
     step_s: float = DEFAULT_SLOW_START_STEP_S
@@ -104,9 +110,9 @@
 
 @attrs.frozen
 class ColdStart:
-    """What a cold backend server bears, fleet-wide: requests per second.
+    """Rate limit of a cold backend server, in requests/s for the whole fleet.
 
-    A server is cold for up to `duration_s` after its start.
+    A server is cold for up to `duration_s` seconds after its start.
     """
 
     duration_s: float
@@ -115,10 +121,10 @@
 
 @attrs.frozen
 class Service:
-    """A service and its backend servers; a keyed one is divided by key.
+    """A service and its backend servers; a keyed service is partitioned by key.
 
-    `connections_max` holds for each backend server that is discovered rather than
-    declared. Keys that move without a handover are slow for `transfer_warm_s`.
+    `connections_max` applies to each backend server that is discovered rather than
+    declared. Keys that move without a handover are slow for `transfer_warm_s` seconds.
     """
 
     name: str
@@ -147,7 +153,7 @@
 class Organisation:
     """An organisation with its fleet-wide rate (requests/s) and burst (requests).
 
-    An infinite rate is no limit. A `priority` goes before those of the routes.
+    An infinite rate means no limit. A `priority` overrides those of the routes.
     """
 
     name: str
@@ -160,7 +166,7 @@
 
 @attrs.frozen
 class CallerLimits:
-    """What a caller may send, in bytes, and how long it may take, in seconds."""
+    """Limits on a caller's request, in bytes, and connection timeouts, in seconds."""
 
     header_max_bytes: int
     body_max_bytes: int
@@ -170,7 +176,7 @@
 
 @attrs.frozen
 class Declaration:
-    """A whole, checked services declaration."""
+    """A complete services declaration that has passed all checks."""
 
     deployment: str
     data_centres: tuple[DataCentre, ...]
@@ -181,7 +187,11 @@
 
 @attrs.frozen
 class Configuration:
-    """A declaration with its version, the store revision that accepted it."""
+    """A declaration with indexes by name.
+
+    `version` is the store revision at which it was written. `service_of` is keyed by
+    the name of the backend server.
+    """
 
     version: int
     declaration: Declaration
@@ -197,12 +207,12 @@
 
     def __attrs_post_init__(self) -> None:
         declaration = self.declaration
-        put = object.__setattr__
-        put(self, "services", {s.name: s for s in declaration.services})
-        put(self, "organisations", {o.name: o for o in declaration.organisations})
+        set_field = object.__setattr__
+        set_field(self, "services", {s.name: s for s in declaration.services})
+        set_field(self, "organisations", {o.name: o for o in declaration.organisations})
         pairs = [(b, s) for s in declaration.services for b in s.backend_servers]
-        put(self, "backend_servers", {b.name: b for b, _ in pairs})
-        put(self, "service_of", {b.name: s for b, s in pairs})
+        set_field(self, "backend_servers", {b.name: b for b, _ in pairs})
+        set_field(self, "service_of", {b.name: s for b, s in pairs})
         open_data_centres = {
             d.name for d in declaration.data_centres if d.state is DataCentreState.IN
         }
@@ -211,11 +221,11 @@
             for b, _ in pairs
             if b.state is BackendServerState.IN and b.data_centre in open_data_centres
         )
-        put(self, "_available", available)
+        set_field(self, "_available", available)
 
     @property
     def closed_data_centres(self) -> frozenset[str]:
-        """Return the data centres that take no new work."""
+        """Return the names of the data centres that take no new work."""
         return frozenset(
             d.name
             for d in self.declaration.data_centres
@@ -223,5 +233,5 @@
         )
 
     def accepts_work(self, backend_server: str) -> bool:
-        """Return whether new work may go to a backend server."""
+        """Return whether new work may be sent to a backend server."""
         return backend_server in self._available
--- a/wagtailrill/declaration/mutations.py
+++ b/wagtailrill/declaration/mutations.py
@@ -1,4 +1,8 @@
-"""Changes of a declaration that operators make by command."""
+"""Changes to a declaration that operators make with the command-line tool.
+
+Each function returns the changed declaration, or an error message if a name in the
+command is unknown or already in use.
+"""
 
 from collections.abc import Callable
 
@@ -17,22 +21,23 @@
 )
 
 Mutated = Result[Declaration, str]
-KeyChange = Callable[[tuple[TenantKeyHash, ...]], tuple[TenantKeyHash, ...]]
+TenantKeysChange = Callable[[tuple[TenantKeyHash, ...]], tuple[TenantKeyHash, ...]]
 
 
 def set_data_centre_state(
     declaration: Declaration, name: str, state: DataCentreState
 ) -> Mutated:
-    """Return the declaration with a data centre in or out."""
+    """Return the declaration with the state of a data centre set."""
     if all(d.name != name for d in declaration.data_centres):
         return Error(f'The declaration has no data centre "{name}".')
 
-    def change(entry: DataCentre) -> DataCentre:
+    def change_data_centre(entry: DataCentre) -> DataCentre:
         return attrs.evolve(entry, state=state) if entry.name == name else entry
 
     return Ok(
         attrs.evolve(
-            declaration, data_centres=tuple(map(change, declaration.data_centres))
+            declaration,
+            data_centres=tuple(map(change_data_centre, declaration.data_centres)),
         )
     )
 
@@ -40,16 +45,16 @@
 def set_backend_server_state(
     declaration: Declaration, name: str, state: BackendServerState
 ) -> Mutated:
-    """Return the declaration with a backend server in or leaving."""
+    """Return the declaration with the state of a backend server set."""
     services = declaration.services
     if all(b.name != name for s in services for b in s.backend_servers):
         return Error(f'The declaration has no backend server "{name}".')
 
-    def change(entry: BackendServerEntry) -> BackendServerEntry:
+    def change_backend_server(entry: BackendServerEntry) -> BackendServerEntry:
         return attrs.evolve(entry, state=state) if entry.name == name else entry
 
     def change_service(service: Service) -> Service:
-        servers = tuple(map(change, service.backend_servers))
+        servers = tuple(map(change_backend_server, service.backend_servers))
         return attrs.evolve(service, backend_servers=servers)
 
     return Ok(attrs.evolve(declaration, services=tuple(map(change_service, services))))
@@ -58,40 +63,45 @@
 def add_tenant_key(
     declaration: Declaration, organisation: str, key: TenantKeyHash
 ) -> Mutated:
-    """Return the declaration with one more tenant key of an organisation."""
-    used = {k.key_id for o in declaration.organisations for k in o.tenant_keys}
-    if key.key_id in used:
+    """Return the declaration with a tenant key added to an organisation."""
+    used_key_ids = {k.key_id for o in declaration.organisations for k in o.tenant_keys}
+    if key.key_id in used_key_ids:
         return Error(f'The key id "{key.key_id}" is already in use.')
-    return _change_keys(declaration, organisation, lambda keys: (*keys, key))
+    return _change_tenant_keys(declaration, organisation, lambda keys: (*keys, key))
 
 
 def withdraw_tenant_key(
     declaration: Declaration, organisation: str, key_id: str | None = None
 ) -> Mutated:
-    """Return the declaration without one, or without any, key of an organisation."""
-    owned = {
+    """Return the declaration without a tenant key of an organisation.
+
+    Without `key_id` all tenant keys of the organisation are removed.
+    """
+    owned_key_ids = {
         k.key_id
         for o in declaration.organisations
         if o.name == organisation
         for k in o.tenant_keys
     }
-    if key_id is not None and owned and key_id not in owned:
+    if key_id is not None and owned_key_ids and key_id not in owned_key_ids:
         return Error(f'The organisation "{organisation}" has no key "{key_id}".')
 
-    def remaining(keys: tuple[TenantKeyHash, ...]) -> tuple[TenantKeyHash, ...]:
+    def remove_keys(keys: tuple[TenantKeyHash, ...]) -> tuple[TenantKeyHash, ...]:
         return tuple(k for k in keys if key_id is not None and k.key_id != key_id)
 
-    return _change_keys(declaration, organisation, remaining)
+    return _change_tenant_keys(declaration, organisation, remove_keys)
 
 
-def _change_keys(declaration: Declaration, name: str, change: KeyChange) -> Mutated:
+def _change_tenant_keys(
+    declaration: Declaration, name: str, change_keys: TenantKeysChange
+) -> Mutated:
     if all(o.name != name for o in declaration.organisations):
         return Error(f'The declaration has no organisation "{name}".')
 
     def change_organisation(entry: Organisation) -> Organisation:
         if entry.name != name:
             return entry
-        return attrs.evolve(entry, tenant_keys=change(entry.tenant_keys))
+        return attrs.evolve(entry, tenant_keys=change_keys(entry.tenant_keys))
 
     organisations = tuple(map(change_organisation, declaration.organisations))
     return Ok(attrs.evolve(declaration, organisations=organisations))
--- a/wagtailrill/declaration/routing.py
+++ b/wagtailrill/declaration/routing.py
@@ -1,4 +1,4 @@
-"""Matching of requests to the routes of a declaration."""
+"""Matches requests to the routes of a declaration; the request checks use it."""
 
 import re
 from typing import Final
@@ -8,9 +8,11 @@
 from .const import KEY_SEGMENT
 from .models import Declaration, Route, Service
 
-_SEGMENT: Final = re.compile(r"(?:[A-Za-z0-9._~!$&'()*+,;=:@-]|%[0-9A-Fa-f]{2})+")
-_ESCAPE: Final = re.compile(rb"%[0-9A-Fa-f]{2}")
-_NO_KEY: Final = -1
+_SEGMENT_PATTERN: Final = re.compile(
+    r"(?:[A-Za-z0-9._~!$&'()*+,;=:@-]|%[0-9A-Fa-f]{2})+"
+)
+_ESCAPE_PATTERN: Final = re.compile(rb"%[0-9A-Fa-f]{2}")
+_NO_KEY_POSITION: Final = -1
 
 
 @attrs.frozen
@@ -23,81 +25,83 @@
 
 
 @attrs.frozen
-class _Entry:
+class _RouteEntry:
     service: Service
     route: Route
 
 
-_Shape = tuple[str, int]
+_PathShape = tuple[str, int]
 
 
 def decode_key(segment: str) -> bytes | None:
     """Return the bytes of a key segment, or None when its encoding is ambiguous.
 
-    Escapes are decoded once, so that `a` and `%61` are one key. Refused are an empty
-    segment, malformed escapes, bytes that are not UTF-8, `.` and `..`, and keys that
-    contain a slash, a backslash, a control character or a further escape: servers and
-    proxies differ in how they read these, and would disagree on the key's owner.
+    Escapes are decoded once, so that `a` and `%61` are the same key. An empty segment,
+    malformed escapes, bytes that are not UTF-8, `.` and `..`, and keys that contain a
+    slash, a backslash, a control character or a further escape are rejected: servers
+    and proxies decode these differently, and would disagree on the key's owner.
     """
-    if not _SEGMENT.fullmatch(segment):
+    if not _SEGMENT_PATTERN.fullmatch(segment):
         return None
     key = segment.encode()
     if b"%" in key:
-        key = _ESCAPE.sub(lambda found: bytes.fromhex(found[0][1:].decode()), key)
-        if not _is_plain(key):
+        key = _ESCAPE_PATTERN.sub(
+            lambda escape: bytes.fromhex(escape[0][1:].decode()), key
+        )
+        if not _is_unambiguous(key):
             return None
     return None if key in (b".", b"..") else key
 
 
-def _is_plain(key: bytes) -> bool:
+def _is_unambiguous(key: bytes) -> bool:
     try:
         text = key.decode()
     except UnicodeDecodeError:
         return False
     if any(character in "/\\\x7f" or character < " " for character in text):
         return False
-    return not _ESCAPE.search(key)
+    return not _ESCAPE_PATTERN.search(key)
 
 
 class RouteTable:
     """Routes of all hosts.
 
-    A route of the request's host goes before one without a host, and a route for the
-    whole path before one for a prefix.
+    A route of the request's host takes precedence over one without a host, then a
+    route of the whole path over one of a prefix.
     """
 
     def __init__(self, declaration: Declaration) -> None:
-        self._paths: dict[str, _PathTable] = {}
-        self._prefixes: dict[str, dict[str, _Entry]] = {}
+        self._path_tables: dict[str, _PathTable] = {}
+        self._prefix_entries: dict[str, dict[str, _RouteEntry]] = {}
         for service in declaration.services:
             for route in service.routes:
-                self._add(_Entry(service, route))
-        for table in self._paths.values():
-            table.order()
+                self._add_route(_RouteEntry(service, route))
+        for table in self._path_tables.values():
+            table.sort_key_positions()
 
     def match(self, method: str, path: str, host: str = "") -> RouteMatch | None:
-        """Return the route of a request path (without query), or None."""
+        """Return the route of a request, or None; `path` has no query."""
         if not path.startswith("/"):
             return None
-        for name in (host, "") if host else ("",):
-            table = self._paths.get(name)
-            found = table.match(method, path) if table is not None else None
-            if found is None and name in self._prefixes:
-                found = _match_prefix(self._prefixes[name], path)
+        for route_host in (host, "") if host else ("",):
+            table = self._path_tables.get(route_host)
+            found = table.find_route(method, path) if table is not None else None
+            if found is None and route_host in self._prefix_entries:
+                found = _match_prefix(self._prefix_entries[route_host], path)
             if found is not None:
                 return found
         return None
 
-    def _add(self, entry: _Entry) -> None:
+    def _add_route(self, entry: _RouteEntry) -> None:
         route = entry.route
         if route.by_prefix:
-            self._prefixes.setdefault(route.host, {})[route.path] = entry
+            self._prefix_entries.setdefault(route.host, {})[route.path] = entry
         else:
-            self._paths.setdefault(route.host, _PathTable()).add(entry)
+            self._path_tables.setdefault(route.host, _PathTable()).add_route(entry)
 
 
-def _match_prefix(prefixes: dict[str, _Entry], path: str) -> RouteMatch | None:
-    """Return the route with the longest prefix that begins the path."""
+def _match_prefix(prefixes: dict[str, _RouteEntry], path: str) -> RouteMatch | None:
+    """Return the route with the longest prefix of the path, or None."""
     end = len(path)
     while (end := path.rfind("/", 0, end)) >= 0:
         entry = prefixes.get(path[: end + 1])
@@ -109,30 +113,35 @@
 class _PathTable:
     """Routes by method and segment count, then by their literal segments.
 
-    An all-literal route wins; otherwise the route whose key segment is furthest right.
-    Literal segments are compared as sent: an escaped literal matches nothing.
+    A route without a key segment takes precedence, then the one whose key segment is
+    furthest right. Literal segments are compared undecoded, so that an escaped literal
+    matches no route.
     """
 
     def __init__(self) -> None:
-        self._shapes: dict[_Shape, dict[int, dict[tuple[str, ...], _Entry]]] = {}
-
-    def order(self) -> None:
-        """Put the positions of key segments in the order in which they are tried."""
-        for shape, positions in self._shapes.items():
-            ordered = sorted(positions, key=lambda p: (p != _NO_KEY, -p))
-            self._shapes[shape] = {p: positions[p] for p in ordered}
-
-    def match(self, method: str, path: str) -> RouteMatch | None:
-        """Return the route of a path, or None."""
+        self._entries_by_shape: dict[
+            _PathShape, dict[int, dict[tuple[str, ...], _RouteEntry]]
+        ] = {}
+
+    def sort_key_positions(self) -> None:
+        """Sort the positions of key segments by precedence."""
+        for shape, entries_by_position in self._entries_by_shape.items():
+            ordered = sorted(
+                entries_by_position, key=lambda p: (p != _NO_KEY_POSITION, -p)
+            )
+            self._entries_by_shape[shape] = {p: entries_by_position[p] for p in ordered}
+
+    def find_route(self, method: str, path: str) -> RouteMatch | None:
+        """Return the route of a method and path, or None."""
         segments = tuple(path[1:].split("/"))
-        positions = self._shapes.get((method, len(segments)))
-        if positions is None:
+        entries_by_position = self._entries_by_shape.get((method, len(segments)))
+        if entries_by_position is None:
             return None
-        for position, entries in positions.items():
-            entry = entries.get(_literals(segments, position))
+        for position, entries in entries_by_position.items():
+            entry = entries.get(_get_literals(segments, position))
             if entry is None:
                 continue
-            if position == _NO_KEY:
+            if position == _NO_KEY_POSITION:
                 return RouteMatch(entry.service, entry.route, None)
             key = decode_key(segments[position])
             if key is None:
@@ -140,16 +149,18 @@
             return RouteMatch(entry.service, entry.route, key)
         return None
 
-    def add(self, entry: _Entry) -> None:
+    def add_route(self, entry: _RouteEntry) -> None:
         """Add a route."""
         segments = tuple(entry.route.path[1:].split("/"))
-        position = segments.index(KEY_SEGMENT) if KEY_SEGMENT in segments else _NO_KEY
+        position = (
+            segments.index(KEY_SEGMENT) if KEY_SEGMENT in segments else _NO_KEY_POSITION
+        )
         shape = (entry.route.method, len(segments))
-        entries = self._shapes.setdefault(shape, {}).setdefault(position, {})
-        entries[_literals(segments, position)] = entry
+        entries = self._entries_by_shape.setdefault(shape, {}).setdefault(position, {})
+        entries[_get_literals(segments, position)] = entry
 
 
-def _literals(segments: tuple[str, ...], position: int) -> tuple[str, ...]:
-    if position == _NO_KEY:
+def _get_literals(segments: tuple[str, ...], position: int) -> tuple[str, ...]:
+    if position == _NO_KEY_POSITION:
         return segments
     return segments[:position] + segments[position + 1 :]
--- a/wagtailrill/settings/models.py
+++ b/wagtailrill/settings/models.py
@@ -20,7 +20,7 @@
 
 
 class LogLevel(enum.StrEnum):
-    """Lowest level of the log lines that are written."""
+    """Minimum level of the log lines that are written."""
 
     DEBUG = "debug"
     INFO = "info"
@@ -30,7 +30,7 @@
 
 @attrs.frozen
 class Limits:
-    """Bounds of the memory that callers can make an instance use."""
+    """Limits on the memory that callers can make an instance use."""
 
     body_max_bytes: int = DEFAULT_BODY_MAX_BYTES
     response_max_bytes: int = DEFAULT_RESPONSE_MAX_BYTES
@@ -44,7 +44,8 @@
 class InstanceSettings:
     """Settings of one instance; durations are in seconds, addresses are IP:port.
 
-    Peer messages are signed with the first of `peer_secrets` and accepted with any.
+    Peer messages are signed with the first of `peer_secrets` and accepted with any of
+    them.
     """
 
     instance: str
--- a/wagtailrill/settings/parse.py
+++ b/wagtailrill/settings/parse.py
@@ -1,4 +1,7 @@
-"""Parser of the instance settings."""
+"""Parses and checks the instance settings.
+
+The daemon and the command-line tool use it.
+"""
 
 import ipaddress
 from typing import Any, Final
@@ -9,7 +12,7 @@
 from ..declaration.check import (
     ObjectReader,
     UniqueNames,
-    child_path,
+    format_field_path,
     is_address,
     load_json,
     report_of,
@@ -17,8 +20,8 @@
 from . import const
 from .models import InstanceSettings, Limits, LogLevel
 
-# Each limit with its bounds.
-_LIMITS: Final[dict[str, tuple[int, int, int]]] = {
+# Default, minimum and maximum of each limit.
+_LIMIT_BOUNDS: Final[dict[str, tuple[int, int, int]]] = {
     "body_max_bytes": (const.DEFAULT_BODY_MAX_BYTES, 0, const.BODY_MAX_BYTES_BOUND),
     "response_max_bytes": (
         const.DEFAULT_RESPONSE_MAX_BYTES,
@@ -27,7 +30,7 @@
     ),
     "header_max_bytes": (
         const.DEFAULT_HEADER_MAX_BYTES,
-        const.HEADER_MIN_BYTES_BOUND,
+        const.HEADER_MAX_BYTES_LOWER_BOUND,
         const.HEADER_MAX_BYTES_BOUND,
     ),
     "queue_max_requests": (
@@ -43,13 +46,13 @@
     "caller_connections_max": (
         const.DEFAULT_CALLER_CONNECTIONS_MAX,
         1,
-        const.CALLER_CONNECTIONS_BOUND,
+        const.CALLER_CONNECTIONS_MAX_BOUND,
     ),
 }
 
 
 def parse(text: str | bytes) -> Result[InstanceSettings, tuple[Finding, ...]]:
-    """Return the settings of a JSON text, or all findings together."""
+    """Return the settings of a JSON text, or all findings about it."""
     match load_json(text, const.SETTINGS_MAX_BYTES):
         case Result(tag="ok", ok=value):
             return _parse_value(value)
@@ -59,23 +62,23 @@
 
 def _parse_value(value: Any) -> Result[InstanceSettings, tuple[Finding, ...]]:
     findings = Findings()
-    settings = _settings(ObjectReader(value, "$", findings))
+    settings = _read_settings(ObjectReader(value, "$", findings))
     if findings:
         return Error(report_of(findings))
     return Ok(settings)
 
 
-def _settings(reader: ObjectReader) -> InstanceSettings:
+def _read_settings(reader: ObjectReader) -> InstanceSettings:
     settings = InstanceSettings(
-        instance=reader.name("instance"),
-        deployment=reader.name("deployment"),
-        cell=reader.name("cell", const.DEFAULT_CELL),
-        data_centre=reader.name("data_centre"),
-        caller_address=reader.address("caller_address"),
-        peer_address=reader.address("peer_address"),
-        admin_address=reader.address("admin_address"),
-        store_addresses=_store_addresses(reader),
-        peer_secrets=_peer_secrets(reader),
+        instance=reader.read_name("instance"),
+        deployment=reader.read_name("deployment"),
+        cell=reader.read_name("cell", const.DEFAULT_CELL),
+        data_centre=reader.read_name("data_centre"),
+        caller_address=reader.read_address("caller_address"),
+        peer_address=reader.read_address("peer_address"),
+        admin_address=reader.read_address("admin_address"),
+        store_addresses=_read_store_addresses(reader),
+        peer_secrets=_read_peer_secrets(reader),
         trace_sample_ratio=reader.fraction(
             "trace_sample_ratio", const.DEFAULT_TRACE_SAMPLE_RATIO
         ),
@@ -89,33 +92,33 @@
             "store_timeout_s", const.DEFAULT_STORE_TIMEOUT_S, const.STORE_TIMEOUT_MAX_S
         ),
         log_level=reader.choice("log_level", LogLevel, LogLevel.INFO),
-        limits=_limits(reader.nested("limits")),
+        limits=_read_limits(reader.read_object("limits")),
     )
-    _check_listeners(reader, settings)
+    _check_listen_addresses(reader, settings)
     reader.finish()
     return settings
 
 
-def _store_addresses(reader: ObjectReader) -> tuple[str, ...]:
+def _read_store_addresses(reader: ObjectReader) -> tuple[str, ...]:
     unique = UniqueNames("address", reader.findings)
     addresses: list[str] = []
     for value, path in reader.texts("store_addresses", const.STORE_ADDRESSES_MAX):
         if value:
             reader.check_address(value, path)
-            unique.add(value, path)
+            unique.add_name(value, path)
         addresses.append(value)
     _check_not_empty(reader, "store_addresses", addresses)
     return tuple(addresses)
 
 
-def _peer_secrets(reader: ObjectReader) -> tuple[bytes, ...]:
-    """Return the secrets; findings never quote them."""
+def _read_peer_secrets(reader: ObjectReader) -> tuple[bytes, ...]:
+    """Return the secrets; findings do not quote them."""
     secrets: list[bytes] = []
     for value, path in reader.texts("peer_secrets", const.PEER_SECRETS_MAX):
         secret = value.encode(errors="replace")
         if value and len(value) < const.PEER_SECRET_MIN_CHARACTERS:
-            least = const.PEER_SECRET_MIN_CHARACTERS
-            reader.findings.add(path, f"A secret needs at least {least} characters.")
+            minimum = const.PEER_SECRET_MIN_CHARACTERS
+            reader.findings.add(path, f"A secret needs at least {minimum} characters.")
         if value and not value.isascii():
             reader.findings.add(path, "A secret must consist of ASCII characters.")
         if value and secret in secrets:
@@ -127,36 +130,41 @@
 
 def _check_not_empty(reader: ObjectReader, name: str, values: list[Any]) -> None:
     if not values and reader.is_array(name):
-        reader.add(name, "At least one entry is needed.")
+        reader.add_finding(name, "At least one entry is needed.")
 
 
-def _check_listeners(reader: ObjectReader, settings: InstanceSettings) -> None:
+def _check_listen_addresses(reader: ObjectReader, settings: InstanceSettings) -> None:
     unique = UniqueNames("address", reader.findings)
     for name in ("caller_address", "peer_address", "admin_address"):
-        unique.add(getattr(settings, name), child_path(reader.path, name))
-    peer = _ip_of(settings.peer_address)
+        unique.add_name(getattr(settings, name), format_field_path(reader.path, name))
+    peer = _parse_ip(settings.peer_address)
     if peer is not None and peer.is_unspecified:
-        reader.add("peer_address", "Other instances need a specific address.")
-    admin = _ip_of(settings.admin_address)
+        reader.add_finding(
+            "peer_address",
+            "The address must be specific, as other instances connect to it.",
+        )
+    admin = _parse_ip(settings.admin_address)
     if admin is None:
         return
     if admin.is_unspecified or not (admin.is_loopback or admin.is_private):
-        reader.add("admin_address", "This must be a loopback or private address.")
+        reader.add_finding(
+            "admin_address", "This must be a loopback or private address."
+        )
 
 
-def _ip_of(address: str) -> ipaddress.IPv4Address | ipaddress.IPv6Address | None:
+def _parse_ip(address: str) -> ipaddress.IPv4Address | ipaddress.IPv6Address | None:
     if not is_address(address):
         return None
     return ipaddress.ip_address(address.rpartition(":")[0].strip("[]"))
 
 
-def _limits(reader: ObjectReader | None) -> Limits:
+def _read_limits(reader: ObjectReader | None) -> Limits:
     if reader is None:
         return Limits()
     limits = Limits(
         **{
-            name: reader.integer(name, minimum, maximum, default)
-            for name, (default, minimum, maximum) in _LIMITS.items()
+            name: reader.read_integer(name, minimum, maximum, default)
+            for name, (default, minimum, maximum) in _LIMIT_BOUNDS.items()
         }
     )
     reader.finish()
