Rename names of declaration, configuration and settings that other folders use

Folders: wagtailrill/declaration, wagtailrill/configuration, wagtailrill/settings, and the uses of the names in the other folders, tests and script.

Renamed names: declaration.parse.parse -> parse_declaration settings.parse.parse -> parse_settings declaration.check: report_of -> truncate_findings; ObjectReader.choice -> read_choice, positive -> read_positive_number, fraction -> read_fraction, texts -> read_strings, has -> has_field, finish -> report_unknown_fields declaration.difference.difference -> diff_declarations declaration.mutations.Mutated -> MutationResult declaration.routing.RouteTable.match -> find_route ConfigurationDecoder and its implementations: declaration_key -> get_declaration_key, closed -> list_closed_data_centres

--- a/script/fleet.py
+++ b/script/fleet.py
@@ -13,9 +13,9 @@
 from pathlib import Path
 from typing import Any
 
-from wagtailrill.declaration.parse import parse
+from wagtailrill.declaration.parse import parse_declaration
 from wagtailrill.settings.models import InstanceSettings
-from wagtailrill.settings.parse import parse as parse_settings
+from wagtailrill.settings.parse import parse_settings
 from wagtailrill.stand_ins.store import FAULTS_PATH
 
 ROOT = Path(__file__).resolve().parent.parent
@@ -53,7 +53,7 @@
         folder = ROOT / "examples" / deployment
         self.declaration_file = folder / "services.json"
         self.keys_file = folder / "tenant-keys.json"
-        self.declaration = parse(self.declaration_file.read_bytes()).ok
+        self.declaration = parse_declaration(self.declaration_file.read_bytes()).ok
         files = sorted((folder / "instances").glob("*.json"))[:instance_count]
         self.settings_files = files
         self.settings = [parse_settings(f.read_bytes()).ok for f in files]
--- a/tests/cli/test_store_commands.py
+++ b/tests/cli/test_store_commands.py
@@ -17,13 +17,13 @@
 )
 from wagtailrill.core.request_models import Headers
 from wagtailrill.declaration.models import Configuration, DataCentreState
-from wagtailrill.declaration.parse import parse
+from wagtailrill.declaration.parse import parse_declaration
 from wagtailrill.declaration.text import to_json
 from wagtailrill.organisations.keys import TenantKeys
 from wagtailrill.stand_ins.store_model import StoreModel
 from wagtailrill.store.models import Commit, StoreError, StoreErrorKind
 
-OLD = parse((EXAMPLES / "piraeus" / "services.json").read_text()).ok
+OLD = parse_declaration((EXAMPLES / "piraeus" / "services.json").read_text()).ok
 NEW = attrs.evolve(OLD, data_centres=(*OLD.data_centres[1:], OLD.data_centres[0]))
 OTHER = attrs.evolve(OLD, organisations=OLD.organisations[1:])
 KEY = "piraeus/config"
@@ -43,7 +43,7 @@
 
     def stored(self):
         (item,) = self.model.items(KEY)
-        return parse(item.value).ok
+        return parse_declaration(item.value).ok
 
     async def async_call(self, operation):
         is_write = isinstance(operation, Commit)
@@ -139,4 +139,4 @@
 def test_export_returns_what_apply_takes():
     """Guards against an export that changes the configuration."""
     _, result = run(async_export)
-    assert parse(result.lines[0]).ok == OLD
+    assert parse_declaration(result.lines[0]).ok == OLD
--- a/tests/declaration/test_mutations.py
+++ b/tests/declaration/test_mutations.py
@@ -3,7 +3,7 @@
 import pytest
 
 from tests.declaration.test_parse import EXAMPLES
-from wagtailrill.declaration.difference import difference
+from wagtailrill.declaration.difference import diff_declarations
 from wagtailrill.declaration.models import (
     BackendServerState,
     DataCentreState,
@@ -15,10 +15,10 @@
     set_data_centre_state,
     withdraw_tenant_key,
 )
-from wagtailrill.declaration.parse import parse
+from wagtailrill.declaration.parse import parse_declaration
 from wagtailrill.declaration.text import to_json
 
-OLD = parse((EXAMPLES / "piraeus" / "services.json").read_text()).ok
+OLD = parse_declaration((EXAMPLES / "piraeus" / "services.json").read_text()).ok
 KEY = TenantKeyHash("k1", "0" * 32, "1" * 64)
 FIRST_ID = OLD.organisations[0].tenant_keys[0].key_id
 
@@ -50,9 +50,9 @@
 )
 def test_mutation_changes_only_its_entry(result, lines):
     """Guards against a command that also changes or shows another entry."""
-    assert difference(OLD, result.ok) == lines
-    assert difference(OLD, OLD) == ()
-    assert parse(to_json(result.ok)).ok == result.ok
+    assert diff_declarations(OLD, result.ok) == lines
+    assert diff_declarations(OLD, OLD) == ()
+    assert parse_declaration(to_json(result.ok)).ok == result.ok
 
 
 @pytest.mark.parametrize(
--- a/tests/declaration/test_parse.py
+++ b/tests/declaration/test_parse.py
@@ -8,7 +8,7 @@
 
 from wagtailrill.declaration.const import DECLARATION_MAX_BYTES
 from wagtailrill.declaration.models import BackendServerState
-from wagtailrill.declaration.parse import parse
+from wagtailrill.declaration.parse import parse_declaration
 from wagtailrill.declaration.text import to_json
 
 EXAMPLES = Path(__file__).parents[2] / "examples"
@@ -35,7 +35,9 @@
 
 def list_findings(text):
     """Return the path and message of each finding."""
-    return [(f.path, f.message) for f in parse(text).swap().default_value(())]
+    return [
+        (f.path, f.message) for f in parse_declaration(text).swap().default_value(())
+    ]
 
 
 OTHER_SERVER = DECLARATION["services"][0]["backend_servers"][1]
@@ -165,18 +167,21 @@
 @pytest.mark.parametrize("name", ["piraeus", "railcard"])
 def test_example_round_trips_through_its_text(name):
     """Guards against a declaration that changes when it is written and parsed again."""
-    declaration = parse((EXAMPLES / name / "services.json").read_text()).ok
-    assert parse(to_json(declaration)).ok == declaration
-    assert to_json(parse(to_json(declaration)).ok) == to_json(declaration)
+    declaration = parse_declaration((EXAMPLES / name / "services.json").read_text()).ok
+    assert parse_declaration(to_json(declaration)).ok == declaration
+    assert to_json(parse_declaration(to_json(declaration)).ok) == to_json(declaration)
 
 
 def test_backend_server_overrides_the_service_default():
     """Guards against a service default that replaces a backend server's own slots."""
     text = format_changed_example((*SERVER, "slots"), 9)
-    servers = parse(text).ok.services[0].backend_servers
+    servers = parse_declaration(text).ok.services[0].backend_servers
     assert (servers[0].slots, servers[1].slots) == (9, 6)
     assert servers[0].state is BackendServerState.IN
-    assert parse(to_json(parse(text).ok)).ok == parse(text).ok
+    assert (
+        parse_declaration(to_json(parse_declaration(text).ok)).ok
+        == parse_declaration(text).ok
+    )
 
 
 JSON_VALUES = st.recursive(
@@ -198,9 +203,9 @@
 @given(LOCATIONS, JSON_VALUES)
 def test_changed_declaration_never_raises(location, value):
     """Guards against an invalid value that raises, which would end the process."""
-    result = parse(format_changed_example(location, value))
+    result = parse_declaration(format_changed_example(location, value))
     if result.is_ok():
-        assert parse(to_json(result.ok)).ok == result.ok
+        assert parse_declaration(to_json(result.ok)).ok == result.ok
     else:
         assert all(str(f).isprintable() for f in result.error)
 
@@ -209,4 +214,4 @@
 @given(st.binary() | st.text() | JSON_VALUES.map(json.dumps))
 def test_arbitrary_text_gives_findings(text):
     """Guards against an arbitrary text that is accepted, or that raises."""
-    assert parse(text).is_error()
+    assert parse_declaration(text).is_error()
--- a/tests/declaration/test_routing.py
+++ b/tests/declaration/test_routing.py
@@ -27,7 +27,7 @@
 )
 def test_request_finds_its_route(path, route, key):
     """Guards against a request that is routed to a wrong service or by a wrong key."""
-    match = TABLE.match("GET", path)
+    match = TABLE.find_route("GET", path)
     assert (match.route.path, match.key) == (route, key)
 
 
@@ -36,8 +36,8 @@
 )
 def test_other_paths_find_no_route(path):
     """Guards against a path that matches a route which it only resembles."""
-    assert TABLE.match("GET", path) is None
-    assert TABLE.match("POST", "/c") is None
+    assert TABLE.find_route("GET", path) is None
+    assert TABLE.find_route("POST", "/c") is None
 
 
 @pytest.mark.parametrize(
--- a/tests/load_tool/test_plan.py
+++ b/tests/load_tool/test_plan.py
@@ -5,12 +5,12 @@
 import attrs
 
 from wagtailrill.claims.models import parse_uuid7_time_ms
-from wagtailrill.declaration.parse import parse
+from wagtailrill.declaration.parse import parse_declaration
 from wagtailrill.load_tool.models import LoadResult, LoadSettings
 from wagtailrill.load_tool.plan import make_plan
 from wagtailrill.load_tool.report import percentile, summarise, table
 
-DECLARATION = parse(Path("examples/piraeus/services.json").read_bytes()).ok
+DECLARATION = parse_declaration(Path("examples/piraeus/services.json").read_bytes()).ok
 CFG = LoadSettings(
     targets=("127.0.0.1:1", "127.0.0.1:2"),
     rate_per_s=500.0,
--- a/tests/platform/test_decoders.py
+++ b/tests/platform/test_decoders.py
@@ -157,7 +157,7 @@
 def test_evacuated_zones_are_closed_data_centres():
     """Guards against requests to a zone that the operator is evacuating."""
     keys = frozenset({"op/config", "op/evacuate/north"})
-    assert CONFIGURATION_DECODER.closed(keys) == frozenset({"north"})
+    assert CONFIGURATION_DECODER.list_closed_data_centres(keys) == frozenset({"north"})
 
 
 def decode_entry(fields):
--- a/tests/runs/deployment.py
+++ b/tests/runs/deployment.py
@@ -49,7 +49,7 @@
     declarations: dict[bytes, Declaration]
     prefix: str = "config/"
 
-    def declaration_key(self) -> str:
+    def get_declaration_key(self) -> str:
         """Return the key that holds the name."""
         return CONFIG_KEY
 
@@ -58,7 +58,7 @@
         found = self.declarations.get(item.value)
         return Ok(found) if found is not None else Error("unknown")
 
-    def closed(self, keys: frozenset[str]) -> frozenset[str]:
+    def list_closed_data_centres(self, keys: frozenset[str]) -> frozenset[str]:
         """Return the data centres that have a key of their own."""
         return frozenset(
             key.removeprefix(CLOSED_PREFIX)
--- a/tests/settings/test_parse.py
+++ b/tests/settings/test_parse.py
@@ -8,7 +8,7 @@
 
 from tests.declaration.test_parse import JSON_VALUES
 from wagtailrill.settings.models import Limits
-from wagtailrill.settings.parse import parse
+from wagtailrill.settings.parse import parse_settings
 
 EXAMPLES = Path(__file__).parents[2] / "examples"
 SETTINGS = json.loads(
@@ -45,7 +45,7 @@
 def test_invalid_setting_is_reported_at_its_path(fault):
     """Guards against an invalid setting that is accepted, and a secret in a finding."""
     change, path, part = fault
-    found = parse(json.dumps(SETTINGS | change)).error
+    found = parse_settings(json.dumps(SETTINGS | change)).error
     assert any(f.path == path and part in f.message for f in found), found
     assert not any(SECRET in str(f) for f in found)
 
@@ -54,14 +54,16 @@
     """Guards against a parser that reports only the first missing field."""
     required = {"instance", "deployment", "data_centre", "caller_address"}
     required |= {"peer_address", "admin_address", "store_addresses", "peer_secrets"}
-    assert {f.path for f in parse("{}").error} == {f"$.{name}" for name in required}
+    assert {f.path for f in parse_settings("{}").error} == {
+        f"$.{name}" for name in required
+    }
 
 
 def test_examples_are_valid_and_have_distinct_addresses():
     """Guards against examples that cannot start, and secrets in the settings' repr."""
     for deployment in ("piraeus", "railcard"):
         files = sorted((EXAMPLES / deployment / "instances").glob("*.json"))
-        loaded = [parse(file.read_text()).ok for file in files]
+        loaded = [parse_settings(file.read_text()).ok for file in files]
         assert len({s.peer_address for s in loaded}) == len(files) == 12
         assert loaded[0].limits == Limits()
         assert "example-only" not in repr(loaded[0])
@@ -73,5 +75,5 @@
 )
 def test_changed_settings_never_raise(name, value):
     """Guards against settings that raise, so that the start ends without a finding."""
-    result = parse(json.dumps(SETTINGS | {name: value}))
+    result = parse_settings(json.dumps(SETTINGS | {name: value}))
     assert result.is_ok() or result.error
--- a/wagtailrill/cli/__main__.py
+++ b/wagtailrill/cli/__main__.py
@@ -15,10 +15,10 @@
 from ..core.findings import Finding
 from ..declaration.check import is_address
 from ..declaration.models import BackendServerState, DataCentreState, Declaration
-from ..declaration.parse import parse
+from ..declaration.parse import parse_declaration
 from ..platform.store_client import PlatformStore
 from ..settings.models import InstanceSettings
-from ..settings.parse import parse as parse_settings
+from ..settings.parse import parse_settings
 from .arguments import make_parser
 from .const import CALL_TIMEOUT_S, STORE_VARIABLE, ExitCode
 from .declaration_store import DeclarationStore
@@ -93,7 +93,7 @@
 
 
 def _read_declaration(file: str) -> Declaration:
-    match parse(_read(file)):
+    match parse_declaration(_read(file)):
         case Result(tag="ok", ok=declaration):
             return declaration
         case Result(error=findings):
--- a/wagtailrill/cli/declaration_store.py
+++ b/wagtailrill/cli/declaration_store.py
@@ -3,7 +3,7 @@
 import anyio
 from expression import Error, Ok, Result
 
-from ..declaration.parse import parse
+from ..declaration.parse import parse_declaration
 from ..native.configuration import NativeConfigurationDecoder
 from ..store.models import (
     Commit,
@@ -32,7 +32,7 @@
         deployment: str,
         patience_s: float = STORE_PATIENCE_S,
     ) -> None:
-        self.key = NativeConfigurationDecoder(deployment).declaration_key()
+        self.key = NativeConfigurationDecoder(deployment).get_declaration_key()
         self._store = store
         self._patience_s = patience_s
 
@@ -94,7 +94,7 @@
 def _loaded(item: Item | None) -> Loaded:
     if item is None:
         return Loaded(0, None)
-    parsed = parse(item.value)
+    parsed = parse_declaration(item.value)
     return Loaded(item.revision, parsed.ok if parsed.is_ok() else None)
 
 
--- a/wagtailrill/cli/store_commands.py
+++ b/wagtailrill/cli/store_commands.py
@@ -5,7 +5,7 @@
 
 from expression import Ok, Result
 
-from ..declaration.difference import difference
+from ..declaration.difference import diff_declarations
 from ..declaration.models import (
     BackendServerState,
     DataCentreState,
@@ -13,7 +13,7 @@
     TenantKeyHash,
 )
 from ..declaration.mutations import (
-    Mutated,
+    MutationResult,
     add_tenant_key,
     set_backend_server_state,
     set_data_centre_state,
@@ -26,7 +26,7 @@
 from .models import Accepted, Changed, CommandResult, Failed, Loaded
 
 # Makes a change; the flag says that an earlier attempt may have taken effect.
-Change = Callable[[Declaration, bool], Mutated]
+Change = Callable[[Declaration, bool], MutationResult]
 NOTHING_STORED = "The store holds no valid declaration; apply one first."
 
 
@@ -73,7 +73,7 @@
 def describe(loaded: Loaded, declaration: Declaration) -> tuple[str, ...]:
     """Return the difference from what is stored."""
     if loaded.declaration is not None:
-        return difference(loaded.declaration, declaration)
+        return diff_declarations(loaded.declaration, declaration)
     if loaded.revision:
         return ("~ replaces a text that is not a valid declaration",)
     return ("+ first declaration of the deployment",)
@@ -101,7 +101,7 @@
         case Result(tag="ok", ok=now) if now.declaration is not None:
             if base.declaration is None:
                 return _changed_result(now.revision, (), uncertain)
-            lines = difference(base.declaration, now.declaration)
+            lines = diff_declarations(base.declaration, now.declaration)
             lines = ("changes of the other operator:", *lines)
             return _changed_result(now.revision, lines, uncertain)
         case Result(tag="ok", ok=now):
@@ -159,7 +159,7 @@
             return refused(message)
     if declaration == loaded.declaration:
         return _unchanged(loaded)
-    lines = difference(loaded.declaration, declaration)
+    lines = diff_declarations(loaded.declaration, declaration)
     match await store.async_write(to_json(declaration), loaded.revision):
         case Accepted(version):
             return accepted(version, lines)
@@ -196,7 +196,7 @@
     """Issue a tenant key and show it once."""
     clear, key = make_tenant_key()
 
-    def change(declaration: Declaration, uncertain: bool) -> Mutated:
+    def change(declaration: Declaration, uncertain: bool) -> MutationResult:
         known = [k for o in declaration.organisations for k in o.tenant_keys]
         if uncertain and key in known:
             return Ok(declaration)
@@ -219,7 +219,7 @@
 ) -> CommandResult:
     """Withdraw one tenant key of an organisation, or all."""
 
-    def change(declaration: Declaration, uncertain: bool) -> Mutated:
+    def change(declaration: Declaration, uncertain: bool) -> MutationResult:
         mutated = withdraw_tenant_key(declaration, organisation, key_id)
         return Ok(declaration) if uncertain and mutated.is_error() else mutated
 
--- a/wagtailrill/configuration/follower.py
+++ b/wagtailrill/configuration/follower.py
@@ -26,7 +26,7 @@
         """Return the prefix of all store keys that belong to the configuration."""
         ...
 
-    def declaration_key(self) -> str:
+    def get_declaration_key(self) -> str:
         """Return the store key that holds the declaration."""
         ...
 
@@ -34,7 +34,7 @@
         """Return the declaration, or the reason why it is invalid."""
         ...
 
-    def closed(self, keys: frozenset[str]) -> frozenset[str]:
+    def list_closed_data_centres(self, keys: frozenset[str]) -> frozenset[str]:
         """Return the data centres that the given store keys take out of service."""
         ...
 
@@ -73,9 +73,11 @@
         return self._mirror.confirmed_s
 
     def _on_change(self, keys: frozenset[str]) -> None:
-        item = self._mirror.items.get(self._decoder.declaration_key())
+        item = self._mirror.items.get(self._decoder.get_declaration_key())
         changed = item is not None and self._read_declaration(item)
-        closed_data_centres = self._decoder.closed(frozenset(self._mirror.items))
+        closed_data_centres = self._decoder.list_closed_data_centres(
+            frozenset(self._mirror.items)
+        )
         if closed_data_centres != self._closed_data_centres:
             self._closed_data_centres = closed_data_centres
             changed = True
--- a/wagtailrill/daemon/__main__.py
+++ b/wagtailrill/daemon/__main__.py
@@ -10,7 +10,7 @@
 from ..observability.logs import configure_logs
 from ..runtime.process import Process
 from ..settings.models import InstanceSettings
-from ..settings.parse import parse
+from ..settings.parse import parse_settings
 
 EXIT_FINDINGS = 1
 EXIT_USAGE = 2
@@ -36,7 +36,7 @@
     except OSError as exc:
         print(f"cannot read {args.settings}: {exc.strerror}", file=sys.stderr)
         return EXIT_USAGE
-    result = parse(content)
+    result = parse_settings(content)
     if result.is_error():
         for finding in result.error:
             print(f"{args.settings}: {finding}", file=sys.stderr)
--- a/wagtailrill/declaration/check.py
+++ b/wagtailrill/declaration/check.py
@@ -99,7 +99,7 @@
     return (address.version == 6) is bracketed
 
 
-def report_of(findings: Findings) -> tuple[Finding, ...]:
+def truncate_findings(findings: Findings) -> tuple[Finding, ...]:
     """Return the first `FINDINGS_MAX` findings, and one that counts the others."""
     if len(findings.items) <= FINDINGS_MAX:
         return tuple(findings.items)
@@ -112,9 +112,9 @@
     """Reads the fields of a JSON object and records findings about them.
 
     Each method returns a value of its type even after a finding, so that one pass
-    reports every problem. A field without a default is required. `finish` reports the
-    fields that were not read. `is_object` is false if the value is not an object; this
-    is reported once, without a finding for each missing field.
+    reports every problem. A field without a default is required. `is_object` is false
+    if the value is not an object; this is reported once, without a finding for each
+    missing field.
     """
 
     def __init__(self, value: Any, path: str, findings: Findings) -> None:
@@ -135,7 +135,7 @@
         """Record a finding about a field."""
         self.findings.add(format_field_path(self.path, name), message)
 
-    def has(self, name: str) -> bool:
+    def has_field(self, name: str) -> bool:
         """Return whether a field is present."""
         return name in self._fields
 
@@ -147,7 +147,7 @@
         """Return whether a field is present and an array."""
         return isinstance(self._fields.get(name), list)
 
-    def finish(self) -> None:
+    def report_unknown_fields(self) -> None:
         """Report the fields that were not read as unknown."""
         for name in self._fields:
             if name not in self._known_fields:
@@ -195,7 +195,7 @@
         self.add_finding(name, f"The number must be between {minimum} and {maximum}.")
         return minimum
 
-    def positive(
+    def read_positive_number(
         self, name: str, default: float = _MISSING, maximum: float = math.inf
     ) -> float:
         """Return a positive finite number up to a maximum, 1.0 after a finding."""
@@ -211,7 +211,7 @@
             return 1.0
         return number
 
-    def fraction(self, name: str, default: float) -> float:
+    def read_fraction(self, name: str, default: float) -> float:
         """Return a number between 0 and 1, `default` after a finding."""
         value = self._read_value(name, (int, float), "a number", default)
         number = default if value is None else _to_float(value)
@@ -220,7 +220,7 @@
         self.add_finding(name, "The number must be between 0 and 1.")
         return default
 
-    def choice(self, name: str, options: type[E], default: E) -> E:
+    def read_choice(self, name: str, options: type[E], default: E) -> E:
         """Return a member of an enumeration, `default` after a finding."""
         value = self._read_value(name, (str,), "a string", default)
         if value is None:
@@ -256,7 +256,7 @@
         for index, value in enumerate(values):
             yield value, f"{path}[{index}]"
 
-    def texts(
+    def read_strings(
         self, name: str, maximum: int, optional: bool = False
     ) -> Iterator[tuple[str, str]]:
         """Yield the strings of an array with their JSON paths.
--- a/wagtailrill/declaration/difference.py
+++ b/wagtailrill/declaration/difference.py
@@ -28,7 +28,7 @@
 }
 
 
-def difference(old: Declaration, new: Declaration) -> tuple[str, ...]:
+def diff_declarations(old: Declaration, new: Declaration) -> tuple[str, ...]:
     """Return one line for each addition (+), removal (-) and change (~)."""
     return tuple(_compare_entries("", old, new))
 
--- a/wagtailrill/declaration/mutations.py
+++ b/wagtailrill/declaration/mutations.py
@@ -20,13 +20,13 @@
     TenantKeyHash,
 )
 
-Mutated = Result[Declaration, str]
+MutationResult = Result[Declaration, str]
 TenantKeysChange = Callable[[tuple[TenantKeyHash, ...]], tuple[TenantKeyHash, ...]]
 
 
 def set_data_centre_state(
     declaration: Declaration, name: str, state: DataCentreState
-) -> Mutated:
+) -> MutationResult:
     """Return the declaration with the state of a data centre set."""
     if all(d.name != name for d in declaration.data_centres):
         return Error(f'The declaration has no data centre "{name}".')
@@ -44,7 +44,7 @@
 
 def set_backend_server_state(
     declaration: Declaration, name: str, state: BackendServerState
-) -> Mutated:
+) -> MutationResult:
     """Return the declaration with the state of a backend server set."""
     services = declaration.services
     if all(b.name != name for s in services for b in s.backend_servers):
@@ -62,7 +62,7 @@
 
 def add_tenant_key(
     declaration: Declaration, organisation: str, key: TenantKeyHash
-) -> Mutated:
+) -> MutationResult:
     """Return the declaration with a tenant key added to an organisation."""
     used_key_ids = {k.key_id for o in declaration.organisations for k in o.tenant_keys}
     if key.key_id in used_key_ids:
@@ -72,7 +72,7 @@
 
 def withdraw_tenant_key(
     declaration: Declaration, organisation: str, key_id: str | None = None
-) -> Mutated:
+) -> MutationResult:
     """Return the declaration without a tenant key of an organisation.
 
     Without `key_id` all tenant keys of the organisation are removed.
@@ -94,7 +94,7 @@
 
 def _change_tenant_keys(
     declaration: Declaration, name: str, change_keys: TenantKeysChange
-) -> Mutated:
+) -> MutationResult:
     if all(o.name != name for o in declaration.organisations):
         return Error(f'The declaration has no organisation "{name}".')
 
--- a/wagtailrill/declaration/parse.py
+++ b/wagtailrill/declaration/parse.py
@@ -9,7 +9,7 @@
 from expression import Error, Ok, Result
 
 from ..core.findings import Finding, Findings
-from .check import ObjectReader, load_json, report_of
+from .check import ObjectReader, load_json, truncate_findings
 from .const import (
     ATTEMPTS_MAX,
     BACKEND_SERVERS_PER_SERVICE_MAX,
@@ -61,7 +61,7 @@
 _SHA256_PATTERN: Final = re.compile(r"[0-9a-f]{64}")
 
 
-def parse(text: str | bytes) -> Result[Declaration, tuple[Finding, ...]]:
+def parse_declaration(text: str | bytes) -> Result[Declaration, tuple[Finding, ...]]:
     """Return the declaration of a JSON text, or all findings about it."""
     match load_json(text, DECLARATION_MAX_BYTES):
         case Result(tag="ok", ok=value):
@@ -75,7 +75,7 @@
     declaration = _read_declaration(ObjectReader(value, "$", findings))
     check_rules(declaration, findings)
     if findings:
-        return Error(report_of(findings))
+        return Error(truncate_findings(findings))
     return Ok(declaration)
 
 
@@ -95,7 +95,7 @@
         for value, path in reader.read_items("organisations", ORGANISATIONS_MAX)
     )
     caller_limits = _read_caller_limits(reader.read_object("caller_limits"))
-    reader.finish()
+    reader.report_unknown_fields()
     return Declaration(deployment, data_centres, services, organisations, caller_limits)
 
 
@@ -103,9 +103,9 @@
     data_centre = DataCentre(
         name=reader.read_name(),
         region=reader.read_name("region", "default"),
-        state=reader.choice("state", DataCentreState, DataCentreState.IN),
+        state=reader.read_choice("state", DataCentreState, DataCentreState.IN),
     )
-    reader.finish()
+    reader.report_unknown_fields()
     return data_centre
 
 
@@ -117,10 +117,14 @@
             "header_max_bytes", 1, CALLER_LIMIT_MAX_BYTES
         ),
         body_max_bytes=reader.read_integer("body_max_bytes", 1, CALLER_LIMIT_MAX_BYTES),
-        header_timeout_s=reader.positive("header_timeout_s", maximum=DURATION_MAX_S),
-        idle_timeout_s=reader.positive("idle_timeout_s", maximum=DURATION_MAX_S),
+        header_timeout_s=reader.read_positive_number(
+            "header_timeout_s", maximum=DURATION_MAX_S
+        ),
+        idle_timeout_s=reader.read_positive_number(
+            "idle_timeout_s", maximum=DURATION_MAX_S
+        ),
     )
-    reader.finish()
+    reader.report_unknown_fields()
     return limits
 
 
@@ -145,7 +149,10 @@
         routes=routes,
         backend_servers=servers,
         depends_on=tuple(
-            text for text, _ in reader.texts("depends_on", SERVICES_MAX, optional=True)
+            text
+            for text, _ in reader.read_strings(
+                "depends_on", SERVICES_MAX, optional=True
+            )
         ),
         keyed=keyed,
         checks_grants=reader.read_flag("checks_grants", False),
@@ -155,12 +162,12 @@
         health_path=reader.read_string("health_path", ""),
         transfer_warm_s=_read_duration_s(reader, "transfer_warm_s"),
     )
-    reader.finish()
+    reader.report_unknown_fields()
     return service
 
 
 def _read_service_default(reader: ObjectReader, name: str, maximum: int) -> int | None:
-    return reader.read_integer(name, 1, maximum) if reader.has(name) else None
+    return reader.read_integer(name, 1, maximum) if reader.has_field(name) else None
 
 
 def _read_slow_start(reader: ObjectReader | None) -> SlowStart:
@@ -168,9 +175,11 @@
         return SlowStart()
     slow_start = SlowStart(
         slots=reader.read_integer("slots", 1, SLOTS_MAX, DEFAULT_SLOW_START_SLOTS),
-        step_s=reader.positive("step_s", DEFAULT_SLOW_START_STEP_S, DURATION_MAX_S),
+        step_s=reader.read_positive_number(
+            "step_s", DEFAULT_SLOW_START_STEP_S, DURATION_MAX_S
+        ),
     )
-    reader.finish()
+    reader.report_unknown_fields()
     return slow_start
 
 
@@ -178,15 +187,21 @@
     if reader is None:
         return None
     cold_start = ColdStart(
-        duration_s=reader.positive("duration_s", maximum=DURATION_MAX_S),
-        requests_per_s=reader.positive("requests_per_s", maximum=RATE_MAX_PER_S),
+        duration_s=reader.read_positive_number("duration_s", maximum=DURATION_MAX_S),
+        requests_per_s=reader.read_positive_number(
+            "requests_per_s", maximum=RATE_MAX_PER_S
+        ),
     )
-    reader.finish()
+    reader.report_unknown_fields()
     return cold_start
 
 
 def _read_duration_s(reader: ObjectReader, name: str) -> float:
-    return reader.positive(name, maximum=DURATION_MAX_S) if reader.has(name) else 0.0
+    return (
+        reader.read_positive_number(name, maximum=DURATION_MAX_S)
+        if reader.has_field(name)
+        else 0.0
+    )
 
 
 def _read_route(reader: ObjectReader, keyed: bool) -> Route:
@@ -205,9 +220,13 @@
         method=method,
         path=path,
         idempotent=reader.read_flag("idempotent"),
-        tenant_key=reader.choice("tenant_key", TenantKeyRule, TenantKeyRule.REQUIRED),
+        tenant_key=reader.read_choice(
+            "tenant_key", TenantKeyRule, TenantKeyRule.REQUIRED
+        ),
         deferrable=deferrable,
-        timeout_s=reader.positive("timeout_s", default_timeout_s, DURATION_MAX_S),
+        timeout_s=reader.read_positive_number(
+            "timeout_s", default_timeout_s, DURATION_MAX_S
+        ),
         name=reader.read_string("name", ""),
         host=reader.read_string("host", ""),
         by_prefix=by_prefix,
@@ -221,16 +240,16 @@
             for value, path in reader.read_items("split", SERVICES_MAX, optional=True)
         ),
     )
-    reader.finish()
+    reader.report_unknown_fields()
     return route
 
 
 def _read_split_part(reader: ObjectReader) -> SplitPart:
     part = SplitPart(
         service=reader.read_name("service"),
-        weight=reader.positive("weight", maximum=WEIGHT_MAX),
+        weight=reader.read_positive_number("weight", maximum=WEIGHT_MAX),
     )
-    reader.finish()
+    reader.report_unknown_fields()
     return part
 
 
@@ -271,9 +290,9 @@
         connections=_read_server_count(
             reader, "connections", CONNECTIONS_MAX, connections
         ),
-        state=reader.choice("state", BackendServerState, BackendServerState.IN),
+        state=reader.read_choice("state", BackendServerState, BackendServerState.IN),
     )
-    reader.finish()
+    reader.report_unknown_fields()
     return entry
 
 
@@ -282,7 +301,7 @@
 ) -> int:
     if default is not None:
         return reader.read_integer(name, 1, maximum, default)
-    if not reader.has(name) and reader.is_object:
+    if not reader.has_field(name) and reader.is_object:
         reader.add_finding(name, "The field is missing here and in the service.")
         return 1
     return reader.read_integer(name, 1, maximum)
@@ -291,17 +310,17 @@
 def _read_organisation(reader: ObjectReader) -> Organisation:
     organisation = Organisation(
         name=reader.read_name(),
-        rate_per_s=reader.positive("rate_per_s", maximum=RATE_MAX_PER_S),
-        burst=reader.positive("burst", maximum=BURST_MAX),
-        weight=reader.positive("weight", DEFAULT_WEIGHT, WEIGHT_MAX),
+        rate_per_s=reader.read_positive_number("rate_per_s", maximum=RATE_MAX_PER_S),
+        burst=reader.read_positive_number("burst", maximum=BURST_MAX),
+        weight=reader.read_positive_number("weight", DEFAULT_WEIGHT, WEIGHT_MAX),
         tenant_keys=_read_tenant_keys(reader),
         priority=(
             reader.read_integer("priority", 0, PRIORITY_MAX)
-            if reader.has("priority")
+            if reader.has_field("priority")
             else None
         ),
     )
-    reader.finish()
+    reader.report_unknown_fields()
     return organisation
 
 
@@ -327,5 +346,5 @@
             "sha256", _SHA256_PATTERN, "64 lower-case hexadecimal digits"
         ),
     )
-    reader.finish()
+    reader.report_unknown_fields()
     return key
--- a/wagtailrill/declaration/routing.py
+++ b/wagtailrill/declaration/routing.py
@@ -79,7 +79,7 @@
         for table in self._path_tables.values():
             table.sort_key_positions()
 
-    def match(self, method: str, path: str, host: str = "") -> RouteMatch | None:
+    def find_route(self, method: str, path: str, host: str = "") -> RouteMatch | None:
         """Return the route of a request, or None; `path` has no query."""
         if not path.startswith("/"):
             return None
--- a/wagtailrill/load_tool/__main__.py
+++ b/wagtailrill/load_tool/__main__.py
@@ -7,7 +7,7 @@
 
 import anyio
 
-from ..declaration.parse import parse
+from ..declaration.parse import parse_declaration
 from .models import LoadSettings
 from .report import summarise, table
 from .runner import LoadRunner
@@ -18,7 +18,7 @@
 def main() -> int:
     """Run a load and print its summary; return the exit status."""
     args = _parser().parse_args()
-    declaration = parse(args.declaration.read_bytes())
+    declaration = parse_declaration(args.declaration.read_bytes())
     if declaration.is_error():
         for finding in declaration.error:
             print(finding, file=sys.stderr)
--- a/wagtailrill/native/configuration.py
+++ b/wagtailrill/native/configuration.py
@@ -7,7 +7,7 @@
 from expression import Result
 
 from ..declaration.models import BackendServerState, Configuration, Declaration
-from ..declaration.parse import parse
+from ..declaration.parse import parse_declaration
 from ..servers.models import ServerEntry, ServerState
 from ..store.models import Item
 
@@ -28,15 +28,17 @@
         """Return the prefix of the configuration's store keys."""
         return f"{self.deployment}/config"
 
-    def declaration_key(self) -> str:
+    def get_declaration_key(self) -> str:
         """Return the store key that holds the declaration."""
         return self.prefix
 
     def decode(self, item: Item) -> Result[Declaration, str]:
         """Return the declaration, or the first reason why it is invalid."""
-        return parse(item.value).map_error(lambda findings: str(findings[0]))
+        return parse_declaration(item.value).map_error(
+            lambda findings: str(findings[0])
+        )
 
-    def closed(self, keys: frozenset[str]) -> frozenset[str]:
+    def list_closed_data_centres(self, keys: frozenset[str]) -> frozenset[str]:
         """Return no data centres: the declaration itself lists the closed ones."""
         return frozenset()
 
--- a/wagtailrill/platform/configuration.py
+++ b/wagtailrill/platform/configuration.py
@@ -53,7 +53,7 @@
         """Return the prefix of the operator's store keys."""
         return wire.OPERATOR_PREFIX
 
-    def declaration_key(self) -> str:
+    def get_declaration_key(self) -> str:
         """Return the store key that holds the configuration."""
         return wire.CONFIGURATION_KEY
 
@@ -64,7 +64,7 @@
         except WireError as exc:
             return Error(str(exc))
 
-    def closed(self, keys: frozenset[str]) -> frozenset[str]:
+    def list_closed_data_centres(self, keys: frozenset[str]) -> frozenset[str]:
         """Return the data centres that the operator has evacuated."""
         prefix_length = len(wire.EVACUATION_PREFIX)
         return frozenset(
--- a/wagtailrill/requests/checks.py
+++ b/wagtailrill/requests/checks.py
@@ -56,7 +56,7 @@
         refusal = check_headers(req.headers)
         if refusal is not None:
             return refusal
-        match = self.route_table.match(req.method, req.path, req.host)
+        match = self.route_table.find_route(req.method, req.path, req.host)
         if match is None:
             return ROUTE_UNKNOWN
         route = match.route
--- a/wagtailrill/settings/parse.py
+++ b/wagtailrill/settings/parse.py
@@ -15,7 +15,7 @@
     format_field_path,
     is_address,
     load_json,
-    report_of,
+    truncate_findings,
 )
 from . import const
 from .models import InstanceSettings, Limits, LogLevel
@@ -51,7 +51,7 @@
 }
 
 
-def parse(text: str | bytes) -> Result[InstanceSettings, tuple[Finding, ...]]:
+def parse_settings(text: str | bytes) -> Result[InstanceSettings, tuple[Finding, ...]]:
     """Return the settings of a JSON text, or all findings about it."""
     match load_json(text, const.SETTINGS_MAX_BYTES):
         case Result(tag="ok", ok=value):
@@ -64,7 +64,7 @@
     findings = Findings()
     settings = _read_settings(ObjectReader(value, "$", findings))
     if findings:
-        return Error(report_of(findings))
+        return Error(truncate_findings(findings))
     return Ok(settings)
 
 
@@ -79,30 +79,34 @@
         admin_address=reader.read_address("admin_address"),
         store_addresses=_read_store_addresses(reader),
         peer_secrets=_read_peer_secrets(reader),
-        trace_sample_ratio=reader.fraction(
+        trace_sample_ratio=reader.read_fraction(
             "trace_sample_ratio", const.DEFAULT_TRACE_SAMPLE_RATIO
         ),
-        drain_s=reader.positive("drain_s", const.DEFAULT_DRAIN_S, const.DRAIN_MAX_S),
-        load_balancer_lag_s=reader.positive(
+        drain_s=reader.read_positive_number(
+            "drain_s", const.DEFAULT_DRAIN_S, const.DRAIN_MAX_S
+        ),
+        load_balancer_lag_s=reader.read_positive_number(
             "load_balancer_lag_s",
             const.DEFAULT_LOAD_BALANCER_LAG_S,
             const.LOAD_BALANCER_LAG_MAX_S,
         ),
-        store_timeout_s=reader.positive(
+        store_timeout_s=reader.read_positive_number(
             "store_timeout_s", const.DEFAULT_STORE_TIMEOUT_S, const.STORE_TIMEOUT_MAX_S
         ),
-        log_level=reader.choice("log_level", LogLevel, LogLevel.INFO),
+        log_level=reader.read_choice("log_level", LogLevel, LogLevel.INFO),
         limits=_read_limits(reader.read_object("limits")),
     )
     _check_listen_addresses(reader, settings)
-    reader.finish()
+    reader.report_unknown_fields()
     return settings
 
 
 def _read_store_addresses(reader: ObjectReader) -> tuple[str, ...]:
     unique = UniqueNames("address", reader.findings)
     addresses: list[str] = []
-    for value, path in reader.texts("store_addresses", const.STORE_ADDRESSES_MAX):
+    for value, path in reader.read_strings(
+        "store_addresses", const.STORE_ADDRESSES_MAX
+    ):
         if value:
             reader.check_address(value, path)
             unique.add_name(value, path)
@@ -114,7 +118,7 @@
 def _read_peer_secrets(reader: ObjectReader) -> tuple[bytes, ...]:
     """Return the secrets; findings do not quote them."""
     secrets: list[bytes] = []
-    for value, path in reader.texts("peer_secrets", const.PEER_SECRETS_MAX):
+    for value, path in reader.read_strings("peer_secrets", const.PEER_SECRETS_MAX):
         secret = value.encode(errors="replace")
         if value and len(value) < const.PEER_SECRET_MIN_CHARACTERS:
             minimum = const.PEER_SECRET_MIN_CHARACTERS
@@ -167,5 +171,5 @@
             for name, (default, minimum, maximum) in _LIMIT_BOUNDS.items()
         }
     )
-    reader.finish()
+    reader.report_unknown_fields()
     return limits
--- a/wagtailrill/stand_ins/backend_server.py
+++ b/wagtailrill/stand_ins/backend_server.py
@@ -19,7 +19,7 @@
 import uvicorn
 
 from ..declaration.models import Service
-from ..declaration.parse import parse
+from ..declaration.parse import parse_declaration
 from ..gateway.header_dialect import HeaderNames
 from ..gateway.json_control import ControlNames
 from ..native.control import CONTROL_NAMES as NATIVE_CONTROL
@@ -347,7 +347,7 @@
     parser.add_argument("--service-time-s", type=float, default=0.005)
     parser.add_argument("--seed", type=int, default=1)
     args = parser.parse_args()
-    declaration = parse(args.declaration.read_bytes()).ok
+    declaration = parse_declaration(args.declaration.read_bytes()).ok
     service = next(s for s in declaration.services if s.name == args.service)
     anyio.run(async_serve_all, servers_of(service, args))
 
--- a/wagtailrill/stand_ins/faults.py
+++ b/wagtailrill/stand_ins/faults.py
@@ -8,7 +8,7 @@
 from expression import Error, Ok, Result
 
 from ..core.findings import Finding, Findings
-from ..declaration.check import ObjectReader, load_json, report_of
+from ..declaration.check import ObjectReader, load_json, truncate_findings
 
 FAULTS_MAX_BYTES = 4096
 REFUSED_CLIENTS_MAX = 64
@@ -51,16 +51,21 @@
     findings = Findings()
     reader = ObjectReader(value, "$", findings)
     faults = StoreFaults(
-        outage=reader.choice("outage", Outage, Outage.NONE),
+        outage=reader.read_choice("outage", Outage, Outage.NONE),
         clients=tuple(
-            text for text, _ in reader.texts("clients", REFUSED_CLIENTS_MAX, True)
+            text
+            for text, _ in reader.read_strings("clients", REFUSED_CLIENTS_MAX, True)
         ),
-        latency_s=reader.positive("latency_s") if reader.has("latency_s") else 0.0,
-        lost_answer_probability=reader.fraction("lost_answer_probability", 0.0),
-        late_s=reader.positive("late_s") if reader.has("late_s") else 0.0,
+        latency_s=reader.read_positive_number("latency_s")
+        if reader.has_field("latency_s")
+        else 0.0,
+        lost_answer_probability=reader.read_fraction("lost_answer_probability", 0.0),
+        late_s=reader.read_positive_number("late_s")
+        if reader.has_field("late_s")
+        else 0.0,
     )
-    reader.finish()
-    return Error(report_of(findings)) if findings else Ok(faults)
+    reader.report_unknown_fields()
+    return Error(truncate_findings(findings)) if findings else Ok(faults)
 
 
 def loses_answer(faults: StoreFaults, rng: random.Random) -> bool:
