Reword locals of declaration and settings

Folders: wagtailrill/declaration, wagtailrill/settings. Only local variables, and the docstring of UniqueNames.

Renamed names: check: seen -> seen_names, repeated -> duplicate_names, bracketed -> is_bracketed, found -> actual_type and actual, allowed -> allowed_values; routing: found -> route_match, ordered -> sorted_positions; rules: unique -> unique_names, dependency_names, unique_routes; settings: unique -> unique_addresses; models: pairs -> server_service_pairs, available -> available_names, open_data_centres -> open_data_centre_names

--- a/wagtailrill/declaration/check.py
+++ b/wagtailrill/declaration/check.py
@@ -45,11 +45,11 @@
 def _make_json_object(pairs: list[tuple[str, Any]]) -> JsonObject:
     result = JsonObject(pairs)
     if len(result) < len(pairs):
-        seen: set[str] = set()
-        repeated: list[str] = []
+        seen_names: set[str] = set()
+        duplicate_names: list[str] = []
         for name, _ in pairs:
-            (repeated.append if name in seen else seen.add)(name)
-        result.duplicates = tuple(repeated)
+            (duplicate_names.append if name in seen_names else seen_names.add)(name)
+        result.duplicates = tuple(duplicate_names)
     return result
 
 
@@ -91,12 +91,12 @@
         or not 1 <= int(port) <= 65_535
     ):
         return False
-    bracketed = host.startswith("[") and host.endswith("]")
+    is_bracketed = host.startswith("[") and host.endswith("]")
     try:
-        address = ipaddress.ip_address(host[1:-1] if bracketed else host)
+        address = ipaddress.ip_address(host[1:-1] if is_bracketed else host)
     except ValueError:
         return False
-    return (address.version == 6) is bracketed
+    return (address.version == 6) is is_bracketed
 
 
 def truncate_findings(findings: Findings) -> tuple[Finding, ...]:
@@ -124,8 +124,8 @@
         self._fields: JsonObject = value if self.is_object else JsonObject()
         self._known_fields: set[str] = set()
         if not self.is_object:
-            found = _JSON_TYPES[type(value)]
-            findings.add(path, f"This must be an object, not {found}.")
+            actual_type = _JSON_TYPES[type(value)]
+            findings.add(path, f"This must be an object, not {actual_type}.")
         for name in self._fields.duplicates:
             findings.add(
                 format_field_path(path, name), "The field is given more than once."
@@ -227,8 +227,8 @@
             return default
         if value in list(options):
             return options(value)
-        allowed = ", ".join(f'"{option}"' for option in options)
-        self.add_finding(name, f"The value must be one of {allowed}.")
+        allowed_values = ", ".join(f'"{option}"' for option in options)
+        self.add_finding(name, f"The value must be one of {allowed_values}.")
         return default
 
     def read_address(self, name: str, default: str = _MISSING) -> str:
@@ -267,8 +267,8 @@
             if isinstance(value, str) and value:
                 yield value, path
                 continue
-            found = "an empty one" if value == "" else _JSON_TYPES[type(value)]
-            self.findings.add(path, f"This must be a string, not {found}.")
+            actual = "an empty one" if value == "" else _JSON_TYPES[type(value)]
+            self.findings.add(path, f"This must be a string, not {actual}.")
             yield "", path
 
     def read_object(self, name: str) -> "ObjectReader | None":
@@ -307,7 +307,7 @@
 
 @attrs.define
 class UniqueNames:
-    """Reports names that occur more than once; `kind` is their kind in messages."""
+    """Reports names that occur more than once; messages call them by `kind`."""
 
     kind: str
     findings: Findings
--- a/wagtailrill/declaration/models.py
+++ b/wagtailrill/declaration/models.py
@@ -210,18 +210,21 @@
         set_field = object.__setattr__
         set_field(self, "services", {s.name: s for s in declaration.services})
         set_field(self, "organisations", {o.name: o for o in declaration.organisations})
-        pairs = [(b, s) for s in declaration.services for b in s.backend_servers]
-        set_field(self, "backend_servers", {b.name: b for b, _ in pairs})
-        set_field(self, "service_of", {b.name: s for b, s in pairs})
-        open_data_centres = {
+        server_service_pairs = [
+            (b, s) for s in declaration.services for b in s.backend_servers
+        ]
+        set_field(self, "backend_servers", {b.name: b for b, _ in server_service_pairs})
+        set_field(self, "service_of", {b.name: s for b, s in server_service_pairs})
+        open_data_centre_names = {
             d.name for d in declaration.data_centres if d.state is DataCentreState.IN
         }
-        available = frozenset(
+        available_names = frozenset(
             b.name
-            for b, _ in pairs
-            if b.state is BackendServerState.IN and b.data_centre in open_data_centres
+            for b, _ in server_service_pairs
+            if b.state is BackendServerState.IN
+            and b.data_centre in open_data_centre_names
         )
-        set_field(self, "_available", available)
+        set_field(self, "_available", available_names)
 
     @property
     def closed_data_centres(self) -> frozenset[str]:
--- a/wagtailrill/declaration/routing.py
+++ b/wagtailrill/declaration/routing.py
@@ -85,11 +85,11 @@
             return None
         for route_host in (host, "") if host else ("",):
             table = self._path_tables.get(route_host)
-            found = table.find_route(method, path) if table is not None else None
-            if found is None and route_host in self._prefix_entries:
-                found = _match_prefix(self._prefix_entries[route_host], path)
-            if found is not None:
-                return found
+            route_match = table.find_route(method, path) if table is not None else None
+            if route_match is None and route_host in self._prefix_entries:
+                route_match = _match_prefix(self._prefix_entries[route_host], path)
+            if route_match is not None:
+                return route_match
         return None
 
     def _add_route(self, entry: _RouteEntry) -> None:
@@ -126,10 +126,12 @@
     def sort_key_positions(self) -> None:
         """Sort the positions of key segments by precedence."""
         for shape, entries_by_position in self._entries_by_shape.items():
-            ordered = sorted(
+            sorted_positions = sorted(
                 entries_by_position, key=lambda p: (p != _NO_KEY_POSITION, -p)
             )
-            self._entries_by_shape[shape] = {p: entries_by_position[p] for p in ordered}
+            self._entries_by_shape[shape] = {
+                p: entries_by_position[p] for p in sorted_positions
+            }
 
     def find_route(self, method: str, path: str) -> RouteMatch | None:
         """Return the route of a method and path, or None."""
--- a/wagtailrill/declaration/rules.py
+++ b/wagtailrill/declaration/rules.py
@@ -40,9 +40,9 @@
 def _check_unique_names(
     kind: str, path: str, names: Iterable[str], findings: Findings
 ) -> None:
-    unique = UniqueNames(kind, findings)
+    unique_names = UniqueNames(kind, findings)
     for index, name in enumerate(names):
-        unique.add_name(name, path.format(index))
+        unique_names.add_name(name, path.format(index))
 
 
 def _check_backend_servers(declaration: Declaration, findings: Findings) -> None:
@@ -62,10 +62,10 @@
 def _check_dependencies(services: tuple[Service, ...], findings: Findings) -> None:
     service_names = {s.name for s in services}
     for service_index, service in enumerate(services):
-        unique = UniqueNames("dependency", findings)
+        dependency_names = UniqueNames("dependency", findings)
         for dependency_index, name in enumerate(service.depends_on):
             path = f"$.services[{service_index}].depends_on[{dependency_index}]"
-            unique.add_name(name, path)
+            dependency_names.add_name(name, path)
             if name and name not in service_names:
                 findings.add(path, f"Service {name[:64]!a} is unknown.")
     service_indexes = {
@@ -107,14 +107,14 @@
 
 
 def _check_routes(services: tuple[Service, ...], findings: Findings) -> None:
-    unique = UniqueNames("route", findings)
+    unique_routes = UniqueNames("route", findings)
     service_names = frozenset(s.name for s in services)
     for service_index, service in enumerate(services):
         for route_index, route in enumerate(service.routes):
             path = f"$.services[{service_index}].routes[{route_index}].path"
             if route.method and route.path:
                 method = "any method" if route.by_prefix else route.method
-                unique.add_name(f"{method} {route.host}{route.path}", path)
+                unique_routes.add_name(f"{method} {route.host}{route.path}", path)
             _check_split(route, service_names, path, findings)
 
 
--- a/wagtailrill/settings/parse.py
+++ b/wagtailrill/settings/parse.py
@@ -102,14 +102,14 @@
 
 
 def _read_store_addresses(reader: ObjectReader) -> tuple[str, ...]:
-    unique = UniqueNames("address", reader.findings)
+    unique_addresses = UniqueNames("address", reader.findings)
     addresses: list[str] = []
     for value, path in reader.read_strings(
         "store_addresses", const.STORE_ADDRESSES_MAX
     ):
         if value:
             reader.check_address(value, path)
-            unique.add_name(value, path)
+            unique_addresses.add_name(value, path)
         addresses.append(value)
     _check_not_empty(reader, "store_addresses", addresses)
     return tuple(addresses)
@@ -138,9 +138,11 @@
 
 
 def _check_listen_addresses(reader: ObjectReader, settings: InstanceSettings) -> None:
-    unique = UniqueNames("address", reader.findings)
+    unique_addresses = UniqueNames("address", reader.findings)
     for name in ("caller_address", "peer_address", "admin_address"):
-        unique.add_name(getattr(settings, name), format_field_path(reader.path, name))
+        unique_addresses.add_name(
+            getattr(settings, name), format_field_path(reader.path, name)
+        )
     peer = _parse_ip(settings.peer_address)
     if peer is not None and peer.is_unspecified:
         reader.add_finding(
