--- a/tests/cli/test_main.py
+++ b/tests/cli/test_main.py
@@ -1,4 +1,4 @@
-"""Guards the command line from its arguments to its exit code."""
+"""Tests `wagtailrillctl` from its arguments to its output and exit code."""
 
 import json
 import threading
@@ -43,7 +43,7 @@
 }
 
 
-async def async_admin(scope, receive, send):
+async def async_answer_as_admin(scope, receive, send):
     """Answer as the admin interface of an instance does."""
     answer = ANSWERS.get((scope["method"], scope["path"]))
     if scope["path"] == "/explain-key":
@@ -53,8 +53,8 @@
 
 
 @contextmanager
-def served(app):
-    """Serve an application from another thread; yield its address."""
+def serve_in_thread(app):
+    """Serve an ASGI application in another thread; yield its address."""
     addresses, ready, stop = [], threading.Event(), threading.Event()
 
     async def async_main():
@@ -73,64 +73,76 @@
         thread.join(10)
 
 
-def invoke(capsys, *arguments):
-    """Run the command line; return its exit code, output and errors."""
+def run_command_line(capsys, *arguments):
+    """Run `wagtailrillctl`; return exit code, standard output and standard error."""
     with pytest.raises(SystemExit) as info:
         main(list(arguments))
     captured = capsys.readouterr()
     return info.value.code, captured.out, captured.err
 
 
-def test_commands_work_against_a_store(capsys):
-    """Guards against commands that only work with a store in memory."""
-    with served(StoreStandIn()) as address:
-        common = ("--store", address, "--deployment", "piraeus")
-        assert invoke(capsys, *common, "export")[0] == 1
-        code, out, _ = invoke(capsys, *common, "apply", SERVICES)
+def test_store_commands_work_over_http(capsys):
+    """Guards against commands that work only with a store in the same process."""
+    with serve_in_thread(StoreStandIn()) as address:
+        common_options = ("--store", address, "--deployment", "piraeus")
+        assert run_command_line(capsys, *common_options, "export")[0] == 1
+        code, out, _ = run_command_line(capsys, *common_options, "apply", SERVICES)
         assert (code, "version 2" in out) == (0, True)
-        code, out, _ = invoke(capsys, "data-centre", "out", "volos-a", *common)
+        code, out, _ = run_command_line(
+            capsys, "data-centre", "out", "volos-a", *common_options
+        )
         assert (code, "state in -> out" in out) == (0, True)
-        code, out, _ = invoke(capsys, "apply", SERVICES, "--json", *common)
+        code, out, _ = run_command_line(
+            capsys, "apply", SERVICES, "--json", *common_options
+        )
         assert json.loads(out)["difference"] == [
             "~ data centre volos-a: state out -> in"
         ]
-        code, out, _ = invoke(
-            capsys, *common, "organisation", "grant", "night-survey", "--json"
+        code, out, _ = run_command_line(
+            capsys, *common_options, "organisation", "grant", "night-survey", "--json"
         )
         assert json.loads(out)["tenant_key"].startswith("wr_")
-        code, out, err = invoke(capsys, *common, "export")
+        code, out, err = run_command_line(capsys, *common_options, "export")
         assert (json.loads(out)["deployment"], "version 5" in err) == ("piraeus", True)
-        assert invoke(capsys, *common, "data-centre", "out", "x")[0] == 1
+        assert (
+            run_command_line(capsys, *common_options, "data-centre", "out", "x")[0] == 1
+        )
 
 
-def settings_directory(tmp_path, addresses):
+def write_settings_directory(tmp_path, addresses):
     example = json.loads((EXAMPLES / "piraeus/instances/instance-01.json").read_text())
     for number, address in enumerate(addresses, 1):
         name = f"instance-{number:02}"
-        text = json.dumps(example | {"instance": name, "admin_address": address})
-        (tmp_path / f"{name}.json").write_text(text)
+        settings_json = json.dumps(
+            example | {"instance": name, "admin_address": address}
+        )
+        (tmp_path / f"{name}.json").write_text(settings_json)
     return ("--instances", str(tmp_path))
 
 
-def test_instance_commands(capsys, tmp_path):
-    """Guards against answers of instances that the command line misreads."""
-    with served(async_admin) as address:
-        common = settings_directory(tmp_path, [address, "127.0.0.1:1"])
-        code, out, _ = invoke(capsys, "status", *common)
+def test_instance_commands_interpret_answers(capsys, tmp_path):
+    """Guards against answers of instances that the commands misinterpret."""
+    with serve_in_thread(async_answer_as_admin) as address:
+        common_options = write_settings_directory(tmp_path, [address, "127.0.0.1:1"])
+        code, out, _ = run_command_line(capsys, "status", *common_options)
         assert code == 3
         assert (
             "instance-01: ready, configuration 3, 2 open, duties: keys/ledgerroll"
             in out
         )
         assert "instance-02: unreachable" in out
-        code, out, _ = invoke(capsys, "status", "--json", *common)
+        code, out, _ = run_command_line(capsys, "status", "--json", *common_options)
         assert [i["reached"] for i in json.loads(out)["instances"]] == [True, False]
-        code, out, _ = invoke(capsys, "explain-key", "ledgerroll", "C1", *common)
+        code, out, _ = run_command_line(
+            capsys, "explain-key", "ledgerroll", "C1", *common_options
+        )
         assert (code, "owner ledger-01" in out) == (0, True)
-        assert invoke(capsys, "explain-key", "x", "C1", *common)[0] == 1
-        assert invoke(capsys, "drain", "instance-01", *common)[0] == 0
-        assert invoke(capsys, "drain", "instance-09", *common)[0] == 1
-        code, out, _ = invoke(capsys, "drain", "--admin", address)
+        assert (
+            run_command_line(capsys, "explain-key", "x", "C1", *common_options)[0] == 1
+        )
+        assert run_command_line(capsys, "drain", "instance-01", *common_options)[0] == 0
+        assert run_command_line(capsys, "drain", "instance-09", *common_options)[0] == 1
+        code, out, _ = run_command_line(capsys, "drain", "--admin", address)
         assert (code, "planned stop" in out) == (0, True)
 
 
@@ -156,20 +168,20 @@
     ],
 )
 def test_exit_code_and_message(capsys, monkeypatch, arguments, code, part):
-    """Guards against scripts that take a failure for success."""
+    """Guards against exit codes by which scripts mistake a failure for success."""
     monkeypatch.delenv("WAGTAILRILL_STORE", raising=False)
-    found, out, err = invoke(capsys, *arguments)
-    assert (found, part in out + err) == (code, True), out + err
+    exit_code, out, err = run_command_line(capsys, *arguments)
+    assert (exit_code, part in out + err) == (code, True), out + err
 
 
-def test_waiting_is_shown(capsys):
-    """Guards against a command that looks dead while the store is silent."""
-    with served(async_silent) as address:
-        code, _, err = invoke(capsys, "drain", "--admin", address)
+def test_progress_is_shown_while_waiting(capsys):
+    """Guards against a command that seems to hang while an instance does not answer."""
+    with serve_in_thread(async_never_answer) as address:
+        code, _, err = run_command_line(capsys, "drain", "--admin", address)
     assert code == 3
     assert "waiting for the instances, 1 s so far" in err
 
 
-async def async_silent(scope, receive, send):
+async def async_never_answer(scope, receive, send):
     """Never answer."""
     await anyio.sleep(3.0)
--- a/tests/cli/test_store_commands.py
+++ b/tests/cli/test_store_commands.py
@@ -1,4 +1,4 @@
-"""Guards changes of the configuration by operators."""
+"""Tests changes of the stored declaration under conflicts and lost answers."""
 
 import anyio
 import attrs
@@ -9,11 +9,11 @@
 from wagtailrill.cli.const import ExitCode
 from wagtailrill.cli.declaration_store import DeclarationStore
 from wagtailrill.cli.store_commands import (
-    async_apply,
-    async_export,
-    async_grant,
-    async_set_data_centre,
-    async_withdraw,
+    async_apply_declaration,
+    async_export_declaration,
+    async_grant_tenant_key,
+    async_set_data_centre_state,
+    async_withdraw_tenant_keys,
 )
 from wagtailrill.core.request_models import Headers
 from wagtailrill.declaration.models import Configuration, DataCentreState
@@ -23,120 +23,167 @@
 from wagtailrill.stand_ins.store_model import StoreModel
 from wagtailrill.store.models import Commit, StoreError, StoreErrorKind
 
-OLD = parse_declaration((EXAMPLES / "piraeus" / "services.json").read_text()).ok
-NEW = attrs.evolve(OLD, data_centres=(*OLD.data_centres[1:], OLD.data_centres[0]))
-OTHER = attrs.evolve(OLD, organisations=OLD.organisations[1:])
-KEY = "piraeus/config"
-LOST = Error(StoreError(StoreErrorKind.NO_ANSWER, "no answer"))
+OLD_DECLARATION = parse_declaration(
+    (EXAMPLES / "piraeus" / "services.json").read_text()
+).ok
+NEW_DECLARATION = attrs.evolve(
+    OLD_DECLARATION,
+    data_centres=(*OLD_DECLARATION.data_centres[1:], OLD_DECLARATION.data_centres[0]),
+)
+OTHER_DECLARATION = attrs.evolve(
+    OLD_DECLARATION, organisations=OLD_DECLARATION.organisations[1:]
+)
+DECLARATION_KEY = "piraeus/config"
+NO_ANSWER = Error(StoreError(StoreErrorKind.NO_ANSWER, "no answer"))
 
 
 class FaultyStore:
-    """`Store` with faults that are used up one after the other."""
+    """Implements `Store` with a list of faults; each write uses up one.
+
+    "race": another operator writes first; "refuse": the write has no effect and no
+    answer; "lose": it takes effect, but its answer is lost.
+    """
 
     def __init__(self, faults=()):
         self.model = StoreModel()
         self.faults = list(faults)
-        self.put(OLD)
+        self.put_declaration(OLD_DECLARATION)
 
-    def put(self, declaration):
-        self.model.put(KEY, to_json(declaration).encode())
+    def put_declaration(self, declaration):
+        self.model.put(DECLARATION_KEY, to_json(declaration).encode())
 
-    def stored(self):
-        (item,) = self.model.items(KEY)
+    def get_declaration(self):
+        (item,) = self.model.items(DECLARATION_KEY)
         return parse_declaration(item.value).ok
 
     async def async_call(self, operation):
         is_write = isinstance(operation, Commit)
         fault = self.faults.pop(0) if self.faults and is_write else ""
         if fault == "race":
-            self.put(OTHER)
+            self.put_declaration(OTHER_DECLARATION)
         if fault == "refuse":
-            return LOST
+            return NO_ANSWER
         result = self.model.apply(operation, 0.0)
         if fault == "lose, then race":
-            self.put(OTHER)
-        return LOST if fault.startswith("lose") else result
+            self.put_declaration(OTHER_DECLARATION)
+        return NO_ANSWER if fault.startswith("lose") else result
 
 
-def run(async_command, faults=(), **options):
+def run_with_faults(async_command, faults=(), **options):
     store = FaultyStore(faults)
 
     async def async_main():
-        declarations = DeclarationStore(store, "piraeus", patience_s=1.0)
+        declarations = DeclarationStore(store, "piraeus", retry_max_s=1.0)
         return await async_command(declarations, **options)
 
     return store, anyio.run(async_main)
 
 
-def apply_new(store, **options):
-    return async_apply(store, NEW, **options)
+def apply_new_declaration(store, **options):
+    return async_apply_declaration(store, NEW_DECLARATION, **options)
 
 
-APPLY = {
-    "no fault": ((), {}, ExitCode.OK, NEW, "accepted"),
-    "dry run": ((), {"dry_run": True}, ExitCode.OK, OLD, "order of entries"),
-    "answer lost after the effect": (("lose",), {}, ExitCode.OK, NEW, "accepted"),
-    "write lost": (("refuse",), {}, ExitCode.OK, NEW, "accepted"),
-    "other operator first": (("race",), {}, ExitCode.CHANGED, OTHER, "- organisation"),
+APPLY_CASES = {
+    "no fault": ((), {}, ExitCode.OK, NEW_DECLARATION, "accepted"),
+    "dry run": (
+        (),
+        {"dry_run": True},
+        ExitCode.OK,
+        OLD_DECLARATION,
+        "order of entries",
+    ),
+    "answer lost after the effect": (
+        ("lose",),
+        {},
+        ExitCode.OK,
+        NEW_DECLARATION,
+        "accepted",
+    ),
+    "write lost": (("refuse",), {}, ExitCode.OK, NEW_DECLARATION, "accepted"),
+    "other operator first": (
+        ("race",),
+        {},
+        ExitCode.CONFLICT,
+        OTHER_DECLARATION,
+        "- organisation",
+    ),
     "other operator after a lost answer": (
         ("lose, then race",),
         {},
-        ExitCode.CHANGED,
-        OTHER,
+        ExitCode.CONFLICT,
+        OTHER_DECLARATION,
         "may have taken effect",
     ),
-    "old base": ((), {"base_version": 9}, ExitCode.CHANGED, OLD, "version 2"),
-    "store silent": (("refuse",) * 99, {}, ExitCode.UNREACHABLE, OLD, "may have"),
+    "old base": (
+        (),
+        {"base_version": 9},
+        ExitCode.CONFLICT,
+        OLD_DECLARATION,
+        "version 2",
+    ),
+    "store silent": (
+        ("refuse",) * 99,
+        {},
+        ExitCode.UNREACHABLE,
+        OLD_DECLARATION,
+        "may have",
+    ),
 }
 
 
-@pytest.mark.parametrize("fault", APPLY)
-def test_apply_tells_what_happened(fault):
-    """Guards against overwritten changes and against false reports of a write."""
-    faults, options, code, stored, part = APPLY[fault]
-    store, result = run(apply_new, faults, **options)
+@pytest.mark.parametrize("fault", APPLY_CASES)
+def test_apply_reports_the_actual_outcome(fault):
+    """Guards against overwritten changes and wrong reports of a write's outcome."""
+    faults, options, code, stored, part = APPLY_CASES[fault]
+    store, result = run_with_faults(apply_new_declaration, faults, **options)
     assert result.exit_code is code
-    assert store.stored() == stored
+    assert store.get_declaration() == stored
     assert any(part in line for line in result.lines), result.lines
 
 
 @pytest.mark.parametrize("faults", [(), ("race",), ("lose",), ("lose, then race",)])
-def test_data_centre_goes_out_whatever_others_do(faults):
-    """Guards against a data centre that stays in after a reported success."""
+def test_data_centre_is_taken_out_despite_conflicts(faults):
+    """Guards against a data centre that stays in service after a reported success."""
 
     def command(store):
-        return async_set_data_centre(store, "volos-a", DataCentreState.OUT)
+        return async_set_data_centre_state(store, "volos-a", DataCentreState.OUT)
 
-    store, result = run(command, faults)
+    store, result = run_with_faults(command, faults)
     assert result.exit_code is ExitCode.OK
-    assert store.stored().data_centres[3].state is DataCentreState.OUT
-    lost_to_race = "race" in "".join(faults)
-    assert len(store.stored().organisations) == 8 - lost_to_race
+    assert store.get_declaration().data_centres[3].state is DataCentreState.OUT
+    removed_by_race = "race" in "".join(faults)
+    assert len(store.get_declaration().organisations) == 8 - removed_by_race
 
 
 @pytest.mark.parametrize("faults", [(), ("lose",), ("race",)])
-def test_granted_key_opens_and_withdrawn_key_does_not(faults):
-    """Guards against keys that are shown but not stored."""
-    store, result = run(lambda s: async_grant(s, "night-survey"), faults)
+def test_granted_key_authenticates(faults):
+    """Guards against tenant keys that are shown but not stored."""
+    store, result = run_with_faults(
+        lambda s: async_grant_tenant_key(s, "night-survey"), faults
+    )
     assert result.exit_code is ExitCode.OK
     headers: Headers = ((b"x-tenant-key", result.fields["tenant_key"].encode()),)
     keys = TenantKeys()
-    keys.configure(Configuration(1, store.stored()))
+    keys.configure(Configuration(1, store.get_declaration()))
     assert keys.authenticate(headers).ok.organisation == "night-survey"
-    assert result.fields["tenant_key"] not in to_json(store.stored())
+    assert result.fields["tenant_key"] not in to_json(store.get_declaration())
 
 
 def test_withdrawal_removes_the_keys_and_refuses_unknown_names():
     """Guards against a withdrawal that reports success without effect."""
-    store, result = run(lambda s: async_withdraw(s, "night-survey", None))
+    store, result = run_with_faults(
+        lambda s: async_withdraw_tenant_keys(s, "night-survey", None)
+    )
     assert result.exit_code is ExitCode.OK
-    assert store.stored().organisations[7].tenant_keys == ()
+    assert store.get_declaration().organisations[7].tenant_keys == ()
     for name, key_id in (("x", None), ("night-survey", "x")):
-        _, result = run(lambda s, n=name, k=key_id: async_withdraw(s, n, k))
+        _, result = run_with_faults(
+            lambda s, n=name, k=key_id: async_withdraw_tenant_keys(s, n, k)
+        )
         assert result.exit_code is ExitCode.REFUSED
 
 
-def test_export_returns_what_apply_takes():
+def test_export_returns_what_apply_accepts():
     """Guards against an export that changes the configuration."""
-    _, result = run(async_export)
-    assert parse_declaration(result.lines[0]).ok == OLD
+    _, result = run_with_faults(async_export_declaration)
+    assert parse_declaration(result.lines[0]).ok == OLD_DECLARATION
--- a/tests/load_tool/test_plan.py
+++ b/tests/load_tool/test_plan.py
@@ -1,4 +1,4 @@
-"""Guards the load tool: a wrong plan makes every figure wrong."""
+"""Tests the plan and the summary of the load tool, on which all figures depend."""
 
 from pathlib import Path
 
@@ -32,21 +32,21 @@
     )
 
 
-def test_plan_keeps_rate_spread_and_fresh_idempotency_keys():
-    """Guards against a rate, spread or keys other than those asked for."""
+def test_plan_follows_rate_and_weights_with_fresh_idempotency_keys():
+    """Guards against a rate, target weights or keys other than the settings ask for."""
     plan = list(make_plan(CFG, DECLARATION, 1000.0))
     assert 4600 < len(plan) < 5400
-    first = sum(planned.target == CFG.targets[0] for planned in plan)
-    assert 0.70 < first / len(plan) < 0.80
-    keys = [p for p in plan if not p.route.idempotent]
-    assert keys
-    assert len({p.idempotency_key for p in keys}) == len(keys)
-    for planned in keys:
-        expected_ms = int((1000 + planned.at_s) * 1000)
-        assert parse_uuid7_time_ms(planned.idempotency_key) == expected_ms
+    first_target_count = sum(request.target == CFG.targets[0] for request in plan)
+    assert 0.70 < first_target_count / len(plan) < 0.80
+    non_idempotent = [p for p in plan if not p.route.idempotent]
+    assert non_idempotent
+    assert len({p.idempotency_key for p in non_idempotent}) == len(non_idempotent)
+    for request in non_idempotent:
+        expected_ms = int((1000 + request.at_s) * 1000)
+        assert parse_uuid7_time_ms(request.idempotency_key) == expected_ms
 
 
-def test_percentiles():
+def test_percentiles_include_the_slowest_requests():
     """Guards against percentiles that leave out the slowest requests."""
     values = [float(n) for n in range(1000)]
     assert percentile(values, 0.99) == 990.0
@@ -54,9 +54,9 @@
     assert percentile([], 0.5) is None
 
 
-def test_nothing_answered_has_no_latency():
-    """Guards against failed runs that look like very fast ones."""
-    rows = [LoadResult("s", "a", 0, "timed_out", "unknown", 1.0)]
-    summary = summarise(rows)
+def test_summary_without_answers_has_no_latency():
+    """Guards against failed runs that are reported as very fast ones."""
+    results = [LoadResult("s", "a", 0, "timed_out", "unknown", 1.0)]
+    summary = summarise(results)
     assert summary["services"]["s"]["latency_ms"]["p99"] is None
     assert "-" in table(summary).splitlines()[1]
--- a/tests/operations/cases.py
+++ b/tests/operations/cases.py
@@ -1,4 +1,4 @@
-"""Three failed requests on the stand-ins, with the logs that they leave."""
+"""Three failed requests against the stand-ins, and the log files of their runs."""
 
 import json
 from collections.abc import Callable
@@ -14,21 +14,21 @@
     """Write the log lines of each instance to a file of its own."""
     files = {name: directory / f"{name}.log" for name in run.names}
     for at_s, name, command in run.logs:
-        stamp = datetime.fromtimestamp(WALL_EPOCH_S + at_s, UTC).isoformat()
+        timestamp = datetime.fromtimestamp(WALL_EPOCH_S + at_s, UTC).isoformat()
         line = {
             **dict(command.fields),
             "event": command.event,
             "instance": name,
             "level": "info",
-            "timestamp": stamp,
+            "timestamp": timestamp,
         }
         with files[name].open("a") as file:
             file.write(json.dumps(line) + "\n")
     return [str(file) for file in files.values() if file.exists()]
 
 
-def refused_for_its_rate() -> tuple[Deployment, Call]:
-    """Return a request of an organisation that sends more than its rate."""
+def make_rate_limited_request() -> tuple[Deployment, Call]:
+    """Return a request of an organisation that exceeds its rate."""
     run = Deployment(11)
     run.start()
     calls = []
@@ -39,7 +39,7 @@
     return run, next(c for c in calls if c.refusal and c.refusal.status == 429)
 
 
-def failed_with_its_server() -> tuple[Deployment, Call]:
+def make_request_of_crashed_server() -> tuple[Deployment, Call]:
     """Return a request that was running when its backend server crashed."""
     run = Deployment(12)
     run.start()
@@ -52,8 +52,8 @@
     return run, call
 
 
-def refused_while_its_key_moved() -> tuple[Deployment, Call]:
-    """Return a request for a key whose owner fell silent."""
+def make_request_for_moving_key() -> tuple[Deployment, Call]:
+    """Return a request for a key whose owner stopped answering."""
     run = Deployment(13)
     run.start()
     position = 4711
@@ -66,7 +66,7 @@
 
 
 CASES: Final[dict[str, Callable[[], tuple[Deployment, Call]]]] = {
-    "rate": refused_for_its_rate,
-    "server": failed_with_its_server,
-    "key": refused_while_its_key_moved,
+    "rate": make_rate_limited_request,
+    "server": make_request_of_crashed_server,
+    "key": make_request_for_moving_key,
 }
--- a/tests/operations/test_page.py
+++ b/tests/operations/test_page.py
@@ -1,4 +1,4 @@
-"""Guards docs/OPERATIONS.md: its commands lead from a request to its cause."""
+"""Tests docs/OPERATIONS.md: its commands find the causes of failed requests."""
 
 import json
 import re
@@ -20,7 +20,7 @@
 }
 
 
-def command_of(case: str) -> list[str]:
+def read_page_command(case: str) -> list[str]:
     """Return the command that the page gives for a case."""
     found = re.search(
         rf"<!-- case: {case} -->.*?\n    (wagtailrillctl .*?)\n", PAGE.read_text(), re.S
@@ -31,11 +31,11 @@
 
 @pytest.mark.parametrize("case", sorted(CASES))
 def test_page_leads_to_the_cause(case, tmp_path, capsys):
-    """Guards against pages whose commands do not find why a request failed."""
+    """Guards against documented commands that do not show why a request failed."""
     run, call = CASES[case]()
     files = write_logs(run, tmp_path)
     arguments = []
-    for word in command_of(case):
+    for word in read_page_command(case):
         if word == "logs/*.log":
             arguments += files
         else:
@@ -49,14 +49,14 @@
     assert CAUSES[case] in PAGE.read_text()
 
 
-def test_every_name_of_a_line_is_in_the_list():
-    """Guards against log lines that the page does not explain."""
+def test_page_lists_every_log_event():
+    """Guards against log events that the page does not explain."""
     listed = set(re.findall(r"^\| `([a-z_]+)` \|", PAGE.read_text(), re.M))
     assert {name.value for name in LogName} <= listed
 
 
-def test_clipped_lines_and_garbage_are_left_out(tmp_path, capsys):
-    """Guards against logs that cannot be read since one line is broken."""
+def test_truncated_and_invalid_lines_are_skipped(tmp_path, capsys):
+    """Guards against logs that cannot be evaluated because one line is malformed."""
     run, call = CASES["rate"]()
     (file, *_) = [f for f in write_logs(run, tmp_path) if "i-2" in f]
     content = Path(file).read_bytes()
@@ -66,13 +66,13 @@
     with pytest.raises(SystemExit) as exit_info:
         main(["--json", "explain-request", call.caller_id, file])
     assert exit_info.value.code == 0
-    told = json.loads(capsys.readouterr().out)
-    assert CAUSES["rate"] in told["cause"]
-    assert told["unreadable"] == len(broken) + 1
+    explanation = json.loads(capsys.readouterr().out)
+    assert CAUSES["rate"] in explanation["cause"]
+    assert explanation["unreadable"] == len(broken) + 1
 
 
-def test_unknown_request_is_said_to_be_unknown(tmp_path, capsys):
-    """Guards against an empty story that looks like a cause."""
+def test_unknown_request_is_reported(tmp_path, capsys):
+    """Guards against an empty explanation that looks like a cause."""
     file = tmp_path / "empty.log"
     file.write_bytes(b"")
     with pytest.raises(SystemExit) as exit_info:
@@ -81,8 +81,8 @@
     assert "No line names the request nobody" in capsys.readouterr().err
 
 
-def test_missing_file_is_wrong_usage(tmp_path, capsys):
-    """Guards against a traceback where a file name is mistyped."""
+def test_missing_file_is_a_usage_error(tmp_path, capsys):
+    """Guards against a traceback when a file does not exist."""
     with pytest.raises(SystemExit) as exit_info:
         main(["explain-request", "c-1", str(tmp_path / "none.log")])
     assert exit_info.value.code == 2
--- a/wagtailrill/cli/__init__.py
+++ b/wagtailrill/cli/__init__.py
@@ -1,1 +1,1 @@
-"""Command line for operators: wagtailrillctl."""
+"""Command line for operators, `wagtailrillctl`."""
--- a/wagtailrill/cli/arguments.py
+++ b/wagtailrill/cli/arguments.py
@@ -1,11 +1,11 @@
-"""Arguments of the command line."""
+"""Argument parser of `wagtailrillctl`."""
 
 import argparse
 import os
 from pathlib import Path
 from typing import Any, Final
 
-from .const import DEPLOYMENT_VARIABLE, INSTANCES_VARIABLE
+from .const import DEPLOYMENT_ENV_VARIABLE, INSTANCES_ENV_VARIABLE
 
 _EPILOG: Final = """\
 examples:
@@ -23,20 +23,20 @@
 
 --store, --deployment and --instances may also be set in the environment as
 WAGTAILRILL_STORE, WAGTAILRILL_DEPLOYMENT and WAGTAILRILL_INSTANCES. Settings files
-given by --instances also tell the store and the deployment.
+given by --instances also provide the store addresses and the deployment.
 """
 _Subparsers = Any
 
 
 def make_parser() -> argparse.ArgumentParser:
-    """Return the parser of all commands."""
+    """Return the argument parser with all commands."""
     parser = argparse.ArgumentParser(
         prog="wagtailrillctl",
         description="Checks and changes the configuration, and shows instances.",
         epilog=_EPILOG,
         formatter_class=argparse.RawDescriptionHelpFormatter,
     )
-    _add_common(parser, top=True)
+    _add_common_options(parser, is_top_level=True)
     commands = parser.add_subparsers(dest="command", required=True, metavar="COMMAND")
     _add_declaration_commands(commands)
     _add_state_commands(commands)
@@ -44,53 +44,59 @@
     return parser
 
 
-def _add_common(parser: argparse.ArgumentParser, top: bool) -> None:
-    """Add options that may stand before or after the command."""
+def _add_common_options(parser: argparse.ArgumentParser, is_top_level: bool) -> None:
+    """Add the options that are accepted before and after the command.
 
-    def default(name: str) -> Any:
-        return os.environ.get(name) if top else argparse.SUPPRESS
+    Only the top level sets defaults; those of a command would overwrite values given
+    before the command.
+    """
+
+    def get_default(name: str) -> Any:
+        return os.environ.get(name) if is_top_level else argparse.SUPPRESS
 
     parser.add_argument(
         "--store",
         action="append",
-        default=None if top else argparse.SUPPRESS,
+        default=None if is_top_level else argparse.SUPPRESS,
         metavar="IP:PORT",
         help="address of the platform store; may be repeated",
     )
     parser.add_argument(
-        "--deployment", default=default(DEPLOYMENT_VARIABLE), metavar="NAME"
+        "--deployment", default=get_default(DEPLOYMENT_ENV_VARIABLE), metavar="NAME"
     )
     parser.add_argument(
         "--instances",
         type=Path,
-        default=default(INSTANCES_VARIABLE),
+        default=get_default(INSTANCES_ENV_VARIABLE),
         metavar="DIRECTORY",
         help="directory of instance settings files",
     )
     parser.add_argument(
         "--json",
         action="store_true",
-        default=False if top else argparse.SUPPRESS,
-        help="print one JSON object",
+        default=False if is_top_level else argparse.SUPPRESS,
+        help="print the result as one JSON object",
     )
 
 
-def _add(commands: _Subparsers, name: str, text: str) -> argparse.ArgumentParser:
+def _add_command(
+    commands: _Subparsers, name: str, help_text: str
+) -> argparse.ArgumentParser:
     parser: argparse.ArgumentParser = commands.add_parser(
         name,
-        help=text,
-        description=text,
+        help=help_text,
+        description=help_text,
         epilog=_EPILOG,
         formatter_class=argparse.RawDescriptionHelpFormatter,
     )
-    _add_common(parser, top=False)
+    _add_common_options(parser, is_top_level=False)
     return parser
 
 
 def _add_declaration_commands(commands: _Subparsers) -> None:
-    validate = _add(commands, "validate", "check a services declaration")
+    validate = _add_command(commands, "validate", "check a services declaration")
     validate.add_argument("file", metavar="FILE", help="JSON file, or - for stdin")
-    apply = _add(commands, "apply", "replace the declaration in the store")
+    apply = _add_command(commands, "apply", "replace the declaration in the store")
     apply.add_argument("file", metavar="FILE", help="JSON file, or - for stdin")
     apply.add_argument(
         "--dry-run", action="store_true", help="only show the difference"
@@ -99,19 +105,27 @@
         "--base-version",
         type=int,
         metavar="N",
-        help="refuse unless version N, which was exported, is still stored",
+        help="refuse unless the stored version is still N, as shown by export",
     )
-    _add(commands, "export", "print the stored declaration")
+    _add_command(commands, "export", "print the stored declaration")
 
 
 def _add_state_commands(commands: _Subparsers) -> None:
-    data_centre = _add(commands, "data-centre", "take a data centre out, or back in")
+    data_centre = _add_command(
+        commands, "data-centre", "take a data centre out of service or put it back in"
+    )
     data_centre.add_argument("state", choices=("out", "in"))
     data_centre.add_argument("name", metavar="NAME")
-    server = _add(commands, "backend-server", "mark a backend server as leaving")
-    server.add_argument("state", choices=("leaving", "in"))
-    server.add_argument("name", metavar="NAME")
-    organisation = _add(commands, "organisation", "issue or withdraw tenant keys")
+    backend_server = _add_command(
+        commands,
+        "backend-server",
+        "mark a backend server as leaving or put it back in",
+    )
+    backend_server.add_argument("state", choices=("leaving", "in"))
+    backend_server.add_argument("name", metavar="NAME")
+    organisation = _add_command(
+        commands, "organisation", "issue or withdraw tenant keys"
+    )
     organisation.add_argument("action", choices=("grant", "withdraw"))
     organisation.add_argument("name", metavar="NAME")
     organisation.add_argument(
@@ -120,18 +134,20 @@
 
 
 def _add_instance_commands(commands: _Subparsers) -> None:
-    _add(commands, "status", "show the state of all instances")
-    explain = _add(commands, "explain-key", "show which backend server owns a key")
-    explain.add_argument("service", metavar="SERVICE")
-    explain.add_argument("key", metavar="KEY")
-    request = _add(
-        commands, "explain-request", "tell from logs why a request ended as it did"
+    _add_command(commands, "status", "show the state of all instances")
+    explain_key = _add_command(
+        commands, "explain-key", "show which backend server owns a key"
+    )
+    explain_key.add_argument("service", metavar="SERVICE")
+    explain_key.add_argument("key", metavar="KEY")
+    explain_request = _add_command(
+        commands, "explain-request", "explain the outcome of a request from log files"
     )
-    request.add_argument("request_id", metavar="ID")
-    request.add_argument(
+    explain_request.add_argument("request_id", metavar="ID")
+    explain_request.add_argument(
         "files", nargs="*", metavar="FILE", help="log files, or - for standard input"
     )
-    drain = _add(commands, "drain", "start a planned stop of an instance")
+    drain = _add_command(commands, "drain", "start a planned stop of an instance")
     target = drain.add_mutually_exclusive_group(required=True)
     target.add_argument("instance", nargs="?", metavar="INSTANCE")
     target.add_argument("--admin", metavar="IP:PORT", help="admin address")
--- a/wagtailrill/cli/const.py
+++ b/wagtailrill/cli/const.py
@@ -1,4 +1,4 @@
-"""Constants of the command line."""
+"""Limits, exit codes and environment variables of `wagtailrillctl`."""
 
 import enum
 from typing import Final
@@ -11,17 +11,18 @@
     REFUSED = 1  # findings, or a change that cannot be made
     USAGE = 2
     UNREACHABLE = 3
-    CHANGED = 4  # another operator changed the configuration first
+    CONFLICT = 4  # another operator changed the configuration first
 
 
 CALL_TIMEOUT_S: Final = 2.0
-# Calls are repeated for this long while the store does not answer.
-STORE_PATIENCE_S: Final = 10.0
-STORE_RETRY_S: Final = 0.3
-PROGRESS_AFTER_S: Final = 1.0
-# A command that races with others starts again from the latest version.
-CHANGE_ATTEMPTS: Final = 5
+# Calls to the store are repeated for this long while it does not answer.
+STORE_RETRY_MAX_S: Final = 10.0
+STORE_RETRY_INTERVAL_S: Final = 0.3
+PROGRESS_INTERVAL_S: Final = 1.0
+# A change that conflicts with another operator's is retried on the latest version.
+CHANGE_ATTEMPTS_MAX: Final = 5
 ADMIN_ANSWER_MAX_BYTES: Final = 4_194_304
-STORE_VARIABLE: Final = "WAGTAILRILL_STORE"
-DEPLOYMENT_VARIABLE: Final = "WAGTAILRILL_DEPLOYMENT"
-INSTANCES_VARIABLE: Final = "WAGTAILRILL_INSTANCES"
+# Names of environment variables that replace options.
+STORE_ENV_VARIABLE: Final = "WAGTAILRILL_STORE"
+DEPLOYMENT_ENV_VARIABLE: Final = "WAGTAILRILL_DEPLOYMENT"
+INSTANCES_ENV_VARIABLE: Final = "WAGTAILRILL_INSTANCES"
--- a/wagtailrill/cli/instance_commands.py
+++ b/wagtailrill/cli/instance_commands.py
@@ -1,4 +1,4 @@
-"""Commands that talk to the instances' admin interface."""
+"""Commands that call the admin interface of instances."""
 
 import json
 from typing import Any
@@ -15,7 +15,7 @@
     DrainAnswer,
     InstanceStatus,
     KeyExplanation,
-    from_fields,
+    parse_model,
 )
 
 
@@ -26,19 +26,19 @@
     status: int
     data: Any
 
-    def error(self) -> str:
-        """Return the instance's own words, or the status."""
+    def describe_error(self) -> str:
+        """Return the error message of the instance, or its HTTP status."""
         text = self.data.get("error") if isinstance(self.data, dict) else None
         return text if isinstance(text, str) else f"status {self.status}"
 
 
-async def async_ask(
+async def async_call_admin(
     address: str, method: str, path: str, timeout_s: float = CALL_TIMEOUT_S
 ) -> Result[AdminAnswer, str]:
-    """Return an instance's answer, or why there is none."""
+    """Call an instance's admin interface; return its answer, or why there is none."""
     try:
         with anyio.fail_after(timeout_s):
-            return Ok(await _async_fetch(address, method, path))
+            return Ok(await _async_fetch_answer(address, method, path))
     except TimeoutError:
         return Error(f"no answer within {timeout_s} s")
     except (httpcore.NetworkError, httpcore.ProtocolError, OSError) as exc:
@@ -47,7 +47,7 @@
         return Error("the answer is not JSON")
 
 
-async def _async_fetch(address: str, method: str, path: str) -> AdminAnswer:
+async def _async_fetch_answer(address: str, method: str, path: str) -> AdminAnswer:
     async with httpcore.AsyncConnectionPool() as pool:
         async with pool.stream(method, f"http://{address}{path}") as response:
             content = b""
@@ -58,47 +58,47 @@
         return AdminAnswer(response.status, json.loads(content))
 
 
-async def async_status(addresses: dict[str, str]) -> CommandResult:
+async def async_show_status(addresses: dict[str, str]) -> CommandResult:
     """Show the state of all instances, given their admin addresses by name."""
     answers: dict[str, Result[InstanceStatus, str]] = {}
 
-    async def async_one(name: str, address: str) -> None:
-        answers[name] = await _async_status_of(address)
+    async def async_add_status(name: str, address: str) -> None:
+        answers[name] = await _async_fetch_status(address)
 
     async with anyio.create_task_group() as tasks:
         for name, address in addresses.items():
-            tasks.start_soon(async_one, name, address)
-    rows = [_status_row(name, answers[name]) for name in addresses]
-    reached = [a.ok for a in answers.values() if a.is_ok()]
-    latest = max((s.configuration_version for s in reached), default=0)
-    in_force = sum(s.configuration_version == latest for s in reached)
-    summary = f"{len(reached)} of {len(addresses)} instances answer"
-    if latest:
-        count = f"{in_force} of {len(addresses)}"
-        summary += f"; configuration {latest} is in force on {count}"
+            tasks.start_soon(async_add_status, name, address)
+    rows = [_format_status(name, answers[name]) for name in addresses]
+    statuses = [a.ok for a in answers.values() if a.is_ok()]
+    latest_version = max((s.configuration_version for s in statuses), default=0)
+    in_force_count = sum(s.configuration_version == latest_version for s in statuses)
+    summary = f"{len(statuses)} of {len(addresses)} instances answer"
+    if latest_version:
+        count = f"{in_force_count} of {len(addresses)}"
+        summary += f"; configuration {latest_version} is in force on {count}"
     fields = {
-        "configuration_version": latest,
-        "instances": [_status_fields(name, answers[name]) for name in addresses],
+        "configuration_version": latest_version,
+        "instances": [_make_status_fields(name, answers[name]) for name in addresses],
     }
-    complete = len(reached) == len(addresses)
-    code = ExitCode.OK if complete else ExitCode.UNREACHABLE
-    return CommandResult(code, (*rows, summary), fields, partial=not complete)
+    is_complete = len(statuses) == len(addresses)
+    code = ExitCode.OK if is_complete else ExitCode.UNREACHABLE
+    return CommandResult(code, (*rows, summary), fields, partial=not is_complete)
 
 
-async def _async_status_of(address: str) -> Result[InstanceStatus, str]:
-    match await async_ask(address, "GET", "/status"):
+async def _async_fetch_status(address: str) -> Result[InstanceStatus, str]:
+    match await async_call_admin(address, "GET", "/status"):
         case Result(tag="ok", ok=AdminAnswer(200, data)):
             try:
-                return Ok(from_fields(InstanceStatus, data))
+                return Ok(parse_model(InstanceStatus, data))
             except ValueError as exc:
                 return Error(str(exc))
         case Result(tag="ok", ok=answer):
-            return Error(answer.error())
+            return Error(answer.describe_error())
         case Result(error=message):
             return Error(message)
 
 
-def _status_row(name: str, answer: Result[InstanceStatus, str]) -> str:
+def _format_status(name: str, answer: Result[InstanceStatus, str]) -> str:
     match answer:
         case Result(tag="ok", ok=status):
             state = "ready" if status.ready else "not ready"
@@ -113,7 +113,9 @@
             return f"{name}: unreachable, {message}"
 
 
-def _status_fields(name: str, answer: Result[InstanceStatus, str]) -> dict[str, Any]:
+def _make_status_fields(
+    name: str, answer: Result[InstanceStatus, str]
+) -> dict[str, Any]:
     match answer:
         case Result(tag="ok", ok=status):
             return {"name": name, "reached": True, **attrs.asdict(status)}
@@ -124,59 +126,65 @@
 async def async_explain_key(
     addresses: dict[str, str], service: str, key: str
 ) -> CommandResult:
-    """Show which backend server owns a key, from the first instance that knows."""
+    """Show which backend server owns a key, as the first answering instance knows."""
     path = "/explain-key?" + urlencode({"service": service, "key": key})
     messages: list[str] = []
     for name, address in addresses.items():
-        match await async_ask(address, "GET", path):
+        match await async_call_admin(address, "GET", path):
             case Result(tag="ok", ok=AdminAnswer(200, data)):
                 try:
-                    return _explained(name, from_fields(KeyExplanation, data), data)
+                    return _make_explanation_result(
+                        name, parse_model(KeyExplanation, data), data
+                    )
                 except ValueError as exc:
                     messages.append(f"{name}: {exc}")
             case Result(tag="ok", ok=AdminAnswer(404) as answer):
-                error = answer.error()
+                error = answer.describe_error()
                 return CommandResult(ExitCode.REFUSED, (error,), {"error": error})
             case Result(tag="ok", ok=answer):
-                messages.append(f"{name}: {answer.error()}")
+                messages.append(f"{name}: {answer.describe_error()}")
             case Result(error=message):
                 messages.append(f"{name}: unreachable, {message}")
     return CommandResult(ExitCode.UNREACHABLE, tuple(messages), {"errors": messages})
 
 
-def _explained(name: str, found: KeyExplanation, data: Any) -> CommandResult:
-    """Return the explanation, with what only the granter knows if it answered."""
+def _make_explanation_result(
+    name: str, explanation: KeyExplanation, data: Any
+) -> CommandResult:
+    """Return the result, with the further fields that only the granter answers."""
     lines = [
-        f"{found.service}: position {found.position}, owner {found.owner or 'none'}",
-        f"assigned by {found.granter or 'nobody'}, duty token {found.duty_fence}",
+        f"{explanation.service}: position {explanation.position}, "
+        f"owner {explanation.owner or 'none'}",
+        f"assigned by {explanation.granter or 'nobody'}, "
+        f"duty fencing token {explanation.duty_fence}",
     ]
     if "state" in data:
         lines.append(
-            f"{data['state']}, token {data.get('fence')}, positions "
+            f"{data['state']}, fencing token {data.get('fence')}, positions "
             f"{data.get('first')} to {data.get('last')}, since {data.get('since_s')} s"
         )
     lines.append(f"as known to {name}")
-    fields = {"instance": name, **attrs.asdict(found), **data}
+    fields = {"instance": name, **attrs.asdict(explanation), **data}
     return CommandResult(ExitCode.OK, tuple(lines), fields)
 
 
-async def async_drain(address: str) -> CommandResult:
-    """Start a planned stop of one instance."""
-    match await async_ask(address, "POST", "/drain"):
+async def async_start_drain(address: str) -> CommandResult:
+    """Start draining an instance, given its admin address."""
+    match await async_call_admin(address, "POST", "/drain"):
         case Result(tag="ok", ok=AdminAnswer(200 | 202, data)):
             try:
-                answer = from_fields(DrainAnswer, data)
+                answer = parse_model(DrainAnswer, data)
             except ValueError as exc:
-                return _unreachable(str(exc))
+                return _make_unreachable_result(str(exc))
             line = "planned stop started"
             return CommandResult(ExitCode.OK, (line,), attrs.asdict(answer))
         case Result(tag="ok", ok=refusal):
-            error = refusal.error()
+            error = refusal.describe_error()
             return CommandResult(ExitCode.REFUSED, (error,), {"error": error})
         case Result(error=message):
-            return _unreachable(message)
+            return _make_unreachable_result(message)
 
 
-def _unreachable(message: str) -> CommandResult:
+def _make_unreachable_result(message: str) -> CommandResult:
     line = f"The instance cannot be reached: {message}."
     return CommandResult(ExitCode.UNREACHABLE, (line,), {"error": line})
--- a/wagtailrill/cli/log_commands.py
+++ b/wagtailrill/cli/log_commands.py
@@ -1,4 +1,4 @@
-"""Commands that read log files."""
+"""Commands that read log files of instances."""
 
 import sys
 from collections.abc import Iterator
@@ -7,37 +7,37 @@
 import attrs
 
 from .const import ExitCode
-from .log_lines import read_lines
+from .log_lines import parse_log_lines
 from .models import CommandResult
-from .request_story import tell
+from .request_story import make_request_explanation
 
 STANDARD_INPUT = "-"
 
 
 def explain_request(request_id: str, files: tuple[str, ...]) -> CommandResult:
-    """Tell the story of a request from log files, `-` for standard input.
+    """Explain the outcome of a request from log files; `-` is standard input.
 
     Raises `OSError` for a file that cannot be read.
     """
-    logs = read_lines(_content(files or (STANDARD_INPUT,)))
-    story = tell(logs, request_id)
+    logs = parse_log_lines(_read_raw_lines(files or (STANDARD_INPUT,)))
+    explanation = make_request_explanation(logs, request_id)
     notes: tuple[str, ...] = ()
-    if logs.unreadable:
-        notes = (f"{logs.unreadable} lines could not be read and are left out",)
+    if logs.unreadable_count:
+        notes = (f"{logs.unreadable_count} lines could not be parsed and were skipped",)
     fields = {
         "request_id": request_id,
-        "cause": story.cause,
-        "unreadable": logs.unreadable,
-        "lines": [attrs.asdict(line) for line in story.lines],
+        "cause": explanation.cause,
+        "unreadable": logs.unreadable_count,
+        "lines": [attrs.asdict(line) for line in explanation.lines],
     }
-    code = ExitCode.OK if story.lines else ExitCode.REFUSED
-    return CommandResult(code, story.text(), fields, notes=notes)
+    code = ExitCode.OK if explanation.lines else ExitCode.REFUSED
+    return CommandResult(code, explanation.format_lines(), fields, notes=notes)
 
 
-def _content(files: tuple[str, ...]) -> Iterator[bytes]:
-    for file in files:
-        if file == STANDARD_INPUT:
+def _read_raw_lines(paths: tuple[str, ...]) -> Iterator[bytes]:
+    for path in paths:
+        if path == STANDARD_INPUT:
             yield from sys.stdin.buffer
         else:
-            with Path(file).open("rb") as opened:
-                yield from opened
+            with Path(path).open("rb") as log_file:
+                yield from log_file
--- a/wagtailrill/cli/log_lines.py
+++ b/wagtailrill/cli/log_lines.py
@@ -1,4 +1,4 @@
-"""Reads the JSON log lines of several processes."""
+"""Parses JSON log lines of several instances; used by `explain-request`."""
 
 import json
 from collections.abc import Iterable
@@ -12,47 +12,50 @@
 
 @attrs.frozen
 class LogLine:
-    """One log line; `at_s` is Unix time by the clock of the instance."""
+    """A log line; `at_s` is Unix time in seconds by the clock of the instance.
+
+    `fields` holds the fields that have no attribute here, without the level.
+    """
 
     at_s: float
     instance: str
     event: str
     fields: dict[str, Any]
 
-    def text(self, name: str) -> str:
-        """Return a field as text, empty if it is absent."""
+    def get_text(self, name: str) -> str:
+        """Return a field as text, or an empty text if it is absent."""
         value = self.fields.get(name)
         return "" if value is None else str(value)
 
 
 @attrs.frozen
 class LogLines:
-    """Lines in order of time, and how many could not be read."""
+    """Log lines in order of time, and the number of lines that are not log lines."""
 
     lines: tuple[LogLine, ...]
-    unreadable: int
+    unreadable_count: int
 
 
-def read_lines(content: Iterable[bytes]) -> LogLines:
-    """Return the lines of log files; what is no log line is counted and left out.
+def parse_log_lines(raw_lines: Iterable[bytes]) -> LogLines:
+    """Parse the lines of log files; lines that are not log lines are only counted.
 
-    Text before the JSON object, as a collector of logs puts there, is ignored.
+    Text before the JSON object, as log collectors add it, is ignored.
     """
     lines: list[LogLine] = []
-    unreadable = 0
-    for raw in content:
+    unreadable_count = 0
+    for raw in raw_lines:
         if not raw.strip():
             continue
-        line = _read(raw)
+        line = _parse_log_line(raw)
         if line is None:
-            unreadable += 1
+            unreadable_count += 1
         else:
             lines.append(line)
     lines.sort(key=lambda line: line.at_s)
-    return LogLines(tuple(lines), unreadable)
+    return LogLines(tuple(lines), unreadable_count)
 
 
-def _read(raw: bytes) -> LogLine | None:
+def _parse_log_line(raw: bytes) -> LogLine | None:
     start = raw.find(b"{")
     if start < 0 or len(raw) > LINE_MAX_BYTES:
         return None
--- a/wagtailrill/cli/models.py
+++ b/wagtailrill/cli/models.py
@@ -1,4 +1,4 @@
-"""Models of the command line and of the instances' admin interface."""
+"""Models of command results, store access and answers of the admin interface."""
 
 import typing
 from typing import Any, TypeVar
@@ -27,7 +27,10 @@
 
 @attrs.frozen
 class KeyExplanation:
-    """Answer of `GET /explain-key`: which backend server holds a key, and by whom."""
+    """Answer of `GET /explain-key`: the owner of a key and the instance that granted.
+
+    `duty_fence` is the fencing token of the granting duty.
+    """
 
     service: str
     position: int
@@ -45,9 +48,9 @@
 
 @attrs.frozen
 class CommandResult:
-    """What a command prints: `lines` for a person, `fields` for `--json`.
+    """Output of a command: `lines` for people, `fields` for `--json`.
 
-    `partial` says that the lines are an answer although the command failed in part.
+    `partial` marks a command that failed in part, but whose lines are still an answer.
     `notes` go to standard error, so that the lines can be piped.
     """
 
@@ -59,43 +62,49 @@
 
 
 @attrs.frozen
-class Loaded:
-    """The declaration in the store; None if it is absent or not valid."""
+class StoredDeclaration:
+    """Declaration in the store, None if it is absent or invalid.
+
+    `revision` is 0 if nothing is stored.
+    """
 
     revision: int
     declaration: Declaration | None
 
 
 @attrs.frozen
-class Accepted:
-    """A write took effect."""
+class WriteAccepted:
+    """A write took effect as `version`."""
 
     version: int
 
 
 @attrs.frozen
-class Changed:
-    """The key changed first; `uncertain` says that the write may have come between."""
+class WriteConflict:
+    """Another write changed the declaration first.
+
+    `uncertain` says that this write may have taken effect before the other.
+    """
 
     uncertain: bool
 
 
 @attrs.frozen
-class Failed:
-    """A write failed; `uncertain` says that it may have taken effect."""
+class CommandFailure:
+    """A command failed; `uncertain` says that its write may have taken effect."""
 
     exit_code: ExitCode
     message: str
     uncertain: bool = False
 
 
-WriteOutcome = Accepted | Changed | Failed
+WriteOutcome = WriteAccepted | WriteConflict | CommandFailure
 
 
-def from_fields(cls: type[T], data: Any) -> T:
+def parse_model(cls: type[T], data: Any) -> T:
     """Return a model of a JSON object; raise `ValueError` if it is malformed.
 
-    Unknown fields are ignored, so that newer instances can add some.
+    Unknown fields are ignored, so that newer instances can add fields.
     """
     if not isinstance(data, dict):
         raise ValueError("not an object")
--- a/wagtailrill/cli/request_story.py
+++ b/wagtailrill/cli/request_story.py
@@ -1,4 +1,7 @@
-"""What the logs of all instances say of one request, and the cause of its end."""
+"""Explains the outcome of one request from the log lines of all instances.
+
+Used by the command `explain-request`.
+"""
 
 from collections import deque
 from collections.abc import Callable
@@ -10,15 +13,16 @@
 from ..core.refusals import RefusalCode
 from .log_lines import LogLine, LogLines
 
-# Lines about backend servers and keys of a request are shown from so long before it
-# until so long after it.
-BEFORE_S: Final = 5.0
-AFTER_S: Final = 1.0
-SAME_KIND_MAX: Final = 2
+# Lines about the backend servers and the key of a request are included if they were
+# written at most this long before its arrival or after its last line.
+CONTEXT_BEFORE_S: Final = 5.0
+CONTEXT_AFTER_S: Final = 1.0
+# Per instance, event and backend server.
+LINES_PER_KIND_MAX: Final = 2
 
-# Lines that say what an instance could reach or had the right to do; the last one
-# before a request still holds during it.
-STANDING: Final = frozenset(
+# Events that change the state of an instance: what it can reach and may do. The last
+# one before a request still applies during the request.
+STATE_EVENTS: Final = frozenset(
     {
         LogName.CONFIGURATION_APPLIED,
         LogName.DATA_CENTRES_CLOSED,
@@ -32,13 +36,13 @@
         LogName.DRAIN_STARTED,
     }
 )
-# Pairs of which the later line takes back the earlier one.
-TAKEN_BACK: Final = {
+# Events that end the state which another event began.
+LOST_EVENT_BY_REGAINED: Final = {
     LogName.SERVER_LIST_REGAINED: LogName.SERVER_LIST_LOST,
     LogName.STORE_WATCH_REGAINED: LogName.STORE_WATCH_LOST,
     LogName.STORE_REGAINED: LogName.STORE_LOST,
 }
-ENDS: Final = frozenset(
+OUTCOME_EVENTS: Final = frozenset(
     {
         LogName.REQUEST_REFUSED,
         LogName.REQUEST_FAILED,
@@ -49,101 +53,117 @@
 
 
 @attrs.frozen
-class Story:
-    """Lines that concern a request, and one sentence on why it ended as it did."""
+class RequestExplanation:
+    """Log lines about a request in order of time, and the cause of its outcome."""
 
     request_id: str
     lines: tuple[LogLine, ...]
     cause: str
 
-    def text(self) -> tuple[str, ...]:
-        """Return the story for a person, in time order."""
+    def format_lines(self) -> tuple[str, ...]:
+        """Return the lines as text, followed by the cause.
+
+        Times are seconds since the first line of the request itself.
+        """
         if not self.lines:
             return (self.cause,)
         start_s = next(
             line.at_s
             for line in self.lines
-            if line.text("request_id") == self.request_id
+            if line.get_text("request_id") == self.request_id
         )
-        return (*(_shown(line, start_s) for line in self.lines), self.cause)
+        return (*(_format_line(line, start_s) for line in self.lines), self.cause)
 
 
-def tell(logs: LogLines, request_id: str) -> Story:
-    """Return what the logs say of a request."""
-    own = [line for line in logs.lines if line.text("request_id") == request_id]
-    if not own:
+def make_request_explanation(logs: LogLines, request_id: str) -> RequestExplanation:
+    """Select the log lines about a request and derive the cause of its outcome."""
+    request_lines = [
+        line for line in logs.lines if line.get_text("request_id") == request_id
+    ]
+    if not request_lines:
         cause = f"No line names the request {request_id}."
-        return Story(request_id, (), cause)
-    first_s, last_s = own[0].at_s, own[-1].at_s
-    waited_s = max(_number(line, "waited_s") for line in own)
+        return RequestExplanation(request_id, (), cause)
+    first_s, last_s = request_lines[0].at_s, request_lines[-1].at_s
+    waited_s = max(_get_number(line, "waited_s") for line in request_lines)
     first_s = min(first_s, last_s - waited_s)
-    found = {id(line): line for line in own}
-    around = [x for x in logs.lines if x.at_s <= last_s + AFTER_S]
-    for line in (*_standing(around, own, first_s), *_related(around, own, first_s)):
-        found[id(line)] = line
-    lines = tuple(sorted(found.values(), key=lambda line: line.at_s))
-    return Story(request_id, lines, _cause(own, lines))
-
-
-def _standing(
-    lines: list[LogLine], own: list[LogLine], first_s: float
+    selected = {id(line): line for line in request_lines}
+    candidates = [x for x in logs.lines if x.at_s <= last_s + CONTEXT_AFTER_S]
+    for line in (
+        *_find_state_lines(candidates, request_lines, first_s),
+        *_find_related_lines(candidates, request_lines, first_s),
+    ):
+        selected[id(line)] = line
+    lines = tuple(sorted(selected.values(), key=lambda line: line.at_s))
+    return RequestExplanation(request_id, lines, _describe_cause(request_lines, lines))
+
+
+def _find_state_lines(
+    lines: list[LogLine], request_lines: list[LogLine], first_s: float
 ) -> list[LogLine]:
-    """Return what held at the instances of a request when it came, and later."""
-    instances = {line.instance for line in own}
-    held: dict[tuple[str, str, str], LogLine] = {}
-    found: list[LogLine] = []
+    """Return the state of the request's instances at its arrival, and later changes."""
+    instances = {line.instance for line in request_lines}
+    active_lines: dict[tuple[str, str, str], LogLine] = {}
+    later_lines: list[LogLine] = []
     for line in lines:
-        if line.instance not in instances or line.event not in STANDING:
+        if line.instance not in instances or line.event not in STATE_EVENTS:
             continue
         if line.at_s >= first_s:
-            found.append(line)
+            later_lines.append(line)
             continue
-        prefix = line.text("prefix")
-        taken_back = TAKEN_BACK.get(LogName(line.event))
-        if taken_back is not None:
-            held.pop((line.instance, taken_back, prefix), None)
+        prefix = line.get_text("prefix")
+        lost_event = LOST_EVENT_BY_REGAINED.get(LogName(line.event))
+        if lost_event is not None:
+            active_lines.pop((line.instance, lost_event, prefix), None)
         else:
-            held[line.instance, line.event, prefix] = line
-    return [*held.values(), *found]
+            active_lines[line.instance, line.event, prefix] = line
+    return [*active_lines.values(), *later_lines]
 
 
-def _related(lines: list[LogLine], own: list[LogLine], first_s: float) -> list[LogLine]:
-    """Return what any instance said of the servers and the key of a request."""
-    servers = _servers(own)
-    keys = {(x.text("service"), x.fields.get("key_position")) for x in own}
-    found = [
+def _find_related_lines(
+    lines: list[LogLine], request_lines: list[LogLine], first_s: float
+) -> list[LogLine]:
+    """Return lines of all instances about the request's backend servers and key."""
+    servers = _collect_server_names(request_lines)
+    keys = {
+        (x.get_text("service"), x.fields.get("key_position")) for x in request_lines
+    }
+    related_lines = [
         line
         for line in lines
-        if line.at_s >= first_s - BEFORE_S
+        if line.at_s >= first_s - CONTEXT_BEFORE_S
         and (
-            line.text("backend_server") in servers
-            or any(_covers(line, service, position) for service, position in keys)
+            line.get_text("backend_server") in servers
+            or any(
+                _covers_position(line, service, position) for service, position in keys
+            )
         )
-        and not line.text("request_id")
+        and not line.get_text("request_id")
     ]
-    return _last_of_each(found)
+    return _keep_last_lines(related_lines)
 
 
-def _last_of_each(lines: list[LogLine]) -> list[LogLine]:
-    """Return the last lines of each kind that an instance wrote of a server."""
-    kept: dict[tuple[str, str, str], deque[LogLine]] = {}
+def _keep_last_lines(lines: list[LogLine]) -> list[LogLine]:
+    """Return the last lines of each instance, event and backend server."""
+    last_lines: dict[tuple[str, str, str], deque[LogLine]] = {}
     for line in lines:
-        kind = (line.instance, line.event, line.text("backend_server"))
-        kept.setdefault(kind, deque(maxlen=SAME_KIND_MAX)).append(line)
-    return [line for same in kept.values() for line in same]
+        kind = (line.instance, line.event, line.get_text("backend_server"))
+        last_lines.setdefault(kind, deque(maxlen=LINES_PER_KIND_MAX)).append(line)
+    return [line for kind_lines in last_lines.values() for line in kind_lines]
 
 
-def _servers(own: list[LogLine]) -> set[str]:
-    names = {line.text("backend_server") for line in own}
-    for line in own:
-        for attempt in line.text("attempts").split():
+def _collect_server_names(request_lines: list[LogLine]) -> set[str]:
+    """Return the backend servers that the lines name, also in lists of attempts."""
+    names = {line.get_text("backend_server") for line in request_lines}
+    for line in request_lines:
+        for attempt in line.get_text("attempts").split():
             names.add(attempt.partition(":")[0])
     return names - {""}
 
 
-def _covers(line: LogLine, service: str, position: object) -> bool:
+def _covers_position(line: LogLine, service: str, position: object) -> bool:
+    """Return whether a line is about a range of key positions with this position."""
     first, last = line.fields.get("first"), line.fields.get("last")
-    if not isinstance(position, int) or line.text("service") != service:
+    if not isinstance(position, int) or line.get_text("service") != service:
         return False
     if not isinstance(first, int) or not isinstance(last, int):
         return False
@@ -153,83 +173,98 @@
 # Causes
 
 
-def _cause(own: list[LogLine], lines: tuple[LogLine, ...]) -> str:
-    end = next((line for line in reversed(own) if line.event in ENDS), None)
-    if end is None:
-        return "Cause: no line tells how the request ended."
-    if not end.text("code"):
-        return f"The request was answered with status {end.text('status')}."
-    describe = CAUSES.get(end.text("code"))
-    said = describe(end, lines) if describe is not None else end.text("code")
-    return f"Cause: {said}."
+def _describe_cause(request_lines: list[LogLine], lines: tuple[LogLine, ...]) -> str:
+    outcome = next(
+        (line for line in reversed(request_lines) if line.event in OUTCOME_EVENTS), None
+    )
+    if outcome is None:
+        return "Cause: no log line shows how the request ended."
+    if not outcome.get_text("code"):
+        return f"The request was answered with status {outcome.get_text('status')}."
+    describe = CAUSE_DESCRIBERS.get(outcome.get_text("code"))
+    reason = (
+        describe(outcome, lines) if describe is not None else outcome.get_text("code")
+    )
+    return f"Cause: {reason}."
 
 
-def _rate_limited(end: LogLine, lines: tuple[LogLine, ...]) -> str:
+def _describe_rate_limit(outcome: LogLine, lines: tuple[LogLine, ...]) -> str:
     return (
-        f"organisation {end.text('organisation')} was over its rate of "
-        f"{end.text('rate_per_s')}/s ({end.text('decided_by')})"
+        f"organisation {outcome.get_text('organisation')} was over its rate of "
+        f"{outcome.get_text('rate_per_s')}/s "
+        f"({outcome.get_text('decided_by')})"
     )
 
 
-def _no_server(end: LogLine, lines: tuple[LogLine, ...]) -> str:
-    if end.text("attempts"):
+def _describe_no_server(outcome: LogLine, lines: tuple[LogLine, ...]) -> str:
+    if outcome.get_text("attempts"):
         return (
-            f"no server of {end.text('service')} had run it after the attempts "
-            f"{end.text('attempts')}"
+            f"no backend server of {outcome.get_text('service')} ran it "
+            f"(attempts: {outcome.get_text('attempts')})"
         )
     return (
-        f"{end.text('decided_by')} expected no free slot of {end.text('service')} "
-        f"in time; retry after {end.text('retry_after_s')} s"
+        f"{outcome.get_text('decided_by')} expected no free slot of "
+        f"{outcome.get_text('service')} in time; "
+        f"retry after {outcome.get_text('retry_after_s')} s"
     )
 
 
-def _key_moving(end: LogLine, lines: tuple[LogLine, ...]) -> str:
-    moved = [x for x in lines if x.event == LogName.KEYS_MOVED]
-    lost = [x for x in lines if x.event in (LogName.STORE_LOST, LogName.DUTY_LOST)]
-    said = f"the key at position {end.text('key_position')} had no owner"
-    if moved:
-        last = moved[-1]
-        said += (
-            f": {last.instance} moved it from {last.text('former_owner')} to "
-            f"{last.text('owner')}"
+def _describe_key_move(outcome: LogLine, lines: tuple[LogLine, ...]) -> str:
+    move_lines = [x for x in lines if x.event == LogName.KEYS_MOVED]
+    loss_lines = [
+        x for x in lines if x.event in (LogName.STORE_LOST, LogName.DUTY_LOST)
+    ]
+    reason = f"the key at position {outcome.get_text('key_position')} had no owner"
+    if move_lines:
+        last_move = move_lines[-1]
+        reason += (
+            f": {last_move.instance} moved it from "
+            f"{last_move.get_text('former_owner')} to "
+            f"{last_move.get_text('owner')}"
         )
-    elif lost:
-        said += f": {lost[-1].event} at {lost[-1].instance}"
-    return said
+    elif loss_lines:
+        reason += f": {loss_lines[-1].event} at {loss_lines[-1].instance}"
+    return reason
 
 
-def _lost(end: LogLine, lines: tuple[LogLine, ...]) -> str:
-    said = f"an attempt may have run and brought no answer ({end.text('attempts')})"
-    gone = [x for x in lines if x.event == LogName.SERVER_GONE]
-    if gone:
-        last = gone[-1]
-        said += f"; {last.text('backend_server')} was gone ({last.text('reason')})"
-    return said
+def _describe_lost_answer(outcome: LogLine, lines: tuple[LogLine, ...]) -> str:
+    reason = (
+        "an attempt may have run and brought no answer "
+        f"({outcome.get_text('attempts')})"
+    )
+    loss_lines = [x for x in lines if x.event == LogName.SERVER_GONE]
+    if loss_lines:
+        last_loss = loss_lines[-1]
+        reason += (
+            f"; {last_loss.get_text('backend_server')} was unavailable "
+            f"({last_loss.get_text('reason')})"
+        )
+    return reason
 
 
-def _late(end: LogLine, lines: tuple[LogLine, ...]) -> str:
+def _describe_expired_deadline(outcome: LogLine, lines: tuple[LogLine, ...]) -> str:
     return (
-        f"its time ended after {end.text('waited_s')} s "
-        f"(attempts: {end.text('attempts') or 'none'})"
+        f"its deadline expired after {outcome.get_text('waited_s')} s "
+        f"(attempts: {outcome.get_text('attempts') or 'none'})"
     )
 
 
-CAUSES: Final[dict[str, Callable[[LogLine, tuple[LogLine, ...]], str]]] = {
-    RefusalCode.RATE_LIMITED: _rate_limited,
-    RefusalCode.NO_BACKEND_SERVER: _no_server,
-    RefusalCode.KEY_MOVING: _key_moving,
-    RefusalCode.BACKEND_LOST: _lost,
-    RefusalCode.BACKEND_BAD_ANSWER: _lost,
-    RefusalCode.DEADLINE_EXCEEDED: _late,
+CAUSE_DESCRIBERS: Final[dict[str, Callable[[LogLine, tuple[LogLine, ...]], str]]] = {
+    RefusalCode.RATE_LIMITED: _describe_rate_limit,
+    RefusalCode.NO_BACKEND_SERVER: _describe_no_server,
+    RefusalCode.KEY_MOVING: _describe_key_move,
+    RefusalCode.BACKEND_LOST: _describe_lost_answer,
+    RefusalCode.BACKEND_BAD_ANSWER: _describe_lost_answer,
+    RefusalCode.DEADLINE_EXCEEDED: _describe_expired_deadline,
 }
 
 
-def _number(line: LogLine, name: str) -> float:
+def _get_number(line: LogLine, name: str) -> float:
     value = line.fields.get(name)
     return float(value) if isinstance(value, int | float) else 0.0
 
 
-def _shown(line: LogLine, start_s: float) -> str:
+def _format_line(line: LogLine, start_s: float) -> str:
     fields = " ".join(
         f"{name}={value}" for name, value in line.fields.items() if value != ""
     )
--- a/wagtailrill/load_tool/__init__.py
+++ b/wagtailrill/load_tool/__init__.py
@@ -1,1 +1,1 @@
-"""A small load tool with an open-loop arrival process."""
+"""Load generator with an open-loop arrival process, `wagtailrill-load`."""
--- a/wagtailrill/load_tool/models.py
+++ b/wagtailrill/load_tool/models.py
@@ -1,4 +1,4 @@
-"""Models of a load run."""
+"""Settings, planned requests and results of a load test."""
 
 import attrs
 
@@ -7,10 +7,12 @@
 
 @attrs.frozen
 class LoadSettings:
-    """A run: `rate_per_s` requests per second over `duration_s` seconds.
+    """A load test with `rate_per_s` requests per second over `duration_s` seconds.
 
-    `targets` are the caller addresses of instances and `weights` how the balancer
-    spreads callers over them. `organisation_rates` are shares of the rate.
+    `targets` are the caller addresses of instances; `weights` are the weights by which
+    a load balancer spreads requests over them, all equal if empty. `tenant_keys` maps
+    organisations to clear keys. `organisation_shares` are their relative shares of the
+    rate, 1.0 if absent. `services` limits the run to some services; empty means all.
     """
 
     targets: tuple[str, ...]
@@ -27,7 +29,7 @@
 
 @attrs.frozen
 class PlannedRequest:
-    """A request of the plan; `at_s` counts from the start of the run."""
+    """A planned request that is sent `at_s` seconds after the start of the run."""
 
     at_s: float
     target: str
@@ -41,10 +43,11 @@
 
 @attrs.frozen
 class LoadResult:
-    """An answered or failed request.
+    """Outcome of a request; `status` is 0 if there was no answer.
 
-    `latency_s` counts from the planned arrival, so that a delay of the load tool
-    itself is not left out.
+    `latency_s` counts from the planned arrival, so that it includes delays of the load
+    tool itself. `ran` tells whether a backend server ran the request: yes, no or
+    unknown. `crossed` says that the answer belongs to another request or is not JSON.
     """
 
     service: str
--- a/wagtailrill/load_tool/plan.py
+++ b/wagtailrill/load_tool/plan.py
@@ -1,4 +1,4 @@
-"""Plan of a load run: arrivals, routes, organisations and keys from one seed."""
+"""Plan of a load test: arrivals, routes, organisations and keys from one seed."""
 
 import random
 from collections.abc import Iterator
@@ -9,7 +9,7 @@
 
 UUID_VERSION_BITS = 0x7000
 UUID_VARIANT_BITS = 0x8000_0000_0000_0000
-# Shares of keys as in a city's traffic: a few keys take much of the load.
+# Key popularity as in a city's traffic: a few keys get much of the load.
 PARETO_SHAPE = 1.2
 
 
@@ -27,32 +27,34 @@
 def make_plan(
     cfg: LoadSettings, declaration: Declaration, start_unix_s: float
 ) -> Iterator[PlannedRequest]:
-    """Yield the requests of a run in order of arrival (a Poisson process)."""
+    """Yield the requests of a run in order of arrival, a Poisson process."""
     rng = random.Random(cfg.seed)
-    choices = [
+    routes = [
         (service, route)
         for service in declaration.services
         if not cfg.services or service.name in cfg.services
         for route in service.routes
     ]
-    weights = [_route_weight(service, route) for service, route in choices]
+    route_weights = [_get_route_weight(service, route) for service, route in routes]
     organisations = sorted(cfg.tenant_keys)
-    shares = [cfg.organisation_shares.get(name, 1.0) for name in organisations]
+    organisation_shares = [
+        cfg.organisation_shares.get(name, 1.0) for name in organisations
+    ]
     targets = list(cfg.targets)
-    spread = list(cfg.weights) or [1.0] * len(targets)
+    target_weights = list(cfg.weights) or [1.0] * len(targets)
     at_s = 0.0
     while True:
         at_s += rng.expovariate(cfg.rate_per_s)
         if at_s >= cfg.duration_s:
             return
-        service, route = rng.choices(choices, weights)[0]
+        service, route = rng.choices(routes, route_weights)[0]
         key = f"k{int(rng.paretovariate(PARETO_SHAPE)) % cfg.key_count}"
         yield PlannedRequest(
             at_s=at_s,
-            target=rng.choices(targets, spread)[0],
+            target=rng.choices(targets, target_weights)[0],
             service=service,
             route=route,
-            organisation=rng.choices(organisations, shares)[0],
+            organisation=rng.choices(organisations, organisation_shares)[0],
             path=route.path.replace(KEY_SEGMENT, key),
             body=b"" if route.method == "GET" else f'{{"n":{rng.random()}}}'.encode(),
             idempotency_key=(
@@ -61,7 +63,7 @@
         )
 
 
-def _route_weight(service: Service, route: Route) -> float:
+def _get_route_weight(service: Service, route: Route) -> float:
     if route.deferrable:
         return 0.2
     return 4.0 if route.method == "GET" else 1.0
--- a/wagtailrill/load_tool/report.py
+++ b/wagtailrill/load_tool/report.py
@@ -1,4 +1,4 @@
-"""Summary of a load run."""
+"""Summary of a load test: counts by service and code, and latency percentiles."""
 
 from collections.abc import Sequence
 from typing import Any
@@ -9,14 +9,14 @@
 
 
 def percentile(values: Sequence[float], fraction: float) -> float | None:
-    """Return a percentile of sorted values, None for no values."""
+    """Return the percentile of sorted values at a fraction, None for no values."""
     if not values:
         return None
     return values[min(int(len(values) * fraction), len(values) - 1)]
 
 
-def latency_ms(results: Sequence[LoadResult]) -> dict[str, float | None]:
-    """Return percentiles of the latency in milliseconds."""
+def compute_latency_ms(results: Sequence[LoadResult]) -> dict[str, float | None]:
+    """Return the 50th, 99th and 99.9th latency percentiles in milliseconds."""
     values = sorted(result.latency_s * MS_PER_S for result in results)
     return {
         "p50": percentile(values, 0.50),
@@ -26,19 +26,19 @@
 
 
 def summarise(results: Sequence[LoadResult]) -> dict[str, Any]:
-    """Return counts by service and code and the latency of answered requests."""
+    """Return counts by service and code, and the latency of answered requests."""
     services: dict[str, Any] = {}
     for name in sorted({result.service for result in results}):
-        rows = [result for result in results if result.service == name]
-        answered = [row for row in rows if row.code == "answered"]
+        service_results = [result for result in results if result.service == name]
+        answered = [row for row in service_results if row.code == "answered"]
         codes: dict[str, int] = {}
-        for row in rows:
+        for row in service_results:
             codes[row.code] = codes.get(row.code, 0) + 1
         services[name] = {
-            "requests": len(rows),
+            "requests": len(service_results),
             "answered": len(answered),
             "codes": dict(sorted(codes.items())),
-            "latency_ms": latency_ms(answered),
+            "latency_ms": compute_latency_ms(answered),
         }
     return {
         "requests": len(results),
@@ -48,7 +48,7 @@
 
 
 def table(summary: dict[str, Any]) -> str:
-    """Return the summary as a table."""
+    """Return the summary as a text table with a row per service."""
     lines = [
         f"{'service':<14}{'requests':>9}{'answered':>9}"
         f"{'p50 ms':>9}{'p99 ms':>9}{'p99.9 ms':>9}  other codes"
--- a/wagtailrill/load_tool/runner.py
+++ b/wagtailrill/load_tool/runner.py
@@ -1,4 +1,4 @@
-"""Sends planned requests over kept connections."""
+"""Sends the planned requests over persistent connections."""
 
 import json
 import time
@@ -21,75 +21,79 @@
 
 @attrs.define(eq=False)
 class LoadRunner:
-    """Runs one plan; results are in the order of the answers."""
+    """Runs one load test; results are in order of completion."""
 
     cfg: LoadSettings
     declaration: Declaration
     results: list[LoadResult] = attrs.field(factory=list)
-    _idle: dict[str, list[httpcore.AsyncHTTPConnection]] = attrs.field(factory=dict)
+    _idle_connections: dict[str, list[httpcore.AsyncHTTPConnection]] = attrs.field(
+        factory=dict
+    )
 
     async def async_run(self) -> list[LoadResult]:
-        """Send every request at its time, whatever became of the earlier ones."""
+        """Send every request at its planned time, whether or not others have ended."""
         start_s = time.monotonic()
         async with anyio.create_task_group() as tg:
-            for planned in make_plan(self.cfg, self.declaration, time.time()):
-                delay_s = start_s + planned.at_s - time.monotonic()
+            for request in make_plan(self.cfg, self.declaration, time.time()):
+                delay_s = start_s + request.at_s - time.monotonic()
                 if delay_s > 0:
                     await anyio.sleep(delay_s)
-                tg.start_soon(self._async_send, planned, start_s + planned.at_s)
-        for conns in self._idle.values():
+                tg.start_soon(self._async_send_request, request, start_s + request.at_s)
+        for conns in self._idle_connections.values():
             for conn in conns:
                 await conn.aclose()
         return self.results
 
-    async def _async_send(self, planned: PlannedRequest, planned_s: float) -> None:
+    async def _async_send_request(
+        self, request: PlannedRequest, arrival_s: float
+    ) -> None:
         status, code, ran, crossed = 0, "timed_out", "unknown", False
         with anyio.move_on_after(self.cfg.timeout_s):
             try:
-                status, body = await self._async_exchange(planned)
-                code, ran, crossed = _interpret(planned, status, body)
+                status, body = await self._async_exchange_http(request)
+                code, ran, crossed = _interpret_answer(request, status, body)
             except CONNECTION_ERRORS as exc:
                 code = type(exc).__name__
         self.results.append(
             LoadResult(
-                service=planned.service.name,
-                organisation=planned.organisation,
+                service=request.service.name,
+                organisation=request.organisation,
                 status=status,
                 code=code,
                 ran=ran,
-                latency_s=time.monotonic() - planned_s,
+                latency_s=time.monotonic() - arrival_s,
                 crossed=crossed,
             )
         )
 
-    async def _async_exchange(self, planned: PlannedRequest) -> tuple[int, bytes]:
-        conn = self._connection(planned.target)
+    async def _async_exchange_http(self, request: PlannedRequest) -> tuple[int, bytes]:
+        conn = self._take_connection(request.target)
         headers = [
-            ("host", planned.target),
-            ("x-tenant-key", self.cfg.tenant_keys[planned.organisation]),
+            ("host", request.target),
+            ("x-tenant-key", self.cfg.tenant_keys[request.organisation]),
         ]
-        if planned.idempotency_key:
-            headers.append(("idempotency-key", planned.idempotency_key))
-        whole = False
+        if request.idempotency_key:
+            headers.append(("idempotency-key", request.idempotency_key))
+        is_reusable = False
         try:
             response = await conn.request(
-                planned.route.method,
-                f"http://{planned.target}{planned.path}",
+                request.route.method,
+                f"http://{request.target}{request.path}",
                 headers=headers,
-                content=planned.body,
+                content=request.body,
             )
             body = await response.aread()
-            whole = conn.is_idle()
+            is_reusable = conn.is_idle()
         finally:
-            if whole:
-                self._idle.setdefault(planned.target, []).append(conn)
+            if is_reusable:
+                self._idle_connections.setdefault(request.target, []).append(conn)
             else:
                 with anyio.CancelScope(shield=True):
                     await conn.aclose()
         return response.status, body
 
-    def _connection(self, target: str) -> httpcore.AsyncHTTPConnection:
-        idle = self._idle.get(target, [])
+    def _take_connection(self, target: str) -> httpcore.AsyncHTTPConnection:
+        idle = self._idle_connections.get(target, [])
         while idle:
             conn = idle.pop()
             if conn.is_idle() and not conn.has_expired():
@@ -100,10 +104,10 @@
         )
 
 
-def _interpret(
-    planned: PlannedRequest, status: int, body: bytes
+def _interpret_answer(
+    request: PlannedRequest, status: int, body: bytes
 ) -> tuple[str, str, bool]:
-    """Return code, `ran` and whether the answer belongs to another request."""
+    """Return code, `ran`, and whether the answer does not match the request."""
     try:
         fields = json.loads(body)
     except ValueError:
@@ -111,7 +115,7 @@
     if status >= 400:
         return str(fields.get("code", "")), str(fields.get("ran", "")), False
     crossed = (
-        fields.get("path") != planned.path
-        or fields.get("organisation") != planned.organisation
+        fields.get("path") != request.path
+        or fields.get("organisation") != request.organisation
     )
     return "answered", "yes", crossed
--- a/wagtailrill/observability/__init__.py
+++ b/wagtailrill/observability/__init__.py
@@ -1,1 +1,1 @@
-"""Logs, metrics and traces."""
+"""Logs, metrics and traces of an instance."""
--- a/wagtailrill/observability/logs.py
+++ b/wagtailrill/observability/logs.py
@@ -1,4 +1,4 @@
-"""Structured logs on standard output, bounded in volume and never waited for."""
+"""Structured logs on standard output, bounded in volume; writing never blocks."""
 
 import asyncio
 import logging
@@ -13,120 +13,129 @@
 
 from ..core.commands import LogEvent
 from ..settings.models import LogLevel
-from .const import BUFFER_MAX_BYTES, FLUSH_RETRY_S, LINES_BURST, LINES_PER_S
+from .const import (
+    FLUSH_RETRY_INTERVAL_S,
+    LINES_PER_KIND_BURST,
+    LINES_PER_KIND_PER_S,
+    LOG_BUFFER_MAX_BYTES,
+)
 
 
 class LineWriter:
-    """Writes lines to a file descriptor as far as it takes them without waiting.
+    """Writes lines to a file descriptor without blocking; a structlog logger.
 
-    Lines that do not fit into the buffer are dropped and counted.
+    Lines that do not fit into the buffer of `max_bytes` are dropped and counted.
     """
 
-    def __init__(self, descriptor: int, max_bytes: int = BUFFER_MAX_BYTES) -> None:
+    def __init__(self, descriptor: int, max_bytes: int = LOG_BUFFER_MAX_BYTES) -> None:
         self.dropped = 0
         self._descriptor = descriptor
         self._max_bytes = max_bytes
         self._lines: deque[bytes] = deque()
-        self._size = 0
-        self._scheduled = False
+        self._size_bytes = 0
+        self._flush_scheduled = False
         os.set_blocking(descriptor, False)
 
     def msg(self, message: str) -> None:
-        """Write a line; structlog calls this for every level."""
+        """Queue a line; structlog calls this for every level."""
         line = message.encode() + b"\n"
-        if self._size + len(line) > self._max_bytes:
+        if self._size_bytes + len(line) > self._max_bytes:
             self.dropped += 1
             return
         self._lines.append(line)
-        self._size += len(line)
-        self._schedule()
+        self._size_bytes += len(line)
+        self._schedule_flush()
 
     debug = info = warning = error = critical = exception = msg
 
     def flush(self) -> None:
-        """Write what the descriptor takes now."""
-        self._scheduled = False
+        """Write as many buffered lines as the descriptor accepts now."""
+        self._flush_scheduled = False
         while self._lines:
             chunk = b"".join(self._lines)
             try:
                 written = os.write(self._descriptor, chunk)
             except BlockingIOError:
-                self._wait_for_reader()
+                self._schedule_retry()
                 return
             except OSError:
-                # Nobody reads standard output any more; there is nowhere to say so.
+                # Standard output is closed, so this failure cannot be logged either.
                 self._lines.clear()
-                self._size = 0
+                self._size_bytes = 0
                 return
             self._lines.clear()
             if written < len(chunk):
                 self._lines.append(chunk[written:])
-            self._size = len(chunk) - written
+            self._size_bytes = len(chunk) - written
 
-    def _schedule(self) -> None:
-        """Write once for all lines of one turn of the event loop."""
-        if self._scheduled:
+    def _schedule_flush(self) -> None:
+        """Write all lines of one event loop iteration at once."""
+        if self._flush_scheduled:
             return
         try:
             loop = asyncio.get_running_loop()
         except RuntimeError:
             self.flush()
             return
-        self._scheduled = True
+        self._flush_scheduled = True
         loop.call_soon(self.flush)
 
-    def _wait_for_reader(self) -> None:
+    def _schedule_retry(self) -> None:
         try:
             loop = asyncio.get_running_loop()
         except RuntimeError:
             return
-        self._scheduled = True
-        loop.call_later(FLUSH_RETRY_S, self.flush)
+        self._flush_scheduled = True
+        loop.call_later(FLUSH_RETRY_INTERVAL_S, self.flush)
 
 
 @attrs.define
-class KindRow:
-    """Token bucket of one kind of line, and the lines left out since the last one."""
+class KindBucket:
+    """Token bucket of one event name, and its lines suppressed since the last one."""
 
-    tokens: float = LINES_BURST
+    tokens: float = LINES_PER_KIND_BURST
     updated_s: float = 0.0
-    left_out: int = 0
+    suppressed_count: int = 0
 
 
 @attrs.define
 class EventLog:
-    """Writes the log lines of the decision code, at most so many of each kind."""
+    """Writes the log events of the router, rate-limited per event name."""
 
     clock: Callable[[], float] = time.monotonic
     left_out: int = 0
-    _rows: dict[str, KindRow] = attrs.field(factory=dict)
+    _buckets: dict[str, KindBucket] = attrs.field(factory=dict)
 
-    def write(self, command: LogEvent) -> None:
-        """Write a line, or count it with the next one of its kind."""
-        row = self._rows.get(command.event)
+    def write(self, event: LogEvent) -> None:
+        """Write a line, or count it in the next one with its event name."""
+        bucket = self._buckets.get(event.event)
         now_s = self.clock()
-        if row is None:
-            row = self._rows[command.event] = KindRow(updated_s=now_s)
-        row.tokens = min(
-            LINES_BURST, row.tokens + (now_s - row.updated_s) * LINES_PER_S
+        if bucket is None:
+            bucket = self._buckets[event.event] = KindBucket(updated_s=now_s)
+        bucket.tokens = min(
+            LINES_PER_KIND_BURST,
+            bucket.tokens + (now_s - bucket.updated_s) * LINES_PER_KIND_PER_S,
         )
-        row.updated_s = now_s
-        if row.tokens < 1.0:
-            row.left_out += 1
+        bucket.updated_s = now_s
+        if bucket.tokens < 1.0:
+            bucket.suppressed_count += 1
             self.left_out += 1
             return
-        row.tokens -= 1.0
-        fields = dict(command.fields)
-        if row.left_out:
-            fields["left_out"] = row.left_out
-            row.left_out = 0
-        structlog.get_logger().info(command.event, **fields)
+        bucket.tokens -= 1.0
+        fields = dict(event.fields)
+        if bucket.suppressed_count:
+            fields["left_out"] = bucket.suppressed_count
+            bucket.suppressed_count = 0
+        structlog.get_logger().info(event.event, **fields)
 
 
 def configure_logs(
     level: LogLevel, instance: str, writer: LineWriter | None = None
 ) -> LineWriter:
-    """Write JSON lines of at least a level to standard output."""
+    """Configure structlog to write JSON lines from `level` up to standard output.
+
+    Every line carries the name of the instance.
+    """
     writer = writer or LineWriter(sys.stdout.fileno())
     structlog.configure(
         processors=[
--- a/wagtailrill/observability/metrics.py
+++ b/wagtailrill/observability/metrics.py
@@ -1,4 +1,4 @@
-"""Prometheus metrics of an instance; the labels take few values on purpose."""
+"""Prometheus metrics of an instance; labels have few values to bound the series."""
 
 from collections.abc import Callable, Mapping
 
@@ -9,30 +9,30 @@
 
 
 class Metrics:
-    """Metrics with a registry of their own, so that tests can make several."""
+    """Metrics with their own registry, so that a process can hold several in tests."""
 
     def __init__(self) -> None:
         self.registry = Registry()
         self._sources: list[GaugeSource] = []
-        self._answers = self._counter(
+        self._answers = self._make_counter(
             "wagtailrill_answers_total", "Answers to callers by status and code."
         )
-        self._latency = self._histogram(
+        self._latency = self._make_histogram(
             "wagtailrill_request_seconds", "Time from arrival to answer."
         )
-        self._attempts = self._counter(
+        self._attempts = self._make_counter(
             "wagtailrill_attempts_total", "Attempts at backend servers by outcome."
         )
-        self._attempt_latency = self._histogram(
+        self._attempt_latency = self._make_histogram(
             "wagtailrill_attempt_seconds", "Time of attempts at backend servers."
         )
-        self._store_calls = self._counter(
+        self._store_calls = self._make_counter(
             "wagtailrill_store_calls_total", "Calls to the store by operation, result."
         )
-        self._control_calls = self._counter(
+        self._control_calls = self._make_counter(
             "wagtailrill_control_calls_total", "Control calls by operation and result."
         )
-        self._failed_steps = self._counter(
+        self._failed_steps = self._make_counter(
             "wagtailrill_failed_steps_total", "Events whose handling failed."
         )
         self._state = Gauge(
@@ -40,16 +40,16 @@
         )
 
     def add_source(self, source: GaugeSource) -> None:
-        """Add a source of gauges, read when the metrics are."""
+        """Add a source of gauges, which is read whenever metrics are rendered."""
         self._sources.append(source)
 
     def record_answer(self, status: int, code: str, elapsed_s: float) -> None:
-        """Count an answer and its latency."""
+        """Count an answer and observe its latency in seconds."""
         self._answers.inc({"status": str(status), "code": code})
         self._latency.observe({}, elapsed_s)
 
     def record_attempt(self, outcome: str, elapsed_s: float) -> None:
-        """Count an attempt and its latency."""
+        """Count an attempt and observe its latency in seconds."""
         self._attempts.inc({"outcome": outcome})
         self._attempt_latency.observe({"outcome": outcome}, elapsed_s)
 
@@ -66,15 +66,17 @@
         self._failed_steps.inc({"event": event})
 
     def text(self) -> tuple[bytes, str]:
-        """Return the metrics and their content type."""
+        """Return the metrics in the Prometheus text format, and their content type."""
         for source in self._sources:
             for name, value in source().items():
                 self._state.set({"name": name}, value)
         content, headers = render(self.registry, ["text/plain"])
         return content, headers.get("Content-Type", "text/plain")
 
-    def _counter(self, name: str, doc: str) -> Counter:
-        return Counter(name, doc, registry=self.registry)
+    def _make_counter(self, name: str, description: str) -> Counter:
+        return Counter(name, description, registry=self.registry)
 
-    def _histogram(self, name: str, doc: str) -> Histogram:
-        return Histogram(name, doc, registry=self.registry, buckets=LATENCY_BUCKETS_S)
+    def _make_histogram(self, name: str, description: str) -> Histogram:
+        return Histogram(
+            name, description, registry=self.registry, buckets=LATENCY_BUCKETS_S
+        )
--- a/wagtailrill/observability/tracer.py
+++ b/wagtailrill/observability/tracer.py
@@ -1,4 +1,4 @@
-"""Interface of tracing, and tracing that is switched off."""
+"""Interface of tracing, and its implementation for tracing that is off."""
 
 from typing import Protocol
 
@@ -10,7 +10,7 @@
 
     @property
     def headers(self) -> Headers:
-        """Return the headers that carry the span."""
+        """Return the headers that propagate the trace context."""
         ...
 
     def end(self, result: AttemptResult) -> None:
@@ -40,12 +40,12 @@
         ...
 
     def shutdown(self) -> None:
-        """Write the spans that are still held."""
+        """Export the spans that are still buffered."""
         ...
 
 
 class NoSpan:
-    """A span that records nothing; a caller's trace header is passed on as it is."""
+    """Span that records nothing; a caller's trace header is forwarded unchanged."""
 
     headers: Headers = ()
 
@@ -57,7 +57,7 @@
 
 
 class NoTracing:
-    """Implements `Tracing` without spans, and without the library's memory."""
+    """Implements `Tracing` without spans; saves the memory of the tracing library."""
 
     def start_request(self, req: CallerRequest) -> CallerSpan:
         """Return a span that records nothing."""
--- a/wagtailrill/observability/tracing.py
+++ b/wagtailrill/observability/tracing.py
@@ -1,4 +1,4 @@
-"""Traces with a span per hop, carried by W3C trace context."""
+"""Traces with a span per hop, propagated by W3C trace context."""
 
 import json
 import random
@@ -30,7 +30,7 @@
 
 
 class JsonSpanExporter(SpanExporter):
-    """Writes finished spans as JSON lines."""
+    """Writes finished spans as JSON lines, by default to standard error."""
 
     def __init__(self, stream: TextIO | None = None) -> None:
         self._stream = stream or sys.stderr
@@ -38,12 +38,12 @@
     def export(self, spans: Sequence[ReadableSpan]) -> SpanExportResult:
         """Write the spans."""
         for span in spans:
-            self._stream.write(json.dumps(_fields(span)) + "\n")
+            self._stream.write(json.dumps(_make_span_fields(span)) + "\n")
         self._stream.flush()
         return SpanExportResult.SUCCESS
 
 
-def _fields(span: ReadableSpan) -> dict[str, Any]:
+def _make_span_fields(span: ReadableSpan) -> dict[str, Any]:
     context = span.get_span_context()
     assert context is not None
     start_ns, end_ns = span.start_time or 0, span.end_time or 0
@@ -62,9 +62,9 @@
 
 @attrs.frozen
 class RequestSpan:
-    """Span of a caller's request; the tenant key is in none of its attributes.
+    """Span of a caller's request; no attribute contains the tenant key.
 
-    A request that is not sampled has no span; the caller's header is passed on.
+    A request that is not sampled has no span; the caller's header is forwarded.
     """
 
     span: Span | None = None
@@ -84,7 +84,7 @@
 
 @attrs.frozen
 class AttemptSpan:
-    """Span of the hop to a backend server and the headers that carry it."""
+    """Span of the hop to a backend server, and the headers that propagate it."""
 
     span: Span | None = None
     headers: Headers = NO_HEADERS
@@ -102,9 +102,9 @@
 class OpenTelemetryTracing:
     """Implements `Tracing`: creates spans for sampled requests.
 
-    A caller's sampling decision holds; of the requests without one, a fraction is
-    sampled. The decision is made here, since a span that the SDK drops costs nearly
-    half as much as one that it keeps.
+    A caller's sampling decision is kept; of requests without one, the fraction
+    `sample_ratio` is sampled. The decision is made here, because a span that the SDK
+    drops costs nearly half as much as one that it keeps.
     """
 
     def __init__(self, sample_ratio: float, exporter: SpanExporter) -> None:
@@ -117,7 +117,9 @@
 
     def start_request(self, req: CallerRequest) -> RequestSpan:
         """Start the span of a caller's request, if it is sampled."""
-        header = next((value for n, value in req.headers if n == TRACE_HEADER), None)
+        header = next(
+            (value for name, value in req.headers if name == TRACE_HEADER), None
+        )
         if header is None:
             if self._rng.random() >= self._sample_ratio:
                 return NOT_SAMPLED
@@ -146,5 +148,5 @@
         return AttemptSpan(span, headers)
 
     def shutdown(self) -> None:
-        """Write the spans that are still held."""
+        """Export the spans that are still buffered."""
         self._provider.shutdown()
