Reword parameters of tracing, log events and the load tool

Folders: wagtailrill/observability, wagtailrill/load_tool, wagtailrill/cli, tests/load_tool, tests/operations. Parameters and locals, and some docstrings.

start_attempt: request -> caller_span, order -> req; EventLog.write: event -> log_event; LoadSettings.weights -> target_weights; first_s -> arrival_s; _async_change_organisation -> _async_change_tenant_keys.

--- a/tests/load_tool/test_plan.py
+++ b/tests/load_tool/test_plan.py
@@ -17,7 +17,7 @@
     duration_s=10.0,
     seed=3,
     tenant_keys={"a": "x", "b": "y"},
-    weights=(3.0, 1.0),
+    target_weights=(3.0, 1.0),
 )
 
 
--- a/tests/operations/cases.py
+++ b/tests/operations/cases.py
@@ -13,11 +13,11 @@
 def write_logs(run: Deployment, directory: Path) -> list[str]:
     """Write the log lines of each instance to a file of its own."""
     files = {name: directory / f"{name}.log" for name in run.names}
-    for at_s, name, command in run.logs:
+    for at_s, name, log_event in run.logs:
         timestamp = datetime.fromtimestamp(WALL_EPOCH_S + at_s, UTC).isoformat()
         line = {
-            **dict(command.fields),
-            "event": command.event,
+            **dict(log_event.fields),
+            "event": log_event.event,
             "instance": name,
             "level": "info",
             "timestamp": timestamp,
--- a/wagtailrill/cli/__main__.py
+++ b/wagtailrill/cli/__main__.py
@@ -168,7 +168,7 @@
     return await async_set_backend_server_state(store, options.name, state)
 
 
-async def _async_change_organisation(
+async def _async_change_tenant_keys(
     invocation: Invocation, store: DeclarationStore
 ) -> CommandResult:
     options = invocation.options
@@ -206,7 +206,7 @@
     "export": lambda _, store: async_export_declaration(store),
     "data-centre": _async_change_data_centre,
     "backend-server": _async_change_backend_server,
-    "organisation": _async_change_organisation,
+    "organisation": _async_change_tenant_keys,
 }
 INSTANCE_COMMANDS: Final[dict[str, InstanceCommand]] = {
     "validate": _async_validate_file,
@@ -237,7 +237,7 @@
 
 
 def write_result(result: CommandResult, as_json: bool) -> None:
-    """Print a result; errors and notes go to standard error unless as JSON."""
+    """Print a result; as text, errors and notes go to standard error."""
     if as_json:
         print(json.dumps({"exit_code": int(result.exit_code), **result.fields}))
         return
--- a/wagtailrill/cli/instance_commands.py
+++ b/wagtailrill/cli/instance_commands.py
@@ -151,7 +151,7 @@
 def _make_explanation_result(
     name: str, explanation: KeyExplanation, data: Any
 ) -> CommandResult:
-    """Return the result, with the further fields that only the granter answers."""
+    """Return the result; only the granter answers with `state` and further fields."""
     lines = [
         f"{explanation.service}: position {explanation.position}, "
         f"owner {explanation.owner or 'none'}",
--- a/wagtailrill/cli/models.py
+++ b/wagtailrill/cli/models.py
@@ -27,7 +27,7 @@
 
 @attrs.frozen
 class KeyExplanation:
-    """Answer of `GET /explain-key`: the owner of a key and the instance that granted.
+    """Answer of `GET /explain-key`: the owner of a key and the instance granting it.
 
     `duty_fence` is the fencing token of the granting duty.
     """
--- a/wagtailrill/cli/request_story.py
+++ b/wagtailrill/cli/request_story.py
@@ -17,7 +17,7 @@
 # written at most this long before its arrival or after its last line.
 CONTEXT_BEFORE_S: Final = 5.0
 CONTEXT_AFTER_S: Final = 1.0
-# Per instance, event and backend server.
+# Related lines per instance, event and backend server; the last ones are shown.
 LINES_PER_KIND_MAX: Final = 2
 
 # Events that change the state of an instance: what it can reach and may do. The last
@@ -83,14 +83,14 @@
     if not request_lines:
         cause = f"No line names the request {request_id}."
         return RequestExplanation(request_id, (), cause)
-    first_s, last_s = request_lines[0].at_s, request_lines[-1].at_s
+    arrival_s, last_s = request_lines[0].at_s, request_lines[-1].at_s
     waited_s = max(_get_number(line, "waited_s") for line in request_lines)
-    first_s = min(first_s, last_s - waited_s)
+    arrival_s = min(arrival_s, last_s - waited_s)
     selected = {id(line): line for line in request_lines}
     candidates = [x for x in logs.lines if x.at_s <= last_s + CONTEXT_AFTER_S]
     for line in (
-        *_find_state_lines(candidates, request_lines, first_s),
-        *_find_related_lines(candidates, request_lines, first_s),
+        *_find_state_lines(candidates, request_lines, arrival_s),
+        *_find_related_lines(candidates, request_lines, arrival_s),
     ):
         selected[id(line)] = line
     lines = tuple(sorted(selected.values(), key=lambda line: line.at_s))
@@ -98,7 +98,7 @@
 
 
 def _find_state_lines(
-    lines: list[LogLine], request_lines: list[LogLine], first_s: float
+    lines: list[LogLine], request_lines: list[LogLine], arrival_s: float
 ) -> list[LogLine]:
     """Return the state of the request's instances at its arrival, and later changes."""
     instances = {line.instance for line in request_lines}
@@ -107,7 +107,7 @@
     for line in lines:
         if line.instance not in instances or line.event not in STATE_EVENTS:
             continue
-        if line.at_s >= first_s:
+        if line.at_s >= arrival_s:
             later_lines.append(line)
             continue
         prefix = line.get_text("prefix")
@@ -120,7 +120,7 @@
 
 
 def _find_related_lines(
-    lines: list[LogLine], request_lines: list[LogLine], first_s: float
+    lines: list[LogLine], request_lines: list[LogLine], arrival_s: float
 ) -> list[LogLine]:
     """Return lines of all instances about the request's backend servers and key."""
     servers = _collect_server_names(request_lines)
@@ -130,7 +130,7 @@
     related_lines = [
         line
         for line in lines
-        if line.at_s >= first_s - CONTEXT_BEFORE_S
+        if line.at_s >= arrival_s - CONTEXT_BEFORE_S
         and (
             line.get_text("backend_server") in servers
             or any(
@@ -170,9 +170,6 @@
     return first <= position <= last
 
 
-# Causes
-
-
 def _describe_cause(request_lines: list[LogLine], lines: tuple[LogLine, ...]) -> str:
     outcome = next(
         (line for line in reversed(request_lines) if line.event in OUTCOME_EVENTS), None
--- a/wagtailrill/load_tool/models.py
+++ b/wagtailrill/load_tool/models.py
@@ -9,8 +9,8 @@
 class LoadSettings:
     """A load test with `rate_per_s` requests per second over `duration_s` seconds.
 
-    `targets` are the caller addresses of instances; `weights` are the weights by which
-    a load balancer spreads requests over them, all equal if empty. `tenant_keys` maps
+    `targets` are the caller addresses of instances; `target_weights` are the weights
+    by which requests are spread over them, all equal if empty. `tenant_keys` maps
     organisations to clear keys. `organisation_shares` are their relative shares of the
     rate, 1.0 if absent. `services` limits the run to some services; empty means all.
     """
@@ -20,7 +20,7 @@
     duration_s: float
     seed: int
     tenant_keys: dict[str, str] = attrs.field(repr=False)
-    weights: tuple[float, ...] = ()
+    target_weights: tuple[float, ...] = ()
     organisation_shares: dict[str, float] = attrs.field(factory=dict)
     key_count: int = 10_000
     timeout_s: float = 5.0
@@ -46,8 +46,9 @@
     """Outcome of a request; `status` is 0 if there was no answer.
 
     `latency_s` counts from the planned arrival, so that it includes delays of the load
-    tool itself. `ran` tells whether a backend server ran the request: yes, no or
-    unknown. `crossed` says that the answer belongs to another request or is not JSON.
+    tool itself. `ran` tells whether a backend server ran the request, as far as the
+    answer says. `crossed` says that the answer belongs to another request or is not
+    JSON.
     """
 
     service: str
--- a/wagtailrill/load_tool/plan.py
+++ b/wagtailrill/load_tool/plan.py
@@ -41,7 +41,7 @@
         cfg.organisation_shares.get(name, 1.0) for name in organisations
     ]
     targets = list(cfg.targets)
-    target_weights = list(cfg.weights) or [1.0] * len(targets)
+    target_weights = list(cfg.target_weights) or [1.0] * len(targets)
     at_s = 0.0
     while True:
         at_s += rng.expovariate(cfg.rate_per_s)
--- a/wagtailrill/observability/logs.py
+++ b/wagtailrill/observability/logs.py
@@ -95,7 +95,7 @@
 
     tokens: float = LINES_PER_KIND_BURST
     updated_s: float = 0.0
-    suppressed_count: int = 0
+    left_out: int = 0
 
 
 @attrs.define
@@ -106,27 +106,27 @@
     left_out: int = 0
     _buckets: dict[str, KindBucket] = attrs.field(factory=dict)
 
-    def write(self, event: LogEvent) -> None:
+    def write(self, log_event: LogEvent) -> None:
         """Write a line, or count it in the next one with its event name."""
-        bucket = self._buckets.get(event.event)
+        bucket = self._buckets.get(log_event.event)
         now_s = self.clock()
         if bucket is None:
-            bucket = self._buckets[event.event] = KindBucket(updated_s=now_s)
+            bucket = self._buckets[log_event.event] = KindBucket(updated_s=now_s)
         bucket.tokens = min(
             LINES_PER_KIND_BURST,
             bucket.tokens + (now_s - bucket.updated_s) * LINES_PER_KIND_PER_S,
         )
         bucket.updated_s = now_s
         if bucket.tokens < 1.0:
-            bucket.suppressed_count += 1
+            bucket.left_out += 1
             self.left_out += 1
             return
         bucket.tokens -= 1.0
-        fields = dict(event.fields)
-        if bucket.suppressed_count:
-            fields["left_out"] = bucket.suppressed_count
-            bucket.suppressed_count = 0
-        structlog.get_logger().info(event.event, **fields)
+        fields = dict(log_event.fields)
+        if bucket.left_out:
+            fields["left_out"] = bucket.left_out
+            bucket.left_out = 0
+        structlog.get_logger().info(log_event.event, **fields)
 
 
 def configure_logs(
--- a/wagtailrill/observability/metrics.py
+++ b/wagtailrill/observability/metrics.py
@@ -1,4 +1,7 @@
-"""Prometheus metrics of an instance; labels have few values to bound the series."""
+"""Prometheus metrics of an instance.
+
+Labels take few values, which bounds the number of time series.
+"""
 
 from collections.abc import Callable, Mapping
 
@@ -9,7 +12,7 @@
 
 
 class Metrics:
-    """Metrics with their own registry, so that a process can hold several in tests."""
+    """Metrics with their own registry, so that tests can create several."""
 
     def __init__(self) -> None:
         self.registry = Registry()
--- a/wagtailrill/observability/tracer.py
+++ b/wagtailrill/observability/tracer.py
@@ -34,7 +34,7 @@
         ...
 
     def start_attempt(
-        self, request: CallerSpan | None, order: BackendRequest
+        self, caller_span: CallerSpan | None, req: BackendRequest
     ) -> HopSpan:
         """Start the span of the hop to a backend server."""
         ...
@@ -64,7 +64,7 @@
         return NO_SPAN
 
     def start_attempt(
-        self, request: CallerSpan | None, order: BackendRequest
+        self, caller_span: CallerSpan | None, req: BackendRequest
     ) -> HopSpan:
         """Return a span that records nothing."""
         return NO_SPAN
--- a/wagtailrill/observability/tracing.py
+++ b/wagtailrill/observability/tracing.py
@@ -135,13 +135,13 @@
         return RequestSpan(span, trace.set_span_in_context(span, parent))
 
     def start_attempt(
-        self, request: CallerSpan | None, order: BackendRequest
+        self, caller_span: CallerSpan | None, req: BackendRequest
     ) -> AttemptSpan:
         """Start the span of the hop to a backend server, if it is sampled."""
-        if not isinstance(request, RequestSpan) or request.span is None:
+        if not isinstance(caller_span, RequestSpan) or caller_span.span is None:
             return NO_ATTEMPT_SPAN
-        span = self._tracer.start_span("attempt", request.context, SpanKind.CLIENT)
-        span.set_attribute("wagtailrill.backend_server", order.backend_server)
+        span = self._tracer.start_span("attempt", caller_span.context, SpanKind.CLIENT)
+        span.set_attribute("wagtailrill.backend_server", req.backend_server)
         carrier: dict[str, str] = {}
         self._propagator.inject(carrier, trace.set_span_in_context(span))
         headers = ((TRACE_HEADER, carrier["traceparent"].encode()),)
