Rename names of observability and the load tool that other folders use

Folders: wagtailrill/observability, wagtailrill/load_tool, wagtailrill/runtime, script, tests/observability, tests/load_tool.

EventLog.left_out -> suppressed_count (KindBucket.left_out alike), EventLog.write -> write_event, LineWriter.dropped -> dropped_count, Metrics.text -> render_text, Metrics.add_source -> add_gauge_source, percentile -> compute_percentile, summarise -> summarise_results, table -> format_table.

--- a/script/bench_forwarding.py
+++ b/script/bench_forwarding.py
@@ -18,7 +18,7 @@
 
 from fleet import ROOT, fetch
 
-from wagtailrill.load_tool.report import percentile
+from wagtailrill.load_tool.report import compute_percentile
 from wagtailrill.stand_ins.store import FAULTS_PATH
 
 BACKEND, BARE, CALLER, PEER, ADMIN, STORE = range(23900, 23906)
@@ -163,8 +163,8 @@
     values = sorted(1000 * value for value in latencies)
     return {
         "per_s": len(values) / seconds,
-        "p50_ms": percentile(values, 0.5),
-        "p99_ms": percentile(values, 0.99),
+        "p50_ms": compute_percentile(values, 0.5),
+        "p99_ms": compute_percentile(values, 0.99),
     }
 
 
--- a/script/demo.py
+++ b/script/demo.py
@@ -10,7 +10,7 @@
 from fleet import Fleet, fetch
 
 from wagtailrill.load_tool.models import LoadResult, LoadSettings
-from wagtailrill.load_tool.report import summarise, table
+from wagtailrill.load_tool.report import format_table, summarise_results
 from wagtailrill.load_tool.runner import LoadRunner
 
 
@@ -75,7 +75,7 @@
         print(f"{time.monotonic() - started_s:.1f} s")
         results = run_load(fleet, args.rate, args.seconds, args.seed)
         counts = backend_counts(fleet)
-        print(table(summarise(results)))
+        print(format_table(summarise_results(results)))
         print("\n".join(owners(fleet)))
     finally:
         fleet.stop()
--- a/tests/load_tool/test_plan.py
+++ b/tests/load_tool/test_plan.py
@@ -8,7 +8,11 @@
 from wagtailrill.declaration.parse import parse_declaration
 from wagtailrill.load_tool.models import LoadResult, LoadSettings
 from wagtailrill.load_tool.plan import make_plan
-from wagtailrill.load_tool.report import percentile, summarise, table
+from wagtailrill.load_tool.report import (
+    compute_percentile,
+    format_table,
+    summarise_results,
+)
 
 DECLARATION = parse_declaration(Path("examples/piraeus/services.json").read_bytes()).ok
 CFG = LoadSettings(
@@ -49,14 +53,14 @@
 def test_percentiles_include_the_slowest_requests():
     """Guards against percentiles that leave out the slowest requests."""
     values = [float(n) for n in range(1000)]
-    assert percentile(values, 0.99) == 990.0
-    assert percentile(values, 0.999) == 999.0
-    assert percentile([], 0.5) is None
+    assert compute_percentile(values, 0.99) == 990.0
+    assert compute_percentile(values, 0.999) == 999.0
+    assert compute_percentile([], 0.5) is None
 
 
 def test_summary_without_answers_has_no_latency():
     """Guards against failed runs that are reported as very fast ones."""
     results = [LoadResult("s", "a", 0, "timed_out", "unknown", 1.0)]
-    summary = summarise(results)
+    summary = summarise_results(results)
     assert summary["services"]["s"]["latency_ms"]["p99"] is None
-    assert "-" in table(summary).splitlines()[1]
+    assert "-" in format_table(summary).splitlines()[1]
--- a/tests/observability/test_logs.py
+++ b/tests/observability/test_logs.py
@@ -48,7 +48,7 @@
 
 def test_event_is_one_line_with_its_fields(read_lines):
     """Guards against log lines other than documented for operators."""
-    EventLog().write(LogEvent(LogName.CONFIGURATION_APPLIED, (("version", 7),)))
+    EventLog().write_event(LogEvent(LogName.CONFIGURATION_APPLIED, (("version", 7),)))
     (line,) = read_lines()
     assert (line["event"], line["version"], line["instance"], line["level"]) == (
         *("configuration_applied", 7, "i-0"),
@@ -62,13 +62,15 @@
     log = EventLog(clock=lambda: now_s[0])
     frequent_event = LogEvent(LogName.REQUEST_REFUSED, ())
     for _ in range(1000):
-        log.write(frequent_event)
-    log.write(LogEvent(LogName.DUTY_TAKEN, ()))
+        log.write_event(frequent_event)
+    log.write_event(LogEvent(LogName.DUTY_TAKEN, ()))
     now_s[0] = 60.0
-    log.write(frequent_event)
+    log.write_event(frequent_event)
     log_lines = read_lines()
     assert log_lines[-2]["event"] == "duty_taken"
-    assert log_lines[-1]["left_out"] == log.left_out == 1000 - LINES_PER_KIND_BURST
+    assert (
+        log_lines[-1]["left_out"] == log.suppressed_count == 1000 - LINES_PER_KIND_BURST
+    )
 
 
 def test_full_pipe_drops_only_lines_beyond_the_buffer(pipe):
@@ -88,7 +90,7 @@
                 output += os.read(reader, 65536)
                 writer.flush()
         output += os.read(reader, 65536)
-        return writer.dropped, output.splitlines()
+        return writer.dropped_count, output.splitlines()
 
     dropped, output = anyio.run(async_main)
     assert dropped > 0
--- a/wagtailrill/load_tool/__main__.py
+++ b/wagtailrill/load_tool/__main__.py
@@ -9,7 +9,7 @@
 
 from ..declaration.parse import parse_declaration
 from .models import LoadSettings
-from .report import summarise, table
+from .report import format_table, summarise_results
 from .runner import LoadRunner
 
 EXIT_FINDINGS = 1
@@ -33,8 +33,8 @@
         services=frozenset(args.service),
     )
     runner = LoadRunner(cfg, declaration.ok)
-    summary = summarise(anyio.run(runner.async_run))
-    print(json.dumps(summary) if args.json else table(summary))
+    summary = summarise_results(anyio.run(runner.async_run))
+    print(json.dumps(summary) if args.json else format_table(summary))
     return 0
 
 
--- a/wagtailrill/load_tool/report.py
+++ b/wagtailrill/load_tool/report.py
@@ -8,7 +8,7 @@
 MS_PER_S = 1000.0
 
 
-def percentile(values: Sequence[float], fraction: float) -> float | None:
+def compute_percentile(values: Sequence[float], fraction: float) -> float | None:
     """Return the percentile of sorted values at a fraction, None for no values."""
     if not values:
         return None
@@ -19,13 +19,13 @@
     """Return the 50th, 99th and 99.9th latency percentiles in milliseconds."""
     values = sorted(result.latency_s * MS_PER_S for result in results)
     return {
-        "p50": percentile(values, 0.50),
-        "p99": percentile(values, 0.99),
-        "p99.9": percentile(values, 0.999),
+        "p50": compute_percentile(values, 0.50),
+        "p99": compute_percentile(values, 0.99),
+        "p99.9": compute_percentile(values, 0.999),
     }
 
 
-def summarise(results: Sequence[LoadResult]) -> dict[str, Any]:
+def summarise_results(results: Sequence[LoadResult]) -> dict[str, Any]:
     """Return counts by service and code, and the latency of answered requests."""
     services: dict[str, Any] = {}
     for name in sorted({result.service for result in results}):
@@ -47,7 +47,7 @@
     }
 
 
-def table(summary: dict[str, Any]) -> str:
+def format_table(summary: dict[str, Any]) -> str:
     """Return the summary as a text table with a row per service."""
     lines = [
         f"{'service':<14}{'requests':>9}{'answered':>9}"
--- a/wagtailrill/observability/logs.py
+++ b/wagtailrill/observability/logs.py
@@ -28,7 +28,7 @@
     """
 
     def __init__(self, descriptor: int, max_bytes: int = LOG_BUFFER_MAX_BYTES) -> None:
-        self.dropped = 0
+        self.dropped_count = 0
         self._descriptor = descriptor
         self._max_bytes = max_bytes
         self._lines: deque[bytes] = deque()
@@ -40,7 +40,7 @@
         """Queue a line; structlog calls this for every level."""
         line = message.encode() + b"\n"
         if self._size_bytes + len(line) > self._max_bytes:
-            self.dropped += 1
+            self.dropped_count += 1
             return
         self._lines.append(line)
         self._size_bytes += len(line)
@@ -95,7 +95,7 @@
 
     tokens: float = LINES_PER_KIND_BURST
     updated_s: float = 0.0
-    left_out: int = 0
+    suppressed_count: int = 0
 
 
 @attrs.define
@@ -103,10 +103,10 @@
     """Writes the log events of the router, rate-limited per event name."""
 
     clock: Callable[[], float] = time.monotonic
-    left_out: int = 0
+    suppressed_count: int = 0
     _buckets: dict[str, KindBucket] = attrs.field(factory=dict)
 
-    def write(self, log_event: LogEvent) -> None:
+    def write_event(self, log_event: LogEvent) -> None:
         """Write a line, or count it in the next one with its event name."""
         bucket = self._buckets.get(log_event.event)
         now_s = self.clock()
@@ -118,14 +118,14 @@
         )
         bucket.updated_s = now_s
         if bucket.tokens < 1.0:
-            bucket.left_out += 1
-            self.left_out += 1
+            bucket.suppressed_count += 1
+            self.suppressed_count += 1
             return
         bucket.tokens -= 1.0
         fields = dict(log_event.fields)
-        if bucket.left_out:
-            fields["left_out"] = bucket.left_out
-            bucket.left_out = 0
+        if bucket.suppressed_count:
+            fields["left_out"] = bucket.suppressed_count
+            bucket.suppressed_count = 0
         structlog.get_logger().info(log_event.event, **fields)
 
 
--- a/wagtailrill/observability/metrics.py
+++ b/wagtailrill/observability/metrics.py
@@ -16,7 +16,7 @@
 
     def __init__(self) -> None:
         self.registry = Registry()
-        self._sources: list[GaugeSource] = []
+        self._gauge_sources: list[GaugeSource] = []
         self._answers = self._make_counter(
             "wagtailrill_answers_total", "Answers to callers by status and code."
         )
@@ -42,9 +42,9 @@
             "wagtailrill_state", "State of this instance.", registry=self.registry
         )
 
-    def add_source(self, source: GaugeSource) -> None:
+    def add_gauge_source(self, source: GaugeSource) -> None:
         """Add a source of gauges, which is read whenever metrics are rendered."""
-        self._sources.append(source)
+        self._gauge_sources.append(source)
 
     def record_answer(self, status: int, code: str, elapsed_s: float) -> None:
         """Count an answer and observe its latency in seconds."""
@@ -68,9 +68,9 @@
         """Count an event whose handling failed."""
         self._failed_steps.inc({"event": event})
 
-    def text(self) -> tuple[bytes, str]:
+    def render_text(self) -> tuple[bytes, str]:
         """Return the metrics in the Prometheus text format, and their content type."""
-        for source in self._sources:
+        for source in self._gauge_sources:
             for name, value in source().items():
                 self._state.set({"name": name}, value)
         content, headers = render(self.registry, ["text/plain"])
--- a/wagtailrill/runtime/admin.py
+++ b/wagtailrill/runtime/admin.py
@@ -62,7 +62,7 @@
         return _make_json_response(200 if ready else 503, {"ready": ready})
 
     def _report_metrics(self, query: dict[str, str]) -> AdminResponse:
-        content, content_type = self.metrics.text()
+        content, content_type = self.metrics.render_text()
         return AdminResponse(200, content, content_type.encode())
 
     def _report_status(self, query: dict[str, str]) -> AdminResponse:
--- a/wagtailrill/runtime/process.py
+++ b/wagtailrill/runtime/process.py
@@ -103,7 +103,7 @@
                 transport=self.transport,
                 metrics=self.metrics,
                 tracing=external.tracing,
-                write_log=self.event_log.write,
+                write_log=self.event_log.write_event,
             )
         )
         self.caller_listener_state = CallerListenerState(
@@ -111,7 +111,7 @@
         )
         self.router.configuration.add_listener(self._apply_configuration)
         self.router.members.add_listener(self._update_peers)
-        self.metrics.add_source(self._collect_gauges)
+        self.metrics.add_gauge_source(self._collect_gauges)
         admin = AdminApplication(self.router, self.metrics, self._start_drain)
         self.caller_server = _make_server(
             _unused_application,
@@ -159,8 +159,8 @@
             **gauges,
             **self.router.collect_gauges(),
             "caller_connections": len(self.caller_listener_state.connections),
-            "log_lines_left_out": self.event_log.left_out,
-            "log_lines_dropped": self._writer.dropped,
+            "log_lines_left_out": self.event_log.suppressed_count,
+            "log_lines_dropped": self._writer.dropped_count,
         }
 
     async def _async_handle_signals(self) -> None:
