Name the collections and flags of gateway and peer

Folders: wagtailrill/gateway, wagtailrill/peer. Private names only, and two docstrings.

Renamed (old -> new): BackendPool: _idle -> _idle_connections, _running -> _running_exchanges; CallerProtocol: _pending -> _pending_exchanges, _abandon_pending -> _drop_pending_exchanges; MessageRegistry: _by_class -> _message_types_by_class, _by_number -> _message_types_by_number; the locals and parameters busy -> busy_connections, close -> closes_connection, malformed -> is_malformed, buffered -> buffered_stream.

--- a/wagtailrill/gateway/backend_connection.py
+++ b/wagtailrill/gateway/backend_connection.py
@@ -111,23 +111,23 @@
         if self._on_end is None:
             self._abort_transport()
             return
-        malformed = False
+        is_malformed = False
         try:
             self._parser.feed_data(data)
         except (httptools.HttpParserUpgrade, httptools.HttpParserError):
-            malformed = True
+            is_malformed = True
         response = self._get_response()
         if response is not None:
             # Bytes after a complete response do not invalidate it, but the connection
             # cannot be used again.
             closes_connection = (
-                response.closes_connection or malformed or self._has_extra_bytes
+                response.closes_connection or is_malformed or self._has_extra_bytes
             )
             self._end_exchange(
                 ExchangeEnd.ANSWERED,
                 attrs.evolve(response, closes_connection=closes_connection),
             )
-        elif malformed:
+        elif is_malformed:
             self._end_exchange(ExchangeEnd.MALFORMED, None)
 
     def eof_received(self) -> bool:
--- a/wagtailrill/gateway/backend_pool.py
+++ b/wagtailrill/gateway/backend_pool.py
@@ -58,22 +58,22 @@
         self._host, _, port = address.rpartition(":")
         self._port = int(port)
         self._host_line = b"host: " + address.encode() + b"\r\n"
-        self._idle: list[BackendConnection] = []
-        self._running: dict[int, RunningExchange] = {}
+        self._idle_connections: list[BackendConnection] = []
+        self._running_exchanges: dict[int, RunningExchange] = {}
         self._generation = 0
         self._loop = asyncio.get_running_loop()
 
     @property
     def is_empty(self) -> bool:
         """Return whether the pool has neither connections nor requests."""
-        return not self._idle and not self._running
+        return not self._idle_connections and not self._running_exchanges
 
     def send_request(self, request: BackendRequest, on_result: ResultCallback) -> None:
         """Send a request; `on_result` is called once, also if sending fails."""
         exchange = RunningExchange(request, self._loop.time(), on_result)
         conn = self._take_idle_connection()
         if conn is not None:
-            self._running[request.attempt_id] = exchange
+            self._running_exchanges[request.attempt_id] = exchange
             self._send_on_connection(exchange, conn)
         elif (
             request.connections_max
@@ -81,7 +81,7 @@
         ):
             self._report_outcome(exchange, AttemptOutcome.CONNECT_FAILED)
         else:
-            self._running[request.attempt_id] = exchange
+            self._running_exchanges[request.attempt_id] = exchange
             exchange.connect_task = self._loop.create_task(
                 self._async_connect(exchange)
             )
@@ -91,20 +91,22 @@
         conn = await self._async_open_connection(CONNECT_TIMEOUT_S)
         if conn is None:
             return False
-        self._idle.insert(0, conn)
+        self._idle_connections.insert(0, conn)
         return True
 
     def has_connection_opened_before(self, time_s: float) -> bool:
         """Return whether a connection opened before a time of the loop is open."""
-        busy = (exchange.conn for exchange in self._running.values())
+        busy_connections = (
+            exchange.conn for exchange in self._running_exchanges.values()
+        )
         return any(
             conn is not None and conn.is_open and conn.opened_s < time_s
-            for conn in (*self._idle, *busy)
+            for conn in (*self._idle_connections, *busy_connections)
         )
 
     def cancel_attempt(self, attempt_id: int) -> None:
         """Cancel a request, close its connection and report `CANCELLED`."""
-        exchange = self._running.pop(attempt_id, None)
+        exchange = self._running_exchanges.pop(attempt_id, None)
         if exchange is None:
             return
         if exchange.connect_task is not None:
@@ -116,23 +118,25 @@
     def close_connections(self) -> None:
         """Close idle connections now, and busy ones after their exchange."""
         self._generation += 1
-        while self._idle:
-            self._idle.pop().abort()
+        while self._idle_connections:
+            self._idle_connections.pop().abort()
 
     def close_expired_connections(self) -> None:
         """Close idle connections that the server may close soon."""
         now_s = self._loop.time()
-        for conn in [conn for conn in self._idle if not _is_usable(conn, now_s)]:
-            self._idle.remove(conn)
+        for conn in [
+            conn for conn in self._idle_connections if not _is_usable(conn, now_s)
+        ]:
+            self._idle_connections.remove(conn)
             conn.abort()
 
     def _count_connections(self) -> int:
-        return len(self._idle) + len(self._running)
+        return len(self._idle_connections) + len(self._running_exchanges)
 
     def _take_idle_connection(self) -> BackendConnection | None:
         now_s = self._loop.time()
-        while self._idle:
-            conn = self._idle.pop()
+        while self._idle_connections:
+            conn = self._idle_connections.pop()
             if _is_usable(conn, now_s):
                 return conn
             conn.abort()
@@ -144,7 +148,7 @@
         )
         exchange.connect_task = None
         if conn is None:
-            self._running.pop(exchange.request.attempt_id, None)
+            self._running_exchanges.pop(exchange.request.attempt_id, None)
             self._report_outcome(exchange, AttemptOutcome.CONNECT_FAILED)
         else:
             self._send_on_connection(exchange, conn)
@@ -192,7 +196,7 @@
         end: ExchangeEnd,
         response: RawResponse | None,
     ) -> None:
-        self._running.pop(exchange.request.attempt_id, None)
+        self._running_exchanges.pop(exchange.request.attempt_id, None)
         if response is None or exchange.fields is None:
             self._report_outcome(exchange, OUTCOME_BY_END[end])
             return
@@ -202,7 +206,7 @@
             and conn.generation == self._generation
         )
         if is_reusable:
-            self._idle.append(conn)
+            self._idle_connections.append(conn)
         elif conn.is_open:
             conn.abort()
         fields = exchange.fields
@@ -224,8 +228,8 @@
         )
 
     def _remove_idle_connection(self, conn: BackendConnection) -> None:
-        if conn in self._idle:
-            self._idle.remove(conn)
+        if conn in self._idle_connections:
+            self._idle_connections.remove(conn)
 
     def _report_outcome(
         self, exchange: RunningExchange, outcome: AttemptOutcome
--- a/wagtailrill/gateway/caller_protocol.py
+++ b/wagtailrill/gateway/caller_protocol.py
@@ -100,7 +100,7 @@
         self._loop = asyncio.get_running_loop()
         self._transport: asyncio.Transport | None = None
         self._parser = httptools.HttpRequestParser(self)
-        self._pending: deque[Exchange] = deque()
+        self._pending_exchanges: deque[Exchange] = deque()
         self._ignores_input = False
         self.idle_since_s: float | None = self._loop.time()
         self.reading_since_s: float | None = None
@@ -118,8 +118,8 @@
         """Tell the handler that the callers of open requests have left."""
         self._state.connections.discard(self)
         self._transport = None
-        while self._pending:
-            exchange = self._pending.popleft()
+        while self._pending_exchanges:
+            exchange = self._pending_exchanges.popleft()
             if exchange.response is None and exchange.deferred_request is None:
                 self._state.handler.handle_disconnect(exchange.request_id)
 
@@ -129,7 +129,7 @@
 
     def shutdown(self) -> None:
         """Close the connection if it is idle; otherwise its last response closes it."""
-        if not self._pending and self.reading_since_s is None:
+        if not self._pending_exchanges and self.reading_since_s is None:
             self.close()
 
     def close(self) -> None:
@@ -186,7 +186,11 @@
         """Send the interim response 100 if the caller expects it."""
         self.reading_since_s = None if self._ignores_input else self._loop.time()
         expect_header = (b"expect", b"100-continue")
-        if expect_header in self._headers and not self._pending and self._transport:
+        if (
+            expect_header in self._headers
+            and not self._pending_exchanges
+            and self._transport
+        ):
             self._transport.write(CONTINUE_RESPONSE)
 
     def on_body(self, body: bytes) -> None:
@@ -230,10 +234,13 @@
             keep_alive=self._parser.should_keep_alive(),
             is_head_request=method == "HEAD",
         )
-        self._pending.append(exchange)
-        if len(self._pending) >= PIPELINED_REQUESTS_MAX and self._transport is not None:
+        self._pending_exchanges.append(exchange)
+        if (
+            len(self._pending_exchanges) >= PIPELINED_REQUESTS_MAX
+            and self._transport is not None
+        ):
             self._transport.pause_reading()
-        if len(self._pending) > 1 and method not in CONCURRENT_METHODS:
+        if len(self._pending_exchanges) > 1 and method not in CONCURRENT_METHODS:
             # If an earlier response closes the connection, the caller may send the
             # request again, so it must not have run.
             exchange.deferred_request = req
@@ -245,32 +252,34 @@
     def flush_responses(self) -> None:
         """Write the responses whose predecessors have all been written."""
         transport = self._transport
-        while transport is not None and self._pending:
-            exchange = self._pending[0]
+        while transport is not None and self._pending_exchanges:
+            exchange = self._pending_exchanges[0]
             if exchange.deferred_request is not None:
                 req, exchange.deferred_request = exchange.deferred_request, None
                 self._state.handler.handle_request(req, exchange)
             if exchange.response is None:
                 return
-            self._pending.popleft()
-            close = not exchange.keep_alive or (
-                self._state.is_stopping and not self._pending
+            self._pending_exchanges.popleft()
+            closes_connection = not exchange.keep_alive or (
+                self._state.is_stopping and not self._pending_exchanges
             )
             transport.write(
-                _encode_response(exchange.response, close, exchange.is_head_request)
+                _encode_response(
+                    exchange.response, closes_connection, exchange.is_head_request
+                )
             )
-            if close:
-                self._abandon_pending()
+            if closes_connection:
+                self._drop_pending_exchanges()
                 transport.close()
                 return
-        if transport is not None and not self._pending:
+        if transport is not None and not self._pending_exchanges:
             self.idle_since_s = self._loop.time()
             transport.resume_reading()
 
-    def _abandon_pending(self) -> None:
+    def _drop_pending_exchanges(self) -> None:
         """Drop the requests after a response that closes the connection."""
-        while self._pending:
-            exchange = self._pending.popleft()
+        while self._pending_exchanges:
+            exchange = self._pending_exchanges.popleft()
             if exchange.response is None and exchange.deferred_request is None:
                 self._state.handler.handle_disconnect(exchange.request_id)
 
@@ -279,7 +288,7 @@
         self._ignores_input = True
         self.reading_since_s = None
         exchange = Exchange(self, next(self._state.request_ids), keep_alive=False)
-        self._pending.append(exchange)
+        self._pending_exchanges.append(exchange)
         fields = self._state.dialect.parse_headers(tuple(self._headers))
         exchange.set_response(
             self._state.dialect.encode_refusal(refusal, fields.caller_request_id)
@@ -295,7 +304,7 @@
 
 
 def _encode_response(
-    response: CallerResponse, close: bool, is_head_request: bool
+    response: CallerResponse, closes_connection: bool, is_head_request: bool
 ) -> bytes:
     parts: list[bytes] = [
         STATUS_LINES.get(response.status) or b"HTTP/1.1 %d \r\n" % response.status
@@ -305,7 +314,7 @@
             parts.append(name + b": " + value + b"\r\n")
     if response.status not in STATUSES_WITHOUT_BODY:
         parts.append(b"content-length: %d\r\n" % len(response.body))
-    if close:
+    if closes_connection:
         parts.append(b"connection: close\r\n")
     parts.append(b"\r\n")
     if not is_head_request and response.status not in STATUSES_WITHOUT_BODY:
--- a/wagtailrill/peer/frame.py
+++ b/wagtailrill/peer/frame.py
@@ -30,7 +30,7 @@
 
     Frames are authenticated with the first secret and accepted with any, so that
     secrets can be rotated while instances with old and new settings run together.
-    Without secrets no frame is accepted, and `encode` must not be called.
+    Without secrets no frame is accepted, and `encode_frame` must not be called.
     """
 
     registry: MessageRegistry
--- a/wagtailrill/peer/registry.py
+++ b/wagtailrill/peer/registry.py
@@ -126,8 +126,8 @@
     """
 
     def __init__(self) -> None:
-        self._by_class: dict[type, MessageType] = {}
-        self._by_number: dict[int, MessageType] = {}
+        self._message_types_by_class: dict[type, MessageType] = {}
+        self._message_types_by_number: dict[int, MessageType] = {}
 
     def register_classes(self, schema_file: Path, classes: dict[int, type]) -> None:
         """Register the classes of one schema file by their wire numbers.
@@ -136,24 +136,24 @@
         """
         schema = capnp.load(str(schema_file))
         for number, cls in classes.items():
-            if number in self._by_number:
+            if number in self._message_types_by_number:
                 raise ValueError(f"message number {number} is registered twice")
             encode, decode = _make_class_codec(cls)
             message_type = MessageType(
                 number, cls, getattr(schema, cls.__name__), encode, decode
             )
-            self._by_class[cls] = message_type
-            self._by_number[number] = message_type
+            self._message_types_by_class[cls] = message_type
+            self._message_types_by_number[number] = message_type
 
     def encode_message(self, message: PeerMessage) -> tuple[int, bytes]:
         """Return the wire number and the packed struct of a message."""
-        message_type = self._by_class[type(message)]
+        message_type = self._message_types_by_class[type(message)]
         struct = message_type.schema.new_message(**message_type.encode_fields(message))
         return message_type.number, struct.to_bytes_packed()
 
     def decode_message(self, number: int, payload: bytes) -> PeerMessage:
         """Return a message; raise `PeerDecodeError` for malformed input."""
-        message_type = self._by_number.get(number)
+        message_type = self._message_types_by_number.get(number)
         if message_type is None:
             raise PeerDecodeError(f"unknown message number {number}")
         try:
--- a/wagtailrill/peer/tcp.py
+++ b/wagtailrill/peer/tcp.py
@@ -152,7 +152,7 @@
 
 
 class PeerTransport:
-    """Accepts connections of peers, and keeps a sender for each peer addressed."""
+    """Receives messages from peers, and keeps a sender for each peer sent to."""
 
     def __init__(
         self, codec: FrameCodec, on_envelope: Callable[[Envelope], object]
@@ -209,14 +209,14 @@
             pass
 
     async def _async_read_frames(self, conn: "_IncomingConnection") -> None:
-        buffered = BufferedByteReceiveStream(conn.stream)
+        buffered_stream = BufferedByteReceiveStream(conn.stream)
         while True:
-            length_prefix = await buffered.receive_exactly(LENGTH_PREFIX_BYTES)
+            length_prefix = await buffered_stream.receive_exactly(LENGTH_PREFIX_BYTES)
             length = int.from_bytes(length_prefix, "big")
             if length > FRAME_MAX_BYTES:
                 self.counters.rejected_frames += 1
                 return
-            self._accept_frame(await buffered.receive_exactly(length))
+            self._accept_frame(await buffered_stream.receive_exactly(length))
             conn.has_unacknowledged_frames = True
 
     def _accept_frame(self, frame: bytes) -> None:
