--- a/script/bench_forwarding.py
+++ b/script/bench_forwarding.py
@@ -1,7 +1,8 @@
-"""Compares forwarding with the full policy to a bare forwarder, on one core each.
+"""Compares the router's forwarding with that of a bare forwarder, on one core each.
 
-Both forward to the same backend server. Closed loop: throughput at a number of
-connections. Open loop: added latency at half of the full policy's throughput.
+Both forward to the same backend server. The closed loop measures throughput at a
+number of connections, the open loop the latency that the router adds at half of its
+throughput.
 """
 
 import argparse
@@ -16,28 +17,30 @@
 from pathlib import Path
 from typing import Any
 
-from fleet import ROOT, fetch
+from fleet import ROOT, fetch_json
 
 from wagtailrill.load_tool.report import compute_percentile
 from wagtailrill.stand_ins.store import FAULTS_PATH
 
-BACKEND, BARE, CALLER, PEER, ADMIN, STORE = range(23900, 23906)
+BACKEND_PORT, BARE_PORT, CALLER_PORT, PEER_PORT, ADMIN_PORT, STORE_PORT = range(
+    23900, 23906
+)
 TENANT_KEY = "wr_bench_0123456789abcdef0123456789abcdef"
 SALT = "00" * 16
 FORWARDER_CORE = 0
 BACKEND_CORE = 1
-LOAD_CORES = (2, 3)
+LOAD_GENERATOR_CORES = (2, 3)
 HOST = "127.0.0.1"
 
 
-def declaration() -> dict[str, Any]:
-    """Return a declaration with one service of one large backend server."""
+def build_declaration() -> dict[str, Any]:
+    """Return a declaration with one service on one large backend server."""
     import hashlib
 
     secret = TENANT_KEY.rpartition("_")[2]
     digest = hashlib.sha256(bytes.fromhex(SALT) + secret.encode()).hexdigest()
     key = {"key_id": "bench", "salt": SALT, "sha256": digest}
-    server = {"name": "b-1", "address": f"{HOST}:{BACKEND}", "data_centre": "dc"}
+    server = {"name": "b-1", "address": f"{HOST}:{BACKEND_PORT}", "data_centre": "dc"}
     route = {"method": "GET", "path": "/bench/{key}", "idempotent": True}
     service = {
         "name": "bench",
@@ -61,22 +64,22 @@
     }
 
 
-def settings() -> dict[str, Any]:
-    """Return the settings of the only instance."""
+def build_settings() -> dict[str, Any]:
+    """Return the settings of the only router instance."""
     return {
         "instance": "bench-1",
         "deployment": "bench",
         "data_centre": "dc",
-        "caller_address": f"{HOST}:{CALLER}",
-        "peer_address": f"{HOST}:{PEER}",
-        "admin_address": f"{HOST}:{ADMIN}",
-        "store_addresses": [f"{HOST}:{STORE}"],
+        "caller_address": f"{HOST}:{CALLER_PORT}",
+        "peer_address": f"{HOST}:{PEER_PORT}",
+        "admin_address": f"{HOST}:{ADMIN_PORT}",
+        "store_addresses": [f"{HOST}:{STORE_PORT}"],
         "peer_secrets": ["bench-only-secret-that-is-long-enough"],
     }
 
 
-def start(core: int, *arguments: str) -> subprocess.Popen[bytes]:
-    """Start a process on one core."""
+def start_process(core: int, *arguments: str) -> subprocess.Popen[bytes]:
+    """Start a Python process that is pinned to one core."""
     return subprocess.Popen(
         [sys.executable, *arguments],
         cwd=ROOT,
@@ -85,172 +88,188 @@
     )
 
 
-def request_bytes(port: int) -> bytes:
-    """Return one request."""
+def build_request(port: int) -> bytes:
+    """Return the bytes of one request."""
     return (
         f"GET /bench/k1 HTTP/1.1\r\nhost: {HOST}:{port}\r\n"
         f"x-tenant-key: {TENANT_KEY}\r\n\r\n"
     ).encode()
 
 
-def exchange(sock: socket.socket, request: bytes) -> None:
-    """Send a request and read its whole answer."""
+def send_request(sock: socket.socket, request: bytes) -> None:
+    """Send a request and read its whole answer; raise an error unless it is 200."""
     sock.sendall(request)
     data = b""
     while b"\r\n\r\n" not in data:
-        part = sock.recv(65536)
-        if not part:
+        chunk = sock.recv(65536)
+        if not chunk:
             raise ConnectionError("closed")
-        data += part
+        data += chunk
     head, _, body = data.partition(b"\r\n\r\n")
     if b" 200 " not in head.split(b"\r\n", 1)[0]:
         raise ValueError(data[:200])
-    fields = dict(
+    headers = dict(
         line.lower().split(b": ", 1) for line in head.split(b"\r\n")[1:] if line
     )
-    missing = int(fields[b"content-length"]) - len(body)
-    while missing > 0:
-        missing -= len(sock.recv(missing))
+    missing_bytes = int(headers[b"content-length"]) - len(body)
+    while missing_bytes > 0:
+        missing_bytes -= len(sock.recv(missing_bytes))
 
 
-def closed_loop(port: int, connections: int, seconds: float) -> dict[str, float]:
-    """Return throughput and latency at a number of connections."""
-    latencies: list[float] = []
-    end_s = time.monotonic() + seconds
+def run_closed_loop(port: int, connections: int, duration_s: float) -> dict[str, float]:
+    """Measure with requests sent back to back on each connection."""
+    latencies_s: list[float] = []
+    end_s = time.monotonic() + duration_s
 
-    def work() -> None:
-        request = request_bytes(port)
+    def send_requests() -> None:
+        request = build_request(port)
         with socket.create_connection((HOST, port)) as sock:
             sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
             while time.monotonic() < end_s:
                 started_s = time.monotonic()
-                exchange(sock, request)
-                latencies.append(time.monotonic() - started_s)
+                send_request(sock, request)
+                latencies_s.append(time.monotonic() - started_s)
 
-    threads = [threading.Thread(target=work) for _ in range(connections)]
+    threads = [threading.Thread(target=send_requests) for _ in range(connections)]
     for thread in threads:
         thread.start()
     for thread in threads:
         thread.join()
-    return _figures(latencies, seconds)
+    return _summarise_latencies(latencies_s, duration_s)
 
 
-def open_loop(port: int, rate_per_s: float, seconds: float) -> dict[str, float]:
-    """Return latency, counted from the planned time, at a rate."""
-    latencies: list[float] = []
-    lanes = 16
+def run_open_loop(port: int, rate_per_s: float, duration_s: float) -> dict[str, float]:
+    """Measure at a fixed rate; latency counts from the planned time of sending."""
+    latencies_s: list[float] = []
+    thread_count = 16
     start_s = time.monotonic() + 0.1
 
-    def work(lane: int) -> None:
-        request = request_bytes(port)
+    def send_requests(thread_number: int) -> None:
+        request = build_request(port)
         with socket.create_connection((HOST, port)) as sock:
             sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-            for number in range(lane, int(rate_per_s * seconds), lanes):
-                planned_s = start_s + number / rate_per_s
+            for request_number in range(
+                thread_number, int(rate_per_s * duration_s), thread_count
+            ):
+                planned_s = start_s + request_number / rate_per_s
                 time.sleep(max(planned_s - time.monotonic(), 0.0))
-                exchange(sock, request)
-                latencies.append(time.monotonic() - planned_s)
+                send_request(sock, request)
+                latencies_s.append(time.monotonic() - planned_s)
 
-    threads = [threading.Thread(target=work, args=(n,)) for n in range(lanes)]
+    threads = [
+        threading.Thread(target=send_requests, args=(n,)) for n in range(thread_count)
+    ]
     for thread in threads:
         thread.start()
     for thread in threads:
         thread.join()
-    return _figures(latencies, seconds)
+    return _summarise_latencies(latencies_s, duration_s)
 
 
-def _figures(latencies: list[float], seconds: float) -> dict[str, float]:
-    values = sorted(1000 * value for value in latencies)
+def _summarise_latencies(
+    latencies_s: list[float], duration_s: float
+) -> dict[str, float]:
+    latencies_ms = sorted(1000 * value for value in latencies_s)
     return {
-        "per_s": len(values) / seconds,
-        "p50_ms": compute_percentile(values, 0.5),
-        "p99_ms": compute_percentile(values, 0.99),
+        "per_s": len(latencies_ms) / duration_s,
+        "p50_ms": compute_percentile(latencies_ms, 0.5),
+        "p99_ms": compute_percentile(latencies_ms, 0.99),
     }
 
 
-def load(kind: str, *arguments: str) -> dict[str, float]:
-    """Run a load in a process of its own, off the forwarders' core."""
+def run_load(loop_name: str, *arguments: str) -> dict[str, float]:
+    """Run the "closed" or "open" loop in a process apart from the forwarders' core."""
     output = subprocess.run(
-        [sys.executable, __file__, "--load", kind, *arguments],
+        [sys.executable, __file__, "--load", loop_name, *arguments],
         check=True,
         capture_output=True,
         text=True,
-        preexec_fn=lambda: os.sched_setaffinity(0, LOAD_CORES),
+        preexec_fn=lambda: os.sched_setaffinity(0, LOAD_GENERATOR_CORES),
     ).stdout
     result: dict[str, float] = json.loads(output)
     return result
 
 
-def wait_for(port: int, path: str) -> None:
-    """Wait until a server answers 200."""
+def wait_until_ready(port: int, path: str) -> None:
+    """Wait until a server answers a path with 200, for 30 s at most."""
     deadline_s = time.monotonic() + 30.0
-    while fetch(f"{HOST}:{port}", path)[0] != 200:
+    while fetch_json(f"{HOST}:{port}", path)[0] != 200:
         if time.monotonic() > deadline_s:
             raise TimeoutError(f"port {port} does not answer")
         time.sleep(0.05)
 
 
-def start_all(folder: Path, processes: list[subprocess.Popen[bytes]]) -> None:
-    """Start backend server, bare forwarder, store and instance.
+def start_processes(folder: Path, processes: list[subprocess.Popen[bytes]]) -> None:
+    """Start backend server, bare forwarder, store and router instance.
 
-    Each is appended to `processes` at once, so that the caller can end those that
-    run when a later one does not start.
+    Each is appended to `processes` at once, so that the caller can end it even if a
+    later one does not start.
     """
     declaration_file = folder / "services.json"
-    declaration_file.write_text(json.dumps(declaration()))
+    declaration_file.write_text(json.dumps(build_declaration()))
     settings_file = folder / "instances" / "bench-1.json"
     settings_file.parent.mkdir()
-    settings_file.write_text(json.dumps(settings()))
-    simple = str(Path(__file__).with_name("bench_servers.py"))
-    store = ["-m", "wagtailrill.stand_ins.store", "--port", str(STORE)]
-    instances = ("--instances", str(folder / "instances"))
+    settings_file.write_text(json.dumps(build_settings()))
+    servers_script = str(Path(__file__).with_name("bench_servers.py"))
+    store_arguments = ["-m", "wagtailrill.stand_ins.store", "--port", str(STORE_PORT)]
+    instances_option = ("--instances", str(folder / "instances"))
     for core, *arguments in (
-        (BACKEND_CORE, simple, "backend", str(BACKEND)),
-        (FORWARDER_CORE, simple, "bare", str(BARE), str(BACKEND)),
-        (BACKEND_CORE, *store),
+        (BACKEND_CORE, servers_script, "backend", str(BACKEND_PORT)),
+        (FORWARDER_CORE, servers_script, "bare", str(BARE_PORT), str(BACKEND_PORT)),
+        (BACKEND_CORE, *store_arguments),
     ):
-        processes.append(start(core, *arguments))
-    wait_for(STORE, FAULTS_PATH)
-    apply = ["-m", "wagtailrill.cli", "apply", str(declaration_file)]
+        processes.append(start_process(core, *arguments))
+    wait_until_ready(STORE_PORT, FAULTS_PATH)
+    apply_arguments = ["-m", "wagtailrill.cli", "apply", str(declaration_file)]
     subprocess.run(
-        [sys.executable, *apply, *instances, "--store", f"{HOST}:{STORE}"],
+        [
+            sys.executable,
+            *apply_arguments,
+            *instances_option,
+            "--store",
+            f"{HOST}:{STORE_PORT}",
+        ],
         check=True,
         stdout=subprocess.DEVNULL,
     )
-    daemon = ["-m", "wagtailrill.daemon", "--settings", str(settings_file)]
-    processes.append(start(FORWARDER_CORE, *daemon))
-    wait_for(ADMIN, "/health")
-    wait_for(BARE, "/bench/k1")
+    daemon_arguments = ["-m", "wagtailrill.daemon", "--settings", str(settings_file)]
+    processes.append(start_process(FORWARDER_CORE, *daemon_arguments))
+    wait_until_ready(ADMIN_PORT, "/health")
+    wait_until_ready(BARE_PORT, "/bench/k1")
 
 
-def measure(connections: int, seconds: float) -> dict[str, Any]:
-    """Measure both forwarders alternately; the median of three rounds counts."""
-    arguments = (str(connections), str(seconds))
-    rounds: dict[str, list[dict[str, float]]] = {"bare": [], "full": []}
+def measure_forwarders(connections: int, duration_s: float) -> dict[str, Any]:
+    """Measure both forwarders alternately; take the median of three rounds."""
+    arguments = (str(connections), str(duration_s))
+    results_by_name: dict[str, list[dict[str, float]]] = {"bare": [], "full": []}
     for _ in range(3):
-        for name, port in (("bare", BARE), ("full", CALLER)):
-            rounds[name].append(load("closed", str(port), *arguments))
-    closed = {n: sorted(r, key=lambda f: f["per_s"])[1] for n, r in rounds.items()}
-    half = str(closed["full"]["per_s"] / 2)
-    opened = {
-        name: load("open", str(port), half, str(seconds))
-        for name, port in (("bare", BARE), ("full", CALLER))
+        for name, port in (("bare", BARE_PORT), ("full", CALLER_PORT)):
+            results_by_name[name].append(run_load("closed", str(port), *arguments))
+    closed_loop = {
+        n: sorted(r, key=lambda f: f["per_s"])[1] for n, r in results_by_name.items()
+    }
+    half_rate = str(closed_loop["full"]["per_s"] / 2)
+    open_loop = {
+        name: run_load("open", str(port), half_rate, str(duration_s))
+        for name, port in (("bare", BARE_PORT), ("full", CALLER_PORT))
     }
     return {
-        "closed_loop": closed,
-        "open_loop_at_half": opened,
-        "throughput_ratio": closed["full"]["per_s"] / closed["bare"]["per_s"],
-        "added_p99_ms": opened["full"]["p99_ms"] - opened["bare"]["p99_ms"],
+        "closed_loop": closed_loop,
+        "open_loop_at_half": open_loop,
+        "throughput_ratio": closed_loop["full"]["per_s"] / closed_loop["bare"]["per_s"],
+        "added_p99_ms": open_loop["full"]["p99_ms"] - open_loop["bare"]["p99_ms"],
     }
 
 
 def main() -> int:
-    """Run the comparison and print it."""
+    """Run the comparison and print its results as JSON."""
     if sys.argv[1:2] == ["--load"]:
-        kind, port, *numbers = sys.argv[2:]
-        run = {"closed": closed_loop, "open": open_loop}[kind]
-        first = int(numbers[0]) if kind == "closed" else float(numbers[0])
-        print(json.dumps(run(int(port), first, float(numbers[1]))))
+        loop_name, port, *values = sys.argv[2:]
+        run_loop = {"closed": run_closed_loop, "open": run_open_loop}[loop_name]
+        connections_or_rate = (
+            int(values[0]) if loop_name == "closed" else float(values[0])
+        )
+        print(json.dumps(run_loop(int(port), connections_or_rate, float(values[1]))))
         return 0
     parser = argparse.ArgumentParser(description=__doc__)
     parser.add_argument("--connections", type=int, default=32)
@@ -259,8 +278,8 @@
     with tempfile.TemporaryDirectory() as folder:
         processes: list[subprocess.Popen[bytes]] = []
         try:
-            start_all(Path(folder), processes)
-            result = measure(args.connections, args.seconds)
+            start_processes(Path(folder), processes)
+            result = measure_forwarders(args.connections, args.seconds)
         finally:
             for process in processes:
                 process.kill()
--- a/script/bench_servers.py
+++ b/script/bench_servers.py
@@ -8,12 +8,12 @@
 import httpcore
 import uvicorn
 
-ANSWER = b'{"answer": "0123456789012345678901234567890123456789"}'
+ANSWER_BODY = b'{"answer": "0123456789012345678901234567890123456789"}'
 Send = Callable[[dict[str, Any]], Awaitable[None]]
 
 
-async def async_answer(send: Send, body: bytes) -> None:
-    """Send a JSON answer."""
+async def async_send_answer(send: Send, body: bytes) -> None:
+    """Send an answer with a JSON body."""
     headers = [
         (b"content-type", b"application/json"),
         (b"content-length", str(len(body)).encode()),
@@ -22,21 +22,23 @@
     await send({"type": "http.response.body", "body": body})
 
 
-async def async_backend(scope: dict[str, Any], receive: Any, send: Send) -> None:
-    """Answer at once; also the health probe."""
+async def async_handle_backend_request(
+    scope: dict[str, Any], receive: Any, send: Send
+) -> None:
+    """Answer a request or a health probe without delay."""
     if scope["path"] == "/-/health":
         health = b'{"healthy":true,"start_id":"1","uptime_s":1000.0,"load":0.0}'
-        await async_answer(send, health)
+        await async_send_answer(send, health)
         return
-    await async_answer(send, ANSWER)
+    await async_send_answer(send, ANSWER_BODY)
 
 
 class BareForwarder:
-    """Forwards with a free list of connections and nothing else."""
+    """Forwards requests over a pool of idle connections and does nothing else."""
 
     def __init__(self, port: int) -> None:
         self.origin = httpcore.Origin(b"http", b"127.0.0.1", port)
-        self.idle: list[httpcore.AsyncHTTPConnection] = []
+        self.idle_connections: list[httpcore.AsyncHTTPConnection] = []
 
     async def __call__(self, scope: dict[str, Any], receive: Any, send: Send) -> None:
         """Forward one request."""
@@ -47,7 +49,9 @@
             if not message.get("more_body"):
                 break
         conn = (
-            self.idle.pop() if self.idle else httpcore.AsyncHTTPConnection(self.origin)
+            self.idle_connections.pop()
+            if self.idle_connections
+            else httpcore.AsyncHTTPConnection(self.origin)
         )
         url = httpcore.URL(
             scheme=b"http",
@@ -61,14 +65,18 @@
         res = await conn.handle_async_request(req)
         answer = await res.aread()
         await res.aclose()
-        self.idle.append(conn)
-        await async_answer(send, answer)
+        self.idle_connections.append(conn)
+        await async_send_answer(send, answer)
 
 
 def main() -> None:
-    """Run one of the servers."""
+    """Run `backend PORT` or `bare PORT BACKEND_PORT`."""
     role, port = sys.argv[1], int(sys.argv[2])
-    app: Any = async_backend if role == "backend" else BareForwarder(int(sys.argv[3]))
+    app: Any = (
+        async_handle_backend_request
+        if role == "backend"
+        else BareForwarder(int(sys.argv[3]))
+    )
     cfg = uvicorn.Config(
         app,
         port=port,
--- a/script/demo.py
+++ b/script/demo.py
@@ -7,7 +7,7 @@
 import time
 
 import anyio
-from fleet import Fleet, fetch
+from fleet import Fleet, fetch_json
 
 from wagtailrill.load_tool.models import LoadResult, LoadSettings
 from wagtailrill.load_tool.report import format_table, summarise_results
@@ -20,7 +20,7 @@
     """Send requests to all instances and return the results."""
     keys = json.loads(fleet.keys_file.read_bytes())["tenant_keys"]
     cfg = LoadSettings(
-        targets=tuple(fleet.callers),
+        targets=tuple(fleet.caller_addresses),
         rate_per_s=rate_per_s,
         duration_s=duration_s,
         seed=seed,
@@ -32,34 +32,36 @@
     return anyio.run(LoadRunner(cfg, fleet.declaration).async_run)
 
 
-def backend_counts(fleet: Fleet) -> collections.Counter[str]:
-    """Return the sums of the backend servers' counts."""
-    total = collections.Counter()
+def sum_backend_counts(fleet: Fleet) -> collections.Counter[str]:
+    """Return the counts of all backend servers, summed by name."""
+    totals = collections.Counter()
     for service in fleet.declaration.services:
         for server in service.backend_servers:
-            _, counts = fetch(server.address, "/-/counts")
-            total.update(counts or {})
-    return total
+            _, counts = fetch_json(server.address, "/-/counts")
+            totals.update(counts or {})
+    return totals
 
 
-def owners(fleet: Fleet) -> list[str]:
-    """Return the number of sampled keys by owner for each keyed service."""
+def describe_key_owners(fleet: Fleet) -> list[str]:
+    """Return a line for each keyed service: how many of 200 keys each owner holds."""
     lines = []
-    admin = fleet.settings[0].admin_address
+    admin_address = fleet.settings[0].admin_address
     for service in fleet.declaration.services:
         if not service.keyed:
             continue
-        by_owner = collections.Counter()
+        keys_by_owner = collections.Counter()
         for number in range(200):
             path = f"/explain-key?service={service.name}&key=k{number}"
-            by_owner[fetch(admin, path)[1]["owner"]] += 1
-        spread = ", ".join(f"{name} {n}" for name, n in sorted(by_owner.items()))
-        lines.append(f"owners of 200 keys of {service.name}: {spread}")
+            keys_by_owner[fetch_json(admin_address, path)[1]["owner"]] += 1
+        distribution = ", ".join(
+            f"{name} {key_count}" for name, key_count in sorted(keys_by_owner.items())
+        )
+        lines.append(f"owners of 200 keys of {service.name}: {distribution}")
     return lines
 
 
 def main() -> int:
-    """Run the demo; return 0 when every check of its result holds."""
+    """Run the demo; return 0 if its result passes all checks, else 1."""
     parser = argparse.ArgumentParser(description=__doc__)
     parser.add_argument("deployment", nargs="?", default="piraeus")
     parser.add_argument("--rate", type=float, default=150.0)
@@ -70,23 +72,25 @@
     fleet = Fleet(args.deployment, args.instances)
     started_s = time.monotonic()
     try:
-        fleet.start()
+        fleet.start_all_processes()
         print(f"{args.deployment}: {args.instances} instances ready after ", end="")
         print(f"{time.monotonic() - started_s:.1f} s")
         results = run_load(fleet, args.rate, args.seconds, args.seed)
-        counts = backend_counts(fleet)
+        counts = sum_backend_counts(fleet)
         print(format_table(summarise_results(results)))
-        print("\n".join(owners(fleet)))
+        print("\n".join(describe_key_owners(fleet)))
     finally:
-        fleet.stop()
+        fleet.stop_processes()
     refused = [r for r in results if r.code != "answered"]
-    crossed = sum(r.crossed for r in results)
-    share = 1.0 - len(refused) / max(len(results), 1)
-    print(f"answered {share:.2%}, crossed answers {crossed}")
+    crossed_answers = sum(r.crossed for r in results)
+    answered_ratio = 1.0 - len(refused) / max(len(results), 1)
+    print(f"answered {answered_ratio:.2%}, crossed answers {crossed_answers}")
     print(f"requests run twice {counts['duplicates']}, ", end="")
     print(f"requests beyond what a cold server bears {counts['cold_overloads']}")
-    sound = crossed == 0 and counts["duplicates"] == 0 and share >= 0.95
-    return 0 if sound else 1
+    passed = (
+        crossed_answers == 0 and counts["duplicates"] == 0 and answered_ratio >= 0.95
+    )
+    return 0 if passed else 1
 
 
 if __name__ == "__main__":
--- a/tests/operations/test_page.py
+++ b/tests/operations/test_page.py
@@ -39,7 +39,7 @@
         if word == "logs/*.log":
             arguments += files
         else:
-            arguments.append(call.caller_id if word == "ID" else word)
+            arguments.append(call.caller_request_id if word == "ID" else word)
     with pytest.raises(SystemExit) as exit_info:
         main(arguments)
     assert exit_info.value.code == 0
@@ -64,7 +64,7 @@
     prefixed = b"12.5 i-2 " + content.replace(b"\n", b"\n12.5 i-2 ")
     Path(file).write_bytes(b"\n".join([*broken, prefixed]))
     with pytest.raises(SystemExit) as exit_info:
-        main(["--json", "explain-request", call.caller_id, file])
+        main(["--json", "explain-request", call.caller_request_id, file])
     assert exit_info.value.code == 0
     explanation = json.loads(capsys.readouterr().out)
     assert CAUSES["rate"] in explanation["cause"]
--- a/tests/platform/test_program.py
+++ b/tests/platform/test_program.py
@@ -23,7 +23,7 @@
 from wagtailrill.stand_ins.backend_server import (
     PLATFORM,
     BackendApplication,
-    async_announce,
+    async_announce_server,
     make_backend_server,
 )
 from wagtailrill.stand_ins.http import async_serve
@@ -142,7 +142,7 @@
             app = BackendApplication(model, PLATFORM)
             server = async_serve(app, make_backend_server(app))
             address = await stack.enter_async_context(server)
-            tasks.start_soon(async_announce, app, address, "north", store)
+            tasks.start_soon(async_announce_server, app, address, "north", store)
             apps[service] = app
         ports = {name: find_free_port() for name in ("front", "ready", "peer")}
         file = tmp_path / "node.toml"
--- a/tests/runs/declaration.py
+++ b/tests/runs/declaration.py
@@ -1,4 +1,4 @@
-"""The deployment of the random runs."""
+"""Declaration and settings of the deployment in the random runs."""
 
 from typing import Final
 
@@ -23,12 +23,12 @@
 DATA_CENTRES: Final = ("north", "south")
 COLD_PER_S: Final = 8.0
 RATES: Final = RateSettings(5.0, 0.1, 4.0)
-EXTRA: Final = ExtraAttemptSettings()
-ALLOWANCES: Final = Allowances(RATES, ColdSettings(1.2, 2.0), EXTRA)
+EXTRA_ATTEMPTS: Final = ExtraAttemptSettings()
+ALLOWANCES: Final = Allowances(RATES, ColdSettings(1.2, 2.0), EXTRA_ATTEMPTS)
 TIMEOUT_S: Final = 1.5
 
 
-def _routes(path: str) -> tuple[Route, ...]:
+def _make_routes(path: str) -> tuple[Route, ...]:
     return tuple(
         Route(
             method=method,
@@ -41,11 +41,11 @@
     )
 
 
-def service(name: str, path: str, keyed: bool) -> Service:
-    """Return a service with a read and a write route."""
+def make_service(name: str, path: str, keyed: bool) -> Service:
+    """Return a service with an idempotent GET route and a POST route."""
     return Service(
         name=name,
-        routes=_routes(path),
+        routes=_make_routes(path),
         backend_servers=(),
         keyed=keyed,
         checks_grants=keyed,
@@ -57,8 +57,8 @@
     deployment="runs",
     data_centres=tuple(DataCentre(name) for name in DATA_CENTRES),
     services=(
-        service("roll", "/roll/{key}", keyed=True),
-        service("box", "/box", keyed=False),
+        make_service("roll", "/roll/{key}", keyed=True),
+        make_service("box", "/box", keyed=False),
     ),
     organisations=tuple(
         Organisation(
--- a/tests/runs/deployment.py
+++ b/tests/runs/deployment.py
@@ -1,4 +1,7 @@
-"""Routers, backend servers and callers of one deployment on a virtual clock."""
+"""Routers, backend servers and callers of one deployment on a virtual clock.
+
+The random runs and the tests of whole routers use it.
+"""
 
 import itertools
 import random
@@ -44,22 +47,22 @@
 
 @attrs.frozen
 class NamedDeclarations:
-    """Decodes values that name one of some declarations."""
+    """Configuration decoder for store values that name a declaration."""
 
     declarations: dict[bytes, Declaration]
     prefix: str = "config/"
 
     def get_declaration_key(self) -> str:
-        """Return the key that holds the name."""
+        """Return the store key of the declaration's name."""
         return CONFIG_KEY
 
     def decode(self, item: Item) -> Result[Declaration, str]:
-        """Return the declaration of a name."""
+        """Return the declaration that an item names, or an error if it is unknown."""
         found = self.declarations.get(item.value)
         return Ok(found) if found is not None else Error("unknown")
 
     def list_closed_data_centres(self, keys: frozenset[str]) -> frozenset[str]:
-        """Return the data centres that have a key of their own."""
+        """Return the data centres that are closed by a key below `CLOSED_PREFIX`."""
         return frozenset(
             key.removeprefix(CLOSED_PREFIX)
             for key in keys
@@ -69,9 +72,12 @@
 
 @attrs.define
 class Call:
-    """A caller's request and what became of it."""
+    """A caller's request and its outcome; times are virtual, in seconds.
+
+    `lost` is set when the instance was killed or the caller left.
+    """
 
-    caller_id: str
+    caller_request_id: str
     instance: str
     service: str
     organisation: str
@@ -84,12 +90,12 @@
 
     @property
     def promised_not_run(self) -> bool:
-        """Return whether the caller was told that the request has not run."""
+        """Whether the caller was told that the request has not run."""
         return self.refusal is not None and self.refusal.status in (429, 503)
 
 
 class Deployment:
-    """Runs routers against backend servers; checks what every run must keep."""
+    """Runs routers against backend servers and callers; collects violations."""
 
     def __init__(
         self,
@@ -101,29 +107,31 @@
         self.logs: list[tuple[float, str, LogEvent]] = []
         self.calls: dict[str, Call] = {}
         self.violations: list[str] = []
-        self._configurations = NamedDeclarations(
+        self._configuration_decoder = NamedDeclarations(
             declarations or {b"first": DECLARATION}
         )
-        self._open: dict[tuple[str, int, int], Call] = {}
-        self._numbers = itertools.count(1)
+        self._open_calls: dict[tuple[str, int, int], Call] = {}
+        self._request_numbers = itertools.count(1)
         self.fleet = VirtualFleet(self._make_router, seed)
         self.servers = VirtualServers(self.fleet, seed + 2)
-        self.servers.on_execution = self._on_execution
+        self.servers.on_execution = self._check_key_owner
         for cls in (AnswerRequest, RefuseRequest, ReplayAnswer):
-            self.fleet.on_command(cls, self._on_answer)
-        self.fleet.on_command(LogEvent, self._on_log)
+            self.fleet.on_command(cls, self._record_answer)
+        self.fleet.on_command(LogEvent, self._record_log_line)
         self.names = [f"i-{number}" for number in range(1, instances + 1)]
 
     @property
     def now_s(self) -> float:
-        """Return the virtual time in seconds."""
+        """Virtual time in seconds."""
         return self.fleet.now_s
 
-    def start(self, servers_per_service: int = 4, name: bytes = b"first") -> None:
-        """Start everything; a run begins when this returns."""
-        self.fleet.store.model.put(CONFIG_KEY, name)
-        for name_ in self.names:
-            self.fleet.start(name_)
+    def start(
+        self, servers_per_service: int = 4, declaration_name: bytes = b"first"
+    ) -> None:
+        """Start instances and servers, and let 6 s of virtual time pass."""
+        self.fleet.store.model.put(CONFIG_KEY, declaration_name)
+        for instance in self.names:
+            self.fleet.start(instance)
         for number in range(servers_per_service):
             for service in ("roll", "box"):
                 self.add_server(service, number)
@@ -136,14 +144,14 @@
             service,
             keyed=service == "roll",
             cold_s=cold_s,
-            work_s=0.02,
+            service_time_s=0.02,
         )
         self.servers.add(cfg, DATA_CENTRES[number % len(DATA_CENTRES)])
 
     def kill(self, name: str) -> None:
-        """Lose an instance with the requests that it has."""
+        """Kill an instance; its open requests are lost."""
         self.fleet.kill(name)
-        for (instance, _, _), call in list(self._open.items()):
+        for (instance, _, _), call in list(self._open_calls.items()):
             if instance == name:
                 call.lost = True
 
@@ -161,8 +169,8 @@
         method: str = "GET",
         position: int | None = None,
     ) -> Call:
-        """Send a request to an instance."""
-        number = next(self._numbers)
+        """Send a request to an instance; `position` is that of the key, if keyed."""
+        number = next(self._request_numbers)
         call = Call(
             f"c-{number}",
             instance,
@@ -171,9 +179,9 @@
             method == "GET",
             self.now_s,
         )
-        self.calls[call.caller_id] = call
+        self.calls[call.caller_request_id] = call
         row = self.fleet.nodes[instance]
-        self._open[instance, row.incarnation, number] = call
+        self._open_calls[instance, row.incarnation, number] = call
         keyed = service == "roll"
         req = CallerRequest(
             request_id=number,
@@ -182,7 +190,7 @@
             query="",
             headers=(),
             body=b"",
-            caller_request_id=call.caller_id,
+            caller_request_id=call.caller_request_id,
             credential=organisation.encode(),
             key_position=position if keyed else None,
         )
@@ -190,37 +198,41 @@
         return call
 
     def leave(self, call: Call) -> None:
-        """Let a caller close its connection."""
-        number = int(call.caller_id.removeprefix("c-"))
+        """Close the connection of the caller that waits for a request."""
+        number = int(call.caller_request_id.removeprefix("c-"))
         call.lost = True
         self.fleet.deliver(call.instance, CallerLeft(number), 0.0)
 
     def load(self, rate_per_s: float, end_s: float) -> None:
-        """Send random requests until a time."""
+        """Send random requests until `end_s`, at Poisson intervals."""
 
-        def send() -> None:
+        def send_next() -> None:
             if self.now_s >= end_s:
                 return
-            names = [n for n in self.names if n in self.fleet.nodes]
-            if names:
+            running_names = [n for n in self.names if n in self.fleet.nodes]
+            if running_names:
                 service = self.rng.choice(("roll", "box"))
                 self.call(
-                    self.rng.choice(names),
+                    self.rng.choice(running_names),
                     service,
                     self.rng.choices(list(ORGANISATIONS), (3, 1))[0],
                     self.rng.choices(("GET", "POST"), (3, 1))[0],
                     self.rng.randrange(65_536) if service == "roll" else None,
                 )
-            self.fleet.call_later(self.rng.expovariate(rate_per_s), send)
+            self.fleet.call_later(self.rng.expovariate(rate_per_s), send_next)
 
-        self.fleet.call_later(0.0, send)
+        self.fleet.call_later(0.0, send_next)
 
     def executions_of(self, call: Call) -> list[Execution]:
-        """Return the runs of a request at backend servers."""
-        return [e for e in self.servers.executions if e.caller_id == call.caller_id]
+        """Return the executions of a request at backend servers."""
+        return [
+            e
+            for e in self.servers.executions
+            if e.caller_request_id == call.caller_request_id
+        ]
 
     def logged(self, event: str) -> Iterator[tuple[float, str, dict[str, object]]]:
-        """Yield time, instance and fields of the log lines of a name."""
+        """Yield time, instance and fields of the log lines of an event."""
         for at_s, name, command in self.logs:
             if command.event == event:
                 yield at_s, name, dict(command.fields)
@@ -236,23 +248,23 @@
             ALLOWANCES,
         )
         adapter = EnvironmentAdapter(
-            self._configurations,
+            self._configuration_decoder,
             DiscoveredServers(wire.SERVER_PREFIX, PlatformEntryDecoder()),
             OpaqueKeyFormat(),
             lambda header: False,
         )
         return Router(cfg, adapter, rng, Invariants())
 
-    def _on_log(self, name: str, command: Command) -> None:
+    def _record_log_line(self, name: str, command: Command) -> None:
         assert isinstance(command, LogEvent)
         self.logs.append((self.now_s, name, command))
 
-    def _on_answer(self, name: str, command: Command) -> None:
+    def _record_answer(self, name: str, command: Command) -> None:
         assert isinstance(command, AnswerRequest | RefuseRequest | ReplayAnswer)
-        key = (name, self.fleet.nodes[name].incarnation, command.request_id)
-        call = self._open.pop(key, None)
+        call_key = (name, self.fleet.nodes[name].incarnation, command.request_id)
+        call = self._open_calls.pop(call_key, None)
         if call is None:
-            self.violations.append(f"{name} answers {command.request_id} once more")
+            self.violations.append(f"{name} answers {command.request_id} a second time")
             return
         call.ended_s = self.now_s
         if isinstance(command, RefuseRequest):
@@ -261,18 +273,20 @@
         call.answered = True
         if isinstance(command, AnswerRequest):
             result = self.servers.results[name, command.attempt_id]
-            if result.body != call.caller_id.encode():
-                self.violations.append(f"{call.caller_id} gets another's answer")
+            if result.body != call.caller_request_id.encode():
+                self.violations.append(
+                    f"{call.caller_request_id} gets the answer to another request"
+                )
 
-    def _on_execution(self, execution: Execution) -> None:
+    def _check_key_owner(self, execution: Execution) -> None:
         server = self.servers.by_name[execution.server]
         if execution.position is None:
             return
-        others = set(
+        other_holders = set(
             self.servers.holders(execution.position, server.model.cfg.service)
         ) - {execution.server}
-        if others:
+        if other_holders:
             self.violations.append(
-                f"{execution.at_s:.3f}: {execution.server} and {sorted(others)} hold "
-                f"{execution.position}"
+                f"{execution.at_s:.3f}: {execution.server} and "
+                f"{sorted(other_holders)} hold {execution.position}"
             )
--- a/tests/runs/faults.py
+++ b/tests/runs/faults.py
@@ -1,4 +1,7 @@
-"""Faults of the random runs; each ends by itself."""
+"""Faults that the random runs inject; each ends by itself.
+
+The functions' names are the values of the `--fault` flag.
+"""
 
 from collections.abc import Callable
 from typing import Final
@@ -10,26 +13,28 @@
 Fault = Callable[[Deployment], None]
 
 
-def _server(run: Deployment) -> VirtualServer | None:
-    present = [s for s in run.servers.by_name.values() if not s.down and s.announced]
-    return run.rng.choice(present) if present else None
+def _choose_server(run: Deployment) -> VirtualServer | None:
+    running_servers = [
+        s for s in run.servers.by_name.values() if not s.down and s.announced
+    ]
+    return run.rng.choice(running_servers) if running_servers else None
 
 
-def _instance(run: Deployment) -> str | None:
-    names = [n for n in run.names if n in run.fleet.nodes]
-    return run.rng.choice(names) if len(names) > 1 else None
+def _choose_instance(run: Deployment) -> str | None:
+    running_names = [n for n in run.names if n in run.fleet.nodes]
+    return run.rng.choice(running_names) if len(running_names) > 1 else None
 
 
 def crash_server(run: Deployment) -> None:
-    """Lose a server's process, which starts again."""
-    server = _server(run)
+    """Crash a server, which restarts after up to 2 s."""
+    server = _choose_server(run)
     if server is not None:
         run.servers.crash(server, run.rng.uniform(0.1, 2.0))
 
 
 def freeze_server(run: Deployment) -> None:
-    """Stop a server for some seconds."""
-    server = _server(run)
+    """Freeze a server for up to 6 s."""
+    server = _choose_server(run)
     if server is not None and not server.frozen:
         server.frozen = True
         run.fleet.call_later(
@@ -38,8 +43,8 @@
 
 
 def replace_server(run: Deployment) -> None:
-    """Let a server leave while another, cold one joins."""
-    server = _server(run)
+    """Drain a server while another, cold one joins."""
+    server = _choose_server(run)
     if server is None or server.model.leaving:
         return
     service = server.model.cfg.service
@@ -50,17 +55,17 @@
 
 
 def cut_server(run: Deployment) -> None:
-    """Cut some instances off from a server."""
-    server = _server(run)
+    """Make a server unreachable for some instances."""
+    server = _choose_server(run)
     if server is not None:
         names = run.rng.sample(run.names, run.rng.randint(1, len(run.names)))
-        server.cut |= set(names)
-        run.fleet.call_later(run.rng.uniform(0.5, 5.0), server.cut.clear)
+        server.cut_instances |= set(names)
+        run.fleet.call_later(run.rng.uniform(0.5, 5.0), server.cut_instances.clear)
 
 
 def slow_server(run: Deployment) -> None:
-    """Let a server work slowly."""
-    server = _server(run)
+    """Multiply the service times of a server."""
+    server = _choose_server(run)
     if server is None:
         return
     model = server.model
@@ -71,43 +76,43 @@
 
 
 def lose_orders(run: Deployment) -> None:
-    """Carry out control calls at a server late, and without an answer."""
-    server = _server(run)
+    """Let some control calls take effect late at a server, without an answer."""
+    server = _choose_server(run)
     if server is None:
         return
-    server.lost_orders = run.rng.uniform(0.2, 1.0)
+    server.lost_call_probability = run.rng.uniform(0.2, 1.0)
     server.late_s = run.rng.uniform(0.1, 6.0)
     run.fleet.call_later(
-        run.rng.uniform(0.5, 5.0), lambda: setattr(server, "lost_orders", 0.0)
+        run.rng.uniform(0.5, 5.0), lambda: setattr(server, "lost_call_probability", 0.0)
     )
 
 
 def kill_instance(run: Deployment) -> None:
-    """Lose an instance, which starts again."""
-    name = _instance(run)
+    """Kill an instance, which restarts after up to 4 s."""
+    name = _choose_instance(run)
     if name is not None:
         run.kill(name)
         run.fleet.call_later(run.rng.uniform(0.5, 4.0), lambda: run.fleet.start(name))
 
 
 def pause_instance(run: Deployment) -> None:
-    """Stop an instance for some seconds."""
-    name = _instance(run)
+    """Pause an instance for up to 6 s."""
+    name = _choose_instance(run)
     if name is not None and not run.fleet.nodes[name].paused:
         run.fleet.pause(name)
         run.fleet.call_later(run.rng.uniform(0.2, 6.0), lambda: run.fleet.resume(name))
 
 
 def cut_instance(run: Deployment) -> None:
-    """Cut an instance off from the others."""
-    name = _instance(run)
+    """Drop all messages between an instance and the others."""
+    name = _choose_instance(run)
     if name is not None:
         run.fleet.partition({name})
         run.fleet.call_later(run.rng.uniform(0.5, 6.0), run.fleet.heal)
 
 
 def lose_messages(run: Deployment) -> None:
-    """Lose a part of the messages between instances."""
+    """Drop a part of the messages between instances."""
     run.fleet.lost_message_probability = run.rng.uniform(0.05, 0.6)
 
     def end() -> None:
@@ -117,7 +122,7 @@
 
 
 def stop_store(run: Deployment) -> None:
-    """Let the store answer nobody; leases do not run meanwhile."""
+    """Stop the store from answering; leases do not expire meanwhile."""
     store = run.fleet.store
     if store.down:
         return
@@ -132,8 +137,8 @@
 
 
 def hide_store(run: Deployment) -> None:
-    """Cut an instance off from the store."""
-    name = _instance(run)
+    """Make the store unreachable for an instance."""
+    name = _choose_instance(run)
     if name is not None:
         unreachable = run.fleet.store.unreachable
         unreachable.add(name)
@@ -143,7 +148,7 @@
 
 
 def lose_store_answers(run: Deployment) -> None:
-    """Carry out writes of the store late, and without an answer."""
+    """Let some writes to the store take effect late, without an answer."""
     store = run.fleet.store
     store.lost_answer_probability = run.rng.uniform(0.1, 0.8)
     store.late_s = run.rng.choice((0.0, 0.5, 3.0))
@@ -155,7 +160,7 @@
 
 
 def close_data_centre(run: Deployment) -> None:
-    """Take a data centre out for some seconds."""
+    """Close a data centre for up to 5 s."""
     key = CLOSED_PREFIX + "north"
     run.fleet.store.model.put(key, b"")
     run.fleet.call_later(
--- a/tests/runs/random_run.py
+++ b/tests/runs/random_run.py
@@ -1,4 +1,7 @@
-"""Random runs: `python -m tests.runs.random_run --seed 1 --runs 100`."""
+"""Runs a deployment under random faults and checks its invariants.
+
+Usage: `python -m tests.runs.random_run --seed 1 --runs 100`.
+"""
 
 import argparse
 import sys
@@ -11,46 +14,53 @@
 from .faults import FAULTS
 
 LOAD_PER_S: Final = 60.0
-FAULTS_FROM_S: Final = 8.0
-FAULTS_TO_S: Final = 20.0
-# The last fault lasts up to 10 s; afterwards everything is served again.
-CALM_FROM_S: Final = 38.0
+FAULTS_START_S: Final = 8.0
+FAULTS_END_S: Final = 20.0
+# The last fault lasts up to 10 s; some seconds later requests are served again.
+RECOVERED_FROM_S: Final = 38.0
 END_S: Final = 44.0
-SERVED_PART_MIN: Final = 0.95
+SERVED_RATIO_MIN: Final = 0.95
 
 
 @attrs.frozen
 class RunResult:
-    """What a run has broken, and the faults that it had."""
+    """Violations of a run, and its faults as (virtual time in seconds, name)."""
 
     seed: int
     faults: tuple[tuple[float, str], ...]
     violations: tuple[str, ...]
 
 
-def random_run(seed: int, kinds: tuple[str, ...] = tuple(FAULTS)) -> RunResult:
-    """Run a deployment with random faults of some kinds."""
-    run = Deployment(seed)
-    run.start()
-    run.load(LOAD_PER_S, END_S - 2.0)
-    plan = sorted(
-        (run.rng.uniform(FAULTS_FROM_S, FAULTS_TO_S), run.rng.choice(kinds))
-        for _ in range(run.rng.randint(1, 8))
+def run_random_faults(
+    seed: int, fault_names: tuple[str, ...] = tuple(FAULTS)
+) -> RunResult:
+    """Run a deployment with 1 to 8 random faults of the given names."""
+    deployment = Deployment(seed)
+    deployment.start()
+    deployment.load(LOAD_PER_S, END_S - 2.0)
+    planned_faults = sorted(
+        (
+            deployment.rng.uniform(FAULTS_START_S, FAULTS_END_S),
+            deployment.rng.choice(fault_names),
+        )
+        for _ in range(deployment.rng.randint(1, 8))
+    )
+    for at_s, fault_name in planned_faults:
+        deployment.fleet.run_until(at_s)
+        FAULTS[fault_name](deployment)
+    deployment.fleet.run_until(END_S)
+    violations = checks.find_violations(deployment) + checks.find_extra_attempt_excess(
+        deployment
     )
-    for at_s, kind in plan:
-        run.fleet.run_until(at_s)
-        FAULTS[kind](run)
-    run.fleet.run_until(END_S)
-    found = checks.violations(run) + checks.extra_arrivals(run)
-    found += checks.unanswered(run, END_S)
-    served = checks.served_part(run, CALM_FROM_S)
-    if served < SERVED_PART_MIN:
-        found.append(f"only {served:.0%} served after the faults")
-    return RunResult(seed, tuple(plan), tuple(found))
+    violations += checks.find_unanswered(deployment, END_S)
+    served_ratio = checks.compute_served_ratio(deployment, RECOVERED_FROM_S)
+    if served_ratio < SERVED_RATIO_MIN:
+        violations.append(f"only {served_ratio:.0%} served after the faults")
+    return RunResult(seed, tuple(planned_faults), tuple(violations))
 
 
 def main() -> int:
-    """Run some seeds; return 0 if none has broken anything."""
+    """Run some seeds; return 0 if no run has violations."""
     parser = argparse.ArgumentParser(description=__doc__)
     parser.add_argument("--seed", type=int, default=1)
     parser.add_argument("--runs", type=int, default=20)
@@ -58,7 +68,7 @@
     args = parser.parse_args()
     failed = 0
     for seed in range(args.seed, args.seed + args.runs):
-        result = random_run(seed, tuple(args.fault or FAULTS))
+        result = run_random_faults(seed, tuple(args.fault or FAULTS))
         if result.violations:
             failed += 1
             print(f"seed {seed}: {[(round(t, 1), k) for t, k in result.faults]}")
--- a/tests/stand_ins/test_backend_server.py
+++ b/tests/stand_ins/test_backend_server.py
@@ -1,4 +1,4 @@
-"""Guards the backend server stand-in against its protocol's page."""
+"""Checks the backend server stand-in against docs/backend-protocol.md."""
 
 import json
 import random
@@ -21,10 +21,10 @@
 RELEASE = {"first": 4, "last": 9, "fence": 5}
 KEYED = {"wagtailrill-key-position": "7"}
 NOT_RUN = "wagtailrill-not-run"
-# Steps of (path, sent headers, sent JSON or None, status, part of the answer's JSON or
-# of its headers).
+# Steps of (path, request headers, request JSON or None, status, some of the answer's
+# JSON fields and headers).
 PROTOCOL = {
-    "an order is echoed with its request id": [
+    "a request is echoed with its request id": [
         ("/-/grant", {}, GRANT, 200, {}),
         (
             "/a/b",
@@ -37,32 +37,32 @@
             | {"wagtailrill-load": "1,0,6,100"},
         ),
     ],
-    "an order without its grant is fenced": [
+    "a request without its grant is fenced": [
         ("/a", KEYED, None, 421, {NOT_RUN: "fenced"}),
         ("/-/counts", {}, None, 200, {"ran": 0}),
     ],
-    "an order runs within granted keys only": [
+    "a request runs within granted keys only": [
         ("/-/grant", {}, GRANT, 200, {}),
         ("/a", KEYED, None, 200, {"server": "s-1"}),
         ("/a", {"wagtailrill-key-position": "10"}, None, 421, {NOT_RUN: "fenced"}),
         ("/-/counts", {}, None, 200, {"ran": 1}),
     ],
-    "a grant ends by itself": [
+    "a grant expires": [
         ("/-/grant", {}, GRANT | {"duration_s": 0.0}, 200, {}),
         ("/a", KEYED, None, 421, {NOT_RUN: "fenced"}),
     ],
-    "a grant below the highest token is refused": [
+    "a grant below the highest fencing token is refused": [
         ("/-/grant", {}, GRANT, 200, {}),
         ("/-/grant", {}, GRANT | {"fence": 3}, 409, {}),
         ("/-/grant", {}, GRANT | {"fence": 3, "first": 10, "last": 12}, 200, {}),
     ],
-    "a release ends the grant and bars older ones": [
+    "a release ends the grant and refuses older ones": [
         ("/-/grant", {}, GRANT, 200, {}),
         ("/-/release", {}, RELEASE, 200, {"wagtailrill-handover": "s-1-1-1"}),
         ("/a", KEYED, None, 421, {NOT_RUN: "fenced"}),
         ("/-/grant", {}, GRANT, 409, {}),
     ],
-    "health names the process start": [
+    "health reports the process start": [
         ("/-/health", {}, None, 200, {"start_id": "s-1-1"}),
     ],
     "repeated runs of an idempotency key are counted": [
@@ -75,27 +75,33 @@
 }
 
 
-def make_application(speech=NATIVE, **settings):
-    fields = {"keyed": True, "work_s": 0.001, "work_sigma": 0.0} | settings
+def make_application(protocol_names=NATIVE, **settings):
+    fields = {
+        "keyed": True,
+        "service_time_s": 0.001,
+        "service_time_sigma": 0.0,
+    } | settings
     cfg = ServerModelSettings("s-1", **fields)
     model = ServerModel(cfg, random.Random(1), time.monotonic())
-    return BackendApplication(model, speech)
+    return BackendApplication(model, protocol_names)
 
 
-async def async_request(pool, address, path, headers=None, data=None):
-    """Return the status, and the answer's headers and JSON as one mapping."""
+async def async_send_request(pool, address, path, headers=None, data=None):
+    """Return the status, and the answer's headers and JSON in one mapping."""
     response = await pool.request(
         "GET" if data is None else "POST",
         f"http://{address}{path}",
         headers=headers or {},
         content=b"" if data is None else json.dumps(data).encode(),
     )
-    found = {name.decode().lower(): value.decode() for name, value in response.headers}
-    return response.status, found | json.loads(response.content)
+    response_headers = {
+        name.decode().lower(): value.decode() for name, value in response.headers
+    }
+    return response.status, response_headers | json.loads(response.content)
 
 
-def run(app, async_test):
-    """Serve the application while a test talks to it."""
+def serve_and_run(app, async_test):
+    """Serve the application on loopback while `async_test` runs."""
 
     async def async_main():
         server = make_backend_server(app)
@@ -110,78 +116,79 @@
 
 
 @pytest.mark.parametrize("rule", PROTOCOL)
-def test_protocol_is_kept(rule):
+def test_protocol_matches_its_documentation(rule):
     """Guards against a stand-in that differs from docs/backend-protocol.md."""
 
     async def async_test(pool, address):
-        for path, headers, data, status, part in PROTOCOL[rule]:
-            found = await async_request(pool, address, path, headers, data)
-            assert found[0] == status, path
-            assert found[1] | part == found[1], path
+        for path, headers, data, status, expected in PROTOCOL[rule]:
+            response = await async_send_request(pool, address, path, headers, data)
+            assert response[0] == status, path
+            assert response[1] | expected == response[1], path
 
-    run(make_application(), async_test)
+    serve_and_run(make_application(), async_test)
 
 
-def test_orders_above_slots_and_queue_are_shed():
-    """Guards against a stand-in that queues without a bound."""
-    app = make_application(slots=1, queue=1, keyed=False)
+def test_requests_above_slots_and_queue_are_shed():
+    """Guards against a stand-in with an unlimited queue."""
+    app = make_application(slots=1, queue_max=1, keyed=False)
     app.model.slowness = 300.0
     statuses = []
 
-    async def async_order(pool, address):
-        status, answer = await async_request(pool, address, "/a")
+    async def async_run_request(pool, address):
+        status, answer = await async_send_request(pool, address, "/a")
         statuses.append((status, answer.get(NOT_RUN)))
 
     async def async_test(pool, address):
         async with anyio.create_task_group() as tasks:
             for _ in range(4):
-                tasks.start_soon(async_order, pool, address)
+                tasks.start_soon(async_run_request, pool, address)
 
-    run(app, async_test)
+    serve_and_run(app, async_test)
     assert sorted(statuses) == [(200, None)] * 2 + [(503, "shed")] * 2
 
 
-async def async_slow(pool, address):
-    await async_request(pool, address, "/-/grant", data=GRANT)
-    await async_request(pool, address, "/-/fault", data={"slowness": 40})
+async def async_check_slowness(pool, address):
+    await async_send_request(pool, address, "/-/grant", data=GRANT)
+    await async_send_request(pool, address, "/-/fault", data={"slowness": 40})
     started_s = time.monotonic()
-    assert (await async_request(pool, address, "/a", KEYED))[0] == 200
+    assert (await async_send_request(pool, address, "/a", KEYED))[0] == 200
     assert time.monotonic() - started_s >= 0.04
 
 
-async def async_freeze(pool, address):
-    await async_request(pool, address, "/-/fault", data={"freeze": True})
+async def async_check_freeze(pool, address):
+    await async_send_request(pool, address, "/-/fault", data={"freeze": True})
     with anyio.move_on_after(0.1) as scope:
-        await async_request(pool, address, "/-/health")
+        await async_send_request(pool, address, "/-/health")
     assert scope.cancelled_caught
-    await async_request(pool, address, "/-/fault", data={"freeze": False})
-    assert (await async_request(pool, address, "/-/health"))[0] == 200
+    await async_send_request(pool, address, "/-/fault", data={"freeze": False})
+    assert (await async_send_request(pool, address, "/-/health"))[0] == 200
 
 
-async def async_restart(pool, address, path="/-/fault"):
-    await async_request(pool, address, "/-/grant", data=GRANT)
+async def async_check_restart(pool, address, path="/-/fault"):
+    await async_send_request(pool, address, "/-/grant", data=GRANT)
     with pytest.raises((httpcore.NetworkError, httpcore.ProtocolError)):
-        await async_request(pool, address, path, data={"restart": True})
-    _, answer = await async_request(pool, address, "/-/health")
+        await async_send_request(pool, address, path, data={"restart": True})
+    _, answer = await async_send_request(pool, address, "/-/health")
     assert answer["start_id"] == "s-1-2"
-    assert (await async_request(pool, address, "/a", KEYED))[0] == 421
+    assert (await async_send_request(pool, address, "/a", KEYED))[0] == 421
 
 
-async def async_crash(pool, address):
-    await async_restart(pool, address, "/a?crash-the-server")
+async def async_check_crash(pool, address):
+    await async_check_restart(pool, address, "/a?crash-the-server")
 
 
 @pytest.mark.parametrize(
-    "async_fault", [async_slow, async_freeze, async_restart, async_crash]
+    "async_check",
+    [async_check_slowness, async_check_freeze, async_check_restart, async_check_crash],
 )
-def test_fault_has_its_effect(async_fault):
-    """Guards against an injected fault that changes nothing."""
-    run(make_application(), async_fault)
+def test_fault_has_its_effect(async_check):
+    """Guards against an injected fault without effect."""
+    serve_and_run(make_application(), async_check)
 
 
-def test_closed_connection_cancels_the_order():
-    """Guards against cancelled orders that go on taking a slot of the stand-in."""
-    app = make_application(keyed=False, work_s=30.0)
+def test_closed_connection_cancels_the_request():
+    """Guards against cancelled requests that still occupy a slot of the stand-in."""
+    app = make_application(keyed=False, service_time_s=30.0)
     model = app.model
 
     async def async_main():
@@ -190,51 +197,53 @@
                 with anyio.move_on_after(0.2):
                     await pool.request("GET", f"http://{address}/a")
             with anyio.fail_after(5.0):
-                while model.running:
+                while model.running_by_position:
                     await anyio.sleep(0.01)
-        return model.ran
+        return model.requests_run
 
     assert anyio.run(async_main) == 1
 
 
-def test_release_answers_when_the_work_on_its_keys_has_ended():
-    """Guards against a move that ends while the former owner still works."""
-    app = make_application(work_s=0.3)
-    seen = []
+def test_release_is_answered_after_requests_on_its_keys_end():
+    """Guards against a key move that ends while the old owner still runs requests."""
+    app = make_application(service_time_s=0.3)
+    events = []
 
-    async def async_order(pool, address):
-        seen.append((await async_request(pool, address, "/a", KEYED))[0])
+    async def async_run_request(pool, address):
+        events.append((await async_send_request(pool, address, "/a", KEYED))[0])
 
     async def async_test(pool, address):
-        await async_request(pool, address, "/-/grant", data=GRANT)
+        await async_send_request(pool, address, "/-/grant", data=GRANT)
         async with anyio.create_task_group() as tasks:
-            tasks.start_soon(async_order, pool, address)
+            tasks.start_soon(async_run_request, pool, address)
             await anyio.sleep(0.1)
-            await async_request(pool, address, "/-/release", data=RELEASE)
-            seen.append("released")
+            await async_send_request(pool, address, "/-/release", data=RELEASE)
+            events.append("released")
 
-    run(app, async_test)
-    assert seen == [200, "released"]
+    serve_and_run(app, async_test)
+    assert events == [200, "released"]
 
 
-def test_platform_speech_serves_the_platforms_names():
-    """Guards against a stand-in that speaks only the product's own interface."""
+def test_platform_protocol_is_served():
+    """Guards against a stand-in that implements only wagtailrill's own protocol."""
     app = make_application(PLATFORM)
-    names, paths = PLATFORM.headers, PLATFORM.control
+    header_names, control_names = PLATFORM.headers, PLATFORM.control
     grant = {
-        paths.first_field: 0,
-        paths.last_field: 9,
-        paths.fence_field: 1,
-        paths.duration_field: "60000ms",
+        control_names.first_field: 0,
+        control_names.last_field: 9,
+        control_names.fence_field: 1,
+        control_names.duration_field: "60000ms",
     }
-    position = {PLATFORM.key_position.decode(): "7"}
+    position = {PLATFORM.key_position_header.decode(): "7"}
 
     async def async_test(pool, address):
-        assert (await async_request(pool, address, paths.grant_path, None, grant))[
-            0
-        ] == 200
-        status, answer = await async_request(pool, address, "/a", position)
+        assert (
+            await async_send_request(
+                pool, address, control_names.grant_path, None, grant
+            )
+        )[0] == 200
+        status, answer = await async_send_request(pool, address, "/a", position)
         assert status == 200
-        assert answer[names.load.decode().lower()] == "1,0,6,100"
+        assert answer[header_names.load.decode().lower()] == "1,0,6,100"
 
-    run(app, async_test)
+    serve_and_run(app, async_test)
--- a/tests/stand_ins/test_store.py
+++ b/tests/stand_ins/test_store.py
@@ -1,4 +1,4 @@
-"""Guards the store stand-in: tests against a false platform prove nothing."""
+"""Checks the store stand-in, on which the tests of the store client rely."""
 
 import json
 
@@ -15,27 +15,27 @@
     "text", [b"", b"[]", b'{"outage": "x"}', b'{"latency_s": -1}', b'{"x": 1}']
 )
 def test_malformed_faults_are_refused(text):
-    """Guards against a mistyped fault that injects nothing."""
+    """Guards against a mistyped fault that is silently ignored."""
     assert parse_faults(text).is_error()
 
 
-async def async_request(address, method, path, content):
+async def async_send_request(address, method, path, content):
     async with httpcore.AsyncConnectionPool() as pool:
         url = f"http://{address}{path}"
         response = await pool.request(method, url, content=content)
         return response.status
 
 
-def test_faults_are_set_over_http_also_in_an_outage():
-    """Guards against an outage that nothing can end."""
+def test_faults_are_set_over_http_even_in_an_outage():
+    """Guards against an injected outage that cannot be ended."""
 
     async def async_main():
         app = StoreStandIn()
         async with async_serve(app) as address:
             silent = b'{"outage": "silent"}'
-            assert await async_request(address, "PUT", FAULTS_PATH, silent) == 200
+            assert await async_send_request(address, "PUT", FAULTS_PATH, silent) == 200
             assert app.faults == StoreFaults(outage=Outage.SILENT)
-            assert await async_request(address, "PUT", FAULTS_PATH, b"{}") == 200
+            assert await async_send_request(address, "PUT", FAULTS_PATH, b"{}") == 200
             assert app.faults == StoreFaults()
 
     anyio.run(async_main)
@@ -43,29 +43,29 @@
 
 @pytest.mark.parametrize(("outage", "status"), [("busy", 503), ("many", 429)])
 def test_refused_calls_have_no_effect(outage, status):
-    """Guards against refusals that still write."""
+    """Guards against refused calls that still write."""
 
     async def async_main():
         app = StoreStandIn()
         async with async_serve(app) as address:
             faults = json.dumps({"outage": outage}).encode()
-            await async_request(address, "PUT", FAULTS_PATH, faults)
-            found = await async_request(address, "POST", "/kv-txn", b"{}")
-        assert (found, app.model.items()) == (status, [])
+            await async_send_request(address, "PUT", FAULTS_PATH, faults)
+            answer_status = await async_send_request(address, "POST", "/kv-txn", b"{}")
+        assert (answer_status, app.model.items()) == (status, [])
 
     anyio.run(async_main)
 
 
-def test_operators_write_beside_an_outage():
-    """Guards against operators that cannot change what the store holds."""
+def test_operator_writes_during_an_outage():
+    """Guards against an injected outage that also blocks the operator's writes."""
 
     async def async_main():
         app = StoreStandIn()
         async with async_serve(app) as address:
             silent = b'{"outage": "silent"}'
-            await async_request(address, "PUT", FAULTS_PATH, silent)
+            await async_send_request(address, "PUT", FAULTS_PATH, silent)
             content = b'{"key": "op/a", "value": "eA=="}'
-            assert await async_request(address, "PUT", WRITE_PATH, content) == 200
+            assert await async_send_request(address, "PUT", WRITE_PATH, content) == 200
         return app.model.items()
 
     (item,) = anyio.run(async_main)
@@ -89,18 +89,18 @@
     ],
 )
 def test_malformed_request_is_refused(method, path, content, status):
-    """Guards against a stand-in that ends on a client's mistake."""
+    """Guards against a stand-in that fails on a malformed request."""
 
     async def async_main():
         async with async_serve(StoreStandIn()) as address:
-            assert await async_request(address, method, path, content) == status
+            assert await async_send_request(address, method, path, content) == status
 
     anyio.run(async_main)
 
 
 @pytest.mark.parametrize("key", ["op/config", "servers/x"])
 def test_reserved_keys_are_not_written_by_commits(key):
-    """Guards against a stand-in that lets routers write the operator's keys."""
+    """Guards against routers that can write the keys of operator and servers."""
     write = {"key": key, "value": "eA=="}
     body = {"expected_rev": [], "writes": [write], "remove": []}
 
@@ -108,7 +108,7 @@
         app = StoreStandIn()
         async with async_serve(app) as address:
             content = json.dumps(body).encode()
-            assert await async_request(address, "POST", "/kv-txn", content) == 403
+            assert await async_send_request(address, "POST", "/kv-txn", content) == 403
         assert app.model.items() == []
 
     anyio.run(async_main)
--- a/tests/stand_ins/test_virtual_fleet.py
+++ b/tests/stand_ins/test_virtual_fleet.py
@@ -1,4 +1,4 @@
-"""Guards the virtual clock driver: without it the random runs prove nothing."""
+"""Checks the simulation of instances on which the random runs rely."""
 
 import random
 
@@ -10,7 +10,7 @@
 
 
 class StartedHost(ComponentHost):
-    """A host without parts that have something to do at the start."""
+    """A component host that only runs its timers at the start."""
 
     def start(self, now_s, wall_s):
         return self.step(None, now_s, wall_s)
@@ -33,7 +33,7 @@
 
 
 def test_cut_instances_exchange_nothing_until_healed():
-    """Guards against cuts that let messages through."""
+    """Guards against partitions that let messages through."""
     received = []
     fleet = make_fleet(received)
     fleet.cut("a", "b")
@@ -45,7 +45,7 @@
 
 
 def test_paused_instance_handles_messages_only_after_it_resumes():
-    """Guards against a pause that loses or answers messages."""
+    """Guards against a paused instance that handles or loses messages."""
     received = []
     fleet = make_fleet(received)
     fleet.pause("b")
@@ -56,7 +56,7 @@
 
 
 def test_same_seed_gives_the_same_run():
-    """Guards against hidden sources of randomness."""
+    """Guards against randomness that does not come from the seed."""
     runs = []
     for _ in range(2):
         received = []
@@ -67,8 +67,8 @@
     assert len(runs[0]) > 10
 
 
-def test_store_outage_answers_nothing():
-    """Guards against outages that still answer."""
+def test_store_calls_fail_in_an_outage():
+    """Guards against a store outage in which calls are still answered."""
     received, results = [], []
     fleet = make_fleet(received)
     fleet.store.down = True
@@ -78,7 +78,7 @@
 
 
 def test_messages_between_two_instances_keep_their_order():
-    """Guards against losses that the receivers' sequence filters would cause."""
+    """Guards against reordered messages, which the receivers would drop."""
     received = []
     fleet = make_fleet(received)
     for _ in range(50):
@@ -90,28 +90,28 @@
     assert len([1 for name, _ in received if name == "b"]) > 50
 
 
-class Alarm:
-    """An instance that only waits for three times."""
+class TimerNode:
+    """An instance with three timers and nothing else."""
 
     def __init__(self, rng):
-        self.due = [rng.uniform(0.001, 0.03), rng.uniform(0.1, 0.2), 0.25]
+        self.due_times_s = [rng.uniform(0.001, 0.03), rng.uniform(0.1, 0.2), 0.25]
 
     def start(self, now_s, wall_s):
         return []
 
     def step(self, event, now_s, wall_s):
-        self.due = [due_s for due_s in self.due if due_s > now_s]
+        self.due_times_s = [due_s for due_s in self.due_times_s if due_s > now_s]
         return []
 
     def next_due_s(self):
-        return self.due[0] if self.due else None
+        return self.due_times_s[0] if self.due_times_s else None
 
 
 def test_no_instance_misses_its_wake_up_through_rounding():
-    """Guards against an instance that stops because a wake-up came an ulp early."""
+    """Guards against an instance that stops: a wake-up came one rounding step early."""
     for seed in range(1000):
-        fleet = VirtualFleet(lambda name, incarnation, rng: Alarm(rng), seed)
+        fleet = VirtualFleet(lambda name, incarnation, rng: TimerNode(rng), seed)
         row = fleet.start("a")
-        row.offset_s = 0.0
+        row.clock_offset_s = 0.0
         fleet.run_until(0.3)
-        assert len(row.node.due) == 0
+        assert len(row.node.due_times_s) == 0
--- a/tests/support.py
+++ b/tests/support.py
@@ -1,4 +1,4 @@
-"""Parts that several tests build on."""
+"""Helpers that the tests of several folders share."""
 
 import random
 
@@ -10,7 +10,7 @@
 
 
 def make_context(instance: str = "i-1", now_s: float = 100.0) -> Context:
-    """Return the context of one instance in data centre `north`."""
+    """Return the context of an instance in data centre `north`."""
     ctx = Context(Identity(instance, 1, "north"), random.Random(instance), Invariants())
     ctx.set_time(now_s, 1_800_000_000.0)
     ctx.timers.advance(now_s)
@@ -18,13 +18,13 @@
 
 
 def advance(ctx: Context, seconds: float) -> None:
-    """Let time pass and run the timers that are due."""
+    """Advance the clocks of a context and run the timers that are due."""
     ctx.set_time(ctx.now_s + seconds, ctx.wall_s + seconds)
     ctx.timers.advance(ctx.now_s)
 
 
 def logged(ctx: Context) -> list[str]:
-    """Return the names of the log lines that are queued."""
+    """Return the events of the queued log lines."""
     return [c.event for c in ctx.commands if isinstance(c, LogEvent)]
 
 
@@ -62,7 +62,7 @@
 
 
 def make_table(ctx: Context, *entries: ServerEntry) -> ServerTable:
-    """Return a table with the servers of some entries."""
+    """Return a server table with some entries."""
     table = ServerTable(ctx)
     table.update_entries({e.name: e for e in entries})
     return table
--- a/wagtailrill/stand_ins/__init__.py
+++ b/wagtailrill/stand_ins/__init__.py
@@ -1,1 +1,1 @@
-"""Small stand-ins for the platform and for backend servers."""
+"""Stand-ins for the platform's store and for backend servers, used by tests."""
--- a/wagtailrill/stand_ins/faults.py
+++ b/wagtailrill/stand_ins/faults.py
@@ -1,4 +1,4 @@
-"""Faults that the store stand-in injects on request."""
+"""Faults that the store stand-in injects, and their decoding from JSON."""
 
 import enum
 import random
@@ -11,24 +11,24 @@
 from ..declaration.check import ObjectReader, load_json, truncate_findings
 
 FAULTS_MAX_BYTES = 4096
-REFUSED_CLIENTS_MAX = 64
+OUTAGE_CLIENTS_MAX = 64
 
 
 class Outage(enum.StrEnum):
-    """What callers see of an outage."""
+    """What the store's clients see of an outage."""
 
     NONE = "none"
-    SILENT = "silent"  # connections open, no answer comes
-    BUSY = "busy"  # status 503
-    MANY = "many"  # status 429
+    SILENT = "silent"  # connections are accepted but never answered
+    BUSY = "busy"  # responds with status 503
+    MANY = "many"  # responds with status 429
 
 
 @attrs.frozen
 class StoreFaults:
-    """Faults in force; a lost answer is lost after its effect.
+    """Faults in force; written out under these field names.
 
-    With `late_s` a call whose answer is lost takes effect so much later. An outage
-    holds for the `clients` only, by their addresses, if any are named.
+    A call whose answer is lost still takes effect, `late_s` seconds later. An outage
+    affects only the client addresses in `clients`, or all clients if there are none.
     """
 
     outage: Outage = Outage.NONE
@@ -39,22 +39,21 @@
 
 
 def parse_faults(text: bytes) -> Result[StoreFaults, tuple[Finding, ...]]:
-    """Return the faults of a JSON text, or its findings."""
+    """Return the faults in a JSON document, or what is wrong with it."""
     match load_json(text, FAULTS_MAX_BYTES):
         case Result(tag="ok", ok=value):
-            return _faults(value)
+            return _read_faults(value)
         case Result(error=finding):
             return Error((finding,))
 
 
-def _faults(value: Any) -> Result[StoreFaults, tuple[Finding, ...]]:
+def _read_faults(value: Any) -> Result[StoreFaults, tuple[Finding, ...]]:
     findings = Findings()
     reader = ObjectReader(value, "$", findings)
     faults = StoreFaults(
         outage=reader.read_choice("outage", Outage, Outage.NONE),
         clients=tuple(
-            text
-            for text, _ in reader.read_strings("clients", REFUSED_CLIENTS_MAX, True)
+            text for text, _ in reader.read_strings("clients", OUTAGE_CLIENTS_MAX, True)
         ),
         latency_s=reader.read_positive_number("latency_s")
         if reader.has_field("latency_s")
@@ -68,6 +67,6 @@
     return Error(truncate_findings(findings)) if findings else Ok(faults)
 
 
-def loses_answer(faults: StoreFaults, rng: random.Random) -> bool:
-    """Decide whether the next answer is lost."""
+def draw_answer_loss(faults: StoreFaults, rng: random.Random) -> bool:
+    """Return whether the next answer is lost, by a draw from `rng`."""
     return rng.random() < faults.lost_answer_probability
--- a/wagtailrill/stand_ins/http.py
+++ b/wagtailrill/stand_ins/http.py
@@ -1,4 +1,4 @@
-"""Small parts of ASGI that the stand-ins share."""
+"""ASGI helpers and the uvicorn setup that the stand-ins and tests share."""
 
 import contextlib
 import json
@@ -25,13 +25,13 @@
     """The client closed its connection before its request was complete."""
 
 
-class TooLargeError(Exception):
-    """The request's body exceeds its bound."""
+class BodyTooLargeError(Exception):
+    """The request's body exceeds its size limit."""
 
 
 @attrs.frozen
 class HttpAnswer:
-    """A JSON answer."""
+    """A JSON answer with its status and extra headers."""
 
     status: int
     body: dict[str, Any]
@@ -39,17 +39,21 @@
 
 
 async def async_read_body(receive: Receive, max_bytes: float = math.inf) -> bytes:
-    """Return the request's body."""
+    """Return the request's body.
+
+    Raise `DisconnectedError` if the client leaves first and `BodyTooLargeError` if the
+    body exceeds `max_bytes`.
+    """
     body = bytearray()
-    more = True
-    while more:
+    more_body = True
+    while more_body:
         message = await receive()
         if message["type"] == "http.disconnect":
             raise DisconnectedError
         body += message.get("body", b"")
         if len(body) > max_bytes:
-            raise TooLargeError
-        more = message.get("more_body", False)
+            raise BodyTooLargeError
+        more_body = message.get("more_body", False)
     return bytes(body)
 
 
@@ -73,15 +77,15 @@
     await send({"type": "http.response.body", "body": content})
 
 
-def make_server(
+def make_http_server(
     app: Application,
     keep_alive_s: int = KEEP_ALIVE_S,
     stop_timeout_s: int | None = STOP_TIMEOUT_S,
 ) -> uvicorn.Server:
-    """Return a uvicorn server on asyncio and httptools for an application.
+    """Return a uvicorn server for an application, on asyncio and httptools.
 
     Idle connections close after `keep_alive_s`. Requests that still run
-    `stop_timeout_s` after a stop are cancelled; None waits for them.
+    `stop_timeout_s` after a stop are cancelled; with None the stop waits for them.
     """
     cfg = uvicorn.Config(
         app,
@@ -97,10 +101,10 @@
     return uvicorn.Server(cfg)
 
 
-def bind(host: str, port: int) -> socket.socket:
-    """Return a socket bound to an address; port 0 takes a free port."""
+def bind_socket(host: str, port: int) -> socket.socket:
+    """Return a TCP socket bound to an address; port 0 selects a free port."""
     family = socket.AF_INET6 if ":" in host else socket.AF_INET
-    # asyncio turns Nagle's algorithm off only for sockets with this protocol number;
+    # asyncio disables Nagle's algorithm only for sockets with this protocol number;
     # without it each answer waits 40 ms for a delayed acknowledgement.
     sock = socket.socket(family, socket.SOCK_STREAM, socket.IPPROTO_TCP)
     sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
@@ -112,10 +116,10 @@
 async def async_serve(
     app: Application, server: uvicorn.Server | None = None
 ) -> AsyncIterator[str]:
-    """Serve an application on a free loopback port; yield its address."""
-    sock = bind("127.0.0.1", 0)
+    """Serve an application on a free loopback port; yield its `host:port`."""
+    sock = bind_socket("127.0.0.1", 0)
     sock.listen(128)
-    server = server or make_server(app)
+    server = server or make_http_server(app)
     async with anyio.create_task_group() as tasks:
         tasks.start_soon(server.serve, [sock])
         try:
--- a/wagtailrill/stand_ins/server_model.py
+++ b/wagtailrill/stand_ins/server_model.py
@@ -1,4 +1,7 @@
-"""Decisions of the backend server stand-in: slots, keys, cold start, faults."""
+"""Model of a backend server: slots, key grants, cold start and faults.
+
+The HTTP stand-in and the servers on the virtual clock decide with it.
+"""
 
 import enum
 import itertools
@@ -11,12 +14,12 @@
 COLD_WINDOW_S = 1.0
 
 
-class NotRun(enum.StrEnum):
+class NotRunReason(enum.StrEnum):
     """Reason why a backend server did not run a request."""
 
     SHED = "shed"
-    FENCED = "fenced"  # it does not hold the key
-    OTHER = "other"  # the request names another server
+    FENCED = "fenced"  # the server does not hold the key
+    OTHER = "other"  # the request expects another server or process start
     EXPIRED = "expired"
 
 
@@ -24,23 +27,25 @@
 class ServerModelSettings:
     """Behaviour of a backend server; times in seconds.
 
-    While cold it bears `cold_per_s` requests in any second; those above are counted.
+    `slots` requests run at once and `queue_max` more wait. Service times are lognormal
+    with the median `service_time_s`. For `cold_s` after its start the server is cold:
+    requests above `cold_per_s` in any second are counted as overloads.
     """
 
     name: str
     service: str = ""
     slots: int = 6
-    queue: int = 24
+    queue_max: int = 24
     keyed: bool = False
-    work_s: float = 0.02
-    work_sigma: float = 0.4
+    service_time_s: float = 0.02
+    service_time_sigma: float = 0.4
     cold_s: float = 0.0
     cold_per_s: float = 10.0
 
 
 @attrs.define
 class HeldKeys:
-    """Positions that a server holds until a time."""
+    """Range of key positions, ends included, held under a fencing token."""
 
     first: int
     last: int
@@ -50,139 +55,162 @@
 
 @attrs.define
 class ServerModel:
-    """State of a backend server; the caller supplies the time in seconds."""
+    """State of a backend server; callers pass in the time in seconds.
+
+    `seen_fences` holds ranges of positions as (first, last, fencing token).
+    """
 
     cfg: ServerModelSettings
     rng: random.Random
     started_s: float = 0.0
-    starts: int = 1
-    running: Counter[int] = attrs.field(factory=Counter)
-    waiting: int = 0
-    ran: int = 0
+    start_count: int = 1
+    running_by_position: Counter[int] = attrs.field(factory=Counter)
+    waiting_requests: int = 0
+    requests_run: int = 0
     cold_overloads: int = 0
     slowness: float = 1.0
     leaving: bool = False
-    held: list[HeldKeys] = attrs.field(factory=list)
-    seen: list[tuple[int, int, int]] = attrs.field(factory=list)
-    _recent_s: list[float] = attrs.field(factory=list)
-    _handovers: "itertools.count[int]" = attrs.field(factory=lambda: itertools.count(1))
+    held_keys: list[HeldKeys] = attrs.field(factory=list)
+    seen_fences: list[tuple[int, int, int]] = attrs.field(factory=list)
+    _recent_starts_s: list[float] = attrs.field(factory=list)
+    _handover_numbers: "itertools.count[int]" = attrs.field(
+        factory=lambda: itertools.count(1)
+    )
 
     @property
     def server_id(self) -> str:
-        """Return the name of this process start."""
-        return f"{self.cfg.name}-{self.starts}"
+        """Name of this process start: the server's name and the number of the start."""
+        return f"{self.cfg.name}-{self.start_count}"
 
     def restart(self, now_s: float) -> None:
-        """Start again with nothing held and nothing running."""
-        self.starts += 1
+        """Restart the process, without grants and without requests."""
+        self.start_count += 1
         self.started_s = now_s
-        self.running.clear()
-        self.waiting = 0
-        self.held.clear()
-        self.seen.clear()
-        self._recent_s.clear()
-
-    def cold_left_s(self, now_s: float) -> float:
-        """Return how much longer the server is cold."""
+        self.running_by_position.clear()
+        self.waiting_requests = 0
+        self.held_keys.clear()
+        self.seen_fences.clear()
+        self._recent_starts_s.clear()
+
+    def get_cold_left_s(self, now_s: float) -> float:
+        """Return how much longer the server is cold, in seconds."""
         return max(0.0, self.started_s + self.cfg.cold_s - now_s)
 
-    def refuses(
-        self, position: int | None, expected: str, now_s: float
-    ) -> NotRun | None:
-        """Return why a request is not run, None if it is."""
-        if expected and expected != self.server_id:
-            return NotRun.OTHER
-        if self.cfg.keyed and not self.holds(position, now_s):
-            return NotRun.FENCED
-        if self.running.total() + self.waiting >= self.cfg.slots + self.cfg.queue:
-            return NotRun.SHED
+    def find_refusal_reason(
+        self, position: int | None, expected_server: str, now_s: float
+    ) -> NotRunReason | None:
+        """Return why a request cannot run, or None if it can.
+
+        An empty `expected_server` accepts any server.
+        """
+        if expected_server and expected_server != self.server_id:
+            return NotRunReason.OTHER
+        if self.cfg.keyed and not self.holds_key(position, now_s):
+            return NotRunReason.FENCED
+        if (
+            self.running_by_position.total() + self.waiting_requests
+            >= self.cfg.slots + self.cfg.queue_max
+        ):
+            return NotRunReason.SHED
         return None
 
-    def holds(self, position: int | None, now_s: float) -> bool:
-        """Return whether the server holds a key now."""
+    def holds_key(self, position: int | None, now_s: float) -> bool:
+        """Return whether the server holds the key at a position now."""
         return position is not None and any(
             keys.first <= position <= keys.last and now_s < keys.until_s
-            for keys in self.held
+            for keys in self.held_keys
         )
 
-    def begin(self, position: int | None, now_s: float) -> None:
-        """Begin to run a request."""
-        self.running[-1 if position is None else position] += 1
-        self.ran += 1
-        self._recent_s = [t for t in self._recent_s if t > now_s - COLD_WINDOW_S]
-        self._recent_s.append(now_s)
-        if self.cold_left_s(now_s) and len(self._recent_s) > self.cfg.cold_per_s:
+    def begin_request(self, position: int | None, now_s: float) -> None:
+        """Count a request as running; `position` is None for requests without a key."""
+        self.running_by_position[-1 if position is None else position] += 1
+        self.requests_run += 1
+        self._recent_starts_s = [
+            t for t in self._recent_starts_s if t > now_s - COLD_WINDOW_S
+        ]
+        self._recent_starts_s.append(now_s)
+        if (
+            self.get_cold_left_s(now_s)
+            and len(self._recent_starts_s) > self.cfg.cold_per_s
+        ):
             self.cold_overloads += 1
 
-    def end(self, position: int | None) -> None:
-        """End a request."""
+    def end_request(self, position: int | None) -> None:
+        """Count a request as no longer running."""
         key = -1 if position is None else position
-        self.running[key] -= 1
-        if self.running[key] <= 0:
-            del self.running[key]
+        self.running_by_position[key] -= 1
+        if self.running_by_position[key] <= 0:
+            del self.running_by_position[key]
 
     def has_free_slot(self) -> bool:
-        """Return whether a request can run at once."""
-        return self.running.total() < self.cfg.slots
-
-    def work_s(self) -> float:
-        """Return how long the next request takes."""
-        spread = self.rng.lognormvariate(0.0, self.cfg.work_sigma)
-        return self.cfg.work_s * self.slowness * spread
-
-    def load(self) -> str:
-        """Return the load as it is reported."""
-        running = self.running.total()
-        return f"{running},{self.waiting},{self.cfg.slots},{round(self.slowness * 100)}"
+        """Return whether a request can run without waiting."""
+        return self.running_by_position.total() < self.cfg.slots
+
+    def draw_service_time_s(self) -> float:
+        """Draw the service time of the next request, in seconds."""
+        variation = self.rng.lognormvariate(0.0, self.cfg.service_time_sigma)
+        return self.cfg.service_time_s * self.slowness * variation
+
+    def format_load(self) -> str:
+        """Return the load header: running, waiting, slots, slowness in percent."""
+        running = self.running_by_position.total()
+        return (
+            f"{running},{self.waiting_requests},"
+            f"{self.cfg.slots},{round(self.slowness * 100)}"
+        )
 
-    def grant(
+    def grant_keys(
         self, first: int, last: int, fence: int, duration_s: float, now_s: float
     ) -> bool:
-        """Hold keys for a time; return False if a higher token was seen on one."""
-        if self._seen_higher(first, last, fence):
+        """Hold a range of keys for `duration_s` seconds.
+
+        Return False, and change nothing, if a higher fencing token has been seen on
+        any of the keys.
+        """
+        if self._has_seen_higher_fence(first, last, fence):
             return False
-        self._note(first, last, fence)
-        self._cut(first, last, now_s)
-        self.held.append(HeldKeys(first, last, fence, now_s + duration_s))
+        self._record_fence(first, last, fence)
+        self._drop_range(first, last, now_s)
+        self.held_keys.append(HeldKeys(first, last, fence, now_s + duration_s))
         return True
 
-    def release(self, first: int, last: int, fence: int, now_s: float) -> None:
-        """Hold keys no more; work that runs on them may go on."""
-        self._note(first, last, fence)
-        self._cut(first, last, now_s)
+    def release_keys(self, first: int, last: int, fence: int, now_s: float) -> None:
+        """Stop holding a range of keys; requests already running on them continue."""
+        self._record_fence(first, last, fence)
+        self._drop_range(first, last, now_s)
 
-    def works_on(self, first: int, last: int) -> bool:
-        """Return whether a request runs on one of some keys."""
-        return any(first <= position <= last for position in self.running)
+    def has_requests_on(self, first: int, last: int) -> bool:
+        """Return whether a request is running on a key of the range."""
+        return any(first <= position <= last for position in self.running_by_position)
 
-    def handover(self) -> str:
+    def make_handover_token(self) -> str:
         """Return a new handover token."""
-        return f"{self.server_id}-{next(self._handovers)}"
+        return f"{self.server_id}-{next(self._handover_numbers)}"
 
-    def _seen_higher(self, first: int, last: int, fence: int) -> bool:
+    def _has_seen_higher_fence(self, first: int, last: int, fence: int) -> bool:
         return any(
-            seen > fence and known_first <= last and first <= known_last
-            for known_first, known_last, seen in self.seen
+            seen_fence > fence and seen_first <= last and first <= seen_last
+            for seen_first, seen_last, seen_fence in self.seen_fences
         )
 
-    def _note(self, first: int, last: int, fence: int) -> None:
-        self.seen = [
+    def _record_fence(self, first: int, last: int, fence: int) -> None:
+        self.seen_fences = [
             entry
-            for entry in self.seen
+            for entry in self.seen_fences
             if not (first <= entry[0] and entry[1] <= last and entry[2] <= fence)
         ]
-        self.seen.append((first, last, fence))
+        self.seen_fences.append((first, last, fence))
 
-    def _cut(self, first: int, last: int, now_s: float) -> None:
-        rest: list[HeldKeys] = []
-        for keys in self.held:
+    def _drop_range(self, first: int, last: int, now_s: float) -> None:
+        remaining: list[HeldKeys] = []
+        for keys in self.held_keys:
             if keys.until_s <= now_s:
                 continue
             if keys.last < first or keys.first > last:
-                rest.append(keys)
+                remaining.append(keys)
                 continue
             if keys.first < first:
-                rest.append(attrs.evolve(keys, last=first - 1))
+                remaining.append(attrs.evolve(keys, last=first - 1))
             if keys.last > last:
-                rest.append(attrs.evolve(keys, first=last + 1))
-        self.held = rest
+                remaining.append(attrs.evolve(keys, first=last + 1))
+        self.held_keys = remaining
--- a/wagtailrill/stand_ins/store.py
+++ b/wagtailrill/stand_ins/store.py
@@ -1,4 +1,7 @@
-"""Stand-in of the platform's store, which speaks its published protocol."""
+"""HTTP stand-in for the platform's store; implements its published protocol.
+
+Tests, the demo and the benchmarks run it.
+"""
 
 import argparse
 import base64
@@ -38,33 +41,33 @@
     StoreResult,
     WatchPrefix,
 )
-from .faults import Outage, StoreFaults, loses_answer, parse_faults
+from .faults import Outage, StoreFaults, draw_answer_loss, parse_faults
 from .http import (
+    BodyTooLargeError,
     DisconnectedError,
     HttpAnswer,
     Receive,
     Scope,
     Send,
-    TooLargeError,
     async_read_body,
     async_send_answer,
     async_wait_for_disconnect,
-    bind,
-    make_server,
+    bind_socket,
+    make_http_server,
 )
 from .store_model import StoreModel
 
 MESSAGE_MAX_BYTES: Final = 4_194_304
 FAULTS_PATH: Final = "/stand-in/faults"
-# The operator and backend servers write without conditions, and are never refused.
+# For writes of the operator and of backend servers: unconditional, never refused.
 WRITE_PATH: Final = "/stand-in/keys"
-# Leases end without a call, so watches look at least this often.
+# Leases expire without a call, so pending watches check at least this often.
 WATCH_CHECK_INTERVAL_S: Final = 0.05
 WATCH_MAX_S: Final = 30.0
 MS_PER_S: Final = 1000.0
 NOT_FOUND: Final = HttpAnswer(404, {"error": "not found"})
 RESERVED_PREFIXES: Final = ("op/", "servers/")
-STATUSES: Final = {
+STATUS_BY_ERROR: Final = {
     StoreErrorKind.CONFLICT: 412,
     StoreErrorKind.LEASE_ENDED: 404,
     StoreErrorKind.COMPACTED: 410,
@@ -75,7 +78,7 @@
 
 @attrs.frozen
 class HttpRequest:
-    """A request with its decoded path, its query, its body and the client's address."""
+    """An HTTP request with decoded path and query; `client` is the client's address."""
 
     method: str
     path: str
@@ -83,8 +86,8 @@
     body: bytes
     client: str
 
-    def json(self) -> dict[str, Any]:
-        """Return the body's JSON object; raise `ValueError` if it is none."""
+    def parse_json(self) -> dict[str, Any]:
+        """Return the JSON object in the body; raise `ValueError` if there is none."""
         data = json.loads(self.body or b"{}")
         if not isinstance(data, dict):
             raise ValueError("not an object")
@@ -92,17 +95,20 @@
 
 
 class StoreStandIn:
-    """ASGI application; the same seed loses the same answers."""
+    """ASGI application of the store; the same seed loses the same answers.
+
+    `clock` returns monotonic time in seconds.
+    """
 
     def __init__(
         self, seed: int = 0, clock: Callable[[], float] = time.monotonic
     ) -> None:
         self.model = StoreModel()
         self.faults = StoreFaults()
-        self.calls = 0
+        self.call_count = 0
         self._rng = random.Random(seed)
         self._clock = clock
-        self._changed = anyio.Event()
+        self._change_event = anyio.Event()
 
     async def __call__(self, scope: Scope, receive: Receive, send: Send) -> None:
         """Handle one HTTP request."""
@@ -112,82 +118,82 @@
             body = await async_read_body(receive, MESSAGE_MAX_BYTES)
         except DisconnectedError:
             return
-        except TooLargeError:
+        except BodyTooLargeError:
             await async_send_answer(send, HttpAnswer(413, {"error": "too large"}))
             return
-        request = _request_of(scope, body)
+        request = _decode_request(scope, body)
         if request.path in (FAULTS_PATH, WRITE_PATH):
-            await async_send_answer(send, self._from_the_side(request))
+            await async_send_answer(send, self._handle_operator_request(request))
             return
-        answer = await self._async_answer(request, receive)
+        answer = await self._async_answer_request(request, receive)
         if answer is not None:
             await async_send_answer(send, answer)
 
     def write(self, key: str, value: bytes | None) -> None:
-        """Write or remove a key as the operator and backend servers do."""
+        """Write a key, or remove it if `value` is None, without any condition."""
         if value is None:
             self.model.remove(key)
         else:
             self.model.put(key, value)
         self._wake_watches()
 
-    async def _async_answer(
+    async def _async_answer_request(
         self, request: HttpRequest, receive: Receive
     ) -> HttpAnswer | None:
-        """Return the answer, or None when the client gets none."""
-        self.calls += 1
+        """Return the answer, or None if a fault leaves the client without one."""
+        self.call_count += 1
         faults = self.faults
         if faults.latency_s:
             await anyio.sleep(faults.latency_s)
-        outage = self._outage_for(request.client)
+        outage = self._get_outage(request.client)
         if outage in STATUS_BY_OUTAGE:
             return HttpAnswer(STATUS_BY_OUTAGE[outage], {"error": outage.value})
         if outage is not Outage.NONE:
             await async_wait_for_disconnect(receive)
             return None
-        if loses_answer(faults, self._rng):
+        if draw_answer_loss(faults, self._rng):
             await anyio.sleep(faults.late_s)
-            await self._async_handle(request)
+            await self._async_execute_request(request)
             await async_wait_for_disconnect(receive)
             return None
-        return await self._async_handle(request)
+        return await self._async_execute_request(request)
 
-    def _outage_for(self, client: str) -> Outage:
+    def _get_outage(self, client: str) -> Outage:
         clients = self.faults.clients
         return self.faults.outage if not clients or client in clients else Outage.NONE
 
-    async def _async_handle(self, request: HttpRequest) -> HttpAnswer:
+    async def _async_execute_request(self, request: HttpRequest) -> HttpAnswer:
         try:
-            operation = operation_of(request)
+            operation = decode_operation(request)
         except (KeyError, TypeError, ValueError, RecursionError) as exc:
             return HttpAnswer(400, {"error": f"malformed request: {exc}"})
         if operation is None:
             return NOT_FOUND
         if isinstance(operation, WatchPrefix):
-            await self._async_wait(operation)
-        if isinstance(operation, Commit) and _writes_reserved(operation):
+            await self._async_wait_for_change(operation)
+        if isinstance(operation, Commit) and _writes_reserved_key(operation):
             return HttpAnswer(403, {"error": "reserved"})
         result = self.model.apply(operation, self._clock())
         if isinstance(operation, Commit | LeaseRevoke):
             self._wake_watches()
-        return _answer_of(operation, result)
+        return _encode_result(operation, result)
 
-    async def _async_wait(self, watch: WatchPrefix) -> None:
+    async def _async_wait_for_change(self, watch: WatchPrefix) -> None:
         end_s = self._clock() + min(watch.wait_s, WATCH_MAX_S)
         while (now_s := self._clock()) < end_s and self.faults.outage is Outage.NONE:
             self.model.expire(now_s)
             if self.model.revision_of_prefix(watch.prefix) > watch.after_revision:
                 return
             with anyio.move_on_after(min(WATCH_CHECK_INTERVAL_S, end_s - now_s)):
-                await self._changed.wait()
+                await self._change_event.wait()
 
     def _wake_watches(self) -> None:
-        self._changed.set()
-        self._changed = anyio.Event()
+        self._change_event.set()
+        self._change_event = anyio.Event()
 
-    def _from_the_side(self, request: HttpRequest) -> HttpAnswer:
+    def _handle_operator_request(self, request: HttpRequest) -> HttpAnswer:
         if request.path == WRITE_PATH:
-            data = request.json()
+            data = request.parse_json()
             value = data.get("value")
             self.write(data["key"], None if value is None else base64.b64decode(value))
             return HttpAnswer(200, {"rev": self.model.revision})
@@ -200,7 +206,7 @@
         return HttpAnswer(200, attrs.asdict(self.faults))
 
 
-def _request_of(scope: Scope, body: bytes) -> HttpRequest:
+def _decode_request(scope: Scope, body: bytes) -> HttpRequest:
     path = unquote(scope["raw_path"].partition(b"?")[0].decode("ascii", "replace"))
     query = parse_qs(scope["query_string"].decode("ascii", "replace"))
     client = scope.get("client") or ("", 0)
@@ -209,10 +215,13 @@
     )
 
 
-def operation_of(request: HttpRequest) -> StoreOperation | None:
-    """Return the operation of a request, None for an unknown path."""
-    query, (first, _, rest) = request.query, request.path[1:].partition("/")
-    match request.method, first:
+def decode_operation(request: HttpRequest) -> StoreOperation | None:
+    """Return the operation that a request asks for, or None for an unknown path.
+
+    Raise `KeyError`, `TypeError` or `ValueError` if the request is malformed.
+    """
+    query, (endpoint, _, argument) = request.query, request.path[1:].partition("/")
+    match request.method, endpoint:
         case "GET", "kv-key":
             return Get(query["key"])
         case "GET", "kv-range":
@@ -222,17 +231,19 @@
             wait_s = int(query["wait_ms"]) / MS_PER_S
             return WatchPrefix(query["prefix"], int(query["after"]), wait_s)
         case "POST", "kv-txn":
-            return _commit_of(request.json())
+            return _decode_commit(request.parse_json())
         case "POST", "kv-lease":
-            return LeaseGrant(parse_duration_s(request.json()["ttl_time"], "ttl_time"))
+            return LeaseGrant(
+                parse_duration_s(request.parse_json()["ttl_time"], "ttl_time")
+            )
         case "POST", "kv-keep":
-            return LeaseRenew(int(rest))
+            return LeaseRenew(int(argument))
         case "DELETE", "kv-lease-end":
-            return LeaseRevoke(int(rest))
+            return LeaseRevoke(int(argument))
     return None
 
 
-def _commit_of(data: dict[str, Any]) -> Commit:
+def _decode_commit(data: dict[str, Any]) -> Commit:
     return Commit(
         tuple(Expected(row["key"], row["rev"]) for row in data["expected_rev"]),
         tuple(
@@ -247,25 +258,25 @@
     )
 
 
-def _writes_reserved(commit: Commit) -> bool:
+def _writes_reserved_key(commit: Commit) -> bool:
     keys = [put.key for put in commit.puts] + list(commit.removes)
     return any(key.startswith(RESERVED_PREFIXES) for key in keys)
 
 
-def _answer_of(operation: StoreOperation, result: StoreResult) -> HttpAnswer:
+def _encode_result(operation: StoreOperation, result: StoreResult) -> HttpAnswer:
     match result:
         case Result(tag="ok", ok=Found(None)):
             return NOT_FOUND
         case Result(tag="ok", ok=reply):
-            return HttpAnswer(200, _body_of(reply))
+            return HttpAnswer(200, _encode_reply(reply))
         case Result(error=StoreError() as error):
             body: dict[str, Any] = {"error": error.message}
             if error.kind is StoreErrorKind.CONFLICT:
-                body["items"] = [_item_fields(item) for item in error.items]
-            return HttpAnswer(STATUSES[error.kind], body)
+                body["items"] = [_encode_item(item) for item in error.items]
+            return HttpAnswer(STATUS_BY_ERROR[error.kind], body)
 
 
-def _item_fields(item: Item) -> dict[str, Any]:
+def _encode_item(item: Item) -> dict[str, Any]:
     return {
         "key": item.key,
         "value": base64.b64encode(item.value).decode(),
@@ -275,25 +286,25 @@
     }
 
 
-def _event_fields(event: Item | Removed) -> dict[str, Any]:
+def _encode_event(event: Item | Removed) -> dict[str, Any]:
     if isinstance(event, Item):
-        return _item_fields(event)
+        return _encode_item(event)
     return {"key": event.key, "rev": event.revision, "deleted": True}
 
 
-def _body_of(reply: StoreReply) -> dict[str, Any]:
+def _encode_reply(reply: StoreReply) -> dict[str, Any]:
     match reply:
         case Found(Item() as item):
-            return _item_fields(item)
+            return _encode_item(item)
         case Listed(items, more, revision):
             return {
-                "items": [_item_fields(item) for item in items],
+                "items": [_encode_item(item) for item in items],
                 "has_more": more,
                 "store_revision": revision,
             }
         case Changes(events, revision):
             return {
-                "events": [_event_fields(event) for event in events],
+                "events": [_encode_event(event) for event in events],
                 "store_revision": revision,
             }
         case Committed(revision):
@@ -305,15 +316,15 @@
 
 
 def main(arguments: list[str] | None = None) -> None:
-    """Run the stand-in until it is told to stop."""
+    """Run the stand-in until it is stopped."""
     parser = argparse.ArgumentParser(prog="python -m wagtailrill.stand_ins.store")
     parser.add_argument("--host", default="127.0.0.1")
     parser.add_argument("--port", type=int, required=True, help="0 takes a free port")
     parser.add_argument("--seed", type=int, default=0)
     options = parser.parse_args(arguments)
-    sock = bind(options.host, options.port)
+    sock = bind_socket(options.host, options.port)
     print(f"listening on {options.host}:{sock.getsockname()[1]}", flush=True)
-    make_server(StoreStandIn(options.seed)).run(sockets=[sock])
+    make_http_server(StoreStandIn(options.seed)).run(sockets=[sock])
 
 
 if __name__ == "__main__":
--- a/wagtailrill/stand_ins/store_model.py
+++ b/wagtailrill/stand_ins/store_model.py
@@ -1,4 +1,7 @@
-"""In-memory model of the platform's store, for the stand-in and for tests."""
+"""In-memory model of the platform's store.
+
+The HTTP stand-in, the virtual fleet and tests apply their operations to it.
+"""
 
 import itertools
 from collections.abc import Iterable
@@ -40,7 +43,7 @@
     expires_s: float
 
 
-def _failure(
+def _build_error(
     kind: StoreErrorKind, message: str, items: Iterable[Item] = ()
 ) -> StoreResult:
     return Error(StoreError(kind, message, tuple(items)))
@@ -49,8 +52,9 @@
 class StoreModel:
     """Keys with revisions, a history of changes, and leases that remove their keys.
 
-    The caller supplies the time in seconds. A watch returns the changes so far; whoever
-    serves it waits for `revision_of_prefix` to pass its revision first.
+    Callers pass in the time in seconds. A watch returns the changes so far without
+    waiting: its caller first waits until `revision_of_prefix` exceeds the revision
+    that the watch starts after.
     """
 
     def __init__(self, page_max: int = PAGE_MAX) -> None:
@@ -58,22 +62,22 @@
         self.page_max = page_max
         self._items: dict[str, Item] = {}
         self._history: list[Item | Removed] = []
-        self._forgotten = 0
+        self._compacted_revision = 0
         self._leases: dict[int, _Lease] = {}
         self._lease_numbers = itertools.count(1)
 
     def apply(self, operation: StoreOperation, now_s: float) -> StoreResult:
-        """Carry out an operation at a time and return its result."""
+        """Execute an operation at a time and return its result."""
         self.expire(now_s)
         match operation:
             case Get(key):
                 return Ok(Found(self._items.get(key)))
             case ListPrefix(prefix, after):
-                return Ok(self._list(prefix, after))
+                return Ok(self._list_page(prefix, after))
             case WatchPrefix(prefix, after_revision):
-                return self._changes(prefix, after_revision)
+                return self._list_changes(prefix, after_revision)
             case Commit():
-                return self._commit(operation)
+                return self._check_and_commit(operation)
             case LeaseGrant(ttl_s):
                 lease_id = next(self._lease_numbers)
                 self._leases[lease_id] = _Lease(ttl_s, now_s + ttl_s)
@@ -81,7 +85,7 @@
             case LeaseRenew(lease_id):
                 lease = self._leases.get(lease_id)
                 if lease is None:
-                    return _failure(StoreErrorKind.LEASE_ENDED, str(lease_id))
+                    return _build_error(StoreErrorKind.LEASE_ENDED, str(lease_id))
                 lease.expires_s = now_s + lease.ttl_s
                 return Ok(Leased(lease_id, lease.ttl_s))
             case LeaseRevoke(lease_id):
@@ -89,58 +93,62 @@
                 return Ok(Revoked())
 
     def expire(self, now_s: float) -> None:
-        """Drop the leases that have ended, with their keys."""
-        ended = [n for n, lease in self._leases.items() if lease.expires_s <= now_s]
-        for lease_id in ended:
+        """Remove the leases that have expired, and their keys."""
+        expired_ids = [
+            n for n, lease in self._leases.items() if lease.expires_s <= now_s
+        ]
+        for lease_id in expired_ids:
             self._drop_lease(lease_id)
 
     def pause_leases(self, duration_s: float) -> None:
-        """Extend all leases, as for an outage in which they do not run."""
+        """Extend all leases by `duration_s` seconds, as they pause in an outage."""
         for lease in self._leases.values():
             lease.expires_s += duration_s
 
     def forget_history(self) -> None:
-        """Answer watches from before now with `COMPACTED`."""
-        self._forgotten = self.revision
+        """Compact the history: watches from before now get `COMPACTED`."""
+        self._compacted_revision = self.revision
         self._history.clear()
 
     def items(self, prefix: str = "") -> list[Item]:
-        """Return the present items of a prefix in order of their keys."""
+        """Return the items whose keys have a prefix, sorted by key."""
         return [
             self._items[key] for key in sorted(self._items) if key.startswith(prefix)
         ]
 
     def revision_of_prefix(self, prefix: str) -> int:
-        """Return the revision of the last change of a prefix, 0 if it is unknown."""
+        """Return the revision of the last change under a prefix, 0 if none is known."""
         for event in reversed(self._history):
             if event.key.startswith(prefix):
                 return event.revision
         return 0
 
     def put(self, key: str, value: bytes, lease_id: int = 0) -> int:
-        """Write a key without a condition, as the operator does."""
+        """Write a key unconditionally, as the operator does; return the revision."""
         self.revision += 1
-        known = self._items.get(key)
-        created = known.created_revision if known is not None else self.revision
-        item = Item(key, value, self.revision, created, lease_id)
+        previous = self._items.get(key)
+        created_revision = (
+            previous.created_revision if previous is not None else self.revision
+        )
+        item = Item(key, value, self.revision, created_revision, lease_id)
         self._items[key] = item
         self._history.append(item)
         return self.revision
 
     def remove(self, key: str) -> None:
-        """Remove a key without a condition."""
+        """Remove a key unconditionally."""
         if key in self._items:
             self.revision += 1
-            self._remove_at(key, self.revision)
+            self._remove_at_revision(key, self.revision)
 
-    def _list(self, prefix: str, after: str) -> Listed:
+    def _list_page(self, prefix: str, after: str) -> Listed:
         found = [item for item in self.items(prefix) if item.key > after]
         page = tuple(found[: self.page_max])
         return Listed(page, len(found) > self.page_max, self.revision)
 
-    def _changes(self, prefix: str, after_revision: int) -> StoreResult:
-        if after_revision < self._forgotten:
-            return _failure(StoreErrorKind.COMPACTED, str(after_revision))
+    def _list_changes(self, prefix: str, after_revision: int) -> StoreResult:
+        if after_revision < self._compacted_revision:
+            return _build_error(StoreErrorKind.COMPACTED, str(after_revision))
         events = tuple(
             event
             for event in self._history
@@ -148,46 +156,52 @@
         )
         return Ok(Changes(events, self.revision))
 
-    def _commit(self, commit: Commit) -> StoreResult:
+    def _check_and_commit(self, commit: Commit) -> StoreResult:
         entries = (*commit.expected, *commit.puts, *commit.removes)
         keys = [put.key for put in commit.puts] + list(commit.removes)
         if len(entries) > COMMIT_ENTRIES_MAX:
-            return _failure(StoreErrorKind.INVALID, "too many entries")
+            return _build_error(StoreErrorKind.INVALID, "too many entries")
         if any(len(key.encode()) > KEY_MAX_BYTES for key in keys):
-            return _failure(StoreErrorKind.INVALID, "a key is too long")
+            return _build_error(StoreErrorKind.INVALID, "a key is too long")
         if any(len(put.value) > VALUE_MAX_BYTES for put in commit.puts):
-            return _failure(StoreErrorKind.INVALID, "a value is too large")
+            return _build_error(StoreErrorKind.INVALID, "a value is too large")
         if any(
             put.lease_id and put.lease_id not in self._leases for put in commit.puts
         ):
-            return _failure(StoreErrorKind.LEASE_ENDED, "no such lease")
-        found = {entry.key: self._items.get(entry.key) for entry in commit.expected}
+            return _build_error(StoreErrorKind.LEASE_ENDED, "no such lease")
+        current_items = {
+            entry.key: self._items.get(entry.key) for entry in commit.expected
+        }
         for entry in commit.expected:
-            item = found[entry.key]
+            item = current_items[entry.key]
             if (item.revision if item is not None else 0) != entry.revision:
-                items = [item for item in found.values() if item is not None]
-                return _failure(StoreErrorKind.CONFLICT, entry.key, items)
-        return Ok(self._carry_out(commit))
+                items = [item for item in current_items.values() if item is not None]
+                return _build_error(StoreErrorKind.CONFLICT, entry.key, items)
+        return Ok(self._write_commit(commit))
 
-    def _carry_out(self, commit: Commit) -> Committed:
+    def _write_commit(self, commit: Commit) -> Committed:
         self.revision += 1
         for put in commit.puts:
-            known = self._items.get(put.key)
-            created = known.created_revision if known is not None else self.revision
-            item = Item(put.key, put.value, self.revision, created, put.lease_id)
+            previous = self._items.get(put.key)
+            created_revision = (
+                previous.created_revision if previous is not None else self.revision
+            )
+            item = Item(
+                put.key, put.value, self.revision, created_revision, put.lease_id
+            )
             self._items[put.key] = item
             self._history.append(item)
         for key in commit.removes:
-            self._remove_at(key, self.revision)
+            self._remove_at_revision(key, self.revision)
         return Committed(self.revision)
 
-    def _remove_at(self, key: str, revision: int) -> None:
+    def _remove_at_revision(self, key: str, revision: int) -> None:
         if self._items.pop(key, None) is not None:
             self._history.append(Removed(key, revision))
 
     def _drop_lease(self, lease_id: int) -> None:
         if self._leases.pop(lease_id, None) is None:
             return
-        gone = [k for k, item in self._items.items() if item.lease_id == lease_id]
-        for key in gone:
+        lease_keys = [k for k, item in self._items.items() if item.lease_id == lease_id]
+        for key in lease_keys:
             self.remove(key)
--- a/wagtailrill/stand_ins/virtual_fleet.py
+++ b/wagtailrill/stand_ins/virtual_fleet.py
@@ -1,7 +1,7 @@
-"""Driver that steps several instances on a virtual clock, with faults.
+"""Simulation of several instances on a virtual clock, with fault injection.
 
-It delivers commands with a delay and applies the faults that a test asks for; it
-models no hosts and no traffic of its own.
+Tests run the decision code of whole fleets with it. It executes the commands of
+instances with a delay; hosts and request traffic are not simulated.
 """
 
 import heapq
@@ -31,18 +31,18 @@
 
 
 class Node(Protocol):
-    """An instance's decision code."""
+    """Decision code of one instance, as a router implements it."""
 
     def start(self, now_s: float, wall_s: float) -> list[Command]:
-        """Return the first commands."""
+        """Start; return the first commands. `wall_s` is Unix time in seconds."""
         ...
 
     def step(self, event: Event | None, now_s: float, wall_s: float) -> list[Command]:
-        """Handle an event and due timers."""
+        """Handle an event, if any, and due timers; return the commands to execute."""
         ...
 
     def next_due_s(self) -> float | None:
-        """Return the time of the next timer."""
+        """Return the instance clock's time of the next timer, None without one."""
         ...
 
 
@@ -52,24 +52,28 @@
 
 @attrs.define(eq=False)
 class NodeRow:
-    """State of one instance in the driver.
+    """State of one instance's process in the simulation.
 
-    `rate` is the speed of its clock; a paused instance handles nothing until it
-    resumes, while its clock goes on.
+    Its clock runs `clock_rate` times as fast as virtual time, from `clock_offset_s`.
+    While it is paused, its clock runs on and its events wait in `held_events`.
+    `next_wake_s` is virtual time.
     """
 
     name: str
     node: Node
     incarnation: int
-    rate: float = 1.0
-    offset_s: float = 0.0
+    clock_rate: float = 1.0
+    clock_offset_s: float = 0.0
     paused: bool = False
-    held: list[Event] = attrs.field(factory=list)
-    wake_s: float = -1.0
+    held_events: list[Event] = attrs.field(factory=list)
+    next_wake_s: float = -1.0
 
 
 class VirtualStore:
-    """The store with outages, slowness, lost answers and cut-off instances."""
+    """The store with outages, latency, lost answers and unreachable instances.
+
+    A call whose answer is lost takes effect `late_s` seconds after its arrival.
+    """
 
     def __init__(self, rng: random.Random) -> None:
         self.model = StoreModel()
@@ -78,23 +82,27 @@
         self.lost_answer_probability = 0.0
         self.late_s = 0.0
         self.latency_s = 0.002
-        self.calls: dict[str, int] = {}
+        self.call_counts: dict[str, int] = {}
         self._rng = rng
 
-    def reachable(self, instance: str) -> bool:
+    def is_reachable_from(self, instance: str) -> bool:
         """Return whether an instance can reach the store."""
         return not self.down and instance not in self.unreachable
 
-    def loses_answer(self) -> bool:
-        """Decide whether an answer is lost after its effect."""
+    def draw_answer_loss(self) -> bool:
+        """Draw whether the answer of a call that takes effect is lost."""
         return self._rng.random() < self.lost_answer_probability
 
 
 class VirtualFleet:
-    """Runs instances on one virtual clock; the same seed gives the same run."""
+    """Runs instances on one virtual clock; the same seed gives the same run.
+
+    `now_s` is virtual time in seconds; `latency_s` is the base delay of a message
+    between instances. `measure_bytes`, if set, gives the sizes for `sent_bytes`.
+    """
 
     def __init__(
-        self, factory: NodeFactory, seed: int, latency_s: float = 0.001
+        self, node_factory: NodeFactory, seed: int, latency_s: float = 0.001
     ) -> None:
         self.now_s = 0.0
         self.latency_s = latency_s
@@ -102,111 +110,113 @@
         self.store = VirtualStore(random.Random(seed + 1))
         self.nodes: dict[str, NodeRow] = {}
         self.lost_message_probability = 0.0
-        self.bytes_of: Callable[[Command], int] | None = None
+        self.measure_bytes: Callable[[Command], int] | None = None
         self.sent_bytes: dict[str, int] = {}
-        self._arrivals: dict[tuple[str, str], float] = {}
-        self._cut: set[frozenset[str]] = set()
+        self._last_arrivals_s: dict[tuple[str, str], float] = {}
+        self._cut_links: set[frozenset[str]] = set()
         self._handlers: dict[type, CommandHandler] = {
             SendPeer: self._send_peer,
             CallStore: self._call_store,
         }
-        self._factory = factory
+        self._node_factory = node_factory
         self._incarnations = itertools.count(1)
-        self._queue: list[tuple[float, int, Callable[[], None]]] = []
-        self._order = itertools.count()
+        self._callback_queue: list[tuple[float, int, Callable[[], None]]] = []
+        self._entry_numbers = itertools.count()
 
     def on_command(self, cls: type, handler: CommandHandler) -> None:
-        """Hand commands of a class, with the instance's name, to a handler."""
+        """Call `handler` with the instance's name and each command of type `cls`."""
         self._handlers[cls] = handler
 
     def start(self, name: str, rate: float = 1.0) -> NodeRow:
-        """Start an instance, or replace it by a process that knows nothing."""
+        """Start an instance's process; it replaces an earlier one of that name."""
         incarnation = next(self._incarnations)
-        node = self._factory(name, incarnation, random.Random(self.rng.random()))
-        row = NodeRow(name, node, incarnation, rate=rate)
-        row.offset_s = self.rng.uniform(0.0, 1000.0)
+        node = self._node_factory(name, incarnation, random.Random(self.rng.random()))
+        row = NodeRow(name, node, incarnation, clock_rate=rate)
+        row.clock_offset_s = self.rng.uniform(0.0, 1000.0)
         self.nodes[name] = row
-        self.call_later(0.0, lambda: self._begin(row))
+        self.call_later(0.0, lambda: self._start_node(row))
         return row
 
     def kill(self, name: str) -> None:
-        """Lose an instance with all its state."""
+        """Stop an instance at once, with the loss of its state."""
         self.nodes.pop(name, None)
 
     def pause(self, name: str) -> None:
-        """Freeze an instance."""
+        """Pause an instance: its clock runs on but it handles nothing."""
         self.nodes[name].paused = True
 
     def resume(self, name: str) -> None:
-        """Let a frozen instance go on; it first handles what was waiting."""
+        """Resume a paused instance; it first handles the events that arrived."""
         row = self.nodes.get(name)
         if row is None or not row.paused:
             return
         row.paused = False
-        held, row.held = row.held, []
-        for event in held:
-            self._step(row, event)
-        self._step(row, None)
+        held_events, row.held_events = row.held_events, []
+        for event in held_events:
+            self._step_node(row, event)
+        self._step_node(row, None)
 
-    def cut(self, one: str, other: str) -> None:
+    def cut(self, first: str, second: str) -> None:
         """Drop all messages between two instances."""
-        self._cut.add(frozenset((one, other)))
+        self._cut_links.add(frozenset((first, second)))
 
-    def partition(self, side: set[str]) -> None:
-        """Cut the instances of one side off from all others."""
-        for one in side:
-            for other in set(self.nodes) - side:
-                self.cut(one, other)
+    def partition(self, isolated: set[str]) -> None:
+        """Drop all messages between the isolated instances and the others."""
+        for instance in isolated:
+            for other in set(self.nodes) - isolated:
+                self.cut(instance, other)
 
     def heal(self) -> None:
-        """End all cuts between instances."""
-        self._cut.clear()
+        """Deliver messages between all instances again."""
+        self._cut_links.clear()
 
     def call_later(self, delay_s: float, callback: Callable[[], None]) -> None:
-        """Run a callback after a delay of virtual time."""
-        entry = (self.now_s + delay_s, next(self._order), callback)
-        heapq.heappush(self._queue, entry)
+        """Call `callback` after `delay_s` seconds of virtual time."""
+        entry = (self.now_s + delay_s, next(self._entry_numbers), callback)
+        heapq.heappush(self._callback_queue, entry)
 
     def run_until(self, end_s: float) -> None:
-        """Advance the virtual clock to a time in seconds."""
-        while self._queue and self._queue[0][0] <= end_s:
-            self.now_s, _, callback = heapq.heappop(self._queue)
+        """Run all callbacks due by `end_s` and set the virtual clock to that time."""
+        while self._callback_queue and self._callback_queue[0][0] <= end_s:
+            self.now_s, _, callback = heapq.heappop(self._callback_queue)
             callback()
         self.now_s = max(self.now_s, end_s)
 
     def deliver(self, name: str, event: Event | None, delay_s: float) -> None:
-        """Hand an event to an instance after a delay."""
+        """Deliver an event, or a timer check if None, to an instance after a delay."""
         row = self.nodes.get(name)
         if row is not None:
             self.deliver_to(row, event, delay_s)
 
     def deliver_to(self, row: NodeRow, event: Event | None, delay_s: float) -> None:
-        """Hand an event to one process after a delay, unless it is lost by then."""
-        self.call_later(delay_s, lambda: self._step(row, event))
+        """Deliver an event to one process after a delay, if it still runs then."""
+        self.call_later(delay_s, lambda: self._step_node(row, event))
 
-    def clock_s(self, row: NodeRow) -> float:
-        """Return what an instance's clock shows now, in seconds."""
-        return row.offset_s + self.now_s * row.rate
+    def read_clock_s(self, row: NodeRow) -> float:
+        """Return the current time of an instance's own clock, in seconds."""
+        return row.clock_offset_s + self.now_s * row.clock_rate
 
-    def _begin(self, row: NodeRow) -> None:
+    def _start_node(self, row: NodeRow) -> None:
         if self.nodes.get(row.name) is row:
             wall_s = WALL_EPOCH_S + self.now_s
-            self._carry_out(row, row.node.start(self.clock_s(row), wall_s))
+            self._execute_commands(row, row.node.start(self.read_clock_s(row), wall_s))
 
-    def _step(self, row: NodeRow, event: Event | None) -> None:
+    def _step_node(self, row: NodeRow, event: Event | None) -> None:
         if self.nodes.get(row.name) is not row:
             return
         if row.paused:
             if event is not None:
-                row.held.append(event)
+                row.held_events.append(event)
             return
         wall_s = WALL_EPOCH_S + self.now_s
-        self._carry_out(row, row.node.step(event, self.clock_s(row), wall_s))
+        self._execute_commands(
+            row, row.node.step(event, self.read_clock_s(row), wall_s)
+        )
 
-    def _carry_out(self, row: NodeRow, commands: list[Command]) -> None:
+    def _execute_commands(self, row: NodeRow, commands: list[Command]) -> None:
         for command in commands:
             if self.nodes.get(row.name) is not row:
-                return  # a handler lost the process between two of its commands
+                return  # a handler stopped this process between two of its commands
             handler = self._handlers.get(type(command))
             if handler is not None:
                 handler(row.name, command)
@@ -216,32 +226,33 @@
         due_s = row.node.next_due_s()
         if due_s is None:
             return
-        wake_s = max((due_s - row.offset_s) / row.rate, self.now_s) + 1e-9
-        if row.wake_s > self.now_s and row.wake_s <= wake_s:
+        wake_s = max((due_s - row.clock_offset_s) / row.clock_rate, self.now_s) + 1e-9
+        if row.next_wake_s > self.now_s and row.next_wake_s <= wake_s:
             return
-        row.wake_s = wake_s
-        # At exactly `wake_s`: a wake-up that rounding puts earlier would look pending.
-        entry = (wake_s, next(self._order), lambda: self._step(row, None))
-        heapq.heappush(self._queue, entry)
+        row.next_wake_s = wake_s
+        # Queued at exactly `wake_s`: a wake-up that rounding made earlier would run
+        # while `next_wake_s` still looks pending, and no later one would be queued.
+        entry = (wake_s, next(self._entry_numbers), lambda: self._step_node(row, None))
+        heapq.heappush(self._callback_queue, entry)
 
     def _send_peer(self, sender: str, command: Command) -> None:
         assert isinstance(command, SendPeer)
-        if self.bytes_of is not None:
-            size = self.bytes_of(command)
+        if self.measure_bytes is not None:
+            size = self.measure_bytes(command)
             self.sent_bytes[sender] = self.sent_bytes.get(sender, 0) + size
         envelope = command.envelope
         if self.rng.random() < self.lost_message_probability:
             return
         arrival_s = self.now_s + self.latency_s * self.rng.uniform(0.8, 1.5)
-        # A connection between two instances keeps the order of its messages.
+        # Messages from one instance to another arrive in the order of sending.
         link = (sender, envelope.receiver)
-        arrival_s = max(arrival_s, self._arrivals.get(link, 0.0))
-        self._arrivals[link] = arrival_s
+        arrival_s = max(arrival_s, self._last_arrivals_s.get(link, 0.0))
+        self._last_arrivals_s[link] = arrival_s
 
         def arrive() -> None:
             row = self.nodes.get(envelope.receiver)
-            if row is not None and frozenset((sender, row.name)) not in self._cut:
-                self._step(row, PeerReceived(envelope))
+            if row is not None and frozenset((sender, row.name)) not in self._cut_links:
+                self._step_node(row, PeerReceived(envelope))
 
         self.call_later(arrival_s - self.now_s, arrive)
 
@@ -249,51 +260,57 @@
         assert isinstance(command, CallStore)
         row = self.nodes[name]
         operation = command.operation
-        kind = type(operation).__name__
-        self.store.calls[kind] = self.store.calls.get(kind, 0) + 1
+        operation_name = type(operation).__name__
+        self.store.call_counts[operation_name] = (
+            self.store.call_counts.get(operation_name, 0) + 1
+        )
         delay_s = self.store.latency_s * self.rng.uniform(0.8, 1.5)
         self.call_later(
             delay_s / 2,
-            lambda: self._reach_store(row, command.call_id, operation, delay_s / 2),
+            lambda: self._arrive_at_store(row, command.call_id, operation, delay_s / 2),
         )
 
-    def _reach_store(
-        self, row: NodeRow, call_id: int, operation: StoreOperation, back_s: float
+    def _arrive_at_store(
+        self,
+        row: NodeRow,
+        call_id: int,
+        operation: StoreOperation,
+        return_delay_s: float,
     ) -> None:
         no_answer = StoreReplied(call_id, Error(NO_ANSWER))
-        if not self.store.reachable(row.name):
-            self.call_later(STORE_TIMEOUT_S, lambda: self._step(row, no_answer))
+        if not self.store.is_reachable_from(row.name):
+            self.call_later(STORE_TIMEOUT_S, lambda: self._step_node(row, no_answer))
             return
         if isinstance(operation, WatchPrefix):
-            self._watch(row, call_id, operation, self.now_s + operation.wait_s)
+            self._poll_watch(row, call_id, operation, self.now_s + operation.wait_s)
             return
-        if isinstance(operation, Commit | LeaseGrant) and self.store.loses_answer():
+        if isinstance(operation, Commit | LeaseGrant) and self.store.draw_answer_loss():
             self.call_later(
                 self.store.late_s,
                 lambda: self._apply_late(operation),
             )
-            self.call_later(STORE_TIMEOUT_S, lambda: self._step(row, no_answer))
+            self.call_later(STORE_TIMEOUT_S, lambda: self._step_node(row, no_answer))
             return
         result = self.store.model.apply(operation, self.now_s)
         reply = StoreReplied(call_id, result)
-        self.call_later(back_s, lambda: self._step(row, reply))
+        self.call_later(return_delay_s, lambda: self._step_node(row, reply))
 
     def _apply_late(self, operation: StoreOperation) -> None:
         self.store.model.apply(operation, self.now_s)
 
-    def _watch(
+    def _poll_watch(
         self, row: NodeRow, call_id: int, watch: WatchPrefix, end_s: float
     ) -> None:
         if self.nodes.get(row.name) is not row:
             return
-        if not self.store.reachable(row.name):
-            self._step(row, StoreReplied(call_id, Error(NO_ANSWER)))
+        if not self.store.is_reachable_from(row.name):
+            self._step_node(row, StoreReplied(call_id, Error(NO_ANSWER)))
             return
         model = self.store.model
         model.expire(self.now_s)
         result = model.apply(watch, self.now_s)
         changed = result.is_error() or bool(result.ok.events)  # type: ignore[union-attr]
         if changed or self.now_s >= end_s:
-            self._step(row, StoreReplied(call_id, result))
+            self._step_node(row, StoreReplied(call_id, result))
             return
-        self.call_later(0.02, lambda: self._watch(row, call_id, watch, end_s))
+        self.call_later(0.02, lambda: self._poll_watch(row, call_id, watch, end_s))
