--- a/script/measure_capacity.py
+++ b/script/measure_capacity.py
@@ -34,10 +34,10 @@
         return len(codec.encode_frame(command.envelope)) + 4
 
     deployment = Deployment(1, instances)
-    deployment.start(servers_per_service=servers)
+    deployment.start_all(servers_per_service=servers)
     deployment.fleet.run_until(deployment.now_s + SETTLE_S)
     if with_requests:
-        deployment.load(REQUESTS_PER_S, deployment.now_s + WINDOW_S)
+        deployment.send_random_requests(REQUESTS_PER_S, deployment.now_s + WINDOW_S)
     deployment.fleet.measure_bytes = count_bytes
     calls_before = dict(deployment.fleet.store.call_counts)
     processor_time_s = [0.0]
--- a/tests/claims/test_claims.py
+++ b/tests/claims/test_claims.py
@@ -53,7 +53,7 @@
                 if self.store_down:
                     self.ctx.handle_store_reply(call.call_id, refused)
                     continue
-                result = self.store.apply(call.operation, self.ctx.now_s)
+                result = self.store.apply_operation(call.operation, self.ctx.now_s)
                 if self.loses_commit_results and isinstance(call.operation, Commit):
                     result = Error(StoreError(StoreErrorKind.NO_ANSWER))
                 self.ctx.handle_store_reply(call.call_id, result)
@@ -156,14 +156,14 @@
 def test_claims_are_stored_under_leases(store):
     """Guards against claims that are never removed and fill the store."""
     Instance(store).create_claim()
-    (item,) = store.items("claims/")
+    (item,) = store.list_items("claims/")
     assert item.lease_id
 
 
 def test_request_without_key_is_answered_where_keys_are_optional():
     """Guards against requiring idempotency keys where callers do not send them."""
     run = Deployment(3)
-    run.start()
-    call = run.call("i-1", method="POST")
+    run.start_all()
+    call = run.send_request("i-1", method="POST")
     run.fleet.run_until(run.now_s + 1.0)
     assert call.answered
--- a/tests/cli/test_store_commands.py
+++ b/tests/cli/test_store_commands.py
@@ -50,10 +50,10 @@
         self.put_declaration(OLD_DECLARATION)
 
     def put_declaration(self, declaration):
-        self.model.put(DECLARATION_KEY, to_json(declaration).encode())
+        self.model.put_item(DECLARATION_KEY, to_json(declaration).encode())
 
     def get_declaration(self):
-        (item,) = self.model.items(DECLARATION_KEY)
+        (item,) = self.model.list_items(DECLARATION_KEY)
         return parse_declaration(item.value).ok
 
     async def async_call(self, operation):
@@ -63,7 +63,7 @@
             self.put_declaration(OTHER_DECLARATION)
         if fault == "refuse":
             return NO_ANSWER
-        result = self.model.apply(operation, 0.0)
+        result = self.model.apply_operation(operation, 0.0)
         if fault == "lose, then race":
             self.put_declaration(OTHER_DECLARATION)
         return NO_ANSWER if fault.startswith("lose") else result
--- a/tests/fleet/test_duties.py
+++ b/tests/fleet/test_duties.py
@@ -11,12 +11,12 @@
 @pytest.fixture
 def run():
     deployment = Deployment(31)
-    deployment.start()
+    deployment.start_all()
     return deployment
 
 
 def list_holders(run):
-    return [n for n in run.fleet.nodes if run.router(n).duties.holds(DUTY)]
+    return [n for n in run.fleet.nodes if run.get_router(n).duties.holds(DUTY)]
 
 
 def measure_takeover_s(run, former_holder, limit_s=20.0):
@@ -37,22 +37,22 @@
 def test_lost_holder_is_replaced_within_three_seconds(run):
     """Guards against grants that expire since no instance extends them."""
     (former,) = list_holders(run)
-    run.kill(former)
+    run.kill_instance(former)
     assert measure_takeover_s(run, former) < 3.0
 
 
 def test_planned_stop_hands_over_at_once(run):
     """Guards against a gap of a whole lease at each rolling restart."""
     (former,) = list_holders(run)
-    run.fleet.deliver(former, DrainRequested(5.0), 0.0)
+    run.fleet.deliver_event(former, DrainRequested(5.0), 0.0)
     assert measure_takeover_s(run, former) < 0.6
 
 
 def test_restarted_holder_takes_its_duty_without_waiting_for_its_lease(run):
     """Guards against waiting for a process that is known to have ended."""
     (former,) = list_holders(run)
-    run.kill(former)
-    run.fleet.start(former)
+    run.kill_instance(former)
+    run.fleet.start_instance(former)
     start_s = run.now_s
     while not list_holders(run):
         run.fleet.run_until(run.now_s + 0.05)
@@ -74,7 +74,7 @@
 def test_holder_that_alone_cannot_reach_the_store_stops(run):
     """Guards against a granter that continues next to its successor."""
     (former,) = list_holders(run)
-    run.fleet.store.unreachable.add(former)
+    run.fleet.store.unreachable_instances.add(former)
     measure_takeover_s(run, former)
     run.fleet.run_until(run.now_s + 1.0)
     assert former not in list_holders(run)
@@ -83,28 +83,28 @@
 def test_duties_recover_after_the_loss_of_all_processes(run):
     """Guards against a fleet that waits for a majority that never returns."""
     for name in list(run.fleet.nodes):
-        run.kill(name)
+        run.kill_instance(name)
     run.fleet.run_until(run.now_s + 0.5)
-    for name in run.names:
-        run.fleet.start(name)
+    for name in run.instance_names:
+        run.fleet.start_instance(name)
     start_s = run.now_s
     while not list_holders(run):
         run.fleet.run_until(run.now_s + 0.05)
         assert run.now_s - start_s < 3.0
     run.fleet.run_until(run.now_s + 1.0)
-    assert run.call("i-1").caller_id
-    calls = [run.call(n, "roll", position=99) for n in run.names]
+    assert run.send_request("i-1").caller_request_id
+    calls = [run.send_request(n, "roll", position=99) for n in run.instance_names]
     run.fleet.run_until(run.now_s + 1.5)
     assert all(call.answered for call in calls)
 
 
 def test_last_instance_takes_all_duties(run):
     """Guards against duties that only several instances can take."""
-    for name in run.names[1:]:
-        run.kill(name)
+    for name in run.instance_names[1:]:
+        run.kill_instance(name)
     run.fleet.run_until(run.now_s + 12.0)
-    assert DUTY in run.router("i-1").duties.list_held()
-    call = run.call("i-1", "roll", position=5)
+    assert DUTY in run.get_router("i-1").duties.list_held()
+    call = run.send_request("i-1", "roll", position=5)
     run.fleet.run_until(run.now_s + 1.5)
     assert call.answered
 
@@ -117,9 +117,9 @@
     """
     for seed in range(5):
         run = Deployment(seed, instances=10)
-        run.start()
+        run.start_all()
         run.fleet.run_until(8.0)
-        held = {n: run.router(n).duties.list_held() for n in run.names}
+        held = {n: run.get_router(n).duties.list_held() for n in run.instance_names}
         # Two services, six groups of organisations, the list of servers.
         assert sum(map(len, held.values())) == 9
         assert max(map(len, held.values())) <= 2
--- a/tests/keys/test_granter.py
+++ b/tests/keys/test_granter.py
@@ -10,12 +10,12 @@
 @pytest.fixture
 def run():
     deployment = Deployment(13)
-    deployment.start()
+    deployment.start_all()
     return deployment
 
 
 def find_owner(run: Deployment, position: int = POSITION) -> str:
-    (owner,) = run.servers.holders(position, "roll")
+    (owner,) = run.servers.find_key_holders(position, "roll")
     return owner
 
 
@@ -23,7 +23,7 @@
     """Return the seconds until a request for a key is answered."""
     start_s = run.now_s
     while run.now_s - start_s < limit_s:
-        call = run.call("i-3", service="roll", position=position)
+        call = run.send_request("i-3", service="roll", position=position)
         run.fleet.run_until(run.now_s + 0.1)
         if call.answered:
             return run.now_s - start_s
@@ -48,7 +48,7 @@
     frozen_s = run.now_s
     # It may get keys again only after this.
     run.fleet.run_until(frozen_s + 4.0)
-    moves = [f for at_s, _, f in run.logged("keys_moved") if at_s > frozen_s]
+    moves = [f for at_s, _, f in run.find_log_lines("keys_moved") if at_s > frozen_s]
     assert moves
     assert all(move["owner"] != silent for move in moves)
     assert sum(m["former_owner"] == m["owner"] for m in moves) == 0
@@ -60,24 +60,30 @@
     server = run.servers.by_name[silent]
     server.frozen = True
     run.fleet.run_until(run.now_s + 5.0)
-    run.servers.unfreeze(server)
+    run.servers.unfreeze_server(server)
     run.fleet.run_until(run.now_s + 12.0)
     held = {
-        name for p in range(0, 65_536, 64) for name in run.servers.holders(p, "roll")
+        name
+        for p in range(0, 65_536, 64)
+        for name in run.servers.find_key_holders(p, "roll")
     }
     assert silent in held
 
 
 def test_loss_of_the_granter_interrupts_no_key(run):
     """Grants must not expire before the successor renews them."""
-    granter = next(n for n in run.names if run.router(n).duties.holds("keys/roll"))
-    run.kill(granter)
-    callers = [n for n in run.names if n != granter]
+    granter = next(
+        n for n in run.instance_names if run.get_router(n).duties.holds("keys/roll")
+    )
+    run.kill_instance(granter)
+    callers = [n for n in run.instance_names if n != granter]
     end_s = run.now_s + 6.0
     calls = []
     while run.now_s < end_s:
         for position in (100, 30_000, 60_000):
-            calls.append(run.call(callers[0], service="roll", position=position))
+            calls.append(
+                run.send_request(callers[0], service="roll", position=position)
+            )
         run.fleet.run_until(run.now_s + 0.1)
     run.fleet.run_until(run.now_s + 1.0)
     assert all(call.answered for call in calls)
@@ -86,16 +92,18 @@
 def test_new_process_of_an_owner_gets_its_keys_with_a_higher_token(run):
     """A new process must not continue with the grant of a former one."""
     owner = find_owner(run)
-    explained_before = run.router("i-1").explain_key("roll", str(POSITION))
-    run.servers.crash(run.servers.by_name[owner], 0.3)
+    explained_before = run.get_router("i-1").explain_key("roll", str(POSITION))
+    run.servers.crash_server(run.servers.by_name[owner], 0.3)
     run.fleet.run_until(run.now_s + 5.0)
-    assert len(run.servers.holders(POSITION, "roll")) == 1
-    granter = next(n for n in run.names if run.router(n).duties.holds("keys/roll"))
-    explained_after = run.router(granter).explain_key("roll", str(POSITION))
+    assert len(run.servers.find_key_holders(POSITION, "roll")) == 1
+    granter = next(
+        n for n in run.instance_names if run.get_router(n).duties.holds("keys/roll")
+    )
+    explained_after = run.get_router(granter).explain_key("roll", str(POSITION))
     assert explained_before is not None
     assert explained_after is not None
     assert explained_after["state"] == "serving"
-    moves = [f for _, _, f in run.logged("keys_moved")]
+    moves = [f for _, _, f in run.find_log_lines("keys_moved")]
     fences = [m["fence"] for m in moves]
     assert len(fences) == len(set(fences))
 
@@ -106,15 +114,17 @@
     On day trouble-1 of nrra-gateway the granter could not reach the store, and its
     successor took over 2.2 s after the announcement.
     """
-    granter = next(n for n in run.names if run.router(n).duties.holds("keys/roll"))
+    granter = next(
+        n for n in run.instance_names if run.get_router(n).duties.holds("keys/roll")
+    )
     owner = find_owner(run)
-    run.fleet.store.unreachable.add(granter)
+    run.fleet.store.unreachable_instances.add(granter)
     run.fleet.run_until(run.now_s + 0.1)
-    run.servers.leave(run.servers.by_name[owner], after_s=5.0)
+    run.servers.drain_server(run.servers.by_name[owner], after_s=5.0)
     announced_s = run.now_s
     while run.now_s < announced_s + 4.0:
-        for name in run.names:
-            run.call(name, service="roll", position=POSITION)
+        for name in run.instance_names:
+            run.send_request(name, service="roll", position=POSITION)
         run.fleet.run_until(run.now_s + 0.05)
     late_executions = [
         e
--- a/tests/keys/test_usage.py
+++ b/tests/keys/test_usage.py
@@ -2,7 +2,7 @@
 
 import pytest
 
-from tests.support import advance, make_context
+from tests.support import advance_time, make_context
 from wagtailrill.keys.usage import UsageTable
 
 
@@ -12,7 +12,7 @@
     usage = UsageTable(ctx)
     for _ in range(20):
         usage.count_request(7)
-        advance(ctx, 0.025)
+        advance_time(ctx, 0.025)
     assert usage.collect_rates()[7] > 25.0  # of 40/s; the slow rate alone is 11/s
 
 
@@ -32,5 +32,5 @@
     for position in (10, 20, 30):
         usage.count_request(position)
     assert usage.sum_rates(10, 20) == pytest.approx(2 / 1.5)
-    advance(ctx, 30.0)
+    advance_time(ctx, 30.0)
     assert usage.collect_rates() == {}
--- a/tests/placement/test_dispatcher.py
+++ b/tests/placement/test_dispatcher.py
@@ -2,7 +2,7 @@
 
 import pytest
 
-from tests.support import advance, entry, make_context, make_table
+from tests.support import advance_time, make_context, make_server_entry, make_table
 from wagtailrill.core.request_models import LoadReport
 from wagtailrill.placement.dispatcher import Dispatcher, DispatcherParts
 from wagtailrill.placement.messages import (
@@ -75,13 +75,13 @@
     def slow_down_server(self, name: str, slowness: float) -> None:
         row = self.servers.rows[name]
         self.dispatcher.record_load(row, LoadReport(0, 0, 2, slowness))
-        advance(self.ctx, 0.2)
+        advance_time(self.ctx, 0.2)
         self.dispatcher.record_load(row, LoadReport(0, 0, 2, slowness))
 
 
 def test_requests_fill_the_slots_and_then_wait():
     """Guards against requests that wait at one server while another has a free slot."""
-    harness = DispatcherHarness(entry("s-1"), entry("s-2"))
+    harness = DispatcherHarness(make_server_entry("s-1"), make_server_entry("s-2"))
     numbers = [harness.send_request() for _ in range(5)]
     placed = [harness.get_server(n) for n in numbers[:4]]
     assert sorted(placed) == ["s-1", "s-1", "s-2", "s-2"]
@@ -92,7 +92,7 @@
 
 def test_more_urgent_request_is_placed_first():
     """Guards against urgent requests that wait behind less urgent ones."""
-    harness = DispatcherHarness(entry("s-1"))
+    harness = DispatcherHarness(make_server_entry("s-1"))
     running = [harness.send_request(), harness.send_request()]
     later = harness.send_request(priority=2)
     urgent = harness.send_request(priority=0)
@@ -107,10 +107,10 @@
     A request that can no longer reach its target latency must not delay those that
     can, but it gets a slot that no other request needs.
     """
-    harness = DispatcherHarness(entry("s-1"))
+    harness = DispatcherHarness(make_server_entry("s-1"))
     running = [harness.send_request(), harness.send_request()]
     late = harness.send_request()
-    advance(harness.ctx, 0.25)
+    advance_time(harness.ctx, 0.25)
     harness.dispatcher.tick()
     assert harness.get_verdict(late) is PlaceVerdict.QUEUED
     fresh = harness.send_request(priority=2)
@@ -122,11 +122,11 @@
 
 def test_request_that_cannot_end_in_time_is_refused_before_its_deadline():
     """Guards against holding a request until its caller gives up."""
-    harness = DispatcherHarness(entry("s-1"))
+    harness = DispatcherHarness(make_server_entry("s-1"))
     _ = [harness.send_request(), harness.send_request()]
     late = harness.send_request(left_s=0.8)
     for _ in range(8):
-        advance(harness.ctx, 0.1)
+        advance_time(harness.ctx, 0.1)
         harness.dispatcher.tick()
     assert harness.get_verdict(late) is PlaceVerdict.REFUSED
     assert harness.answers[late].retry_after_s > 0.0
@@ -134,7 +134,7 @@
 
 def test_request_beyond_what_can_be_served_in_time_is_refused_at_once():
     """Guards against a queue that grows longer than can be served in time."""
-    harness = DispatcherHarness(entry("s-1"))
+    harness = DispatcherHarness(make_server_entry("s-1"))
     verdicts = [harness.get_verdict(harness.send_request()) for _ in range(60)]
     assert verdicts[-1] is PlaceVerdict.REFUSED
     assert verdicts.count(PlaceVerdict.QUEUED) < 30
@@ -147,7 +147,7 @@
     wait for that server was too long. This caused 3,235 of 3,289 refusals on the day
     trouble-2 of pcb-gate.
     """
-    harness = DispatcherHarness(entry("fast"), entry("slow"))
+    harness = DispatcherHarness(make_server_entry("fast"), make_server_entry("slow"))
     harness.slow_down_server("slow", 4.0)
     for _ in range(40):
         number = harness.send_request()
@@ -164,12 +164,12 @@
     On the day trouble-2 of pcb-gate seven servers lost a third of their answers. Each
     was rated by the age of its oldest request, so none of them got new requests.
     """
-    harness = DispatcherHarness(entry("s-1", slots=3))
+    harness = DispatcherHarness(make_server_entry("s-1", slots=3))
     numbers = [harness.send_request(left_s=2.0)]  # its answer is lost
     for _ in range(10):
         numbers.append(harness.send_request())
         numbers.append(harness.send_request())
-        advance(harness.ctx, 0.1)
+        advance_time(harness.ctx, 0.1)
         harness.dispatcher.tick()
         harness.end_request(numbers[-1])
         harness.end_request(numbers[-2])
@@ -180,7 +180,9 @@
 
 def test_keyed_request_waits_only_for_the_owner_of_its_key():
     """Guards against sending a keyed request to a server that does not own the key."""
-    harness = DispatcherHarness(entry("s-1"), entry("s-2"), owners={7: "s-1"})
+    harness = DispatcherHarness(
+        make_server_entry("s-1"), make_server_entry("s-2"), owners={7: "s-1"}
+    )
     numbers = [harness.send_request(key_position=7) for _ in range(4)]
     assert {harness.get_server(n) for n in numbers[:3]} == {"s-1"}
     assert harness.get_verdict(numbers[3]) is PlaceVerdict.QUEUED
@@ -192,7 +194,7 @@
     On the day trouble-2 of pcb-gate 596 night-summary requests were refused, half of
     them at once, because other requests already used the owner's whole rate.
     """
-    harness = DispatcherHarness(entry("s-1"), owners={7: "s-1"})
+    harness = DispatcherHarness(make_server_entry("s-1"), owners={7: "s-1"})
     numbers = [
         harness.send_request(key_position=7, target_s=0.8, left_s=1.6)
         for _ in range(12)
@@ -200,14 +202,14 @@
     verdicts = [harness.get_verdict(n) for n in numbers]
     assert verdicts[3:] == [PlaceVerdict.QUEUED] * 9
     for _ in range(4):
-        advance(harness.ctx, 0.1)
+        advance_time(harness.ctx, 0.1)
         harness.dispatcher.tick()
     assert PlaceVerdict.REFUSED not in [harness.get_verdict(n) for n in numbers]
 
 
 def test_request_for_a_moving_key_waits_for_a_short_move():
     """Guards against refusals while a key has no owner for a short time."""
-    harness = DispatcherHarness(entry("s-1"), unowned_s=0.3)
+    harness = DispatcherHarness(make_server_entry("s-1"), unowned_s=0.3)
     number = harness.send_request(key_position=7)
     assert harness.get_verdict(number) is PlaceVerdict.QUEUED
     harness.owners[7] = "s-1"
@@ -217,7 +219,7 @@
 
 def test_request_for_a_key_long_without_owner_is_told_when_to_retry():
     """Guards against holding callers until the grant of a lost owner expires."""
-    harness = DispatcherHarness(entry("s-1"), unowned_s=2.8)
+    harness = DispatcherHarness(make_server_entry("s-1"), unowned_s=2.8)
     number = harness.send_request(key_position=7)
     answer = harness.answers[number]
     assert answer.verdict is PlaceVerdict.MOVING
@@ -226,7 +228,7 @@
 
 def test_extra_attempt_needs_a_free_slot_at_once():
     """Guards against hedges that are queued."""
-    harness = DispatcherHarness(entry("s-1"))
+    harness = DispatcherHarness(make_server_entry("s-1"))
     first = harness.send_request()
     extra = harness.send_request(extra=True, excluded=("s-1",))
     assert harness.get_server(first) == "s-1"
@@ -237,9 +239,9 @@
 
 def test_unreported_end_frees_the_slot_after_the_deadline():
     """Guards against losing the slots of an instance that never reports the ends."""
-    harness = DispatcherHarness(entry("s-1"))
+    harness = DispatcherHarness(make_server_entry("s-1"))
     _ = [harness.send_request(left_s=0.5), harness.send_request(left_s=0.5)]
-    advance(harness.ctx, 1.1)
+    advance_time(harness.ctx, 1.1)
     harness.dispatcher.tick()
     assert harness.get_verdict(harness.send_request()) is PlaceVerdict.PLACED
 
@@ -250,7 +252,9 @@
     Each end of a request tried every queued request on every server, which took
     milliseconds.
     """
-    harness = DispatcherHarness(*(entry(f"s-{n}", slots=6) for n in range(20)))
+    harness = DispatcherHarness(
+        *(make_server_entry(f"s-{n}", slots=6) for n in range(20))
+    )
     numbers = [harness.send_request(left_s=60.0, target_s=50.0) for _ in range(600)]
     search_count = 0
     find_options = harness.dispatcher._find_options
@@ -273,13 +277,15 @@
     pcb-gate 363 requests of 8 seconds without faults were thus started only 0.1 s
     before their deadline.
     """
-    harness = DispatcherHarness(entry("fast", slots=4), entry("slow", slots=200))
+    harness = DispatcherHarness(
+        make_server_entry("fast", slots=4), make_server_entry("slow", slots=200)
+    )
     harness.slow_down_server("slow", 3.0)
     numbers = [harness.send_request() for _ in range(40)]
     assert sum(harness.get_verdict(n) is PlaceVerdict.QUEUED for n in numbers) > 4
     # Urgent requests keep waiting for the fast server, while the others become late.
     for _ in range(6):
-        advance(harness.ctx, 0.03)
+        advance_time(harness.ctx, 0.03)
         _ = [harness.send_request(priority=0) for _ in range(6)]
         harness.dispatcher.tick()
     assert {harness.get_verdict(n) for n in numbers} == {PlaceVerdict.PLACED}
--- a/tests/platform/test_store_client.py
+++ b/tests/platform/test_store_client.py
@@ -80,7 +80,7 @@
 
     async def scenario(app, store):
         for number in range(700):
-            app.write(f"s/{number:04}", b"x")
+            app.write_key(f"s/{number:04}", b"x")
         keys, after_key = [], ""
         while True:
             page = (await store.async_call(ListPrefix("s/", after_key))).ok
@@ -97,8 +97,8 @@
 
     async def scenario(app, store):
         first_revision = (await store.async_call(make_put_commit("a/1"))).ok.revision
-        app.write("a/2", b"x")
-        app.write("a/1", None)
+        app.write_key("a/2", b"x")
+        app.write_key("a/1", None)
         return (await store.async_call(WatchPrefix("a/", first_revision, 1.0))).ok
 
     changes = run_scenario(scenario)
@@ -115,7 +115,7 @@
 
             async def async_write_change():
                 await anyio.sleep(0.1)
-                app.write("a/2", b"x")
+                app.write_key("a/2", b"x")
 
             tasks.start_soon(async_write_change)
             with anyio.fail_after(2.0):
@@ -130,8 +130,8 @@
 
     async def scenario(app, store):
         revision = (await store.async_call(make_put_commit("a/1"))).ok.revision
-        app.write("a/2", b"x")
-        app.model.forget_history()
+        app.write_key("a/2", b"x")
+        app.model.compact_history()
         return (await store.async_call(WatchPrefix("a/", revision, 0.1))).error
 
     assert run_scenario(scenario).kind is StoreErrorKind.COMPACTED
@@ -171,8 +171,8 @@
 @pytest.mark.parametrize(
     ("outage", "kind"),
     [
-        (Outage.BUSY, StoreErrorKind.REFUSED),
-        (Outage.MANY, StoreErrorKind.REFUSED),
+        (Outage.UNAVAILABLE, StoreErrorKind.REFUSED),
+        (Outage.TOO_MANY_REQUESTS, StoreErrorKind.REFUSED),
         (Outage.SILENT, StoreErrorKind.NO_ANSWER),
     ],
 )
@@ -204,9 +204,9 @@
     """Guards against a client that detects only an outage for all clients."""
 
     async def scenario(app, store):
-        app.faults = StoreFaults(outage=Outage.BUSY, clients=("127.0.0.1",))
+        app.faults = StoreFaults(outage=Outage.UNAVAILABLE, clients=("127.0.0.1",))
         is_refused = (await store.async_call(Get("a"))).is_error()
-        app.faults = StoreFaults(outage=Outage.BUSY, clients=("10.0.0.1",))
+        app.faults = StoreFaults(outage=Outage.UNAVAILABLE, clients=("10.0.0.1",))
         return is_refused, (await store.async_call(Get("a"))).is_ok()
 
     assert run_scenario(scenario) == (True, True)
--- a/tests/rates/test_rates.py
+++ b/tests/rates/test_rates.py
@@ -11,7 +11,7 @@
 @pytest.fixture
 def run():
     deployment = Deployment(21)
-    deployment.start()
+    deployment.start_all()
     deployment.fleet.run_until(deployment.now_s + 3.0)
     return deployment
 
@@ -20,7 +20,9 @@
     """Send requests at an even rate to the instances in turn; return the calls."""
     calls, end_s, number = [], run.now_s + duration_s, 0
     while run.now_s < end_s:
-        calls.append(run.call(names[number % len(names)], organisation=organisation))
+        calls.append(
+            run.send_request(names[number % len(names)], organisation=organisation)
+        )
         number += 1
         run.fleet.run_until(run.now_s + 1.0 / rate_per_s)
     run.fleet.run_until(run.now_s + 1.0)
@@ -45,36 +47,36 @@
 
 def test_organisation_far_above_its_rate_stays_within_the_bound(run):
     """Guards against an organisation that gets its full rate at every instance."""
-    send_requests(run, 8.0, 200.0, run.names)
+    send_requests(run, 8.0, 200.0, run.instance_names)
     assert count_most_in_window(run) <= RATES.compute_bound(ORGANISATIONS["busy"])
 
 
 def test_bound_holds_when_the_issuer_is_lost(run):
     """Guards against a successor that issues its predecessor's tokens again."""
-    send_requests(run, 3.0, 200.0, run.names)
+    send_requests(run, 3.0, 200.0, run.instance_names)
     issuers = [
         n
-        for n in run.names
-        if any(map(_is_issuing_duty, run.router(n).duties.list_held()))
+        for n in run.instance_names
+        if any(map(_is_issuing_duty, run.get_router(n).duties.list_held()))
     ]
-    run.kill(issuers[0])
-    rest = [n for n in run.names if n != issuers[0]]
+    run.kill_instance(issuers[0])
+    rest = [n for n in run.instance_names if n != issuers[0]]
     send_requests(run, 6.0, 200.0, rest)
     assert count_most_in_window(run) <= RATES.compute_bound(ORGANISATIONS["busy"])
 
 
 def test_bound_holds_while_instances_cannot_reach_each_other(run):
     """Guards against isolated instances that exceed the bound together."""
-    run.fleet.partition({"i-1"})
-    run.fleet.partition({"i-2"})
-    send_requests(run, 8.0, 200.0, run.names)
+    run.fleet.isolate_instances({"i-1"})
+    run.fleet.isolate_instances({"i-2"})
+    send_requests(run, 8.0, 200.0, run.instance_names)
     assert count_most_in_window(run) <= RATES.compute_bound(ORGANISATIONS["busy"])
 
 
 def test_isolated_instance_admits_its_own_share(run):
     """Guards against an instance that refuses all requests without an issuer."""
-    for name in run.names[1:]:
-        run.fleet.cut("i-1", name)
+    for name in run.instance_names[1:]:
+        run.fleet.cut_link("i-1", name)
     calls = send_requests(run, 4.0, 2.0, ["i-1"], organisation="calm")
     assert sum(c.answered for c in calls) >= len(calls) * 0.7
 
@@ -89,12 +91,12 @@
     Buckets of a new issuer start empty unless a full start is allowed. On trouble-2 of
     pcb-gate, 746 answers were 429 in the second after such a loss.
     """
-    send_requests(run, 6.0, ALLOWED_PER_S, run.names)
-    for name in run.names:
-        run.kill(name)
+    send_requests(run, 6.0, ALLOWED_PER_S, run.instance_names)
+    for name in run.instance_names:
+        run.kill_instance(name)
     run.fleet.run_until(run.now_s + 3.0)
-    for name in run.names:
-        run.fleet.start(name)
+    for name in run.instance_names:
+        run.fleet.start_instance(name)
     run.fleet.run_until(run.now_s + 1.0)
     calls = send_requests(run, 2.0, 5.0, ["i-1", "i-2"])
     refused = [c for c in calls if c.refusal and c.refusal.status == 429]
@@ -112,11 +114,11 @@
         }
         send_requests(run, 0.5, 200.0, list(run.fleet.nodes))
         for name in issuers:
-            run.kill(name)
-            run.fleet.start(name)
+            run.kill_instance(name)
+            run.fleet.start_instance(name)
     send_requests(run, 4.0, 200.0, list(run.fleet.nodes))
     assert count_most_in_window(run) <= RATES.compute_bound(ORGANISATIONS["busy"])
 
 
 def get_held_duties(run, name):
-    return run.router(name).duties.list_held()
+    return run.get_router(name).duties.list_held()
--- a/tests/retries/test_extra_attempts.py
+++ b/tests/retries/test_extra_attempts.py
@@ -2,7 +2,7 @@
 
 from hypothesis import given, strategies as st
 
-from tests.support import advance, make_context
+from tests.support import advance_time, make_context
 from wagtailrill.declaration.models import Configuration, Declaration, Service
 from wagtailrill.retries.extra_attempts import ExtraAttemptBudget, ExtraAttemptSettings
 
@@ -34,7 +34,7 @@
     ctx, extra = make_extra_attempts()
     requests_s, extras_s = [], []
     for kind, pause_s in steps:
-        advance(ctx, pause_s)
+        advance_time(ctx, pause_s)
         if kind == "request":
             extra.count_request("roll")
             requests_s.append(ctx.now_s)
--- a/tests/runs/deployment.py
+++ b/tests/runs/deployment.py
@@ -104,7 +104,7 @@
         declarations: dict[bytes, Declaration] | None = None,
     ) -> None:
         self.rng = random.Random(seed)
-        self.logs: list[tuple[float, str, LogEvent]] = []
+        self.log_lines: list[tuple[float, str, LogEvent]] = []
         self.calls: dict[str, Call] = {}
         self.violations: list[str] = []
         self._configuration_decoder = NamedDeclarations(
@@ -116,22 +116,22 @@
         self.servers = VirtualServers(self.fleet, seed + 2)
         self.servers.on_execution = self._check_key_owner
         for cls in (AnswerRequest, RefuseRequest, ReplayAnswer):
-            self.fleet.on_command(cls, self._record_answer)
-        self.fleet.on_command(LogEvent, self._record_log_line)
-        self.names = [f"i-{number}" for number in range(1, instances + 1)]
+            self.fleet.register_handler(cls, self._record_answer)
+        self.fleet.register_handler(LogEvent, self._record_log_line)
+        self.instance_names = [f"i-{number}" for number in range(1, instances + 1)]
 
     @property
     def now_s(self) -> float:
         """Virtual time in seconds."""
         return self.fleet.now_s
 
-    def start(
+    def start_all(
         self, servers_per_service: int = 4, declaration_name: bytes = b"first"
     ) -> None:
         """Start instances and servers, and let 6 s of virtual time pass."""
-        self.fleet.store.model.put(CONFIG_KEY, declaration_name)
-        for instance in self.names:
-            self.fleet.start(instance)
+        self.fleet.store.model.put_item(CONFIG_KEY, declaration_name)
+        for instance in self.instance_names:
+            self.fleet.start_instance(instance)
         for number in range(servers_per_service):
             for service in ("roll", "box"):
                 self.add_server(service, number)
@@ -146,22 +146,22 @@
             cold_s=cold_s,
             service_time_s=0.02,
         )
-        self.servers.add(cfg, DATA_CENTRES[number % len(DATA_CENTRES)])
+        self.servers.add_server(cfg, DATA_CENTRES[number % len(DATA_CENTRES)])
 
-    def kill(self, name: str) -> None:
+    def kill_instance(self, name: str) -> None:
         """Kill an instance; its open requests are lost."""
-        self.fleet.kill(name)
+        self.fleet.kill_instance(name)
         for (instance, _, _), call in list(self._open_calls.items()):
             if instance == name:
                 call.lost = True
 
-    def router(self, name: str) -> Router:
+    def get_router(self, name: str) -> Router:
         """Return the router of an instance."""
         node = self.fleet.nodes[name].node
         assert isinstance(node, Router)
         return node
 
-    def call(
+    def send_request(
         self,
         instance: str,
         service: str = "box",
@@ -194,25 +194,25 @@
             credential=organisation.encode(),
             key_position=position if keyed else None,
         )
-        self.fleet.deliver(instance, RequestArrived(req), 0.0)
+        self.fleet.deliver_event(instance, RequestArrived(req), 0.0)
         return call
 
-    def leave(self, call: Call) -> None:
+    def disconnect_caller(self, call: Call) -> None:
         """Close the connection of the caller that waits for a request."""
         number = int(call.caller_request_id.removeprefix("c-"))
         call.lost = True
-        self.fleet.deliver(call.instance, CallerLeft(number), 0.0)
+        self.fleet.deliver_event(call.instance, CallerLeft(number), 0.0)
 
-    def load(self, rate_per_s: float, end_s: float) -> None:
+    def send_random_requests(self, rate_per_s: float, end_s: float) -> None:
         """Send random requests until `end_s`, at Poisson intervals."""
 
         def send_next() -> None:
             if self.now_s >= end_s:
                 return
-            running_names = [n for n in self.names if n in self.fleet.nodes]
+            running_names = [n for n in self.instance_names if n in self.fleet.nodes]
             if running_names:
                 service = self.rng.choice(("roll", "box"))
-                self.call(
+                self.send_request(
                     self.rng.choice(running_names),
                     service,
                     self.rng.choices(list(ORGANISATIONS), (3, 1))[0],
@@ -223,7 +223,7 @@
 
         self.fleet.call_later(0.0, send_next)
 
-    def executions_of(self, call: Call) -> list[Execution]:
+    def find_executions(self, call: Call) -> list[Execution]:
         """Return the executions of a request at backend servers."""
         return [
             e
@@ -231,14 +231,16 @@
             if e.caller_request_id == call.caller_request_id
         ]
 
-    def logged(self, event: str) -> Iterator[tuple[float, str, dict[str, object]]]:
+    def find_log_lines(
+        self, event: str
+    ) -> Iterator[tuple[float, str, dict[str, object]]]:
         """Yield time, instance and fields of the log lines of an event."""
-        for at_s, name, command in self.logs:
+        for at_s, name, command in self.log_lines:
             if command.event == event:
                 yield at_s, name, dict(command.fields)
 
     def _make_router(self, name: str, incarnation: int, rng: random.Random) -> Router:
-        number = self.names.index(name)
+        number = self.instance_names.index(name)
         data_centre = DATA_CENTRES[number % len(DATA_CENTRES)]
         cfg = RouterSettings(
             Identity(name, incarnation, data_centre),
@@ -257,7 +259,7 @@
 
     def _record_log_line(self, name: str, command: Command) -> None:
         assert isinstance(command, LogEvent)
-        self.logs.append((self.now_s, name, command))
+        self.log_lines.append((self.now_s, name, command))
 
     def _record_answer(self, name: str, command: Command) -> None:
         assert isinstance(command, AnswerRequest | RefuseRequest | ReplayAnswer)
@@ -283,7 +285,7 @@
         if execution.position is None:
             return
         other_holders = set(
-            self.servers.holders(execution.position, server.model.cfg.service)
+            self.servers.find_key_holders(execution.position, server.model.cfg.service)
         ) - {execution.server}
         if other_holders:
             self.violations.append(
--- a/tests/runs/faults.py
+++ b/tests/runs/faults.py
@@ -21,7 +21,7 @@
 
 
 def _choose_instance(run: Deployment) -> str | None:
-    running_names = [n for n in run.names if n in run.fleet.nodes]
+    running_names = [n for n in run.instance_names if n in run.fleet.nodes]
     return run.rng.choice(running_names) if len(running_names) > 1 else None
 
 
@@ -29,7 +29,7 @@
     """Crash a server, which restarts after up to 2 s."""
     server = _choose_server(run)
     if server is not None:
-        run.servers.crash(server, run.rng.uniform(0.1, 2.0))
+        run.servers.crash_server(server, run.rng.uniform(0.1, 2.0))
 
 
 def freeze_server(run: Deployment) -> None:
@@ -38,7 +38,7 @@
     if server is not None and not server.frozen:
         server.frozen = True
         run.fleet.call_later(
-            run.rng.uniform(0.3, 6.0), lambda: run.servers.unfreeze(server)
+            run.rng.uniform(0.3, 6.0), lambda: run.servers.unfreeze_server(server)
         )
 
 
@@ -50,7 +50,7 @@
     service = server.model.cfg.service
     names = [s.model.cfg.name for s in run.servers.by_name.values()]
     number = sum(name.startswith(service) for name in names)
-    run.servers.leave(server)
+    run.servers.drain_server(server)
     run.add_server(service, number + run.rng.randrange(100, 999), cold_s=2.0)
 
 
@@ -58,7 +58,9 @@
     """Make a server unreachable for some instances."""
     server = _choose_server(run)
     if server is not None:
-        names = run.rng.sample(run.names, run.rng.randint(1, len(run.names)))
+        names = run.rng.sample(
+            run.instance_names, run.rng.randint(1, len(run.instance_names))
+        )
         server.cut_instances |= set(names)
         run.fleet.call_later(run.rng.uniform(0.5, 5.0), server.cut_instances.clear)
 
@@ -91,24 +93,28 @@
     """Kill an instance, which restarts after up to 4 s."""
     name = _choose_instance(run)
     if name is not None:
-        run.kill(name)
-        run.fleet.call_later(run.rng.uniform(0.5, 4.0), lambda: run.fleet.start(name))
+        run.kill_instance(name)
+        run.fleet.call_later(
+            run.rng.uniform(0.5, 4.0), lambda: run.fleet.start_instance(name)
+        )
 
 
 def pause_instance(run: Deployment) -> None:
     """Pause an instance for up to 6 s."""
     name = _choose_instance(run)
     if name is not None and not run.fleet.nodes[name].paused:
-        run.fleet.pause(name)
-        run.fleet.call_later(run.rng.uniform(0.2, 6.0), lambda: run.fleet.resume(name))
+        run.fleet.pause_instance(name)
+        run.fleet.call_later(
+            run.rng.uniform(0.2, 6.0), lambda: run.fleet.resume_instance(name)
+        )
 
 
 def cut_instance(run: Deployment) -> None:
     """Drop all messages between an instance and the others."""
     name = _choose_instance(run)
     if name is not None:
-        run.fleet.partition({name})
-        run.fleet.call_later(run.rng.uniform(0.5, 6.0), run.fleet.heal)
+        run.fleet.isolate_instances({name})
+        run.fleet.call_later(run.rng.uniform(0.5, 6.0), run.fleet.restore_links)
 
 
 def lose_messages(run: Deployment) -> None:
@@ -140,7 +146,7 @@
     """Make the store unreachable for an instance."""
     name = _choose_instance(run)
     if name is not None:
-        unreachable = run.fleet.store.unreachable
+        unreachable = run.fleet.store.unreachable_instances
         unreachable.add(name)
         run.fleet.call_later(
             run.rng.uniform(0.5, 8.0), lambda: unreachable.discard(name)
@@ -162,9 +168,9 @@
 def close_data_centre(run: Deployment) -> None:
     """Close a data centre for up to 5 s."""
     key = CLOSED_PREFIX + "north"
-    run.fleet.store.model.put(key, b"")
+    run.fleet.store.model.put_item(key, b"")
     run.fleet.call_later(
-        run.rng.uniform(1.0, 5.0), lambda: run.fleet.store.model.remove(key)
+        run.rng.uniform(1.0, 5.0), lambda: run.fleet.store.model.remove_item(key)
     )
 
 
--- a/tests/runs/random_run.py
+++ b/tests/runs/random_run.py
@@ -36,8 +36,8 @@
 ) -> RunResult:
     """Run a deployment with 1 to 8 random faults of the given names."""
     deployment = Deployment(seed)
-    deployment.start()
-    deployment.load(LOAD_PER_S, END_S - 2.0)
+    deployment.start_all()
+    deployment.send_random_requests(LOAD_PER_S, END_S - 2.0)
     planned_faults = sorted(
         (
             deployment.rng.uniform(FAULTS_START_S, FAULTS_END_S),
--- a/tests/servers/test_load.py
+++ b/tests/servers/test_load.py
@@ -2,7 +2,7 @@
 
 import pytest
 
-from tests.support import advance, entry, make_context, make_table
+from tests.support import advance_time, make_context, make_server_entry, make_table
 from wagtailrill.core.request_models import AttemptOutcome, LoadReport
 from wagtailrill.servers.load import LoadTable
 
@@ -11,7 +11,7 @@
 
 def make_load_table(*names):
     ctx = make_context()
-    table = make_table(ctx, *(entry(name) for name in names))
+    table = make_table(ctx, *(make_server_entry(name) for name in names))
     loads = LoadTable(ctx)
     return ctx, loads, [loads.get_load(table.rows[name]) for name in names]
 
@@ -22,7 +22,7 @@
     for _ in range(15):
         loads.record_end(usual, ANSWERED, 0.15, None)
         loads.record_end(slow, ANSWERED, 1.5, None)
-        advance(ctx, 0.05)
+        advance_time(ctx, 0.05)
     assert loads.estimate_latency_s(slow) > 4.0 * loads.estimate_latency_s(usual)
 
 
@@ -49,7 +49,7 @@
     ctx, loads, (load,) = make_load_table("s-1")
     for _ in range(30):
         loads.record_end(load, ANSWERED, 0.45, LoadReport(0, 0, 2, 3.0))
-        advance(ctx, 0.2)
+        advance_time(ctx, 0.2)
     assert load.compute_unreported_slowness(ctx.now_s) == pytest.approx(1.0, rel=0.1)
     assert loads.estimate_latency_s(load) == pytest.approx(0.45, rel=0.2)
 
@@ -59,7 +59,7 @@
     ctx, loads, (slow,) = make_load_table("slow")
     for _ in range(15):
         loads.record_end(slow, ANSWERED, 3.0, None)
-    advance(ctx, 30.0)
+    advance_time(ctx, 30.0)
     assert slow.compute_unreported_slowness(ctx.now_s) == pytest.approx(1.0, abs=0.05)
 
 
@@ -77,7 +77,7 @@
     for _ in range(4):
         loads.record_end(load, AttemptOutcome.CONNECT_FAILED, 0.0, None)
         suspect_durations_s.append(load.suspect_until_s - ctx.now_s)
-        advance(ctx, suspect_durations_s[-1])
+        advance_time(ctx, suspect_durations_s[-1])
         assert not load.is_suspect(ctx.now_s)
     assert suspect_durations_s == sorted(suspect_durations_s)
     assert suspect_durations_s[-1] > suspect_durations_s[0]
--- a/tests/servers/test_relay.py
+++ b/tests/servers/test_relay.py
@@ -14,12 +14,12 @@
 @pytest.fixture
 def run():
     deployment = Deployment(51, instances=6)
-    deployment.start()
+    deployment.start_all()
     return deployment
 
 
 def find_reader(run):
-    (name,) = [n for n in run.fleet.nodes if run.router(n).duties.holds("servers")]
+    (name,) = [n for n in run.fleet.nodes if run.get_router(n).duties.holds("servers")]
     return name
 
 
@@ -34,14 +34,14 @@
             counts[name] += 1
         original_handler(name, command)
 
-    run.fleet.on_command(CallStore, count_list_call)
+    run.fleet.register_handler(CallStore, count_list_call)
     run.fleet.run_until(run.now_s + seconds)
-    run.fleet.on_command(CallStore, original_handler)
+    run.fleet.register_handler(CallStore, original_handler)
     return counts
 
 
 def knows_server_leaves(run, name, server):
-    row = run.router(name).servers.rows.get(server)
+    row = run.get_router(name).servers.rows.get(server)
     return row is None or row.entry.state is ServerState.LEAVING
 
 
@@ -62,42 +62,44 @@
 
 def test_leaving_server_is_known_everywhere_in_time(run):
     """Guards against instances that use a leaving server for too long."""
-    run.servers.leave(run.servers.by_name["box-1-1"])
-    assert measure_propagation_s(run, run.names, "box-1-1") < PROPAGATION_MAX_S
+    run.servers.drain_server(run.servers.by_name["box-1-1"])
+    assert measure_propagation_s(run, run.instance_names, "box-1-1") < PROPAGATION_MAX_S
 
 
 def test_instance_cut_off_from_the_reader_reads_the_store(run):
     """Guards against entries that go stale while an instance waits for the reader."""
-    name = next(n for n in run.names if n != find_reader(run))
-    run.fleet.partition({name})
+    name = next(n for n in run.instance_names if n != find_reader(run))
+    run.fleet.isolate_instances({name})
     run.fleet.run_until(run.now_s + 3.0)
-    run.servers.leave(run.servers.by_name["box-1-1"])
+    run.servers.drain_server(run.servers.by_name["box-1-1"])
     assert measure_propagation_s(run, [name], "box-1-1") < PROPAGATION_MAX_S
 
 
 def test_loss_of_the_reader_delays_no_change(run):
     """Guards against changes that stay unknown until another instance is the reader."""
     lost = find_reader(run)
-    run.kill(lost)
+    run.kill_instance(lost)
     run.fleet.run_until(run.now_s + 0.3)
-    run.servers.leave(run.servers.by_name["box-1-1"])
-    rest = [n for n in run.names if n != lost]
+    run.servers.drain_server(run.servers.by_name["box-1-1"])
+    rest = [n for n in run.instance_names if n != lost]
     assert measure_propagation_s(run, rest, "box-1-1") < PROPAGATION_MAX_S
 
 
 def test_reader_without_the_store_does_not_delay_the_others(run):
     """Guards against instances that rely on a list that is no longer confirmed."""
-    run.fleet.store.unreachable.add(find_reader(run))
+    run.fleet.store.unreachable_instances.add(find_reader(run))
     run.fleet.run_until(run.now_s + 1.0)
-    run.servers.leave(run.servers.by_name["box-1-1"])
-    rest = [n for n in run.names if n not in run.fleet.store.unreachable]
+    run.servers.drain_server(run.servers.by_name["box-1-1"])
+    rest = [
+        n for n in run.instance_names if n not in run.fleet.store.unreachable_instances
+    ]
     assert measure_propagation_s(run, rest, "box-1-1") < PROPAGATION_MAX_S
 
 
 def test_doubt_ends_with_the_next_relayed_entry(run):
     """Guards against a server that stays cold where entries come from the reader."""
-    name = next(n for n in run.names if n != find_reader(run))
-    router = run.router(name)
+    name = next(n for n in run.instance_names if n != find_reader(run))
+    router = run.get_router(name)
     row = router.servers.rows["box-1-1"]
     row.doubted_revision = row.entry.revision
     run.fleet.run_until(run.now_s + 3.0)
@@ -106,10 +108,10 @@
 
 def test_restarted_server_gets_a_new_row_everywhere(run):
     """Guards against a new process that inherits the keys and load of the old one."""
-    before = {n: run.router(n).servers.rows["box-1-1"] for n in run.names}
-    run.servers.crash(run.servers.by_name["box-1-1"], 0.2)
+    before = {n: run.get_router(n).servers.rows["box-1-1"] for n in run.instance_names}
+    run.servers.crash_server(run.servers.by_name["box-1-1"], 0.2)
     run.fleet.run_until(run.now_s + 3.0)
     for name, row in before.items():
-        names = {r.name for r in run.router(name).servers.rows_by_service["box"]}
-        assert run.router(name).servers.rows.get("box-1-1") is not row
+        names = {r.name for r in run.get_router(name).servers.rows_by_service["box"]}
+        assert run.get_router(name).servers.rows.get("box-1-1") is not row
         assert len(names) == 4
--- a/tests/stand_ins/test_store.py
+++ b/tests/stand_ins/test_store.py
@@ -51,7 +51,7 @@
             faults = json.dumps({"outage": outage}).encode()
             await async_send_request(address, "PUT", FAULTS_PATH, faults)
             answer_status = await async_send_request(address, "POST", "/kv-txn", b"{}")
-        assert (answer_status, app.model.items()) == (status, [])
+        assert (answer_status, app.model.list_items()) == (status, [])
 
     anyio.run(async_main)
 
@@ -66,7 +66,7 @@
             await async_send_request(address, "PUT", FAULTS_PATH, silent)
             content = b'{"key": "op/a", "value": "eA=="}'
             assert await async_send_request(address, "PUT", WRITE_PATH, content) == 200
-        return app.model.items()
+        return app.model.list_items()
 
     (item,) = anyio.run(async_main)
     assert (item.key, item.value) == ("op/a", b"x")
@@ -109,6 +109,6 @@
         async with async_serve(app) as address:
             content = json.dumps(body).encode()
             assert await async_send_request(address, "POST", "/kv-txn", content) == 403
-        assert app.model.items() == []
+        assert app.model.list_items() == []
 
     anyio.run(async_main)
--- a/tests/stand_ins/test_virtual_fleet.py
+++ b/tests/stand_ins/test_virtual_fleet.py
@@ -27,8 +27,8 @@
         return host
 
     fleet = VirtualFleet(factory, seed)
-    fleet.start("a")
-    fleet.start("b")
+    fleet.start_instance("a")
+    fleet.start_instance("b")
     return fleet
 
 
@@ -36,10 +36,10 @@
     """Guards against partitions that let messages through."""
     received = []
     fleet = make_fleet(received)
-    fleet.cut("a", "b")
+    fleet.cut_link("a", "b")
     fleet.run_until(2.0)
     assert received == []
-    fleet.heal()
+    fleet.restore_links()
     fleet.run_until(4.0)
     assert {name for name, _ in received} == {"a", "b"}
 
@@ -48,10 +48,10 @@
     """Guards against a paused instance that handles or loses messages."""
     received = []
     fleet = make_fleet(received)
-    fleet.pause("b")
+    fleet.pause_instance("b")
     fleet.run_until(2.0)
     assert all(name == "a" for name, _ in received)
-    fleet.resume("b")
+    fleet.resume_instance("b")
     assert any(name == "b" for name, _ in received)
 
 
@@ -84,7 +84,7 @@
     for _ in range(50):
         fleet.call_later(0.001, lambda: fleet.nodes["a"].node.ctx.send("b", "x"))
     for step in range(50):
-        fleet.deliver("a", None, 0.001 + step * 1e-5)
+        fleet.deliver_event("a", None, 0.001 + step * 1e-5)
     fleet.run_until(1.0)
     assert fleet.nodes["b"].node.dropped_messages == 0
     assert len([1 for name, _ in received if name == "b"]) > 50
@@ -111,7 +111,7 @@
     """Guards against an instance that stops: a wake-up came one rounding step early."""
     for seed in range(1000):
         fleet = VirtualFleet(lambda name, incarnation, rng: TimerNode(rng), seed)
-        row = fleet.start("a")
+        row = fleet.start_instance("a")
         row.clock_offset_s = 0.0
         fleet.run_until(0.3)
         assert len(row.node.due_times_s) == 0
--- a/tests/store/test_mirror.py
+++ b/tests/store/test_mirror.py
@@ -2,7 +2,12 @@
 
 from expression import Error, Ok
 
-from tests.support import advance, logged, make_context, store_calls
+from tests.support import (
+    advance_time,
+    list_logged_events,
+    list_store_calls,
+    make_context,
+)
 from wagtailrill.store.mirror import MirrorSettings, PrefixMirror
 from wagtailrill.store.models import (
     Changes,
@@ -29,7 +34,7 @@
 
     def reply(self, cls, result):
         """Reply to the latest call with an operation of a class."""
-        call = store_calls(self.ctx, cls)[-1]
+        call = list_store_calls(self.ctx, cls)[-1]
         self.ctx.commands.clear()
         self.ctx.handle_store_reply(call.call_id, result)
         return call.operation
@@ -91,13 +96,13 @@
     harness = MirrorHarness()
     harness.reply(ListPrefix, make_page(make_item("op/a", 3)))
     harness.reply(WatchPrefix, make_error(StoreErrorKind.REFUSED))
-    lines_during_outage = logged(harness.ctx)
+    lines_during_outage = list_logged_events(harness.ctx)
     harness.reply(ListPrefix, make_error(StoreErrorKind.REFUSED))
     assert set(harness.mirror.items) == {"op/a"}
-    advance(harness.ctx, 1.0)
+    advance_time(harness.ctx, 1.0)
     harness.reply(ListPrefix, make_page(make_item("op/a", 3)))
     assert "store_watch_lost" in lines_during_outage
-    assert "store_watch_regained" in logged(harness.ctx)
+    assert "store_watch_regained" in list_logged_events(harness.ctx)
 
 
 def test_older_event_changes_nothing():
--- a/tests/support.py
+++ b/tests/support.py
@@ -17,18 +17,18 @@
     return ctx
 
 
-def advance(ctx: Context, seconds: float) -> None:
+def advance_time(ctx: Context, seconds: float) -> None:
     """Advance the clocks of a context and run the timers that are due."""
     ctx.set_time(ctx.now_s + seconds, ctx.wall_s + seconds)
     ctx.timers.advance(ctx.now_s)
 
 
-def logged(ctx: Context) -> list[str]:
+def list_logged_events(ctx: Context) -> list[str]:
     """Return the events of the queued log lines."""
     return [c.event for c in ctx.commands if isinstance(c, LogEvent)]
 
 
-def sent(ctx: Context, cls: type) -> list[object]:
+def list_sent_messages(ctx: Context, cls: type) -> list[object]:
     """Return the queued peer messages of a class."""
     return [
         c.envelope.message
@@ -37,7 +37,7 @@
     ]
 
 
-def store_calls(ctx: Context, cls: type) -> list[CallStore]:
+def list_store_calls(ctx: Context, cls: type) -> list[CallStore]:
     """Return the queued store calls with an operation of a class."""
     return [
         c
@@ -46,7 +46,7 @@
     ]
 
 
-def entry(name: str, service: str = "box", **fields: object) -> ServerEntry:
+def make_server_entry(name: str, service: str = "box", **fields: object) -> ServerEntry:
     """Return the entry of a backend server in data centre `north`."""
     values: dict[str, object] = {
         "name": name,
--- a/wagtailrill/stand_ins/faults.py
+++ b/wagtailrill/stand_ins/faults.py
@@ -19,8 +19,8 @@
 
     NONE = "none"
     SILENT = "silent"  # connections are accepted but never answered
-    BUSY = "busy"  # responds with status 503
-    MANY = "many"  # responds with status 429
+    UNAVAILABLE = "busy"  # responds with status 503
+    TOO_MANY_REQUESTS = "many"  # responds with status 429
 
 
 @attrs.frozen
--- a/wagtailrill/stand_ins/store.py
+++ b/wagtailrill/stand_ins/store.py
@@ -73,7 +73,7 @@
     StoreErrorKind.COMPACTED: 410,
     StoreErrorKind.INVALID: 400,
 }
-STATUS_BY_OUTAGE: Final = {Outage.BUSY: 503, Outage.MANY: 429}
+STATUS_BY_OUTAGE: Final = {Outage.UNAVAILABLE: 503, Outage.TOO_MANY_REQUESTS: 429}
 
 
 @attrs.frozen
@@ -129,12 +129,12 @@
         if answer is not None:
             await async_send_answer(send, answer)
 
-    def write(self, key: str, value: bytes | None) -> None:
+    def write_key(self, key: str, value: bytes | None) -> None:
         """Write a key, or remove it if `value` is None, without any condition."""
         if value is None:
-            self.model.remove(key)
+            self.model.remove_item(key)
         else:
-            self.model.put(key, value)
+            self.model.put_item(key, value)
         self._wake_watches()
 
     async def _async_answer_request(
@@ -173,7 +173,7 @@
             await self._async_wait_for_change(operation)
         if isinstance(operation, Commit) and _writes_reserved_key(operation):
             return HttpAnswer(403, {"error": "reserved"})
-        result = self.model.apply(operation, self._clock())
+        result = self.model.apply_operation(operation, self._clock())
         if isinstance(operation, Commit | LeaseRevoke):
             self._wake_watches()
         return _encode_result(operation, result)
@@ -181,8 +181,8 @@
     async def _async_wait_for_change(self, watch: WatchPrefix) -> None:
         end_s = self._clock() + min(watch.wait_s, WATCH_MAX_S)
         while (now_s := self._clock()) < end_s and self.faults.outage is Outage.NONE:
-            self.model.expire(now_s)
-            if self.model.revision_of_prefix(watch.prefix) > watch.after_revision:
+            self.model.expire_leases(now_s)
+            if self.model.get_prefix_revision(watch.prefix) > watch.after_revision:
                 return
             with anyio.move_on_after(min(WATCH_CHECK_INTERVAL_S, end_s - now_s)):
                 await self._change_event.wait()
@@ -195,7 +195,9 @@
         if request.path == WRITE_PATH:
             data = request.parse_json()
             value = data.get("value")
-            self.write(data["key"], None if value is None else base64.b64decode(value))
+            self.write_key(
+                data["key"], None if value is None else base64.b64decode(value)
+            )
             return HttpAnswer(200, {"rev": self.model.revision})
         if request.method == "PUT":
             match parse_faults(request.body):
--- a/wagtailrill/stand_ins/store_model.py
+++ b/wagtailrill/stand_ins/store_model.py
@@ -53,7 +53,7 @@
     """Keys with revisions, a history of changes, and leases that remove their keys.
 
     Callers pass in the time in seconds. A watch returns the changes so far without
-    waiting: its caller first waits until `revision_of_prefix` exceeds the revision
+    waiting: its caller first waits until `get_prefix_revision` exceeds the revision
     that the watch starts after.
     """
 
@@ -66,9 +66,9 @@
         self._leases: dict[int, _Lease] = {}
         self._lease_numbers = itertools.count(1)
 
-    def apply(self, operation: StoreOperation, now_s: float) -> StoreResult:
+    def apply_operation(self, operation: StoreOperation, now_s: float) -> StoreResult:
         """Execute an operation at a time and return its result."""
-        self.expire(now_s)
+        self.expire_leases(now_s)
         match operation:
             case Get(key):
                 return Ok(Found(self._items.get(key)))
@@ -92,7 +92,7 @@
                 self._drop_lease(lease_id)
                 return Ok(Revoked())
 
-    def expire(self, now_s: float) -> None:
+    def expire_leases(self, now_s: float) -> None:
         """Remove the leases that have expired, and their keys."""
         expired_ids = [
             n for n, lease in self._leases.items() if lease.expires_s <= now_s
@@ -105,25 +105,25 @@
         for lease in self._leases.values():
             lease.expires_s += duration_s
 
-    def forget_history(self) -> None:
+    def compact_history(self) -> None:
         """Compact the history: watches from before now get `COMPACTED`."""
         self._compacted_revision = self.revision
         self._history.clear()
 
-    def items(self, prefix: str = "") -> list[Item]:
+    def list_items(self, prefix: str = "") -> list[Item]:
         """Return the items whose keys have a prefix, sorted by key."""
         return [
             self._items[key] for key in sorted(self._items) if key.startswith(prefix)
         ]
 
-    def revision_of_prefix(self, prefix: str) -> int:
+    def get_prefix_revision(self, prefix: str) -> int:
         """Return the revision of the last change under a prefix, 0 if none is known."""
         for event in reversed(self._history):
             if event.key.startswith(prefix):
                 return event.revision
         return 0
 
-    def put(self, key: str, value: bytes, lease_id: int = 0) -> int:
+    def put_item(self, key: str, value: bytes, lease_id: int = 0) -> int:
         """Write a key unconditionally, as the operator does; return the revision."""
         self.revision += 1
         previous = self._items.get(key)
@@ -135,14 +135,14 @@
         self._history.append(item)
         return self.revision
 
-    def remove(self, key: str) -> None:
+    def remove_item(self, key: str) -> None:
         """Remove a key unconditionally."""
         if key in self._items:
             self.revision += 1
             self._remove_at_revision(key, self.revision)
 
     def _list_page(self, prefix: str, after: str) -> Listed:
-        found = [item for item in self.items(prefix) if item.key > after]
+        found = [item for item in self.list_items(prefix) if item.key > after]
         page = tuple(found[: self.page_max])
         return Listed(page, len(found) > self.page_max, self.revision)
 
@@ -204,4 +204,4 @@
             return
         lease_keys = [k for k, item in self._items.items() if item.lease_id == lease_id]
         for key in lease_keys:
-            self.remove(key)
+            self.remove_item(key)
--- a/wagtailrill/stand_ins/virtual_fleet.py
+++ b/wagtailrill/stand_ins/virtual_fleet.py
@@ -78,7 +78,7 @@
     def __init__(self, rng: random.Random) -> None:
         self.model = StoreModel()
         self.down = False
-        self.unreachable: set[str] = set()
+        self.unreachable_instances: set[str] = set()
         self.lost_answer_probability = 0.0
         self.late_s = 0.0
         self.latency_s = 0.002
@@ -87,7 +87,7 @@
 
     def is_reachable_from(self, instance: str) -> bool:
         """Return whether an instance can reach the store."""
-        return not self.down and instance not in self.unreachable
+        return not self.down and instance not in self.unreachable_instances
 
     def draw_answer_loss(self) -> bool:
         """Draw whether the answer of a call that takes effect is lost."""
@@ -123,11 +123,11 @@
         self._callback_queue: list[tuple[float, int, Callable[[], None]]] = []
         self._entry_numbers = itertools.count()
 
-    def on_command(self, cls: type, handler: CommandHandler) -> None:
+    def register_handler(self, cls: type, handler: CommandHandler) -> None:
         """Call `handler` with the instance's name and each command of type `cls`."""
         self._handlers[cls] = handler
 
-    def start(self, name: str, rate: float = 1.0) -> NodeRow:
+    def start_instance(self, name: str, rate: float = 1.0) -> NodeRow:
         """Start an instance's process; it replaces an earlier one of that name."""
         incarnation = next(self._incarnations)
         node = self._node_factory(name, incarnation, random.Random(self.rng.random()))
@@ -137,15 +137,15 @@
         self.call_later(0.0, lambda: self._start_node(row))
         return row
 
-    def kill(self, name: str) -> None:
+    def kill_instance(self, name: str) -> None:
         """Stop an instance at once, with the loss of its state."""
         self.nodes.pop(name, None)
 
-    def pause(self, name: str) -> None:
+    def pause_instance(self, name: str) -> None:
         """Pause an instance: its clock runs on but it handles nothing."""
         self.nodes[name].paused = True
 
-    def resume(self, name: str) -> None:
+    def resume_instance(self, name: str) -> None:
         """Resume a paused instance; it first handles the events that arrived."""
         row = self.nodes.get(name)
         if row is None or not row.paused:
@@ -156,17 +156,17 @@
             self._step_node(row, event)
         self._step_node(row, None)
 
-    def cut(self, first: str, second: str) -> None:
+    def cut_link(self, first: str, second: str) -> None:
         """Drop all messages between two instances."""
         self._cut_links.add(frozenset((first, second)))
 
-    def partition(self, isolated: set[str]) -> None:
+    def isolate_instances(self, isolated: set[str]) -> None:
         """Drop all messages between the isolated instances and the others."""
         for instance in isolated:
             for other in set(self.nodes) - isolated:
-                self.cut(instance, other)
+                self.cut_link(instance, other)
 
-    def heal(self) -> None:
+    def restore_links(self) -> None:
         """Deliver messages between all instances again."""
         self._cut_links.clear()
 
@@ -182,13 +182,15 @@
             callback()
         self.now_s = max(self.now_s, end_s)
 
-    def deliver(self, name: str, event: Event | None, delay_s: float) -> None:
+    def deliver_event(self, name: str, event: Event | None, delay_s: float) -> None:
         """Deliver an event, or a timer check if None, to an instance after a delay."""
         row = self.nodes.get(name)
         if row is not None:
-            self.deliver_to(row, event, delay_s)
+            self.deliver_to_process(row, event, delay_s)
 
-    def deliver_to(self, row: NodeRow, event: Event | None, delay_s: float) -> None:
+    def deliver_to_process(
+        self, row: NodeRow, event: Event | None, delay_s: float
+    ) -> None:
         """Deliver an event to one process after a delay, if it still runs then."""
         self.call_later(delay_s, lambda: self._step_node(row, event))
 
@@ -291,12 +293,12 @@
             )
             self.call_later(STORE_TIMEOUT_S, lambda: self._step_node(row, no_answer))
             return
-        result = self.store.model.apply(operation, self.now_s)
+        result = self.store.model.apply_operation(operation, self.now_s)
         reply = StoreReplied(call_id, result)
         self.call_later(return_delay_s, lambda: self._step_node(row, reply))
 
     def _apply_late(self, operation: StoreOperation) -> None:
-        self.store.model.apply(operation, self.now_s)
+        self.store.model.apply_operation(operation, self.now_s)
 
     def _poll_watch(
         self, row: NodeRow, call_id: int, watch: WatchPrefix, end_s: float
@@ -307,8 +309,8 @@
             self._step_node(row, StoreReplied(call_id, Error(NO_ANSWER)))
             return
         model = self.store.model
-        model.expire(self.now_s)
-        result = model.apply(watch, self.now_s)
+        model.expire_leases(self.now_s)
+        result = model.apply_operation(watch, self.now_s)
         changed = result.is_error() or bool(result.ok.events)  # type: ignore[union-attr]
         if changed or self.now_s >= end_s:
             self._step_node(row, StoreReplied(call_id, result))
--- a/wagtailrill/stand_ins/virtual_servers.py
+++ b/wagtailrill/stand_ins/virtual_servers.py
@@ -110,11 +110,11 @@
         self._rng = random.Random(seed)
         self._heartbeat_s = heartbeat_s
         self._exchanges_by_attempt: dict[tuple[NodeRow, int], Exchange] = {}
-        fleet.on_command(SendBackendRequest, self._send_request)
-        fleet.on_command(CallBackend, self._call_server)
-        fleet.on_command(CancelAttempt, self._cancel_attempt)
+        fleet.register_handler(SendBackendRequest, self._send_request)
+        fleet.register_handler(CallBackend, self._call_server)
+        fleet.register_handler(CancelAttempt, self._cancel_attempt)
 
-    def add(self, cfg: ServerModelSettings, data_centre: str) -> VirtualServer:
+    def add_server(self, cfg: ServerModelSettings, data_centre: str) -> VirtualServer:
         """Start a server, which writes its entry to the store at once."""
         rng = random.Random(self._rng.random())
         model = ServerModel(cfg, rng, self.fleet.now_s)
@@ -123,7 +123,7 @@
         self._run_heartbeat(server)
         return server
 
-    def crash(self, server: VirtualServer, down_s: float | None = None) -> None:
+    def crash_server(self, server: VirtualServer, down_s: float | None = None) -> None:
         """Crash a server's process; restart it after `down_s` seconds, if given."""
         server.down = True
         for exchange in list(server.exchanges):
@@ -132,7 +132,7 @@
         if down_s is not None:
             self.fleet.call_later(down_s, lambda: self._restart_server(server))
 
-    def leave(self, server: VirtualServer, after_s: float = 2.5) -> None:
+    def drain_server(self, server: VirtualServer, after_s: float = 2.5) -> None:
         """Let a server report that it is draining; stop it after `after_s` seconds."""
         server.model.leaving = True
         self._write_heartbeat(server)
@@ -140,18 +140,18 @@
         def end() -> None:
             server.down = True
             server.announced = False
-            self.fleet.store.model.remove(_get_store_key(server))
+            self.fleet.store.model.remove_item(_get_store_key(server))
 
         self.fleet.call_later(after_s, end)
 
-    def unfreeze(self, server: VirtualServer) -> None:
+    def unfreeze_server(self, server: VirtualServer) -> None:
         """Unfreeze a server; it first handles what arrived during the freeze."""
         server.frozen = False
         held_callbacks, server.held_callbacks = server.held_callbacks, []
         for callback in held_callbacks:
             callback()
 
-    def holders(self, position: int, service: str) -> list[str]:
+    def find_key_holders(self, position: int, service: str) -> list[str]:
         """Return the names of running servers that hold the key at a position now."""
         return [
             name
@@ -185,13 +185,15 @@
             "seq": round(self.fleet.now_s * 1000),
             "born": round(model.started_s * 1000),
         }
-        self.fleet.store.model.put(_get_store_key(server), json.dumps(entry).encode())
+        self.fleet.store.model.put_item(
+            _get_store_key(server), json.dumps(entry).encode()
+        )
 
     def _restart_server(self, server: VirtualServer) -> None:
         previous_id = server.model.server_id
         server.model.restart(self.fleet.now_s)
         server.down = False
-        self.fleet.store.model.remove(f"servers/{previous_id}")
+        self.fleet.store.model.remove_item(f"servers/{previous_id}")
         del self.by_name[previous_id]
         self.by_name[server.model.server_id] = server
         self._write_heartbeat(server)
@@ -205,7 +207,7 @@
 
         def reply(result: ControlResult, delay_s: float) -> None:
             event = BackendReplied(command.call_id, result)
-            self.fleet.deliver_to(row, event, delay_s)
+            self.fleet.deliver_to_process(row, event, delay_s)
 
         if isinstance(command.operation, CheckSameProcess):
             self.fleet.call_later(
@@ -305,7 +307,9 @@
             result = AttemptResult(
                 request.attempt_id, AttemptOutcome.CONNECT_FAILED, 0.001
             )
-            self.fleet.deliver_to(row, AttemptEnded(result), self._draw_delay_s())
+            self.fleet.deliver_to_process(
+                row, AttemptEnded(result), self._draw_delay_s()
+            )
             return
         exchange = Exchange(row, request, server, self.fleet.now_s)
         self._exchanges_by_attempt[row, request.attempt_id] = exchange
@@ -396,7 +400,7 @@
             load=load if answered else None,
         )
         self.results[row.name, request.attempt_id] = result
-        self.fleet.deliver_to(row, AttemptEnded(result), self._draw_delay_s())
+        self.fleet.deliver_to_process(row, AttemptEnded(result), self._draw_delay_s())
 
     def _free_slot(self, exchange: Exchange) -> None:
         server = exchange.server
