Name responses of the admin interface in the command line as in runtime

Folder: wagtailrill/cli. Names and docstrings only.

AdminAnswer -> AdminResponse, DrainAnswer -> DrainResponse, ADMIN_ANSWER_MAX_BYTES -> ADMIN_RESPONSE_MAX_BYTES, _async_fetch_answer -> _async_fetch_response, locals alike.

--- a/wagtailrill/cli/const.py
+++ b/wagtailrill/cli/const.py
@@ -21,7 +21,7 @@
 PROGRESS_INTERVAL_S: Final = 1.0
 # A change that conflicts with another operator's is retried on the latest version.
 CHANGE_ATTEMPTS_MAX: Final = 5
-ADMIN_ANSWER_MAX_BYTES: Final = 4_194_304
+ADMIN_RESPONSE_MAX_BYTES: Final = 4_194_304
 # Names of environment variables that replace options.
 STORE_ENV_VARIABLE: Final = "WAGTAILRILL_STORE"
 DEPLOYMENT_ENV_VARIABLE: Final = "WAGTAILRILL_DEPLOYMENT"
--- a/wagtailrill/cli/instance_commands.py
+++ b/wagtailrill/cli/instance_commands.py
@@ -9,10 +9,10 @@
 import httpcore
 from expression import Error, Ok, Result
 
-from .const import ADMIN_ANSWER_MAX_BYTES, CALL_TIMEOUT_S, ExitCode
+from .const import ADMIN_RESPONSE_MAX_BYTES, CALL_TIMEOUT_S, ExitCode
 from .models import (
     CommandResult,
-    DrainAnswer,
+    DrainResponse,
     InstanceStatus,
     KeyExplanation,
     parse_model,
@@ -20,8 +20,8 @@
 
 
 @attrs.frozen
-class AdminAnswer:
-    """A JSON answer of the admin interface."""
+class AdminResponse:
+    """JSON response of the admin interface."""
 
     status: int
     data: Any
@@ -34,11 +34,11 @@
 
 async def async_call_admin(
     address: str, method: str, path: str, timeout_s: float = CALL_TIMEOUT_S
-) -> Result[AdminAnswer, str]:
-    """Call an instance's admin interface; return its answer, or why there is none."""
+) -> Result[AdminResponse, str]:
+    """Call an instance's admin interface; return its response or an error message."""
     try:
         with anyio.fail_after(timeout_s):
-            return Ok(await _async_fetch_answer(address, method, path))
+            return Ok(await _async_fetch_response(address, method, path))
     except TimeoutError:
         return Error(f"no answer within {timeout_s} s")
     except (httpcore.NetworkError, httpcore.ProtocolError, OSError) as exc:
@@ -47,29 +47,29 @@
         return Error("the answer is not JSON")
 
 
-async def _async_fetch_answer(address: str, method: str, path: str) -> AdminAnswer:
+async def _async_fetch_response(address: str, method: str, path: str) -> AdminResponse:
     async with httpcore.AsyncConnectionPool() as pool:
         async with pool.stream(method, f"http://{address}{path}") as response:
             content = b""
             async for chunk in response.aiter_stream():
                 content += chunk
-                if len(content) > ADMIN_ANSWER_MAX_BYTES:
+                if len(content) > ADMIN_RESPONSE_MAX_BYTES:
                     raise ValueError("the answer is too large")
-        return AdminAnswer(response.status, json.loads(content))
+        return AdminResponse(response.status, json.loads(content))
 
 
 async def async_show_status(addresses: dict[str, str]) -> CommandResult:
     """Show the state of all instances, given their admin addresses by name."""
-    answers: dict[str, Result[InstanceStatus, str]] = {}
+    responses: dict[str, Result[InstanceStatus, str]] = {}
 
     async def async_add_status(name: str, address: str) -> None:
-        answers[name] = await _async_fetch_status(address)
+        responses[name] = await _async_fetch_status(address)
 
     async with anyio.create_task_group() as tasks:
         for name, address in addresses.items():
             tasks.start_soon(async_add_status, name, address)
-    rows = [_format_status(name, answers[name]) for name in addresses]
-    statuses = [a.ok for a in answers.values() if a.is_ok()]
+    rows = [_format_status(name, responses[name]) for name in addresses]
+    statuses = [a.ok for a in responses.values() if a.is_ok()]
     latest_version = max((s.configuration_version for s in statuses), default=0)
     in_force_count = sum(s.configuration_version == latest_version for s in statuses)
     summary = f"{len(statuses)} of {len(addresses)} instances answer"
@@ -78,7 +78,7 @@
         summary += f"; configuration {latest_version} is in force on {count}"
     fields = {
         "configuration_version": latest_version,
-        "instances": [_make_status_fields(name, answers[name]) for name in addresses],
+        "instances": [_make_status_fields(name, responses[name]) for name in addresses],
     }
     is_complete = len(statuses) == len(addresses)
     code = ExitCode.OK if is_complete else ExitCode.UNREACHABLE
@@ -87,19 +87,19 @@
 
 async def _async_fetch_status(address: str) -> Result[InstanceStatus, str]:
     match await async_call_admin(address, "GET", "/status"):
-        case Result(tag="ok", ok=AdminAnswer(200, data)):
+        case Result(tag="ok", ok=AdminResponse(200, data)):
             try:
                 return Ok(parse_model(InstanceStatus, data))
             except ValueError as exc:
                 return Error(str(exc))
-        case Result(tag="ok", ok=answer):
-            return Error(answer.describe_error())
+        case Result(tag="ok", ok=response):
+            return Error(response.describe_error())
         case Result(error=message):
             return Error(message)
 
 
-def _format_status(name: str, answer: Result[InstanceStatus, str]) -> str:
-    match answer:
+def _format_status(name: str, response: Result[InstanceStatus, str]) -> str:
+    match response:
         case Result(tag="ok", ok=status):
             state = "ready" if status.ready else "not ready"
             if status.draining:
@@ -114,9 +114,9 @@
 
 
 def _make_status_fields(
-    name: str, answer: Result[InstanceStatus, str]
+    name: str, response: Result[InstanceStatus, str]
 ) -> dict[str, Any]:
-    match answer:
+    match response:
         case Result(tag="ok", ok=status):
             return {"name": name, "reached": True, **attrs.asdict(status)}
         case Result(error=message):
@@ -126,23 +126,23 @@
 async def async_explain_key(
     addresses: dict[str, str], service: str, key: str
 ) -> CommandResult:
-    """Show which backend server owns a key, as the first answering instance knows."""
+    """Show which backend server owns a key, as the first responding instance knows."""
     path = "/explain-key?" + urlencode({"service": service, "key": key})
     messages: list[str] = []
     for name, address in addresses.items():
         match await async_call_admin(address, "GET", path):
-            case Result(tag="ok", ok=AdminAnswer(200, data)):
+            case Result(tag="ok", ok=AdminResponse(200, data)):
                 try:
                     return _make_explanation_result(
                         name, parse_model(KeyExplanation, data), data
                     )
                 except ValueError as exc:
                     messages.append(f"{name}: {exc}")
-            case Result(tag="ok", ok=AdminAnswer(404) as answer):
-                error = answer.describe_error()
+            case Result(tag="ok", ok=AdminResponse(404) as response):
+                error = response.describe_error()
                 return CommandResult(ExitCode.REFUSED, (error,), {"error": error})
-            case Result(tag="ok", ok=answer):
-                messages.append(f"{name}: {answer.describe_error()}")
+            case Result(tag="ok", ok=response):
+                messages.append(f"{name}: {response.describe_error()}")
             case Result(error=message):
                 messages.append(f"{name}: unreachable, {message}")
     return CommandResult(ExitCode.UNREACHABLE, tuple(messages), {"errors": messages})
@@ -151,7 +151,7 @@
 def _make_explanation_result(
     name: str, explanation: KeyExplanation, data: Any
 ) -> CommandResult:
-    """Return the result; only the granter answers with `state` and further fields."""
+    """Return the result; only the granter responds with `state` and further fields."""
     lines = [
         f"{explanation.service}: position {explanation.position}, "
         f"owner {explanation.owner or 'none'}",
@@ -171,13 +171,13 @@
 async def async_start_drain(address: str) -> CommandResult:
     """Start draining an instance, given its admin address."""
     match await async_call_admin(address, "POST", "/drain"):
-        case Result(tag="ok", ok=AdminAnswer(200 | 202, data)):
+        case Result(tag="ok", ok=AdminResponse(200 | 202, data)):
             try:
-                answer = parse_model(DrainAnswer, data)
+                drain_response = parse_model(DrainResponse, data)
             except ValueError as exc:
                 return _make_unreachable_result(str(exc))
             line = "planned stop started"
-            return CommandResult(ExitCode.OK, (line,), attrs.asdict(answer))
+            return CommandResult(ExitCode.OK, (line,), attrs.asdict(drain_response))
         case Result(tag="ok", ok=refusal):
             error = refusal.describe_error()
             return CommandResult(ExitCode.REFUSED, (error,), {"error": error})
--- a/wagtailrill/cli/models.py
+++ b/wagtailrill/cli/models.py
@@ -1,4 +1,4 @@
-"""Models of command results, store access and answers of the admin interface."""
+"""Models of command results, store access and responses of the admin interface."""
 
 import typing
 from typing import Any, TypeVar
@@ -13,7 +13,7 @@
 
 @attrs.frozen
 class InstanceStatus:
-    """Answer of `GET /status`."""
+    """Response of `GET /status`."""
 
     instance: str
     data_centre: str
@@ -27,7 +27,7 @@
 
 @attrs.frozen
 class KeyExplanation:
-    """Answer of `GET /explain-key`: the owner of a key and the instance granting it.
+    """Response of `GET /explain-key`: the owner of a key and the instance granting it.
 
     `duty_fence` is the fencing token of the granting duty.
     """
@@ -40,8 +40,8 @@
 
 
 @attrs.frozen
-class DrainAnswer:
-    """Answer of `POST /drain`."""
+class DrainResponse:
+    """Response of `POST /drain`."""
 
     draining: bool
 
