Reword placement, keys and requests after a second reading

Folders: placement, keys and requests, with their tests. Changed are docstrings that were unclear or not quite true of the code (what the dispatcher assigns, when a reply is called, what a cost and an estimate of requests in progress measure, when calls are allowed), a few comments and test heads, and private names.

--- a/tests/keys/test_granter.py
+++ b/tests/keys/test_granter.py
@@ -34,8 +34,9 @@
 def test_keys_of_a_silent_owner_are_served_again_within_four_seconds(run, position):
     """All segments of a silent owner must be reassigned together, not one by one.
 
-    Each segment of a frozen owner was granted twice, in two concurrent calls of half a
-    second, so the last of thirty was reassigned after more than seven seconds.
+    Two grants of each segment of a frozen owner had to fail first. Each call took half
+    a second and only two ran at a time, so the last of thirty segments was reassigned
+    after more than seven seconds.
     """
     run.servers.by_name[find_owner(run, position)].frozen = True
     assert measure_wait_s(run, position, 6.0) <= 4.3
@@ -46,7 +47,7 @@
     silent = find_owner(run)
     run.servers.by_name[silent].frozen = True
     frozen_s = run.now_s
-    # It may get keys again only after this.
+    # It may get keys again only after this time.
     run.fleet.run_until(frozen_s + 4.0)
     moves = [f for at_s, _, f in run.find_log_lines("keys_moved") if at_s > frozen_s]
     assert moves
--- a/tests/keys/test_planner.py
+++ b/tests/keys/test_planner.py
@@ -86,7 +86,7 @@
     after = apply_moves(holdings, moves)
     assert {"new-1", "new-2"} <= {h.owner for h in after}
     loads = ServerLoads.from_holdings(after, joined, load)
-    assert max(loads.loads.values()) < 30.0
+    assert max(loads.loads_per_s.values()) < 30.0
 
 
 def test_server_without_keys_gets_the_least_loaded_part_of_a_busy_owner():
@@ -143,7 +143,7 @@
         holdings = apply_moves(holdings, moves)
         loads = ServerLoads.from_holdings(holdings, capacities, load)
         totals.append(
-            sum(c.estimate_in_progress(loads.loads[c.name]) for c in capacities)
+            sum(c.estimate_in_progress(loads.loads_per_s[c.name]) for c in capacities)
         )
     else:
         pytest.fail("the plan does not settle")
--- a/tests/placement/test_dispatcher.py
+++ b/tests/placement/test_dispatcher.py
@@ -238,7 +238,7 @@
 
 
 def test_unreported_end_frees_the_slot_after_the_deadline():
-    """Guards against losing the slots of an instance that never reports the ends."""
+    """Guards against slots that stay occupied by requests whose end is not reported."""
     harness = DispatcherHarness(make_server_entry("s-1"))
     _ = [harness.send_request(left_s=0.5), harness.send_request(left_s=0.5)]
     advance_time(harness.ctx, 1.1)
@@ -274,7 +274,7 @@
     """Guards against requests that stay queued while slots are free.
 
     Only the first four requests of the queue were considered. On the day trouble-2 of
-    pcb-gate 363 requests of 8 seconds without faults were thus started only 0.1 s
+    pcb-gate, in 8 seconds without faults, 363 requests were thus started only 0.1 s
     before their deadline.
     """
     harness = DispatcherHarness(
--- a/wagtailrill/keys/component.py
+++ b/wagtailrill/keys/component.py
@@ -1,6 +1,6 @@
-"""Routes requests of keyed services to key owners and takes part in granter duties.
+"""Finds the owners of keys, and assigns the keys of services whose duty is held here.
 
-Used by the request pipeline and by placement; the duty holder assigns the keys.
+Used by the request pipeline and by placement.
 """
 
 from collections.abc import Callable
@@ -50,7 +50,7 @@
     usage: UsageTable
     routes: KeyRoutes = NO_ROUTES
     last_heard_s: float = float("-inf")
-    last_request_s: float = float("-inf")
+    last_routes_request_s: float = float("-inf")
     read_pending: bool = False
     granter: Granter | None = None
     sequence: int = 0
@@ -111,7 +111,7 @@
     # Routes
 
     def find_owner(self, service: str, position: int) -> KeyOwner | RefusalCode:
-        """Return the owner of a key, or the refusal if it has none now."""
+        """Return the owner of a key, or the refusal code while it has none."""
         row = self._rows.get(service)
         name = row.routes.find_owner(position) if row is not None else ""
         if not name or name not in self._servers.rows:
@@ -148,7 +148,7 @@
         return row.granter.estimate_unowned_s(position)
 
     def explain_key(self, service: str, position: int) -> dict[str, str | int] | None:
-        """Return the owner and version of the routes, None if the service is not keyed.
+        """Return a key's owner and the routes' version, None for an unkeyed service.
 
         The duty holder adds the state of the segment.
         """
@@ -173,10 +173,10 @@
         holder = self._duties.get_holder(DUTY_PREFIX + row.name)
         if (
             holder is None
-            or self._ctx.now_s - row.last_request_s < ROUTES_REQUEST_INTERVAL_S
+            or self._ctx.now_s - row.last_routes_request_s < ROUTES_REQUEST_INTERVAL_S
         ):
             return
-        row.last_request_s = self._ctx.now_s
+        row.last_routes_request_s = self._ctx.now_s
         routes = row.routes
         self._ctx.send(
             holder.instance,
--- a/wagtailrill/keys/const.py
+++ b/wagtailrill/keys/const.py
@@ -20,7 +20,8 @@
 OWNER_RETRY_DELAY_S: Final = 4.0
 # Concurrent grant calls to one server: each needs a connection of its own.
 GRANT_CALLS_PER_SERVER_MAX: Final = 2
-# Adjacent positions are assigned in stripes, since busy keys lie close to one another.
+# Parts of the key space that are assigned to servers one by one, so that busy keys,
+# which lie close to one another, are spread over several servers.
 STRIPE_COUNT: Final = 128
 # The very first assignment waits until no server has joined for this time.
 FIRST_ASSIGNMENT_QUIET_S: Final = 1.5
--- a/wagtailrill/keys/granter.py
+++ b/wagtailrill/keys/granter.py
@@ -50,8 +50,8 @@
     """Dependencies of `Granter`.
 
     `estimate_capacity` returns what a server can run, `holds_duty` whether the duty is
-    still held, and `get_last_report_s` the monotonic time of a server's last load
-    report with an answer.
+    still held, and `get_last_report_s` the monotonic time at which a server last
+    answered a request and reported its load.
     """
 
     ctx: Context
@@ -112,7 +112,7 @@
         self._table_store.stop()
 
     def on_predecessor_stopped(self) -> None:
-        """Shorten the assumed grants, since the predecessor grants no more keys."""
+        """Assume that old grants end sooner, as the predecessor grants no more keys."""
         now_s = self._ctx.now_s
         self._predecessor_may_act_until_s = min(
             self._predecessor_may_act_until_s, now_s
--- a/wagtailrill/keys/grants.py
+++ b/wagtailrill/keys/grants.py
@@ -45,9 +45,10 @@
 class GrantParts:
     """Dependencies of `GrantManager`.
 
-    `may_call` returns whether the duty is still held, `get_last_report_s` the monotonic
-    time of a server's last load report with an answer. `on_call_slot_freed` is called
-    with the name of a server that can take another grant call.
+    `may_call` returns whether the granter still runs and holds the duty, and
+    `get_last_report_s` the monotonic time at which a server last answered a request and
+    reported its load. `on_call_slot_freed` is called with the name of a server that can
+    take another grant call.
     """
 
     ctx: Context
@@ -175,8 +176,9 @@
     def is_owner_silent(self, owner: str) -> bool:
         """Return whether grants to an owner fail and it has not answered for a while.
 
-        A silent owner loses all its keys at once: a failed grant for each segment would
-        take seconds. It may get keys again after `OWNER_RETRY_DELAY_S`.
+        A silent owner loses all its keys at once, since it would take seconds until a
+        grant of each segment has failed. It may get keys again after
+        `OWNER_RETRY_DELAY_S`.
         """
         if self._grant_failures[owner] < GRANT_FAILURES_MAX:
             return False
--- a/wagtailrill/keys/planner.py
+++ b/wagtailrill/keys/planner.py
@@ -1,6 +1,6 @@
 """Plans which backend server owns which key positions; used by the granter.
 
-A plan minimises the estimated number of requests in progress at all servers.
+A plan reduces the estimated number of requests in progress at all servers.
 """
 
 from bisect import bisect_left, bisect_right
@@ -12,13 +12,13 @@
 
 from .const import KEY_POSITIONS, STRIPE_COUNT
 
-# Part of the rate of keys that are not busy which counts as spread over all positions.
+# Share of the rate of keys that are not busy which counts as spread over all positions.
 EVEN_SPREAD_RATIO = 0.3
 BUSY_RATE_MIN_PER_S = 4.0
 # Assumed utilisation of the servers while no requests have been measured.
 ASSUMED_UTILISATION_RATIO = 0.3
-# A move must reduce the requests in progress by more than this plus the costs below.
-# The unit is a request's usual time.
+# A move must reduce the requests in progress by more than this plus the costs below,
+# all in the unit of `Capacity.estimate_in_progress`.
 MOVE_GAIN_MIN = 0.4
 # Stands for the requests that wait while their keys move, per request/s moved.
 MOVE_COST_PER_REQUEST = 0.2
@@ -58,11 +58,14 @@
     slowness: float = 1.0
 
     def estimate_in_progress(self, load_per_s: float) -> float:
-        """Return the requests in progress, in units of a request's usual time."""
+        """Return the requests in progress, divided by a request's usual time (seconds).
+
+        `load_per_s` is in requests per second.
+        """
         return load_per_s * self.estimate_time(load_per_s)
 
     def estimate_time(self, load_per_s: float) -> float:
-        """Return the time of a request with its wait for a slot, in usual times.
+        """Return a request's time with its wait for a slot, relative to the usual time.
 
         The shape is that of a queue with several servers: short waits up to a
         utilisation of 0.8, and long ones near 1.
@@ -87,7 +90,7 @@
 class LoadMap:
     """Request rates by position.
 
-    A part of the rate of keys that are not busy counts as spread over all positions,
+    A share of the rate of keys that are not busy counts as spread over all positions,
     since few requests say little about a key. Without measured rates,
     `assumed_per_s` requests per second are spread over all positions. `is_known` is
     False without either.
@@ -123,7 +126,10 @@
         return self._positions[start : bisect_right(self._positions, last)]
 
     def get_rate(self, position: int) -> float:
-        """Return the requests per second of a measured position, without even load."""
+        """Return the requests per second of a measured position.
+
+        The rate that counts as spread over all positions is not included.
+        """
         return self._rates[position]
 
     def find_densest_run(
@@ -159,7 +165,7 @@
     """Requests per second by server, updated while moves are planned."""
 
     capacities: dict[str, Capacity]
-    loads: dict[str, float]
+    loads_per_s: dict[str, float]
 
     @classmethod
     def from_holdings(
@@ -171,15 +177,15 @@
         """Return the loads by the servers' holdings; unknown owners are left out."""
         loads = cls({c.name: c for c in capacities}, {c.name: 0.0 for c in capacities})
         for holding in holdings:
-            if holding.owner in loads.loads:
-                loads.loads[holding.owner] += load_map.sum_load(
+            if holding.owner in loads.loads_per_s:
+                loads.loads_per_s[holding.owner] += load_map.sum_load(
                     holding.first, holding.last
                 )
         return loads
 
-    def estimate_added(self, name: str, added_per_s: float) -> float:
+    def estimate_added_requests(self, name: str, added_per_s: float) -> float:
         """Return the requests in progress that more load would add at a server."""
-        capacity, load_per_s = self.capacities[name], self.loads[name]
+        capacity, load_per_s = self.capacities[name], self.loads_per_s[name]
         return capacity.estimate_in_progress(
             load_per_s + added_per_s
         ) - capacity.estimate_in_progress(load_per_s)
@@ -187,41 +193,45 @@
     def find_cheapest(self, added_per_s: float, names: Iterable[str]) -> str:
         """Return the server where more load adds the fewest requests in progress."""
         return min(
-            names, key=lambda name: (self.estimate_added(name, added_per_s), name)
+            names,
+            key=lambda name: (self.estimate_added_requests(name, added_per_s), name),
         )
 
     def list_slowest(self, names: Iterable[str]) -> list[str]:
         """Return the servers with the longest request times, the longest first."""
 
         def estimate_time(name: str) -> float:
-            return self.capacities[name].estimate_time(self.loads[name])
+            return self.capacities[name].estimate_time(self.loads_per_s[name])
 
         return sorted(names, key=lambda name: (-estimate_time(name), name))[
             :SOURCES_TRIED_MAX
         ]
 
-    def list_least_used(self, excluded: str) -> list[str]:
-        """Return the servers where a request adds least, except one server."""
+    def list_cheapest(self, excluded: str) -> list[str]:
+        """Return the servers where more load adds the fewest requests in progress.
+
+        The cheapest server comes first; `excluded` is left out.
+        """
         names = [name for name in self.capacities if name != excluded]
-        names.sort(key=lambda name: (self.estimate_added(name, 1.0), name))
+        names.sort(key=lambda name: (self.estimate_added_requests(name, 1.0), name))
         return names[:TARGETS_TRIED_MAX]
 
     def move_load(self, moved_per_s: float, target: str, source: str = "") -> None:
         """Add load to `target` and subtract it from `source`, unless that is empty."""
-        self.loads[target] += moved_per_s
+        self.loads_per_s[target] += moved_per_s
         if source:
-            self.loads[source] -= moved_per_s
+            self.loads_per_s[source] -= moved_per_s
 
 
 def plan_assignment(
-    vacant: Sequence[tuple[int, int]],
+    ranges: Sequence[tuple[int, int]],
     holdings: Iterable[Holding],
     capacities: Sequence[Capacity],
     load_map: LoadMap,
 ) -> list[Move]:
-    """Return moves that assign positions without an owner, stripe by stripe.
+    """Return moves that assign ranges of positions to servers, stripe by stripe.
 
-    `vacant` has pairs of first and last positions. Without servers nothing is assigned.
+    `ranges` has pairs of first and last positions. Without servers nothing is assigned.
     """
     if not capacities:
         return []
@@ -231,7 +241,7 @@
         )
     loads = ServerLoads.from_holdings(holdings, capacities, load_map)
     moves: list[Move] = []
-    for start, last in vacant:
+    for start, last in ranges:
         for first in range(start, last + 1, STRIPE_POSITIONS):
             end = min(last, first + STRIPE_POSITIONS - 1)
             added_per_s = load_map.sum_load(first, end)
@@ -256,7 +266,7 @@
         return []
     loads = ServerLoads.from_holdings(holdings, capacities, load_map)
     moves = _plan_first_shares(holdings, loads, load_map)[:moves_max]
-    rest = [h for h in holdings if h.movable and h.owner in loads.loads]
+    rest = [h for h in holdings if h.movable and h.owner in loads.loads_per_s]
     for move in moves:
         rest = _remove_moved(rest, move)
     if not load_map.is_known:
@@ -275,17 +285,17 @@
 def _find_best_move(
     holdings: Sequence[Holding], loads: ServerLoads, load_map: LoadMap
 ) -> tuple[str, Move] | None:
-    """Return the source and the move with the greatest gain, None if none pays."""
+    """Return the source and the move with the greatest gain, None if none is enough."""
     best: tuple[str, Move] | None = None
     best_gain = MOVE_GAIN_MIN
     for source in loads.list_slowest({h.owner for h in holdings}):
-        targets = loads.list_least_used(excluded=source)
+        targets = loads.list_cheapest(excluded=source)
         for first, last in _generate_runs(source, holdings, loads, load_map):
             moved_per_s = load_map.sum_load(first, last)
             target = loads.find_cheapest(moved_per_s, targets)
-            gain = -loads.estimate_added(source, -moved_per_s) - loads.estimate_added(
-                target, moved_per_s
-            )
+            gain = -loads.estimate_added_requests(
+                source, -moved_per_s
+            ) - loads.estimate_added_requests(target, moved_per_s)
             gain -= moved_per_s * MOVE_COST_PER_REQUEST
             gain -= MOVE_COST_ALL_KEYS * (last - first + 1) / KEY_POSITIONS
             if gain > best_gain:
@@ -297,7 +307,7 @@
     source: str, holdings: Sequence[Holding], loads: ServerLoads, load_map: LoadMap
 ) -> Iterable[tuple[int, int]]:
     """Yield first and last positions of a server's keys that could be moved."""
-    source_per_s = loads.loads[source]
+    source_per_s = loads.loads_per_s[source]
     own = [h for h in holdings if h.owner == source]
     own.sort(key=lambda h: load_map.sum_load(h.first, h.last), reverse=True)
     for holding in own[:HOLDINGS_TRIED_MAX]:
@@ -349,7 +359,7 @@
         ]
         if not movable:
             break
-        owner = max(movable, key=lambda h: loads.loads.get(h.owner, 0.0)).owner
+        owner = max(movable, key=lambda h: loads.loads_per_s.get(h.owner, 0.0)).owner
         source = min(
             (h for h in movable if h.owner == owner),
             key=lambda h: load_map.sum_load(h.first, h.last),
@@ -360,7 +370,7 @@
         counts[source.owner] -= 1
         counts[name] += 1
         moved_per_s = load_map.sum_load(source.first, last)
-        if source.owner in loads.loads:
+        if source.owner in loads.loads_per_s:
             loads.move_load(moved_per_s, name, source.owner)
         else:
             loads.move_load(moved_per_s, name)
--- a/wagtailrill/placement/component.py
+++ b/wagtailrill/placement/component.py
@@ -22,7 +22,7 @@
     ANSWER_TIMEOUT_S,
     CONSECUTIVE_TIMEOUTS_MAX,
     LOCAL_CHOICE_PERIOD_S,
-    TICK_S,
+    TICK_INTERVAL_S,
 )
 from .dispatcher import Dispatcher, DispatcherParts
 from .messages import (
@@ -94,7 +94,7 @@
         self._services: dict[str, ServiceState] = {}
         self._pending: dict[int, PendingQuery] = {}
         self._query_numbers = itertools.count(1)
-        parts.ctx.timers.call_every(TICK_S, self._tick)
+        parts.ctx.timers.call_every(TICK_INTERVAL_S, self._tick)
 
     def attach(self, host: ComponentHost) -> None:
         """Register the handlers of peer messages."""
@@ -105,7 +105,7 @@
     def configure(self, configuration: Configuration) -> None:
         """Register for the duties of new services and withdraw from removed ones.
 
-        For keyed services the duty of key ownership is used, which registers itself.
+        A keyed service uses its duty of key ownership, which `KeyOwnership` registers.
         """
         for service in configuration.services.values():
             if service.name in self._services:
@@ -137,7 +137,7 @@
     def estimate_capacity(self, server: ServerRow) -> Capacity:
         """Return the usual capacity of a server, in requests per second.
 
-        An instance that is not the dispatcher of its service returns its slots.
+        An instance that is not the dispatcher assumes one per second and slot.
         """
         dispatcher = self._get_dispatcher(server.entry.service)
         if dispatcher is None:
@@ -145,7 +145,7 @@
         return dispatcher.estimate_capacity(server)
 
     def get_last_report_s(self, backend_server: str) -> float:
-        """Return the monotonic time of a server's last load report with an answer.
+        """Return when a server last answered with a load report, in monotonic time.
 
         The time is minus infinity if none is known here.
         """
@@ -214,13 +214,13 @@
         self._send_end(pending.dispatcher, number, service)
 
     def report_end(
-        self, service: str, placed: ServerAssignment, result: AttemptResult
+        self, service: str, assignment: ServerAssignment, result: AttemptResult
     ) -> None:
         """Report the end of an attempt to the dispatcher that placed it.
 
         If this instance chose the server itself, the present dispatcher is told.
         """
-        placement_ref = placed.placement_ref
+        placement_ref = assignment.placement_ref
         dispatcher = placement_ref.dispatcher
         if not dispatcher:
             state = self._services.get(service)
@@ -233,7 +233,7 @@
                 dispatcher,
                 placement_ref.number,
                 service,
-                placed.server.name,
+                assignment.server.name,
                 result,
             )
 
@@ -325,8 +325,8 @@
             )
         server = self._parts.choice.find_usable(answer.backend_server)
         if server is None:
-            # The server is unknown here, or it is cold and this instance has already
-            # used its share of the requests allowed there.
+            # The server is unknown here, is leaving, or is cold and this instance has
+            # already used its share of the requests allowed there.
             self._send_end(
                 pending.dispatcher,
                 answer.number,
--- a/wagtailrill/placement/dispatcher.py
+++ b/wagtailrill/placement/dispatcher.py
@@ -1,4 +1,7 @@
-"""Places the requests of one service on the instance that holds the service's duty."""
+"""Assigns the requests of one service to backend servers, or queues or refuses them.
+
+Created by `Placement` on the instance that holds the duty of the service.
+"""
 
 from collections.abc import Callable
 from statistics import median_low
@@ -68,7 +71,10 @@
     def place_request(
         self, request: PlaceRequest, sender: str, data_centre: str, reply: ReplyCallback
     ) -> None:
-        """Place or refuse a request at once, or queue it and answer again later."""
+        """Place, refuse or queue a request.
+
+        `reply` is called at once, and again when a queued request is placed or refused.
+        """
         pending = self._make_pending(request, sender, data_centre, reply)
         if not request.extra:
             self._demand.count_request(self._ctx.now_s)
@@ -78,7 +84,7 @@
             self._refuse_request(pending)
             return
         if not self._can_place_in_time(pending):
-            self._place_late(pending)
+            self._place_late_request(pending)
             return
         self._queue.append(pending)
         reply(PlaceAnswer(request.number, PlaceVerdict.QUEUED, "", 0.0))
@@ -114,7 +120,7 @@
         return Capacity(load.name, rate_per_s, slowness)
 
     def get_last_report_s(self, row: ServerRow) -> float:
-        """Return the monotonic time of a server's last load report with an answer."""
+        """Return when a server last answered with a load report, in monotonic time."""
         return self._loads.get_load(row).last_answer_s
 
     def record_load(self, row: ServerRow, load: LoadReport) -> None:
@@ -122,9 +128,9 @@
         self._loads.get_load(row).record_report(load, self._ctx.now_s)
 
     def tick(self) -> None:
-        """Drop overdue assignments; place or refuse requests that waited too long."""
+        """Drop expired assignments; place queued requests or refuse those too late."""
         now_s = self._ctx.now_s
-        self._expire_assigned(now_s)
+        self._expire_assigned_requests(now_s)
         for pending in list(self._queue):
             becomes_late = not pending.late and now_s >= pending.late_from_s
             pending.late |= becomes_late
@@ -132,11 +138,11 @@
                 becomes_late and not self._can_place_in_time(pending)
             ):
                 self._queue.remove(pending)
-                self._place_late(pending)
+                self._place_late_request(pending)
         self._place_queued()
 
-    def _expire_assigned(self, now_s: float) -> None:
-        """Drop overdue requests, and update the median age of those at each server."""
+    def _expire_assigned_requests(self, now_s: float) -> None:
+        """Drop expired assignments; update the median age of each server's requests."""
         ages_s: dict[int, list[float]] = {}
         for key, assigned in list(self._assigned_requests.items()):
             load = assigned.load
@@ -150,7 +156,7 @@
             load.median_age_s = median_low(server_ages_s) if server_ages_s else 0.0
 
     def _place_queued(self) -> None:
-        """Place queued requests on servers with free slots, in the order of rank."""
+        """Place queued requests on servers with free slots, in order of rank."""
         if not self._queue:
             return
         self._queue.sort(key=lambda pending: pending.rank)
@@ -201,7 +207,7 @@
         self._assign_server(pending, load)
         return True
 
-    def _place_late(self, pending: PendingRequest) -> None:
+    def _place_late_request(self, pending: PendingRequest) -> None:
         """Use any free slot for a request that should not wait, or refuse it."""
         pending.late = True
         if not self._try_to_place(pending, 0):
@@ -292,7 +298,10 @@
         )
 
     def _can_place_in_time(self, pending: PendingRequest) -> bool:
-        """Return whether a request is expected to be placed before its limits."""
+        """Return whether a request is expected to be placed in time.
+
+        That is before it becomes late or, as a late one, before its latest start.
+        """
         now_s = self._ctx.now_s
         if (
             not pending.late
--- a/wagtailrill/placement/messages.py
+++ b/wagtailrill/placement/messages.py
@@ -29,8 +29,8 @@
     `number` identifies the request at its sender. `waited_s` counts from the request's
     arrival, `target_s` is its target latency and `left_s` the time until its deadline.
     `extra` asks for a second server for a request that already runs; such a request is
-    placed at once or refused, never queued. `key_position` is `NO_KEY` for services
-    without keys.
+    placed at once or refused, never queued. `excluded` has the names of servers already
+    tried. `key_position` is `NO_KEY` for services without keys.
     """
 
     number: int
@@ -58,8 +58,9 @@
 class PlaceEnd:
     """Reports that a request has left a backend server or was cancelled.
 
-    `number` is 0 if the sender chose the server itself. `running` and `waiting` are the
-    numbers of requests that the server reported, `NO_REPORT` if it reported none.
+    `number` is 0 if the sender chose the server itself. `backend_server` is empty for a
+    request cancelled before its sender got a server. `running` and `waiting` are the
+    numbers of requests that the server reported, `NO_REPORT` without a report.
     """
 
     number: int
--- a/wagtailrill/placement/models.py
+++ b/wagtailrill/placement/models.py
@@ -29,7 +29,7 @@
 
 @attrs.frozen
 class PlacementRef:
-    """Identifies a placement by its dispatcher and the number of the request there.
+    """Identifies a placement by its dispatcher and the number of the query sent to it.
 
     `dispatcher` is empty if this instance chose the server itself.
     """
--- a/wagtailrill/placement/queue.py
+++ b/wagtailrill/placement/queue.py
@@ -53,9 +53,10 @@
 class ServerOptions:
     """The best server with a free slot, and the faster servers that are full.
 
-    `best_cost_s` is the expected time of a request on the best server, and
-    `fastest_cost_s` the shortest one on a faster, full server. The faster servers
-    together start `faster_rate_per_s` requests per second.
+    `best_cost_s` is the cost of a request on the best server, that is its expected
+    latency weighted by failures and distance. `fastest_cost_s` is the lowest cost on a
+    faster, full server. The faster servers together start `faster_rate_per_s` requests
+    per second.
     """
 
     best: ServerLoad | None
--- a/wagtailrill/requests/hedging.py
+++ b/wagtailrill/requests/hedging.py
@@ -19,10 +19,10 @@
 
 @attrs.frozen
 class HedgingParts:
-    """What `Hedging` uses.
+    """Dependencies of `Hedging`.
 
-    `is_open` returns whether a request still has no answer. `build_query` returns what
-    placement is asked for a request; its second argument is set for an extra attempt.
+    `is_open` returns whether a request still has no answer. `build_query` returns the
+    placement query for a request; its second argument is true for a hedge.
     """
 
     ctx: Context
--- a/wagtailrill/requests/interfaces.py
+++ b/wagtailrill/requests/interfaces.py
@@ -12,8 +12,9 @@
 class RateLimitResult:
     """Whether a request is within its organisation's rate limit.
 
-    If not, `retry_after_s` says when to send it again and `decided_by` which component
-    had no token for it.
+    If not, `retry_after_s` says when to send it again. `decided_by` then tells whether
+    the token issuer or the instance's own share had no token for it, or whether the
+    organisation is unknown.
     """
 
     admitted: bool
@@ -48,7 +49,7 @@
     def report_misdirection(
         self, service: str, position: int, backend_server: str
     ) -> None:
-        """Report that a backend server does not own the key that was sent to it."""
+        """Report that a backend server lacks the key of a request sent to it."""
         ...
 
 
--- a/wagtailrill/requests/models.py
+++ b/wagtailrill/requests/models.py
@@ -65,7 +65,7 @@
     attempt_history: list[Attempt] = attrs.field(factory=list)
     possible_runs: int = 0
     tried_servers: frozenset[str] = frozenset()
-    # Which instance, or which component of this one, found no server or no token.
+    # Instance that found no server, or what had no token, see `RateLimitResult`.
     decided_by: str = ""
     wait_reason: RefusalCode = RefusalCode.NO_BACKEND_SERVER
     fingerprint: int | None = None
--- a/wagtailrill/requests/request_log.py
+++ b/wagtailrill/requests/request_log.py
@@ -71,7 +71,7 @@
         )
 
     def log_wait(self, row: RequestRow) -> None:
-        """Log, once for a request, that it waits because its key has no owner."""
+        """Log, once for a request, that it waits for a usable owner of its key."""
         if not row.wait_logged:
             row.wait_logged = True
             self.ctx.log(LogName.REQUEST_WAITS, **self._build_fields(row))
--- a/wagtailrill/requests/waiting.py
+++ b/wagtailrill/requests/waiting.py
@@ -35,7 +35,7 @@
 
     def _tick(self) -> None:
         self._tick_scheduled = False
-        rows = sorted(self._rows.values(), key=_get_urgency)
+        rows = sorted(self._rows.values(), key=_get_rank)
         self._rows.clear()
         for row in rows:
             self._request_placement(row)
@@ -43,5 +43,5 @@
             self._schedule_tick()
 
 
-def _get_urgency(row: RequestRow) -> tuple[int, float]:
+def _get_rank(row: RequestRow) -> tuple[int, float]:
     return row.priority, row.arrived_s
