--- a/wagtailrill/placement/component.py
+++ b/wagtailrill/placement/component.py
@@ -92,7 +92,7 @@
         self._parts = parts
         self._ctx = parts.ctx
         self._services: dict[str, ServiceState] = {}
-        self._pending: dict[int, PendingQuery] = {}
+        self._pending_queries: dict[int, PendingQuery] = {}
         self._query_numbers = itertools.count(1)
         parts.ctx.timers.call_every(TICK_INTERVAL_S, self._tick)
 
@@ -183,7 +183,7 @@
             return 0
         number = next(self._query_numbers)
         pending = PendingQuery(query, holder.instance, on_result)
-        self._pending[number] = pending
+        self._pending_queries[number] = pending
         pending.timer = self._ctx.timers.call_later(
             ANSWER_TIMEOUT_S, lambda: self._on_timeout(number)
         )
@@ -206,7 +206,7 @@
 
     def cancel_query(self, number: int, service: str) -> None:
         """Cancel a query that is not resolved yet, and tell its dispatcher."""
-        pending = self._pending.pop(number, None)
+        pending = self._pending_queries.pop(number, None)
         if pending is None:
             return
         if pending.timer is not None:
@@ -283,7 +283,7 @@
         return ServerAssignment(server, PlacementRef("", 0))
 
     def _on_timeout(self, number: int) -> None:
-        pending = self._pending.pop(number, None)
+        pending = self._pending_queries.pop(number, None)
         if pending is None:
             return
         state = self._services.get(pending.query.service)
@@ -296,7 +296,7 @@
 
     def _on_answer(self, envelope: Envelope) -> None:
         answer: PlaceAnswer = envelope.message
-        pending = self._pending.get(answer.number)
+        pending = self._pending_queries.get(answer.number)
         if pending is None or envelope.sender != pending.dispatcher:
             return
         state = self._services.get(pending.query.service)
@@ -310,7 +310,7 @@
                 left_s, lambda: self._on_timeout(answer.number)
             )
             return
-        del self._pending[answer.number]
+        del self._pending_queries[answer.number]
         pending.on_result(self._resolve_answer(answer, pending))
 
     def _resolve_answer(
