Rename the time of a server's last answer

Folders: placement and keys, and the router that connects them. The method returns ServerLoad.last_answer_s, not last_report_s.

Renamed in Dispatcher, Placement, KeyOwnership, GranterParts and GrantParts: get_last_report_s -> get_last_answer_s.

--- a/wagtailrill/keys/component.py
+++ b/wagtailrill/keys/component.py
@@ -63,7 +63,7 @@
     """Knows the owners of all keyed services' keys and assigns them under a duty.
 
     Implements `KeyRouter`, and `DutyListener` for the duty of each service. The router
-    connects `estimate_capacity`, `on_load_report` and `get_last_report_s` to placement.
+    connects `estimate_capacity`, `on_load_report` and `get_last_answer_s` to placement.
     """
 
     def __init__(
@@ -82,7 +82,7 @@
         self._rows: dict[str, ServiceRow] = {}
         self.estimate_capacity: Callable[[ServerRow], Capacity] = _assume_capacity
         self.on_load_report: Callable[[str, LoadReport], None] = lambda name, load: None
-        self.get_last_report_s: Callable[[str], float] = lambda name: float("-inf")
+        self.get_last_answer_s: Callable[[str], float] = lambda name: float("-inf")
         ctx.timers.call_every(TICK_INTERVAL_S, self._run_granters)
         ctx.timers.call_every(ANNOUNCE_INTERVAL_S, self._announce_routes)
 
@@ -262,7 +262,7 @@
             lambda: self._duties.holds(duty),
             mark_changed,
             lambda name, load: self.on_load_report(name, load),
-            lambda name: self.get_last_report_s(name),
+            lambda name: self.get_last_answer_s(name),
         )
         row.granter = Granter(parts, row.usage, fence, predecessor_may_act_s)
 
--- a/wagtailrill/keys/granter.py
+++ b/wagtailrill/keys/granter.py
@@ -50,7 +50,7 @@
     """Dependencies of `Granter`.
 
     `estimate_capacity` returns what a server can run, `holds_duty` whether the duty is
-    still held, and `get_last_report_s` the monotonic time at which a server last
+    still held, and `get_last_answer_s` the monotonic time at which a server last
     answered a request and reported its load.
     """
 
@@ -62,7 +62,7 @@
     holds_duty: Callable[[], bool]
     on_segments_changed: Callable[[], None]
     on_load_report: Callable[[str, LoadReport], None]
-    get_last_report_s: Callable[[str], float]
+    get_last_answer_s: Callable[[str], float]
 
 
 class Granter:
@@ -97,7 +97,7 @@
                 lambda: not self._stopped and parts.holds_duty(),
                 parts.on_segments_changed,
                 parts.on_load_report,
-                parts.get_last_report_s,
+                parts.get_last_answer_s,
                 self._renew_oldest_grant,
             )
         )
--- a/wagtailrill/keys/grants.py
+++ b/wagtailrill/keys/grants.py
@@ -46,7 +46,7 @@
     """Dependencies of `GrantManager`.
 
     `may_call` returns whether the granter still runs and holds the duty, and
-    `get_last_report_s` the monotonic time at which a server last answered a request and
+    `get_last_answer_s` the monotonic time at which a server last answered a request and
     reported its load. `on_call_slot_freed` is called with the name of a server that can
     take another grant call.
     """
@@ -57,7 +57,7 @@
     may_call: Callable[[], bool]
     on_segments_changed: Callable[[], None]
     on_load_report: Callable[[str, LoadReport], None]
-    get_last_report_s: Callable[[str], float]
+    get_last_answer_s: Callable[[str], float]
     on_call_slot_freed: Callable[[str], None]
 
 
@@ -187,7 +187,7 @@
             return False
         last_answer_s = max(
             self._last_grant_s.get(owner, float("-inf")),
-            self._parts.get_last_report_s(owner),
+            self._parts.get_last_answer_s(owner),
         )
         return self._ctx.now_s - last_answer_s >= OWNER_SILENCE_MAX_S
 
--- a/wagtailrill/placement/component.py
+++ b/wagtailrill/placement/component.py
@@ -144,7 +144,7 @@
             return Capacity(server.name, float(server.entry.slots))
         return dispatcher.estimate_capacity(server)
 
-    def get_last_report_s(self, backend_server: str) -> float:
+    def get_last_answer_s(self, backend_server: str) -> float:
         """Return when a server last answered with a load report, in monotonic time.
 
         The time is minus infinity if none is known here.
@@ -153,7 +153,7 @@
         dispatcher = self._get_dispatcher(server.entry.service) if server else None
         if server is None or dispatcher is None:
             return float("-inf")
-        return dispatcher.get_last_report_s(server)
+        return dispatcher.get_last_answer_s(server)
 
     def record_load(self, backend_server: str, load: LoadReport) -> None:
         """Record a load report that did not come with the answer to a request."""
--- a/wagtailrill/placement/dispatcher.py
+++ b/wagtailrill/placement/dispatcher.py
@@ -119,7 +119,7 @@
         rate_per_s = load.slots / (self._loads.base_latency_s * slowness)
         return Capacity(load.name, rate_per_s, slowness)
 
-    def get_last_report_s(self, row: ServerRow) -> float:
+    def get_last_answer_s(self, row: ServerRow) -> float:
         """Return when a server last answered with a load report, in monotonic time."""
         return self._loads.get_load(row).last_answer_s
 
--- a/wagtailrill/router/router.py
+++ b/wagtailrill/router/router.py
@@ -85,7 +85,7 @@
         )
         self.keys.estimate_capacity = self.placement.estimate_capacity
         self.keys.on_load_report = self.placement.record_load
-        self.keys.get_last_report_s = self.placement.get_last_report_s
+        self.keys.get_last_answer_s = self.placement.get_last_answer_s
         self.crash_guard = CrashGuard(
             ctx, self.servers, lambda: tuple(self.members.get_other_members())
         )
