Name a test of the virtual fleet by its subject

tests/stand_ins: test_cut_instances_exchange_nothing_until_healed -> test_cut_link_drops_messages_until_it_is_restored, make_fleet.factory -> make_host.

--- a/tests/stand_ins/test_virtual_fleet.py
+++ b/tests/stand_ins/test_virtual_fleet.py
@@ -17,7 +17,7 @@
 
 
 def make_fleet(received, seed=1):
-    def factory(name, incarnation, rng):
+    def make_host(name, incarnation, rng):
         ctx = Context(Identity(name, incarnation, "dc"), rng, Invariants())
         host = StartedHost(ctx)
         host.register_message_handler(
@@ -26,13 +26,13 @@
         ctx.timers.call_every(0.5, lambda: ctx.send("b" if name == "a" else "a", name))
         return host
 
-    fleet = VirtualFleet(factory, seed)
+    fleet = VirtualFleet(make_host, seed)
     fleet.start_instance("a")
     fleet.start_instance("b")
     return fleet
 
 
-def test_cut_instances_exchange_nothing_until_healed():
+def test_cut_link_drops_messages_until_it_is_restored():
     """Guards against partitions that let messages through."""
     received = []
     fleet = make_fleet(received)
