Reword platform, gateway, runtime, peer and store after a second reading

Folders: platform, gateway, runtime, peer, store and configuration, and the tests of gateway and platform. native and daemon needed no change.

Docstrings that said less than the code does or were vague are made precise (closed data centres, generations of pooled connections, why idle connections are closed, deferred requests, changes after a list, key explanations in the admin interface). The limits on decoded peer messages say what they bound. No reason or number is dropped.

Renamed: platform.wire.SERVER_ID -> START_ID PlatformSettings.ready_address -> admin_address gateway.header_dialect.KEY_POSITION_COUNT -> KEY_POSITIONS PeerSender._log_lost -> _log_lost_peer PeerSender._log_regained -> _log_regained_peer _AcknowledgementTracker.record_sent -> record_sent_frame _AcknowledgementTracker.record_acknowledged -> record_acknowledgement test_outcome_of_an_answer -> test_outcome_of_a_response

--- a/tests/gateway/test_backend_pool.py
+++ b/tests/gateway/test_backend_pool.py
@@ -184,7 +184,7 @@
 
 
 @pytest.mark.parametrize("case", sorted(CASES))
-def test_outcome_of_an_answer(case):
+def test_outcome_of_a_response(case):
     """Guards against truncated, mismatched or malformed responses sent to callers."""
     server, outcome, body = CASES[case]
     (result,) = send_requests(server)
--- a/tests/gateway/test_caller_protocol.py
+++ b/tests/gateway/test_caller_protocol.py
@@ -71,7 +71,7 @@
 
 
 def test_pipelined_requests_run_concurrently_and_are_answered_in_order():
-    """Guards against responses to another request of the same connection."""
+    """Guards against a response that is sent for another request of its connection."""
     handler = StubHandler(responds_at_once=False)
 
     async def async_scenario(reader, writer, state):
--- a/tests/platform/test_program.py
+++ b/tests/platform/test_program.py
@@ -1,7 +1,7 @@
 """Runs the program with the platform's settings against the stand-ins.
 
-Guards the parts that only meet in the whole process: start, readiness, listeners for
-requests and administration, and the planned stop.
+Guards what only a whole process shows: its start, readiness, listeners for requests
+and administration, and planned stop.
 """
 
 import base64
--- a/wagtailrill/configuration/follower.py
+++ b/wagtailrill/configuration/follower.py
@@ -42,8 +42,9 @@
 class ConfigurationFollower:
     """Applies each valid declaration, and never an older revision after a newer one.
 
-    `current` is the configuration in force, None until the first one is applied. An
-    invalid declaration is logged and the configuration in force is kept.
+    Closed data centres are applied as `OUT`. `current` is the configuration in force,
+    None until the first one is applied. An invalid declaration is logged and the
+    configuration in force is kept.
     """
 
     def __init__(self, ctx: Context, decoder: ConfigurationDecoder) -> None:
--- a/wagtailrill/gateway/backend_connection.py
+++ b/wagtailrill/gateway/backend_connection.py
@@ -101,7 +101,7 @@
         self.transport.write(data)
 
     def abort(self) -> None:
-        """Close the connection at once, without calling back."""
+        """Close the connection at once, without calling `on_end`."""
         self._on_end = None
         if self.transport is not None:
             self.transport.abort()
@@ -157,7 +157,7 @@
         self._headers.append((name.lower(), value))
 
     def on_headers_complete(self) -> None:
-        """Store the status; finish a HEAD response, as the parser awaits its body."""
+        """Store the status; finish a HEAD response, as the parser awaits a body."""
         self._status = self._parser.get_status_code()
         if self._is_head_request:
             self._finish_response(closes_connection=True)
--- a/wagtailrill/gateway/backend_pool.py
+++ b/wagtailrill/gateway/backend_pool.py
@@ -42,7 +42,8 @@
     """Open connections to one backend server.
 
     Requests take the most recently used idle connection, so that surplus ones stay
-    idle until they expire.
+    idle until they expire. `close_connections` starts a new generation; connections of
+    an earlier one are not reused.
     """
 
     def __init__(
@@ -95,7 +96,7 @@
         return True
 
     def has_connection_opened_before(self, time_s: float) -> bool:
-        """Return whether a connection opened before a time of the loop is open."""
+        """Return whether a connection opened before `time_s` (loop time) is open."""
         busy_connections = (
             exchange.conn for exchange in self._running_exchanges.values()
         )
@@ -122,7 +123,7 @@
             self._idle_connections.pop().abort()
 
     def close_expired_connections(self) -> None:
-        """Close idle connections that the server may close soon."""
+        """Close idle connections past their idle limit or keep-alive timeout."""
         now_s = self._loop.time()
         for conn in [
             conn for conn in self._idle_connections if not _is_usable(conn, now_s)
--- a/wagtailrill/gateway/caller_protocol.py
+++ b/wagtailrill/gateway/caller_protocol.py
@@ -250,7 +250,10 @@
     # Writing
 
     def flush_responses(self) -> None:
-        """Write the responses whose predecessors have all been written."""
+        """Write the responses that are next in order.
+
+        A deferred request that becomes the first one is passed to the handler.
+        """
         transport = self._transport
         while transport is not None and self._pending_exchanges:
             exchange = self._pending_exchanges[0]
--- a/wagtailrill/gateway/dialects.py
+++ b/wagtailrill/gateway/dialects.py
@@ -1,7 +1,7 @@
 """Interfaces to the HTTP headers and control calls of an environment.
 
-A dialect maps the header names and formats of one environment to the models of the
-decision code. The driver and the HTTP connections use these interfaces.
+A dialect maps the header names and formats of one environment to the router's models.
+The driver and the HTTP connections use these interfaces.
 """
 
 from typing import Protocol
--- a/wagtailrill/gateway/header_dialect.py
+++ b/wagtailrill/gateway/header_dialect.py
@@ -18,14 +18,14 @@
 MISDIRECTED_STATUS = 421
 FAILURE_STATUS_MIN = 500
 ATTEMPT_NUMBER_MAX = 100
-KEY_POSITION_COUNT = 65_536
+KEY_POSITIONS = 65_536
 # The load reported with these outcomes still counts the request itself as running.
 RAN_OUTCOMES = frozenset({AttemptOutcome.ANSWERED, AttemptOutcome.FAILED})
 
 
 @attrs.frozen
 class HeaderNames:
-    """Names of headers in lower case; an empty name means that it is not used.
+    """Names of headers in lower case; an empty name means that none is used.
 
     `credential_scheme` precedes the tenant key in its header. `key_position` is read
     from callers if `callers_send_key_position`, and otherwise sent to backend servers.
@@ -209,7 +209,7 @@
     if value is None or not value.isdigit() or len(value) > 5:
         return None
     position = int(value)
-    return position if position < KEY_POSITION_COUNT else None
+    return position if position < KEY_POSITIONS else None
 
 
 def _parse_attempt_number(value: bytes | None) -> int:
--- a/wagtailrill/peer/const.py
+++ b/wagtailrill/peer/const.py
@@ -8,9 +8,9 @@
 FRAME_MAX_BYTES: Final = 1_048_576
 LENGTH_PREFIX_BYTES: Final = 4
 MAC_BYTES: Final = 16
-# A payload of 10 bytes can declare a list of millions of empty elements, which takes
-# seconds to decode. The base allows for long runs of zeros, such as in stored answers,
-# which packing shrinks to a few bytes.
+# Limits on the decoded size of a payload, as one of 10 bytes can declare a list of
+# millions of empty elements, which takes seconds to decode. The base allows for long
+# runs of zeros, such as in stored answers, which packing shrinks to a few bytes.
 DECODED_WORDS_BASE: Final = 65_536
 DECODED_WORDS_PER_BYTE: Final = 2
 # Sender processes whose last sequence number is kept.
--- a/wagtailrill/peer/tcp.py
+++ b/wagtailrill/peer/tcp.py
@@ -83,15 +83,15 @@
                 except* CONNECTION_ERRORS as group:
                     reason = ", ".join(type(exc).__name__ for exc in group.exceptions)
                 self._counters.dropped_frames += 1
-                self._log_lost(reason)
+                self._log_lost_peer(reason)
                 await anyio.sleep(RECONNECT_DELAY_S)
 
-    def _log_lost(self, reason: str) -> None:
+    def _log_lost_peer(self, reason: str) -> None:
         if not self._is_lost:
             self._is_lost = True
             _LOG.info("peer_lost", address=self.address, reason=reason)
 
-    def _log_regained(self) -> None:
+    def _log_regained_peer(self) -> None:
         if self._is_lost:
             self._is_lost = False
             _LOG.info("peer_regained", address=self.address)
@@ -101,7 +101,7 @@
         host, _, port = self.address.rpartition(":")
         with anyio.fail_after(CONNECT_TIMEOUT_S):
             stream = await anyio.connect_tcp(host, int(port))
-        self._log_regained()
+        self._log_regained_peer()
         async with stream, anyio.create_task_group() as tg:
             tracker = _AcknowledgementTracker()
             tg.start_soon(self._async_watch_acknowledgements, stream, tracker, tg)
@@ -109,7 +109,7 @@
                 data = add_length_prefix(frame)
                 with anyio.fail_after(ACKNOWLEDGE_TIMEOUT_S):
                     await stream.send(data)
-                tracker.record_sent()
+                tracker.record_sent_frame()
                 self._counters.sent_frames += 1
                 self._counters.sent_bytes += len(data)
                 frame = await self._queue_output.receive()
@@ -124,7 +124,7 @@
                     await stream.receive(64)
                 except (anyio.EndOfStream, anyio.BrokenResourceError):
                     break
-                tracker.record_acknowledged()
+                tracker.record_acknowledgement()
             if tracker.is_overdue():
                 self._counters.silent_connections += 1
                 break
@@ -137,11 +137,11 @@
 
     unacknowledged_since_s: float | None = None
 
-    def record_sent(self) -> None:
+    def record_sent_frame(self) -> None:
         if self.unacknowledged_since_s is None:
             self.unacknowledged_since_s = time.monotonic()
 
-    def record_acknowledged(self) -> None:
+    def record_acknowledgement(self) -> None:
         self.unacknowledged_since_s = None
 
     def is_overdue(self) -> bool:
--- a/wagtailrill/platform/assembly.py
+++ b/wagtailrill/platform/assembly.py
@@ -114,7 +114,7 @@
         ),
         caller_address=cfg.caller_address,
         peer_address=peer_address,
-        admin_address=cfg.ready_address,
+        admin_address=cfg.admin_address,
         caller_limits=INITIAL_CALLER_LIMITS,
         load_balancer_lag_s=LOAD_BALANCER_LAG_S,
         stop_timeout_s=cfg.bounds.stop_s,
--- a/wagtailrill/platform/configuration.py
+++ b/wagtailrill/platform/configuration.py
@@ -1,4 +1,4 @@
-"""Decodes the operator's configuration into a declaration, and the closed zones.
+"""Decodes the operator's configuration into a declaration and closed data centres.
 
 Used by the router's configuration follower.
 """
@@ -43,7 +43,7 @@
 class PlatformConfigurationDecoder:
     """Implements `ConfigurationDecoder` for the store keys that the operator writes.
 
-    `data_centres` are those of the settings file: regions by name.
+    `data_centres` maps the data centres of the settings file to their regions.
     """
 
     data_centres: Mapping[str, str]
--- a/wagtailrill/platform/dialect.py
+++ b/wagtailrill/platform/dialect.py
@@ -19,5 +19,5 @@
     idempotency_key=b"",
     load=wire.LOAD,
     not_run=wire.NOT_RUN,
-    start_id=wire.SERVER_ID,
+    start_id=wire.START_ID,
 )
--- a/wagtailrill/platform/settings.py
+++ b/wagtailrill/platform/settings.py
@@ -43,8 +43,8 @@
 class PlatformSettings:
     """Settings of one process, as the platform provides them.
 
-    Addresses are `IP:port`. `data_centres` are regions by data centre. `cpu_share` is
-    the number of processors that the process may use.
+    Addresses are `IP:port`. `data_centres` maps each data centre to its region.
+    `cpu_share` is the number of processors that the process may use.
     """
 
     instance: str
@@ -53,7 +53,7 @@
     ip: str
     data_centres: Mapping[str, str]
     caller_address: str
-    ready_address: str
+    admin_address: str
     peer_port: int
     store_address: str
     store_ttl_min_s: float
@@ -107,7 +107,7 @@
         ip=get_text(fields, "ip"),
         data_centres={name: str(region) for name, region in zones.items()},
         caller_address=get_text(listen, "front"),
-        ready_address=get_text(listen, "ready"),
+        admin_address=get_text(listen, "ready"),
         peer_port=ports[0],
         store_address=get_text(platform, "address"),
         store_ttl_min_s=parse_duration_s(platform.get("ttl_min", "1000ms"), "ttl_min"),
--- a/wagtailrill/platform/store_client.py
+++ b/wagtailrill/platform/store_client.py
@@ -1,6 +1,7 @@
 """HTTP client of the platform's key-value store.
 
-Used by both kinds of processes and by the command-line tool.
+Used by the processes of both environments, native and platform, and by the
+command-line tool.
 """
 
 import base64
@@ -112,7 +113,7 @@
         await self._pool.aclose()
 
     async def async_call(self, operation: StoreOperation) -> StoreResult:
-        """Carry out one operation; failures are returned as `StoreError`."""
+        """Execute one operation; failures are returned as `StoreError`."""
         codec = _CODEC_BY_OPERATION[type(operation)]
         request = codec.encode_request(operation)
         try:
--- a/wagtailrill/platform/wire.py
+++ b/wagtailrill/platform/wire.py
@@ -12,7 +12,7 @@
 # Running and waiting requests, slots and, from some services, slowness in per cent.
 LOAD: Final = b"upstream-load"
 NOT_RUN: Final = b"not-executed"
-SERVER_ID: Final = b"instance-id"
+START_ID: Final = b"instance-id"
 KEY_POSITION: Final = b"shard-key"
 HANDOVER: Final = b"handover"
 AUTHORIZATION: Final = b"authorization"
--- a/wagtailrill/runtime/admin.py
+++ b/wagtailrill/runtime/admin.py
@@ -1,4 +1,4 @@
-"""Admin interface of an instance: readiness, metrics, status, planned stop.
+"""Admin interface: readiness, metrics, status, explanation of keys, planned stop.
 
 Used by the load balancer, by metrics scrapers and by the command-line tool.
 """
--- a/wagtailrill/runtime/driver.py
+++ b/wagtailrill/runtime/driver.py
@@ -215,7 +215,7 @@
             self.dispatch_event(CallerLeft(request_id))
 
     def drop_expired_connections(self) -> None:
-        """Close idle connections that their backend server may close soon.
+        """Close idle connections past their idle limit or keep-alive timeout.
 
         Pools without connections are removed once their server is unknown.
         """
--- a/wagtailrill/store/mirror.py
+++ b/wagtailrill/store/mirror.py
@@ -50,7 +50,8 @@
 class PrefixMirror:
     """Lists a prefix, then watches it; lists it again after a failed watch.
 
-    `items` holds the last known keys, and `on_change` receives the changed ones.
+    `items` holds the last known keys. `on_change` receives the changed ones, after a
+    list also if there are none.
     `confirmed_s` is the monotonic time at which `items` was last known to be complete,
     `-inf` before the first list.
     """
