Name the router's queries by what they return

Folders: core, router, runtime and stand_ins, and the tests of core and stand_ins. Only names change.

Renamed: TimerService, ComponentHost, Router, EventDrivenRouter, Node (of the virtual fleet): next_due_s -> get_next_due_s Router, EventDrivenRouter: address_of -> find_server_address

--- a/tests/core/test_timer.py
+++ b/tests/core/test_timer.py
@@ -27,4 +27,4 @@
     timers.call_later(1.0, lambda: ran.append(None)).cancel()
     timers.advance(2.0)
     assert ran == []
-    assert timers.next_due_s() is None
+    assert timers.get_next_due_s() is None
--- a/tests/stand_ins/test_virtual_fleet.py
+++ b/tests/stand_ins/test_virtual_fleet.py
@@ -103,7 +103,7 @@
         self.due_times_s = [due_s for due_s in self.due_times_s if due_s > now_s]
         return []
 
-    def next_due_s(self):
+    def get_next_due_s(self):
         return self.due_times_s[0] if self.due_times_s else None
 
 
--- a/wagtailrill/core/host.py
+++ b/wagtailrill/core/host.py
@@ -63,9 +63,9 @@
         self.ctx.timers.advance(self.ctx.now_s)
         return self._deliver_local_messages(self.ctx.drain_commands())
 
-    def next_due_s(self) -> float | None:
+    def get_next_due_s(self) -> float | None:
         """Return the monotonic time of the next timer in seconds, if there is one."""
-        return self.ctx.timers.next_due_s()
+        return self.ctx.timers.get_next_due_s()
 
     def _deliver_local_messages(self, commands: list[Command]) -> list[Command]:
         instance = self.ctx.identity.instance
--- a/wagtailrill/core/timer.py
+++ b/wagtailrill/core/timer.py
@@ -59,7 +59,7 @@
         start_s = self._now_s + first_delay_s
         self.call_at(start_s, lambda: run_and_reschedule(start_s))
 
-    def next_due_s(self) -> float | None:
+    def get_next_due_s(self) -> float | None:
         """Return the monotonic time of the next callback in s, if there is one."""
         while self._queue and self._queue[0][2].callback is None:
             heapq.heappop(self._queue)
@@ -68,7 +68,7 @@
     def advance(self, now_s: float) -> None:
         """Run every callback that is due at `now_s`, in order of due time."""
         self._now_s = max(self._now_s, now_s)
-        while (due_s := self.next_due_s()) is not None and due_s <= self._now_s:
+        while (due_s := self.get_next_due_s()) is not None and due_s <= self._now_s:
             _, _, handle = heapq.heappop(self._queue)
             callback, handle.callback = handle.callback, None
             if callback is not None:
--- a/wagtailrill/router/router.py
+++ b/wagtailrill/router/router.py
@@ -110,9 +110,9 @@
         """
         return self.host.step(event, now_s, wall_s)
 
-    def next_due_s(self) -> float | None:
+    def get_next_due_s(self) -> float | None:
         """Return the monotonic time of the next timer in seconds, None without one."""
-        return self.host.next_due_s()
+        return self.host.get_next_due_s()
 
     def apply_allowances(self, allowances: Allowances) -> None:
         """Apply allowances that changed while the instance was running."""
@@ -124,7 +124,7 @@
         """Return whether the load balancer should send requests here."""
         return not self.draining and self.configuration.current is not None
 
-    def address_of(self, backend_server: str) -> str | None:
+    def find_server_address(self, backend_server: str) -> str | None:
         """Return the address of a backend server, None if it is unknown."""
         return self.servers.find_address(backend_server)
 
--- a/wagtailrill/runtime/driver.py
+++ b/wagtailrill/runtime/driver.py
@@ -96,11 +96,11 @@
         """Handle an event, if any, and due timers; return the commands to execute."""
         ...
 
-    def next_due_s(self) -> float | None:
+    def get_next_due_s(self) -> float | None:
         """Return the monotonic time of the next timer in seconds, None without one."""
         ...
 
-    def address_of(self, backend_server: str) -> str | None:
+    def find_server_address(self, backend_server: str) -> str | None:
         """Return the address of a backend server, None if it is unknown."""
         ...
 
@@ -221,7 +221,7 @@
         """
         for name, pool in list(self.pools.items()):
             pool.close_expired_connections()
-            if pool.is_empty and self._parts.router.address_of(name) is None:
+            if pool.is_empty and self._parts.router.find_server_address(name) is None:
                 del self.pools[name]
 
     def _execute_commands(self, commands: list[Command]) -> None:
@@ -229,7 +229,7 @@
             self._command_handlers[type(command)](command)
 
     def _arm_timer(self) -> None:
-        due_s = self._parts.router.next_due_s()
+        due_s = self._parts.router.get_next_due_s()
         if self._timer is not None:
             if due_s is not None and self._timer_due_s <= due_s:
                 return
@@ -365,7 +365,7 @@
 
         The pool is created when there is none for this address.
         """
-        address = self._parts.router.address_of(backend_server)
+        address = self._parts.router.find_server_address(backend_server)
         if address is None:
             return None
         pool = self.pools.get(backend_server)
--- a/wagtailrill/stand_ins/virtual_fleet.py
+++ b/wagtailrill/stand_ins/virtual_fleet.py
@@ -41,7 +41,7 @@
         """Handle an event, if any, and due timers; return the commands to execute."""
         ...
 
-    def next_due_s(self) -> float | None:
+    def get_next_due_s(self) -> float | None:
         """Return the instance clock's time of the next timer, None without one."""
         ...
 
@@ -225,7 +225,7 @@
         self._schedule_wake(row)
 
     def _schedule_wake(self, row: NodeRow) -> None:
-        due_s = row.node.next_due_s()
+        due_s = row.node.get_next_due_s()
         if due_s is None:
             return
         wake_s = max((due_s - row.clock_offset_s) / row.clock_rate, self.now_s) + 1e-9
