Reword servers, fleet, rates and their neighbours after a second reading

Folders: servers, fleet, rates, organisations, core, claims, retries, router and their tests. Docstrings that named a parameter or field wrongly or said something that the code doesn't do are mended (own share of rate limits, doubt about the warmth of a server, refusals, timers, cached quantiles); a few comments are made clearer. State of one organisation or service is a row, as in the other components.

Renamed: LIST_RETRY_S -> LIST_RETRY_DELAY_S; ColdAllowances instances -> list_instances; RateLimiter._handle_tick -> _tick, _possibly_running -> _instances; OrganisationTokens -> OrganisationRow; TokenHolder._by_organisation -> _rows; ServiceAttempts -> ServiceRow; ExtraAttemptBudget._services -> _rows; Duties.list_held -> list_held_duties; Router.retries -> retry_budget; OnClaimed, on_claimed -> OnResult, on_result; in tests make_extra_attempts -> make_budget, extra -> budget, count_most_in_window -> count_max_in_window, services -> other_duties, f -> case.

--- a/tests/fleet/test_duties.py
+++ b/tests/fleet/test_duties.py
@@ -103,7 +103,7 @@
     for name in run.instance_names[1:]:
         run.kill_instance(name)
     run.fleet.run_until(run.now_s + 12.0)
-    assert DUTY in run.get_router("i-1").duties.list_held()
+    assert DUTY in run.get_router("i-1").duties.list_held_duties()
     call = run.send_request("i-1", "roll", position=5)
     run.fleet.run_until(run.now_s + 1.5)
     assert call.answered
@@ -119,11 +119,13 @@
         run = Deployment(seed, instances=10)
         run.start_all()
         run.fleet.run_until(8.0)
-        held = {n: run.get_router(n).duties.list_held() for n in run.instance_names}
+        held = {
+            n: run.get_router(n).duties.list_held_duties() for n in run.instance_names
+        }
         # Two services, six groups of organisations, the list of servers.
         assert sum(map(len, held.values())) == 9
         assert max(map(len, held.values())) <= 2
-        services = [
+        other_duties = [
             [d for d in ds if not d.startswith("rates/")] for ds in held.values()
         ]
-        assert max(map(len, services)) <= 1
+        assert max(map(len, other_duties)) <= 1
--- a/tests/organisations/test_keys.py
+++ b/tests/organisations/test_keys.py
@@ -46,8 +46,8 @@
 
 @pytest.mark.parametrize(
     ("headers", "code"),
-    [f[1:] for f in INVALID_HEADERS],
-    ids=[f[0] for f in INVALID_HEADERS],
+    [case[1:] for case in INVALID_HEADERS],
+    ids=[case[0] for case in INVALID_HEADERS],
 )
 def test_refuses_invalid_headers(headers, code):
     """Guards against requests that run without a valid key of the organisation."""
--- a/tests/rates/test_rates.py
+++ b/tests/rates/test_rates.py
@@ -1,11 +1,11 @@
-"""Tests the fleet-wide rate limits of organisations on a simulated clock."""
+"""Tests the fleet-wide rate limits of organisations on a virtual clock."""
 
 import pytest
 
 from tests.runs.declaration import ORGANISATIONS, RATES
 from tests.runs.deployment import Deployment
 
-ALLOWED_PER_S = 9.0  # organisation `busy` is limited to 12 requests/s
+ALLOWED_PER_S = 9.0  # within the 12 requests/s of organisation `busy`
 
 
 @pytest.fixture
@@ -29,7 +29,7 @@
     return calls
 
 
-def count_most_in_window(run, organisation="busy"):
+def count_max_in_window(run, organisation="busy"):
     times = sorted(
         e.at_s for e in run.servers.executions if e.organisation == organisation
     )
@@ -48,7 +48,7 @@
 def test_organisation_far_above_its_rate_stays_within_the_bound(run):
     """Guards against an organisation that gets its full rate at every instance."""
     send_requests(run, 8.0, 200.0, run.instance_names)
-    assert count_most_in_window(run) <= RATES.compute_bound(ORGANISATIONS["busy"])
+    assert count_max_in_window(run) <= RATES.compute_bound(ORGANISATIONS["busy"])
 
 
 def test_bound_holds_when_the_issuer_is_lost(run):
@@ -57,12 +57,12 @@
     issuers = [
         n
         for n in run.instance_names
-        if any(map(_is_issuing_duty, run.get_router(n).duties.list_held()))
+        if any(map(_is_issuing_duty, run.get_router(n).duties.list_held_duties()))
     ]
     run.kill_instance(issuers[0])
     rest = [n for n in run.instance_names if n != issuers[0]]
     send_requests(run, 6.0, 200.0, rest)
-    assert count_most_in_window(run) <= RATES.compute_bound(ORGANISATIONS["busy"])
+    assert count_max_in_window(run) <= RATES.compute_bound(ORGANISATIONS["busy"])
 
 
 def test_bound_holds_while_instances_cannot_reach_each_other(run):
@@ -70,7 +70,7 @@
     run.fleet.isolate_instances({"i-1"})
     run.fleet.isolate_instances({"i-2"})
     send_requests(run, 8.0, 200.0, run.instance_names)
-    assert count_most_in_window(run) <= RATES.compute_bound(ORGANISATIONS["busy"])
+    assert count_max_in_window(run) <= RATES.compute_bound(ORGANISATIONS["busy"])
 
 
 def test_isolated_instance_admits_its_own_share(run):
@@ -101,7 +101,7 @@
     calls = send_requests(run, 2.0, 5.0, ["i-1", "i-2"])
     refused = [c for c in calls if c.refusal and c.refusal.status == 429]
     assert len(refused) <= 1
-    assert count_most_in_window(run) <= RATES.compute_bound(ORGANISATIONS["busy"])
+    assert count_max_in_window(run) <= RATES.compute_bound(ORGANISATIONS["busy"])
 
 
 def test_full_start_is_allowed_once_per_window(run):
@@ -117,8 +117,8 @@
             run.kill_instance(name)
             run.fleet.start_instance(name)
     send_requests(run, 4.0, 200.0, list(run.fleet.nodes))
-    assert count_most_in_window(run) <= RATES.compute_bound(ORGANISATIONS["busy"])
+    assert count_max_in_window(run) <= RATES.compute_bound(ORGANISATIONS["busy"])
 
 
 def get_held_duties(run, name):
-    return run.get_router(name).duties.list_held()
+    return run.get_router(name).duties.list_held_duties()
--- a/tests/retries/test_extra_attempts.py
+++ b/tests/retries/test_extra_attempts.py
@@ -9,9 +9,9 @@
 CFG = ExtraAttemptSettings(share=0.2, allowance=12.0, window_s=10.0, part=0.8)
 
 
-def make_extra_attempts(instances=("i-1", "i-2", "i-3")):
+def make_budget(instances=("i-1", "i-2", "i-3")):
     ctx = make_context()
-    extra = ExtraAttemptBudget(ctx, CFG, lambda: instances)
+    budget = ExtraAttemptBudget(ctx, CFG, lambda: instances)
     services = tuple(
         Service(name=name, routes=(), backend_servers=(), depends_on=depends_on)
         for name, depends_on in (("box", ("roll",)), ("roll", ()))
@@ -19,8 +19,8 @@
     declaration = Declaration(
         deployment="d", data_centres=(), services=services, organisations=()
     )
-    extra.configure(Configuration(1, declaration))
-    return ctx, extra
+    budget.configure(Configuration(1, declaration))
+    return ctx, budget
 
 
 @given(
@@ -31,14 +31,14 @@
 )
 def test_no_window_exceeds_this_instances_part_of_the_budget(steps):
     """Guards against retries of all instances that exceed the fleet's budget."""
-    ctx, extra = make_extra_attempts()
+    ctx, budget = make_budget()
     requests_s, extras_s = [], []
     for kind, pause_s in steps:
         advance_time(ctx, pause_s)
         if kind == "request":
-            extra.count_request("roll")
+            budget.count_request("roll")
             requests_s.append(ctx.now_s)
-        elif extra.take_attempt("roll"):
+        elif budget.take_attempt("roll"):
             extras_s.append(ctx.now_s)
     for at_s in extras_s:
         extra_count = sum(at_s - CFG.window_s < t <= at_s for t in extras_s)
@@ -48,8 +48,8 @@
 
 def test_instance_of_a_small_fleet_gets_a_larger_part():
     """Guards against a part that does not depend on the number of instances."""
-    _, small_fleet = make_extra_attempts(("i-1",))
-    _, large_fleet = make_extra_attempts(tuple(f"i-{n}" for n in range(12)))
+    _, small_fleet = make_budget(("i-1",))
+    _, large_fleet = make_budget(tuple(f"i-{n}" for n in range(12)))
     assert sum(small_fleet.take_attempt("roll") for _ in range(20)) > sum(
         large_fleet.take_attempt("roll") for _ in range(20)
     )
@@ -57,16 +57,16 @@
 
 def test_exhausted_budget_of_a_dependency_stops_extra_attempts():
     """Guards against retries that keep a dependency overloaded."""
-    _, extra = make_extra_attempts(("i-1",))
-    while extra.take_attempt("roll"):
+    _, budget = make_budget(("i-1",))
+    while budget.take_attempt("roll"):
         pass
-    assert not extra.has_budget("box")
+    assert not budget.has_budget("box")
 
 
 def test_hedge_delay_needs_enough_answers_and_follows_their_latency():
     """Guards against hedges after a delay that no measured latency supports."""
-    _, extra = make_extra_attempts()
-    assert extra.get_hedge_delay_s("roll") is None
+    _, budget = make_budget()
+    assert budget.get_hedge_delay_s("roll") is None
     for _ in range(200):
-        extra.record_latency("roll", 0.1)
-    assert 0.09 <= extra.get_hedge_delay_s("roll") <= 0.13
+        budget.record_latency("roll", 0.1)
+    assert 0.09 <= budget.get_hedge_delay_s("roll") <= 0.13
--- a/wagtailrill/claims/claims.py
+++ b/wagtailrill/claims/claims.py
@@ -36,7 +36,7 @@
     Verdict,
 )
 
-OnClaimed = Callable[[ClaimResult], None]
+OnResult = Callable[[ClaimResult], None]
 VERDICT_BY_STATE = {
     ClaimState.ANSWERED: Verdict.DONE,
     ClaimState.NOT_KEPT: Verdict.NOT_KEPT,
@@ -53,7 +53,7 @@
 
     key: str
     claim: Claim
-    on_claimed: OnClaimed
+    on_result: OnResult
     revision: int = 0
 
 
@@ -75,12 +75,12 @@
         self._unsent_ids: list[int] = []
 
     def create_claim(
-        self, key: ClaimKey, digest: int, issued_ms: int, on_claimed: OnClaimed
+        self, key: ClaimKey, digest: int, issued_ms: int, on_result: OnResult
     ) -> int:
         """Claim a request's key; return the claim ID, 0 if refused at once.
 
         `issued_ms` is the Unix time in the idempotency key, in milliseconds.
-        `on_claimed` gets the verdict, at once or when the store has answered.
+        `on_result` gets the verdict, at once or when the store has answered.
         """
         identity = self._ctx.identity
         claim = Claim(
@@ -92,11 +92,11 @@
         )
         age_verdict = self._check_age(issued_ms / MS_PER_S)
         if age_verdict is not None:
-            on_claimed(ClaimResult(age_verdict))
+            on_result(ClaimResult(age_verdict))
             return 0
         claim_id = claim.nonce
         self._open_claims[claim_id] = OpenClaim(
-            self._prefix + key.compute_digest(), claim, on_claimed
+            self._prefix + key.compute_digest(), claim, on_result
         )
         self._unsent_ids.append(claim_id)
         self._send_claims()
@@ -221,7 +221,7 @@
     ) -> None:
         open_claim.revision = revision
         if claim_id in self._open_claims:
-            open_claim.on_claimed(ClaimResult(Verdict.NEW))
+            open_claim.on_result(ClaimResult(Verdict.NEW))
         else:
             # The request ended before it was sent, so release its key.
             expected = (Expected(open_claim.key, revision),)
@@ -234,7 +234,7 @@
     ) -> None:
         open_claim = self._open_claims.pop(claim_id, None)
         if open_claim is not None:
-            open_claim.on_claimed(ClaimResult(verdict, answer))
+            open_claim.on_result(ClaimResult(verdict, answer))
 
 
 def _build_ended_claim(
--- a/wagtailrill/core/host.py
+++ b/wagtailrill/core/host.py
@@ -48,7 +48,7 @@
             self._message_handlers[cls] = handler
 
     def register_step_hook(self, hook: Callable[[], None]) -> None:
-        """Register a hook that each step runs with the new time, before the event."""
+        """Register a hook that runs in each step before the event, at its time."""
         self._step_hooks.append(hook)
 
     def step(self, event: Event | None, now_s: float, wall_s: float) -> list[Command]:
--- a/wagtailrill/core/refusals.py
+++ b/wagtailrill/core/refusals.py
@@ -74,8 +74,8 @@
 class Refusal:
     """An error answer to a caller.
 
-    `ran` says whether the request may have run, `retry_after_s` after how many seconds
-    the caller may try again.
+    `may_have_run` says whether the request may have run, `retry_after_s` after how many
+    seconds the caller may try again.
     """
 
     code: RefusalCode
--- a/wagtailrill/core/timer.py
+++ b/wagtailrill/core/timer.py
@@ -46,7 +46,7 @@
         callback: Callable[[], None],
         first_delay_s: float = 0.0,
     ) -> None:
-        """Run a callback every `interval_s` seconds, first after `first_s`.
+        """Run a callback every `interval_s` seconds, first after `first_delay_s`.
 
         Runs missed during a pause of the process are skipped, not repeated.
         """
--- a/wagtailrill/fleet/const.py
+++ b/wagtailrill/fleet/const.py
@@ -15,9 +15,11 @@
 VANISHED_MEMBER_RETENTION_S: Final = 12.0
 # Instances that start together see each other's keys before they take duties.
 START_SETTLE_S: Final = 0.3
+# An instance waits this long for each instance that is preferred for a vacant duty.
 RANK_DELAY_S: Final = 0.2
-# Relative load of a duty: one that places all requests of a service, one that issues
-# rate limit tokens for a group of organisations, and one that reads the server list.
+# Relative load of a duty: one that places all requests of a service or grants its keys,
+# one that issues rate limit tokens for a group of organisations, and one that reads
+# the server list.
 SERVICE_DUTY_WEIGHT: Final = 3
 RATES_DUTY_WEIGHT: Final = 1
 READER_DUTY_WEIGHT: Final = 1
--- a/wagtailrill/fleet/duties.py
+++ b/wagtailrill/fleet/duties.py
@@ -100,7 +100,7 @@
         row = self._rows.get(duty)
         return row.holder if row is not None else None
 
-    def list_held(self) -> tuple[str, ...]:
+    def list_held_duties(self) -> tuple[str, ...]:
         """Return the names of the duties that this instance holds."""
         return tuple(name for name in self._rows if self.holds(name))
 
@@ -179,7 +179,7 @@
         value = DutyHolder(identity.instance, identity.incarnation, 0).to_bytes()
         revision = row.holder.fence if row.holder is not None else 0
         commit = Commit((Expected(key, revision),), (Put(key, value),))
-        # The mirror may show this write before the commit is answered.
+        # Read now: the mirror may show this write before the commit is answered.
         former_holder = row.holder
         predecessor_may_act_s = self._compute_may_act_s(former_holder)
         row.commit_pending = True
@@ -268,6 +268,7 @@
         return holder.instance == RESIGNED_HOLDER.instance or self._has_ended(holder)
 
     def _compute_may_act_s(self, holder: DutyHolder | None) -> float:
+        """Return for how many seconds a former holder may still act."""
         if holder is None or self._has_resigned_or_ended(holder):
             return 0.0
         absent_s = self._members.get_absence_s(holder.instance)
--- a/wagtailrill/fleet/members.py
+++ b/wagtailrill/fleet/members.py
@@ -47,7 +47,8 @@
     """Keeps the lease on this instance's key, and a mirror of the fleet's keys.
 
     `lease_until_s` is when the lease ends at the earliest, on this instance's clock.
-    `secret` is shared by all instances, and empty until it is known.
+    `secret` authenticates peer messages unless secrets are configured. All instances
+    share it; it is empty until it is known.
     """
 
     def __init__(self, ctx: Context, cfg: FleetSettings) -> None:
--- a/wagtailrill/rates/component.py
+++ b/wagtailrill/rates/component.py
@@ -47,9 +47,9 @@
         self.holder = TokenHolder(
             ctx, cfg, members.list_possibly_running, self._send_token_request
         )
-        self._possibly_running: tuple[str, ...] = ()
+        self._instances: tuple[str, ...] = ()
         self._members = members
-        ctx.timers.call_every(TICK_INTERVAL_S, self._handle_tick)
+        ctx.timers.call_every(TICK_INTERVAL_S, self._tick)
 
     def attach(self, host: ComponentHost) -> None:
         """Register the handlers of token messages."""
@@ -151,9 +151,9 @@
     def _handle_token_grant(self, envelope: Envelope) -> None:
         self.holder.apply_grant(envelope.message)
 
-    def _handle_tick(self) -> None:
+    def _tick(self) -> None:
         self.holder.return_unused_tokens()
-        possibly_running = self._members.list_possibly_running()
-        if possibly_running != self._possibly_running:
-            self._possibly_running = possibly_running
+        instances = self._members.list_possibly_running()
+        if instances != self._instances:
+            self._instances = instances
             self.holder.update_own_shares()
--- a/wagtailrill/rates/holder.py
+++ b/wagtailrill/rates/holder.py
@@ -40,7 +40,7 @@
 
 
 @attrs.define(eq=False)
-class OrganisationTokens:
+class OrganisationRow:
     """Tokens, demand and waiting requests of one organisation at this instance.
 
     `request_number` is that of the token request under way, 0 if there is none. Until
@@ -75,9 +75,8 @@
 class TokenHolder:
     """Admits requests with granted tokens, or from the own share when none arrive.
 
-    The own share is this instance's part of the tolerance by which the fleet may exceed
-    a rate limit. It is divided evenly among the instances, so using it needs no
-    coordination.
+    The own share is this instance's part of `OWN_SHARE_BOUND_RATIO` of the fleet's
+    bound. It is divided evenly among the instances, so using it needs no coordination.
     """
 
     def __init__(
@@ -91,24 +90,24 @@
         self._cfg = cfg
         self._list_instances = list_instances
         self._send_token_request = send_token_request
-        self._by_organisation: dict[str, OrganisationTokens] = {}
+        self._rows: dict[str, OrganisationRow] = {}
         self._last_request_number = 0
 
     def configure(self, limits: dict[str, RateLimit]) -> None:
         """Apply the limits of a configuration, by organisation."""
         now_s = self._ctx.now_s
-        by_organisation: dict[str, OrganisationTokens] = {}
+        rows: dict[str, OrganisationRow] = {}
         for name, limit in limits.items():
-            row = self._by_organisation.get(name)
+            row = self._rows.get(name)
             own_limit = self._compute_own_limit(limit)
             if row is None:
-                row = OrganisationTokens(limit, TokenBucket(own_limit, now_s))
+                row = OrganisationRow(limit, TokenBucket(own_limit, now_s))
             elif row.limit != limit:
                 row.limit = limit
                 row.own_bucket.set_limit(own_limit, now_s)
                 row.tokens = min(row.tokens, math.floor(limit.burst))
-            by_organisation[name] = row
-        self._by_organisation = by_organisation
+            rows[name] = row
+        self._rows = rows
 
     def apply_settings(self, cfg: RateSettings) -> None:
         """Replace the settings and recompute the own shares."""
@@ -117,14 +116,14 @@
 
     def update_own_shares(self) -> None:
         """Recompute the own shares after a change of the settings or the instances."""
-        for row in self._by_organisation.values():
+        for row in self._rows.values():
             row.own_bucket.set_limit(
                 self._compute_own_limit(row.limit), self._ctx.now_s
             )
 
     def take_token(self, organisation: str, on_result: OnResult) -> None:
         """Decide on a request now, or once a token has arrived or the wait is over."""
-        row = self._by_organisation.get(organisation)
+        row = self._rows.get(organisation)
         if row is None:
             on_result(RateLimitResult(False, RETRY_AFTER_MAX_S, "unknown_organisation"))
             return
@@ -149,7 +148,7 @@
 
     def apply_grant(self, grant: TokenGrant) -> None:
         """Admit waiting requests with granted tokens; back off after a denial."""
-        row = self._by_organisation.get(grant.organisation)
+        row = self._rows.get(grant.organisation)
         if row is None or grant.number != row.request_number:
             return
         now_s = self._ctx.now_s
@@ -171,12 +170,12 @@
     def return_unused_tokens(self) -> None:
         """Return tokens to their issuer that have not been used for a while."""
         now_s = self._ctx.now_s
-        for name, row in self._by_organisation.items():
+        for name, row in self._rows.items():
             if row.tokens and now_s - row.used_s > UNUSED_TOKENS_MAX_AGE_S:
                 tokens, row.tokens = row.tokens, 0
                 self._send_token_request(name, 0, tokens, 0)
 
-    def _request_tokens(self, organisation: str, row: OrganisationTokens) -> None:
+    def _request_tokens(self, organisation: str, row: OrganisationRow) -> None:
         now_s = self._ctx.now_s
         if now_s < row.backoff_until_s:
             self._resolve_waiters(row)
@@ -195,17 +194,17 @@
             row.backoff_until_s = now_s + NO_ANSWER_BACKOFF_S
             self._resolve_waiters(row)
 
-    def _resolve_waiters(self, row: OrganisationTokens) -> None:
+    def _resolve_waiters(self, row: OrganisationRow) -> None:
         """Decide on all waiting requests from the own share."""
         while row.waiters:
             self._use_own_share(row, row.waiters.popleft().on_result)
 
-    def _admit_waiters(self, row: OrganisationTokens) -> None:
+    def _admit_waiters(self, row: OrganisationRow) -> None:
         while row.waiters and row.tokens > 0:
             row.tokens -= 1
             row.waiters.popleft().on_result(ADMITTED)
 
-    def _expire_waiters(self, row: OrganisationTokens) -> None:
+    def _expire_waiters(self, row: OrganisationRow) -> None:
         now_s = self._ctx.now_s
         has_expired = False
         while row.waiters and row.waiters[0].expires_s <= now_s:
@@ -216,7 +215,7 @@
             row.request_number = 0
             row.backoff_until_s = now_s + NO_ANSWER_BACKOFF_S
 
-    def _use_own_share(self, row: OrganisationTokens, on_result: OnResult) -> None:
+    def _use_own_share(self, row: OrganisationRow, on_result: OnResult) -> None:
         now_s = self._ctx.now_s
         if row.own_bucket.take_tokens(1, now_s):
             on_result(ADMITTED)
--- a/wagtailrill/retries/extra_attempts.py
+++ b/wagtailrill/retries/extra_attempts.py
@@ -30,11 +30,11 @@
 
 
 @attrs.define
-class ServiceAttempts:
-    """Requests and extra attempts of one service in the current window.
+class ServiceRow:
+    """Recent requests and extra attempts of one service, and its latencies.
 
-    `depends_on` are its direct and indirect dependencies. The deques hold monotonic
-    times in seconds.
+    `depends_on` are its direct and indirect dependencies. The deques hold the monotonic
+    times in seconds of the current window.
     """
 
     depends_on: tuple[str, ...] = ()
@@ -61,7 +61,7 @@
         self._ctx = ctx
         self._cfg = cfg
         self._list_instances = list_instances
-        self._services: dict[str, ServiceAttempts] = {}
+        self._rows: dict[str, ServiceRow] = {}
 
     def apply_settings(self, cfg: ExtraAttemptSettings) -> None:
         """Replace the settings."""
@@ -69,57 +69,57 @@
 
     def configure(self, configuration: Configuration) -> None:
         """Apply a configuration; services that it keeps retain their counts."""
-        self._services = {
-            name: self._services.get(name) or ServiceAttempts()
+        self._rows = {
+            name: self._rows.get(name) or ServiceRow()
             for name in configuration.services
         }
-        for name, attempts in self._services.items():
-            attempts.depends_on = _find_dependencies(configuration, name)
+        for name, row in self._rows.items():
+            row.depends_on = _find_dependencies(configuration, name)
 
     def count_request(self, service: str) -> None:
         """Count a caller's request."""
-        attempts = self._services.get(service)
-        if attempts is not None:
-            attempts.request_times_s.append(self._ctx.now_s)
-            attempts.drop_before(self._ctx.now_s - self._cfg.window_s)
+        row = self._rows.get(service)
+        if row is not None:
+            row.request_times_s.append(self._ctx.now_s)
+            row.drop_before(self._ctx.now_s - self._cfg.window_s)
 
     def has_budget(self, service: str) -> bool:
         """Return whether the budget has room for one extra attempt."""
-        attempts = self._services.get(service)
-        if attempts is None or not self._has_budget(attempts):
+        row = self._rows.get(service)
+        if row is None or not self._has_budget(row):
             return False
         # Extra attempts would add load to a dependency that has used up its budget.
-        dependencies = (self._services.get(name) for name in attempts.depends_on)
+        dependencies = (self._rows.get(name) for name in row.depends_on)
         return all(other is None or self._has_budget(other) for other in dependencies)
 
     def take_attempt(self, service: str) -> bool:
         """Take one extra attempt from the budget; return whether there was one."""
         if not self.has_budget(service):
             return False
-        self._services[service].extra_times_s.append(self._ctx.now_s)
+        self._rows[service].extra_times_s.append(self._ctx.now_s)
         return True
 
     def record_latency(self, service: str, latency_s: float) -> None:
         """Record the latency of an answer in seconds."""
-        attempts = self._services.get(service)
-        if attempts is not None:
-            attempts.histogram.record_latency(latency_s)
+        row = self._rows.get(service)
+        if row is not None:
+            row.histogram.record_latency(latency_s)
 
     def get_hedge_delay_s(self, service: str) -> float | None:
         """Return after how many seconds to hedge a request, None for never."""
-        attempts = self._services.get(service)
-        if attempts is None or attempts.histogram.total < self._cfg.hedge_samples_min:
+        row = self._rows.get(service)
+        if row is None or row.histogram.total < self._cfg.hedge_samples_min:
             return None
-        return attempts.histogram.get_quantile_s(self._cfg.hedge_quantile)
+        return row.histogram.get_quantile_s(self._cfg.hedge_quantile)
 
-    def _has_budget(self, attempts: ServiceAttempts) -> bool:
-        attempts.drop_before(self._ctx.now_s - self._cfg.window_s)
-        return len(attempts.extra_times_s) + 1 <= self._compute_budget(attempts)
+    def _has_budget(self, row: ServiceRow) -> bool:
+        row.drop_before(self._ctx.now_s - self._cfg.window_s)
+        return len(row.extra_times_s) + 1 <= self._compute_budget(row)
 
-    def _compute_budget(self, attempts: ServiceAttempts) -> float:
+    def _compute_budget(self, row: ServiceRow) -> float:
         cfg = self._cfg
         allowance = cfg.allowance / max(len(self._list_instances()), 1)
-        return cfg.part * (cfg.share * len(attempts.request_times_s) + allowance)
+        return cfg.part * (cfg.share * len(row.request_times_s) + allowance)
 
 
 def _find_dependencies(configuration: Configuration, service: str) -> tuple[str, ...]:
--- a/wagtailrill/retries/histogram.py
+++ b/wagtailrill/retries/histogram.py
@@ -43,8 +43,8 @@
     def get_quantile_s(self, quantile: float) -> float:
         """Return the upper bound in seconds of the bucket that holds a quantile.
 
-        `quantile` is between 0 and 1. The result may be older than the last answers,
-        as it is cached.
+        `quantile` is between 0 and 1. The result is cached and may leave out the latest
+        latencies, fewer than `QUANTILE_REFRESH_SAMPLES`.
         """
         cached_s = self._quantiles_s.get(quantile)
         if cached_s is None:
--- a/wagtailrill/router/router.py
+++ b/wagtailrill/router/router.py
@@ -69,7 +69,7 @@
         self.cold_allowances = ColdAllowances(
             ctx, self.servers, allowances.cold, list_possibly_running
         )
-        self.retries = ExtraAttemptBudget(
+        self.retry_budget = ExtraAttemptBudget(
             ctx, allowances.extra_attempts, list_possibly_running
         )
         self.server_choice = ServerChoice(ctx, self.servers, self.cold_allowances)
@@ -118,7 +118,7 @@
         """Apply allowances that changed while the instance was running."""
         self.rates.apply_settings(allowances.rates)
         self.cold_allowances.apply_settings(allowances.cold)
-        self.retries.apply_settings(allowances.extra_attempts)
+        self.retry_budget.apply_settings(allowances.extra_attempts)
 
     def is_ready(self) -> bool:
         """Return whether the load balancer should send requests here."""
@@ -139,7 +139,7 @@
             "draining": self.draining,
             "configuration_version": configuration.version if configuration else 0,
             "members": list(self.members.list_possibly_running()),
-            "duties": list(self.duties.list_held()),
+            "duties": list(self.duties.list_held_duties()),
             "backend_servers": len(self.servers.rows),
             "open_requests": self.pipeline.count_open_requests(),
             "refusals": dict(counters.refusals),
@@ -155,7 +155,7 @@
         gauges = {
             "configuration_age_s": now_s - self.configuration.confirmed_s,
             "lease_left_s": self.members.lease_until_s - now_s,
-            "duties_held": float(len(self.duties.list_held())),
+            "duties_held": float(len(self.duties.list_held_duties())),
             "members_live": float(len(self.members.get_other_members()) + 1),
             "backend_servers_cold": float(
                 sum(self.servers.is_cold(row) for row in self.servers.rows.values())
@@ -168,9 +168,8 @@
     def explain_key(self, service: str, key: str) -> dict[str, Any] | None:
         """Return who owns a key, since when and which instance grants it.
 
-        The result is None if the service is not keyed.
-        A number from 0 to 65,535 is taken as a key position; any other text is hashed
-        to one.
+        The result is None if the service is not keyed. A number from 0 to 65,535 is
+        taken as a key position; any other text is hashed to one.
         """
         return self.keys.explain_key(service, parse_key_position(key))
 
@@ -197,7 +196,7 @@
             key_router=self.keys,
             servers=self.servers,
             server_choice=self.server_choice,
-            retry_budget=self.retries,
+            retry_budget=self.retry_budget,
             placement=self.placement,
             crash_guard=self.crash_guard,
             claims=self.claims,
@@ -226,7 +225,7 @@
         self.ctx.log(
             LogName.DRAIN_STARTED,
             open_requests=self.pipeline.count_open_requests(),
-            duties=",".join(self.duties.list_held()),
+            duties=",".join(self.duties.list_held_duties()),
         )
         self.pipeline.set_stop_time(self.ctx.now_s + event.stop_in_s)
         self.duties.resign_all()
@@ -236,7 +235,7 @@
         for component in (
             self.servers,
             self.cold_allowances,
-            self.retries,
+            self.retry_budget,
             self.keys,
             self.rates,
             self.placement,
--- a/wagtailrill/servers/const.py
+++ b/wagtailrill/servers/const.py
@@ -8,7 +8,7 @@
 POLL_INTERVAL_S: Final = 0.5
 ENTRIES_AGE_MAX_S: Final = 1.4
 RELAY_TICK_S: Final = 0.05
-LIST_RETRY_S: Final = 0.3
+LIST_RETRY_DELAY_S: Final = 0.3
 # After an outage of the store, running servers write their entries again within this
 # time; entries that are still missing after it are removed.
 STORE_RECOVERY_GRACE_S: Final = 2.3
--- a/wagtailrill/servers/discovery.py
+++ b/wagtailrill/servers/discovery.py
@@ -12,7 +12,7 @@
 from ..core.context import Context
 from ..core.log_events import LogName
 from ..store.models import Item, Listed, ListPrefix, StoreError, StoreResult
-from .const import LIST_RETRY_S, STORE_RECOVERY_GRACE_S
+from .const import LIST_RETRY_DELAY_S, STORE_RECOVERY_GRACE_S
 from .models import ServerEntry
 
 EntriesCallback = Callable[[dict[str, ServerEntry]], None]
@@ -37,7 +37,8 @@
     """Reads the entries on request, and keeps the last ones during a store outage.
 
     `confirmed_s` is the time at which the read of the present entries began, here or in
-    another instance. `on_entries_read` is called with each list that was read here.
+    another instance. `on_entries` is called with each complete list of entries,
+    `on_entries_read` before it, but only with lists that were read here.
     """
 
     def __init__(
@@ -139,6 +140,6 @@
                 age_s=round(self._ctx.now_s - self.confirmed_s, 3),
             )
         self._is_reading = False
-        self._retry_at_s = self._ctx.now_s + LIST_RETRY_S * self._ctx.rng.uniform(
+        self._retry_at_s = self._ctx.now_s + LIST_RETRY_DELAY_S * self._ctx.rng.uniform(
             0.7, 1.3
         )
--- a/wagtailrill/servers/load.py
+++ b/wagtailrill/servers/load.py
@@ -78,7 +78,7 @@
     # Ratio of the observed latency to the one that the reported slowness predicts.
     unreported_slowness: float = 1.0
     unreported_slowness_updated_s: float = 0.0
-    # Median age of the requests that the server is running.
+    # Median age of the requests that placement has assigned, 0.0 without any.
     median_age_s: float = 0.0
     last_report_s: float = float("-inf")
     last_answer_s: float = float("-inf")
--- a/wagtailrill/servers/models.py
+++ b/wagtailrill/servers/models.py
@@ -17,9 +17,11 @@
 class ServerEntry:
     """Entry of a backend server, announced by itself or taken from the declaration.
 
-    `slots` is how many requests it runs concurrently. `start_id` identifies one process
-    start; a restarted server may keep its name. `cold_left_s` is the remaining time for
-    which the server stays cold. `revision` rises with each change of the entry.
+    `slots` is how many requests it runs concurrently. `connections_max` limits the
+    connections of all instances to it; at 0 the limit of its service applies.
+    `start_id` identifies one process start; a restarted server may keep its name.
+    `cold_left_s` is the remaining time for which the server stays cold. `revision`
+    rises with each change of the entry.
     """
 
     name: str
--- a/wagtailrill/servers/relay.py
+++ b/wagtailrill/servers/relay.py
@@ -22,7 +22,7 @@
 
 @attrs.define(eq=False)
 class EntryChange:
-    """Version of the list in which an entry last changed, None for a removed one."""
+    """The last change of an entry, None if removed, and the list's version with it."""
 
     version: int
     entry: ServerEntry | None
@@ -95,7 +95,7 @@
         )
         self._ctx.send(holder.instance, request, holder.incarnation)
 
-    # Holder
+    # Reader
 
     def _record_changes(self, entries: dict[str, ServerEntry]) -> None:
         """Record changed entries; a new revision alone is a heartbeat and no change."""
@@ -144,7 +144,7 @@
         answer: EntriesAnswer = envelope.message
         if answer.number != self._request_number or self._duties.holds(READER_DUTY):
             return
-        # The answer was made after the request was sent.
+        # The read began no earlier: the answer was made after the request.
         confirmed_s = self._requested_s - answer.age_s
         if confirmed_s <= self._discovery.confirmed_s:
             return  # this instance has read the store itself since then
--- a/wagtailrill/servers/table.py
+++ b/wagtailrill/servers/table.py
@@ -88,7 +88,7 @@
         )
 
     def get_connections_max(self, row: ServerRow) -> int:
-        """Return the limit on connections of all instances to a server, 0 for none."""
+        """Return the fleet's limit on connections to a server, 0 for no limit."""
         service = self._services.get(row.entry.service)
         declared = service.connections_max if service else 0
         return row.entry.connections_max or declared
@@ -109,9 +109,11 @@
         return row.doubted_s + duration_s + COLD_DURATION_MARGIN_S
 
     def doubt_warmth(self, row: ServerRow, reason: str) -> None:
-        """Treat a server as cold until its next entry, since it may have restarted.
+        """Treat a server as cold, since it may have restarted.
 
-        `reason` is the outcome that raised the doubt, for the log.
+        It counts as cold until its next entry, until its process proves to be the same,
+        or until a process that restarted now would be warm. `reason` is the outcome
+        that raised the doubt, for the log.
         """
         row.doubted_s = self._ctx.now_s
         if row.doubted_revision is None:
--- a/wagtailrill/servers/warmth.py
+++ b/wagtailrill/servers/warmth.py
@@ -41,12 +41,12 @@
         ctx: Context,
         table: ServerTable,
         cfg: ColdSettings,
-        instances: Callable[[], tuple[str, ...]],
+        list_instances: Callable[[], tuple[str, ...]],
     ) -> None:
         self._ctx = ctx
         self._table = table
         self._cfg = cfg
-        self._instances = instances
+        self._list_instances = list_instances
         self._cold_starts: dict[str, ColdStart] = {}
 
     def apply_settings(self, cfg: ColdSettings) -> None:
@@ -85,7 +85,7 @@
         fleet_requests = (
             cold_start.requests_per_s * cfg.excess_factor + cfg.excess_requests
         )
-        instances = self._instances()
+        instances = self._list_instances()
         if self._ctx.identity.instance not in instances:
             return 0
         share, remainder = divmod(
