Name the server lookup of server choice by its object

Folders: servers, placement. Renamed: ServerChoice.find_usable -> find_usable_server, as its neighbours name the server too.

--- a/wagtailrill/placement/component.py
+++ b/wagtailrill/placement/component.py
@@ -271,7 +271,7 @@
         if query.keyed and query.key_position is not None:
             owner = parts.keys.get_routes(query.service).find_owner(query.key_position)
             moving = owner not in parts.servers.rows
-            server = parts.choice.find_usable(owner)
+            server = parts.choice.find_usable_server(owner)
         else:
             server = parts.choice.choose_server(query.service, query.excluded)
             if server is None and query.excluded and not query.extra:
@@ -323,7 +323,7 @@
             return NoServerAvailable(
                 moving, False, answer.retry_after_s, pending.dispatcher
             )
-        server = self._parts.choice.find_usable(answer.backend_server)
+        server = self._parts.choice.find_usable_server(answer.backend_server)
         if server is None:
             # The server is unknown here, is leaving, or is cold and this instance has
             # already used its share of the requests allowed there.
--- a/wagtailrill/servers/choice.py
+++ b/wagtailrill/servers/choice.py
@@ -42,7 +42,7 @@
         reachable = [row for row in rows if not loads.get_load(row).is_suspect(now_s)]
         return min(reachable or rows, key=self._estimate_latency_s, default=None)
 
-    def find_usable(self, backend_server: str) -> ServerRow | None:
+    def find_usable_server(self, backend_server: str) -> ServerRow | None:
         """Return the row of a named server, None if it may not get a request now."""
         row = self._table.rows.get(backend_server)
         if row is None or not self._table.accepts_keyed_requests(row):
