Call the state of a service in placement a row

Folder: placement. The state that a component keeps for one service is a row in key ownership and retries; placement now uses the same word. Renamed: ServiceState -> ServiceRow, Placement._services -> _rows, locals state -> row.

--- a/wagtailrill/placement/component.py
+++ b/wagtailrill/placement/component.py
@@ -55,7 +55,7 @@
 
 
 @attrs.define(eq=False)
-class ServiceState:
+class ServiceRow:
     """State of the placement of one service on this instance.
 
     `dispatcher` is set while this instance holds the duty. Until `local_until_s` this
@@ -91,7 +91,7 @@
     def __init__(self, parts: PlacementParts) -> None:
         self._parts = parts
         self._ctx = parts.ctx
-        self._services: dict[str, ServiceState] = {}
+        self._rows: dict[str, ServiceRow] = {}
         self._pending_queries: dict[int, PendingQuery] = {}
         self._query_numbers = itertools.count(1)
         parts.ctx.timers.call_every(TICK_INTERVAL_S, self._tick)
@@ -108,17 +108,17 @@
         A keyed service uses its duty of key ownership, which `KeyOwnership` registers.
         """
         for service in configuration.services.values():
-            if service.name in self._services:
+            if service.name in self._rows:
                 continue
             prefix = KEYS_DUTY_PREFIX if service.keyed else DUTY_PREFIX
-            self._services[service.name] = ServiceState(prefix + service.name)
+            self._rows[service.name] = ServiceRow(prefix + service.name)
             if not service.keyed:
                 self._parts.duties.register(
                     prefix + service.name, self, SERVICE_DUTY_WEIGHT
                 )
-        for name in self._services.keys() - configuration.services.keys():
+        for name in self._rows.keys() - configuration.services.keys():
             self._parts.duties.withdraw(DUTY_PREFIX + name)
-            del self._services[name]
+            del self._rows[name]
 
     def on_duty_taken(
         self, duty: str, fence: int, predecessor_may_act_s: float
@@ -169,15 +169,13 @@
         Return the number by which the query can be cancelled, 0 if it is already
         resolved.
         """
-        state = self._services.get(query.service)
-        holder = (
-            self._parts.duties.get_holder(state.duty) if state is not None else None
-        )
+        row = self._rows.get(query.service)
+        holder = self._parts.duties.get_holder(row.duty) if row is not None else None
         if (
-            state is None
+            row is None
             or holder is None
             or not holder.instance
-            or self._ctx.now_s < state.local_until_s
+            or self._ctx.now_s < row.local_until_s
         ):
             on_result(self._place_locally(query))
             return 0
@@ -223,9 +221,9 @@
         placement_ref = assignment.placement_ref
         dispatcher = placement_ref.dispatcher
         if not dispatcher:
-            state = self._services.get(service)
+            row = self._rows.get(service)
             holder = (
-                self._parts.duties.get_holder(state.duty) if state is not None else None
+                self._parts.duties.get_holder(row.duty) if row is not None else None
             )
             dispatcher = holder.instance if holder is not None else ""
         if dispatcher:
@@ -286,11 +284,11 @@
         pending = self._pending_queries.pop(number, None)
         if pending is None:
             return
-        state = self._services.get(pending.query.service)
-        if state is not None:
-            state.consecutive_timeouts += 1
-            if state.consecutive_timeouts >= CONSECUTIVE_TIMEOUTS_MAX:
-                state.local_until_s = self._ctx.now_s + LOCAL_CHOICE_PERIOD_S
+        row = self._rows.get(pending.query.service)
+        if row is not None:
+            row.consecutive_timeouts += 1
+            if row.consecutive_timeouts >= CONSECUTIVE_TIMEOUTS_MAX:
+                row.local_until_s = self._ctx.now_s + LOCAL_CHOICE_PERIOD_S
         self._send_end(pending.dispatcher, number, pending.query.service)
         pending.on_result(self._place_locally(pending.query))
 
@@ -299,9 +297,9 @@
         pending = self._pending_queries.get(answer.number)
         if pending is None or envelope.sender != pending.dispatcher:
             return
-        state = self._services.get(pending.query.service)
-        if state is not None:
-            state.consecutive_timeouts = 0
+        row = self._rows.get(pending.query.service)
+        if row is not None:
+            row.consecutive_timeouts = 0
         if pending.timer is not None:
             pending.timer.cancel()
         if answer.verdict is PlaceVerdict.QUEUED:
@@ -340,12 +338,12 @@
 
     def _get_dispatcher(self, service: str) -> Dispatcher | None:
         """Return the dispatcher of a service, None unless its duty is held here."""
-        state = self._services.get(service)
-        if state is None or not self._parts.duties.holds(state.duty):
+        row = self._rows.get(service)
+        if row is None or not self._parts.duties.holds(row.duty):
             return None
-        if state.dispatcher is None:
+        if row.dispatcher is None:
             parts = self._parts
-            state.dispatcher = Dispatcher(
+            row.dispatcher = Dispatcher(
                 DispatcherParts(
                     parts.ctx,
                     parts.servers,
@@ -356,7 +354,7 @@
                     lambda position: parts.keys.estimate_unowned_s(service, position),
                 )
             )
-        return state.dispatcher
+        return row.dispatcher
 
     def _on_request(self, envelope: Envelope) -> None:
         request: PlaceRequest = envelope.message
@@ -383,10 +381,10 @@
             dispatcher.record_end(end, envelope.sender)
 
     def _tick(self) -> None:
-        for name, state in self._services.items():
-            if state.dispatcher is None:
+        for name, row in self._rows.items():
+            if row.dispatcher is None:
                 continue
             if self._get_dispatcher(name) is None:
-                state.dispatcher = None
+                row.dispatcher = None
             else:
-                state.dispatcher.tick()
+                row.dispatcher.tick()
