Restore the exception name TooLargeError

Folder: wagtailrill/stand_ins. The name of an exception class leaves the process, so it keeps its spelling; the docstring that names it follows.

Renamed: BodyTooLargeError -> TooLargeError

--- a/wagtailrill/stand_ins/http.py
+++ b/wagtailrill/stand_ins/http.py
@@ -25,7 +25,7 @@
     """The client closed its connection before its request was complete."""
 
 
-class BodyTooLargeError(Exception):
+class TooLargeError(Exception):
     """The request's body exceeds its size limit."""
 
 
@@ -41,7 +41,7 @@
 async def async_read_body(receive: Receive, max_bytes: float = math.inf) -> bytes:
     """Return the request's body.
 
-    Raise `DisconnectedError` if the client leaves first and `BodyTooLargeError` if the
+    Raise `DisconnectedError` if the client leaves first and `TooLargeError` if the
     body exceeds `max_bytes`.
     """
     body = bytearray()
@@ -52,7 +52,7 @@
             raise DisconnectedError
         body += message.get("body", b"")
         if len(body) > max_bytes:
-            raise BodyTooLargeError
+            raise TooLargeError
         more_body = message.get("more_body", False)
     return bytes(body)
 
--- a/wagtailrill/stand_ins/store.py
+++ b/wagtailrill/stand_ins/store.py
@@ -43,12 +43,12 @@
 )
 from .faults import Outage, StoreFaults, draw_answer_loss, parse_faults
 from .http import (
-    BodyTooLargeError,
     DisconnectedError,
     HttpAnswer,
     Receive,
     Scope,
     Send,
+    TooLargeError,
     async_read_body,
     async_send_answer,
     async_wait_for_disconnect,
@@ -118,7 +118,7 @@
             body = await async_read_body(receive, MESSAGE_MAX_BYTES)
         except DisconnectedError:
             return
-        except BodyTooLargeError:
+        except TooLargeError:
             await async_send_answer(send, HttpAnswer(413, {"error": "too large"}))
             return
         request = _decode_request(scope, body)
