Read what others write with bounds that peers and headers can carry

Cause: the decoders of server entries, configurations, members, duties, key tables and claims each checked their fields in their own way, and had no upper bounds. A load report of a server with a number over 32 bits could not be told to the dispatcher, which then counted the request as running until it expired.

Change: core/json_fields.py reads fields of JSON with bounds, for all decoders. The limits of slots and connections stand beside their fields, and are checked for entries from peers as well. Numbers of load reports are cut at a million.

Refused before, too: ports above 65535, deep nesting, NaN, bytes that are no text.

--- a/tests/platform/test_decoders.py
+++ b/tests/platform/test_decoders.py
@@ -6,11 +6,12 @@
 import pytest
 from hypothesis import given, strategies as st
 
+from wagtailrill.core.json_fields import FieldError
 from wagtailrill.declaration.models import TenantKeyRule
 from wagtailrill.platform.configuration import PlatformConfigurationDecoder
 from wagtailrill.platform.discovery import PlatformEntryDecoder
 from wagtailrill.platform.settings import parse_settings
-from wagtailrill.platform.units import WireError, parse_duration_s
+from wagtailrill.platform.units import parse_duration_s
 from wagtailrill.servers.models import ServerState
 from wagtailrill.store.models import Item
 
@@ -127,6 +128,13 @@
     ("path", "value"),
     [
         (("routes", "rows", 0, 3), "maybe"),
+        (("routes", "rows", 0, 3), 5),
+        (("routes", "rows", 0, 3), None),
+        (("routes", "rows", 0, 6), 65_536),
+        (("routes", "rows", 0, 0), "r-1\r\nx: 1"),
+        (("services", "rows", 0, 1), 10**400),
+        (("tenants", "rows", 0, 0), "lines\r\nx: 1"),
+        (("tenants", "rows", 0, 2), 2**70),
         (("routes", "rows", 0, 4), "soon"),
         (("routes", "rows", 0, 4), None),
         (("routes", "rows", 0, 7), "nowhere"),
@@ -237,7 +245,7 @@
 @pytest.mark.parametrize("value", ["", "5", "5m", "-1s", "1e3s", "9" * 30 + "s", 4])
 def test_malformed_durations_are_rejected(value):
     """Guards against durations that overflow, or whose unit is guessed."""
-    with pytest.raises(WireError):
+    with pytest.raises(FieldError):
         parse_duration_s(value, "x")
 
 
--- a/wagtailrill/claims/models.py
+++ b/wagtailrill/claims/models.py
@@ -9,6 +9,7 @@
 import attrs
 import xxhash
 
+from ..core.json_fields import UINT64_MAX, get_integer, get_name, load_object
 from ..core.request_models import CallerRequest, Headers
 
 UUID_VERSION = 7
@@ -94,11 +95,11 @@
     def from_bytes(cls, content: bytes) -> "Claim | None":
         """Return the claim decoded from its stored form, None if it is malformed."""
         try:
-            fields = json.loads(content)
+            fields = load_object(content, "the claim")
             answer = None
             if "status" in fields:
                 answer = StoredAnswer(
-                    int(fields["status"]),
+                    get_integer(fields, "status"),
                     tuple(
                         (name.encode("latin-1"), value.encode("latin-1"))
                         for name, value in fields["headers"]
@@ -107,13 +108,13 @@
                 )
             return cls(
                 ClaimState(fields["state"]),
-                int(fields["digest"]),
-                str(fields["instance"]),
-                int(fields["incarnation"]),
-                int(fields["nonce"]),
+                get_integer(fields, "digest", maximum=UINT64_MAX),
+                get_name(fields, "instance"),
+                get_integer(fields, "incarnation"),
+                get_integer(fields, "nonce", maximum=UINT64_MAX),
                 answer,
             )
-        except (ValueError, KeyError, TypeError):
+        except (ValueError, KeyError, TypeError, AttributeError):
             return None
 
 
--- a/wagtailrill/declaration/models.py
+++ b/wagtailrill/declaration/models.py
@@ -1,9 +1,11 @@
 """Models of the services declaration and of the configuration made from it."""
 
 import enum
+from typing import Final
 
 import attrs
 
+from ..core.findings import Finding
 from .const import (
     DEFAULT_ATTEMPTS_MAX,
     DEFAULT_SLOW_START_SLOTS,
@@ -12,6 +14,9 @@
     DEFAULT_WEIGHT,
 )
 
+# Peer messages carry priorities as 16-bit numbers.
+PRIORITY_MAX: Final = 65_535
+
 
 class DataCentreState(enum.StrEnum):
     """Whether a data centre takes new work."""
@@ -179,6 +184,7 @@
     """A complete services declaration that has passed all checks.
 
     `version_number` rises with each declaration, None if the declarations have none.
+    `findings` are the words that the decoder does not know, and what it did instead.
     """
 
     deployment: str
@@ -187,6 +193,7 @@
     organisations: tuple[Organisation, ...]
     caller_limits: CallerLimits | None = None
     version_number: int | None = None
+    findings: tuple[Finding, ...] = ()
 
 
 @attrs.frozen
--- a/wagtailrill/fleet/models.py
+++ b/wagtailrill/fleet/models.py
@@ -1,13 +1,22 @@
 """Models of members and duty holders, and their values in the store."""
 
 import json
-from typing import Any, Protocol
+from typing import Protocol
 
 import attrs
 import xxhash
 
+from ..core.json_fields import (
+    FieldError,
+    get_integer,
+    get_name,
+    load_object,
+    parse_integer,
+    parse_name,
+)
+from ..declaration.check import is_address
 from ..store.models import Item
-from ..store.revision import FIRST_ERA, get_era
+from ..store.revision import ERA_MAX, FIRST_ERA, get_era
 
 MEMBERS_PREFIX = "members/"
 DUTIES_PREFIX = "duties/"
@@ -80,43 +89,42 @@
 
 def read_member(item: Item) -> Member | None:
     """Return the member stored in an item, None if the value is malformed."""
-    fields = _decode_fields(item)
-    store_era = fields.get("store_era")
     try:
+        fields = load_object(item.value, "the member")
+        era = fields.get("store_era")
+        address = get_name(fields, "address")
+        if not is_address(address):
+            return None
         return Member(
-            str(fields["instance"]),
-            int(fields["incarnation"]),
-            str(fields["address"]),
-            str(fields["data_centre"]),
-            None if store_era is None else int(store_era),
-            int(fields.get("configuration_version", 0)),
+            get_name(fields, "instance"),
+            get_integer(fields, "incarnation"),
+            address,
+            get_name(fields, "data_centre"),
+            None if era is None else parse_integer(era, "store_era", maximum=ERA_MAX),
+            parse_integer(
+                fields.get("configuration_version", 0), "configuration_version"
+            ),
         )
-    except (KeyError, TypeError, ValueError):
+    except FieldError:
         return None
 
 
 def read_holder(item: Item) -> DutyHolder | None:
     """Return the duty holder stored in an item, None if the value is malformed."""
-    fields = _decode_fields(item)
     try:
+        fields = load_object(item.value, "the holder")
+        # A duty that was released has no holder: the name is empty.
+        instance = fields.get("instance")
         return DutyHolder(
-            str(fields["instance"]),
-            int(fields["incarnation"]),
+            parse_name(instance, "instance") if instance != "" else "",
+            get_integer(fields, "incarnation"),
             item.revision,
-            int(fields.get("era", FIRST_ERA)),
+            parse_integer(fields.get("era", FIRST_ERA), "era", maximum=ERA_MAX),
         )
-    except (KeyError, TypeError, ValueError):
+    except FieldError:
         return None
 
 
-def _decode_fields(item: Item) -> dict[str, Any]:
-    try:
-        fields = json.loads(item.value)
-    except ValueError:
-        return {}
-    return fields if isinstance(fields, dict) else {}
-
-
 def hash_rank(name: str, instance: str) -> int:
     """Return the hash that orders instances for a name (rendezvous hashing)."""
     return xxhash.xxh3_64_intdigest(f"{name}\0{instance}".encode())
--- a/wagtailrill/gateway/header_dialect.py
+++ b/wagtailrill/gateway/header_dialect.py
@@ -25,6 +25,11 @@
 UNAVAILABLE_STATUS = 503
 FAILURE_STATUS_MIN = 500
 ATTEMPT_NUMBER_MAX = 100
+# Larger numbers of a load report are cut to this; peer messages carry 32 bits.
+LOAD_NUMBER_MAX = 1_000_000
+LOAD_PARTS_MIN = 3
+LOAD_PARTS_MAX = 4
+PERCENT = 100.0
 KEY_POSITIONS = 65_536
 # These tell callers that the request has not run, so they cannot come with a signature.
 NOT_RUN_STATUSES = frozenset({408, 429, 503})
@@ -223,15 +228,14 @@
     """
     if value is None:
         return None
-    try:
-        numbers = [int(part) for part in value.split(b",")]
-    except ValueError:
+    parts = value.split(b",")[:LOAD_PARTS_MAX]
+    numbers = [_parse_number(part.strip(), LOAD_NUMBER_MAX) for part in parts]
+    known = [number for number in numbers if number is not None]
+    if len(known) < max(len(parts), LOAD_PARTS_MIN):
         return None
-    if len(numbers) < 3 or min(numbers) < 0:
-        return None
-    slowness = numbers[3] / 100.0 if len(numbers) > 3 else 1.0
-    running = max(numbers[0] - finished_requests, 0)
-    return LoadReport(running, numbers[1], numbers[2], slowness)
+    slowness = known[3] / PERCENT if len(known) == LOAD_PARTS_MAX else 1.0
+    running = max(known[0] - finished_requests, 0)
+    return LoadReport(running, known[1], known[2], slowness)
 
 
 def _get_single_value(headers: Headers, header_name: bytes) -> bytes | None:
--- a/wagtailrill/keys/models.py
+++ b/wagtailrill/keys/models.py
@@ -8,6 +8,7 @@
 import attrs
 from expression import Error, Ok, Result
 
+from ..core.json_fields import get_integer, load_object, parse_integer, parse_list
 from ..store.revision import FIRST_ERA, NUMBER_LIMIT, get_era
 from .const import KEY_POSITIONS
 
@@ -81,10 +82,14 @@
     def from_bytes(cls, content: bytes) -> "Result[KeyTable, str]":
         """Parse the stored form; the error says why it is malformed."""
         try:
-            document = json.loads(content)
-            segments = tuple(_parse_segment(*items) for items in document["segments"])
-            table = cls(segments, int(document["fence"]), int(document["duty_fence"]))
-        except (ValueError, KeyError, TypeError) as exc:
+            document = load_object(content, "the table")
+            rows = parse_list(document.get("segments"), "segments")
+            table = cls(
+                tuple(_parse_segment(*parse_list(row, "a segment")) for row in rows),
+                get_integer(document, "fence"),
+                get_integer(document, "duty_fence"),
+            )
+        except (ValueError, TypeError) as exc:
             return Error(f"malformed key table: {exc}")
         return (
             Ok(table)
@@ -103,14 +108,14 @@
 
 
 def _parse_segment(
-    first: int, last: int, owner: str, start_id: str, fence: int, formers: Any
+    first: Any, last: Any, owner: Any, start_id: Any, fence: Any, formers: Any
 ) -> Segment:
     return Segment(
-        int(first),
-        int(last),
+        parse_integer(first, "first"),
+        parse_integer(last, "last"),
         str(owner),
         str(start_id),
-        int(fence),
+        parse_integer(fence, "fence"),
         tuple(
             FormerOwner(str(former_owner), str(former_start_id))
             for former_owner, former_start_id in formers
--- a/wagtailrill/platform/configuration.py
+++ b/wagtailrill/platform/configuration.py
@@ -3,17 +3,27 @@
 Used by the router's configuration follower.
 """
 
-import json
 import math
 import re
 from collections.abc import Mapping
-from typing import Any
+from typing import Any, Final
 
 import attrs
 from expression import Error, Ok, Result
 
 from ..configuration.models import InvalidDeclaration
+from ..core.json_fields import (
+    FieldError,
+    get_integer,
+    get_name,
+    get_number,
+    get_text,
+    load_object,
+    parse_object,
+    parse_text,
+)
 from ..declaration.models import (
+    PRIORITY_MAX,
     CallerLimits,
     ColdStart,
     DataCentre,
@@ -26,21 +36,13 @@
     TenantKeyRule,
 )
 from ..organisations.keys import hash_opaque_key
+from ..servers.models import CONNECTIONS_MAX
 from ..store.models import Item
 from . import wire
-from .units import (
-    WireError,
-    get_integer,
-    get_number,
-    get_text,
-    parse_duration_s,
-    parse_mapping,
-    parse_rows,
-    parse_text,
-)
+from .units import parse_duration_s, parse_rows
 
-_VERSION_FORMAT = re.compile(r"r([0-9]{1,18})")
-_IDEMPOTENT_BY_KIND = {"safe": True, "unsafe": False}
+_VERSION_FORMAT: Final = re.compile(r"r([0-9]{1,18})")
+_IDEMPOTENT_BY_KIND: Final = {"safe": True, "unsafe": False}
 
 
 @attrs.frozen
@@ -65,10 +67,10 @@
         """Return the declaration of a configuration, or the reason it is invalid."""
         version = ""
         try:
-            fields = _parse_json(item.value)
+            fields = load_object(item.value, "the configuration")
             version = str(fields.get("version", ""))
             return Ok(self._parse_declaration(fields))
-        except WireError as exc:
+        except FieldError as exc:
             return Error(InvalidDeclaration(str(exc), version))
 
     def list_closed_data_centres(self, keys: frozenset[str]) -> frozenset[str]:
@@ -83,12 +85,10 @@
     def _parse_declaration(self, fields: Mapping[str, Any]) -> Declaration:
         # Without tenants no request needs a tenant key.
         without_tenants = fields.get("tenants") is None
-        routes = [
-            _parse_route(row, without_tenants)
-            for row in parse_rows(fields.get("routes"), "routes")
-        ]
+        route_rows = parse_rows(fields.get("routes"), "routes")
+        routes = [_parse_route(row, without_tenants) for row in route_rows]
         service_rows = parse_rows(fields.get("services"), "services")
-        service_names = {get_text(row, "name") for row in service_rows}
+        service_names = {get_name(row, "name") for row in service_rows}
         routes_by_service: dict[str, list[Route]] = {name: [] for name in service_names}
         for service, route in routes:
             unknown_services = {
@@ -96,7 +96,7 @@
                 *(part.service for part in route.split),
             } - service_names
             if unknown_services:
-                raise WireError(f"route {route.name} names unknown services")
+                raise FieldError(f"route {route.name} names unknown services")
             routes_by_service[service].append(route)
         tenants = fields.get("tenants")
         return Declaration(
@@ -106,7 +106,7 @@
                 for name, region in self.data_centres.items()
             ),
             services=tuple(
-                _parse_service(row, tuple(routes_by_service[get_text(row, "name")]))
+                _parse_service(row, tuple(routes_by_service[get_name(row, "name")]))
                 for row in service_rows
             ),
             organisations=(
@@ -117,19 +117,12 @@
                 )
             ),
             caller_limits=_parse_caller_limits(
-                parse_mapping(fields.get("limits"), "limits")
+                parse_object(fields.get("limits"), "limits")
             ),
             version_number=_parse_version_number(fields.get("version")),
         )
 
 
-def _parse_json(value: bytes) -> Mapping[str, Any]:
-    try:
-        return parse_mapping(json.loads(value), "the configuration")
-    except (ValueError, RecursionError) as exc:
-        raise WireError(f"the configuration is not JSON: {exc}") from exc
-
-
 def _parse_version_number(version: Any) -> int | None:
     """Return the number of a version such as `r12`, None if it has another form."""
     match = _VERSION_FORMAT.fullmatch(version) if isinstance(version, str) else None
@@ -138,27 +131,25 @@
 
 def _parse_route(row: dict[str, Any], without_tenants: bool) -> tuple[str, Route]:
     """Return the name of the service that the route is listed under, and the route."""
-    kind = get_text(row, "kind")
-    if kind not in _IDEMPOTENT_BY_KIND:
-        raise WireError(f"kind {kind!r:.40} is unknown")
+    name = get_name(row, "name")
     split = _parse_split(row.get("traffic_split"))
-    service = split[0].service if split else get_text(row, "service")
+    service = split[0].service if split else get_name(row, "service")
     timeout_s = parse_duration_s(row.get("timeout"), "timeout")
     target_latency = row.get("target_latency")
     return service, Route(
         method="",
         path=get_text(row, "prefix"),
-        idempotent=_IDEMPOTENT_BY_KIND[kind],
+        idempotent=_parse_kind(get_name(row, "kind")),
         tenant_key=(
             TenantKeyRule.NONE
             if without_tenants or row.get("public")
             else TenantKeyRule.REQUIRED
         ),
         timeout_s=timeout_s,
-        name=get_text(row, "name"),
+        name=name,
         host=get_text(row, "host").lower(),
         by_prefix=True,
-        priority=get_integer(row, "priority") if "priority" in row else 0,
+        priority=_parse_priority(row) or 0,
         target_latency_s=(
             None
             if target_latency is None
@@ -171,14 +162,27 @@
     )
 
 
+def _parse_kind(kind: str) -> bool:
+    """Return whether the requests of a kind of route are idempotent."""
+    if kind not in _IDEMPOTENT_BY_KIND:
+        raise FieldError(f"kind {kind!r:.40} is unknown")
+    return _IDEMPOTENT_BY_KIND[kind]
+
+
+def _parse_priority(row: dict[str, Any]) -> int | None:
+    if "priority" not in row:
+        return None
+    return get_integer(row, "priority", maximum=PRIORITY_MAX)
+
+
 def _parse_split(value: Any) -> tuple[SplitPart, ...]:
     if value is None:
         return ()
     if not isinstance(value, list):
-        raise WireError("traffic_split is not a list")
-    parts = [parse_mapping(part, "a part of traffic_split") for part in value]
+        raise FieldError("traffic_split is not a list")
+    parts = [parse_object(part, "a part of traffic_split") for part in value]
     split = tuple(
-        SplitPart(get_text(part, "service"), get_number(part, "weight"))
+        SplitPart(get_name(part, "service"), get_number(part, "weight"))
         for part in parts
     )
     return tuple(part for part in split if part.weight > 0.0)
@@ -192,14 +196,16 @@
         )
         cold_start = ColdStart(duration_s, get_number(row, "warmup_per_s"))
     return Service(
-        name=get_text(row, "name"),
+        name=get_name(row, "name"),
         routes=routes,
         backend_servers=(),
         keyed=bool(row.get("sharded")),
         checks_grants=True,
         cold_start=cold_start,
         connections_max=(
-            get_integer(row, "max_connections") if "max_connections" in row else 0
+            get_integer(row, "max_connections", maximum=CONNECTIONS_MAX)
+            if "max_connections" in row
+            else 0
         ),
         health_path=str(row.get("health_check_path", "")),
         transfer_warm_s=parse_duration_s(row["warm"], "warm") if "warm" in row else 0.0,
@@ -208,12 +214,12 @@
 
 def _parse_organisation(row: dict[str, Any]) -> Organisation:
     # A rate of 0 or a missing rate means that the organisation is not rate limited.
-    name = get_text(row, "name")
+    name = get_name(row, "name")
     rate_per_s = get_number(row, "rate_per_s") if "rate_per_s" in row else 0.0
     burst = get_number(row, "burst") if "burst" in row else 0.0
     api_keys = row.get("api_keys", [])
     if not isinstance(api_keys, list):
-        raise WireError(f"api_keys of {name} is not a list")
+        raise FieldError(f"api_keys of {name} is not a list")
     return Organisation(
         name=name,
         rate_per_s=rate_per_s or math.inf,
@@ -222,7 +228,7 @@
             hash_opaque_key(parse_text(key, f"an entry in api_keys of {name}").encode())
             for key in api_keys
         ),
-        priority=get_integer(row, "priority") if "priority" in row else None,
+        priority=_parse_priority(row),
     )
 
 
--- a/wagtailrill/platform/settings.py
+++ b/wagtailrill/platform/settings.py
@@ -7,7 +7,8 @@
 import attrs
 from expression import Error, Ok, Result
 
-from .units import WireError, get_integer, get_text, parse_duration_s, parse_mapping
+from ..core.json_fields import FieldError, get_integer, get_text, parse_object
+from .units import parse_duration_s
 
 
 @attrs.frozen
@@ -87,18 +88,18 @@
     """Return the settings of a TOML file, or the reason why it is invalid."""
     try:
         return Ok(_build_settings(tomllib.loads(content.decode())))
-    except (tomllib.TOMLDecodeError, UnicodeDecodeError, WireError) as exc:
+    except (tomllib.TOMLDecodeError, UnicodeDecodeError, FieldError) as exc:
         return Error(str(exc))
 
 
 def _build_settings(fields: Mapping[str, Any]) -> PlatformSettings:
-    listen = parse_mapping(fields.get("listen"), "listen")
-    limits = parse_mapping(fields.get("limits"), "limits")
-    platform = parse_mapping(fields.get("platform"), "platform")
-    zones = parse_mapping(fields.get("zones", {}), "zones")
+    listen = parse_object(fields.get("listen"), "listen")
+    limits = parse_object(fields.get("limits"), "limits")
+    platform = parse_object(fields.get("platform"), "platform")
+    zones = parse_object(fields.get("zones", {}), "zones")
     ports = fields.get("internal_ports")
     if not isinstance(ports, list) or not ports or type(ports[0]) is not int:
-        raise WireError("internal_ports is not a list of ports")
+        raise FieldError("internal_ports is not a list of ports")
     cpu_share = limits.get("cpu_share", 1.0)
     return PlatformSettings(
         instance=get_text(fields, "node"),
@@ -121,7 +122,7 @@
 
 def _parse_bounds(assignments: Any) -> Bounds:
     if not isinstance(assignments, list):
-        raise WireError("bounds is not a list")
+        raise FieldError("bounds is not a list")
     values: dict[str, float] = {}
     for assignment in assignments:
         name, _, value = str(assignment).partition("=")
@@ -138,4 +139,4 @@
     try:
         return float(value)
     except ValueError:
-        raise WireError(f"bound {name} is not a number: {value!r:.40}") from None
+        raise FieldError(f"bound {name} is not a number: {value!r:.40}") from None
--- a/wagtailrill/platform/store_client.py
+++ b/wagtailrill/platform/store_client.py
@@ -15,6 +15,13 @@
 import httpcore
 from expression import Error, Ok
 
+from ..core.json_fields import (
+    get_integer,
+    get_text,
+    load_object,
+    parse_list,
+    parse_object,
+)
 from ..gateway.sockets import TCP_SOCKET_OPTIONS
 from ..store.models import (
     Changes,
@@ -41,14 +48,7 @@
 )
 from ..store.revision import ERA_MAX
 from . import wire
-from .units import (
-    WireError,
-    format_duration,
-    get_integer,
-    get_text,
-    parse_duration_s,
-    parse_mapping,
-)
+from .units import format_duration, parse_duration_s
 
 RESPONSE_MAX_BYTES: Final = 8_388_608
 CONNECTIONS_MAX: Final = 8
@@ -210,7 +210,7 @@
 ) -> StoreResult:
     try:
         return _decode_result(operation, codec, response.status, response.content)
-    except (ValueError, KeyError, TypeError, RecursionError) as exc:
+    except (ValueError, KeyError, TypeError) as exc:
         message = f"malformed response: {exc}"
         return Error(StoreError(StoreErrorKind.NO_ANSWER, message))
 
@@ -221,18 +221,18 @@
     if status == 404 and isinstance(operation, Get):
         return Ok(Found(None))
     if status == 200:
-        fields = parse_mapping(json.loads(content or b"{}"), "the response")
+        fields = load_object(content or b"{}", "the response")
         return Ok(codec.decode_reply(fields))
     kind = _ERROR_KIND_BY_STATUS.get(status, StoreErrorKind.NO_ANSWER)
     items: tuple[Item, ...] = ()
     if kind is StoreErrorKind.CONFLICT:
-        fields = parse_mapping(json.loads(content), "the response")
+        fields = load_object(content, "the response")
         items = tuple(_decode_item(entry) for entry in fields.get("items", []) if entry)
     return Error(StoreError(kind, f"status {status}", items))
 
 
 def _decode_item(fields: Any) -> Item:
-    entry = parse_mapping(fields, "an item")
+    entry = parse_object(fields, "an item")
     value = entry.get("value")
     return Item(
         key=get_text(entry, "key"),
@@ -246,25 +246,19 @@
 
 
 def _decode_event(fields: Any) -> Item | Removed:
-    entry = parse_mapping(fields, "an event")
+    entry = parse_object(fields, "an event")
     if entry.get("deleted"):
         return Removed(get_text(entry, "key"), get_integer(entry, "rev"))
     return _decode_item(entry)
 
 
-def _check_list(value: Any, name: str) -> list[Any]:
-    if not isinstance(value, list):
-        raise WireError(f"{name} is not a list")
-    return value
-
-
 def _decode_found(fields: Any) -> Found:
     return Found(_decode_item(fields))
 
 
 def _decode_listed(fields: Any) -> Listed:
     items = tuple(
-        _decode_item(entry) for entry in _check_list(fields.get("items"), "items")
+        _decode_item(entry) for entry in parse_list(fields.get("items"), "items")
     )
     return Listed(
         items, bool(fields["has_more"]), get_integer(fields, "store_revision")
@@ -272,7 +266,7 @@
 
 
 def _decode_changes(fields: Any) -> Changes:
-    events = _check_list(fields.get("events"), "events")
+    events = parse_list(fields.get("events"), "events")
     return Changes(
         tuple(map(_decode_event, events)), get_integer(fields, "store_revision")
     )
--- a/wagtailrill/servers/models.py
+++ b/wagtailrill/servers/models.py
@@ -2,8 +2,15 @@
 
 import enum
 from collections import deque
+from typing import Final
 
 import attrs
+from attrs.validators import ge, le
+
+# No server runs more requests concurrently; a larger number is a faulty entry, which
+# would draw all requests of its service.
+SLOTS_MAX: Final = 10_000
+CONNECTIONS_MAX: Final = 1_000_000
 
 
 class ServerState(enum.StrEnum):
@@ -38,8 +45,8 @@
     service: str
     address: str
     data_centre: str
-    slots: int
-    connections_max: int
+    slots: int = attrs.field(validator=(ge(1), le(SLOTS_MAX)))
+    connections_max: int = attrs.field(validator=(ge(0), le(CONNECTIONS_MAX)))
     state: ServerState = ServerState.READY
     start_id: str = ""
     cold_left_s: float = 0.0
