Serve routes of large responses, and run those of unknown kinds once

Change: large responses are those of idempotent routes. The requests of a route of a kind that is not known are run once at most, as nothing says that they may be repeated. The word is logged once with version and path, listed in 'status' and counted in a gauge. A kind that is no text still refuses the configuration.

--- a/tests/configuration/test_follower.py
+++ b/tests/configuration/test_follower.py
@@ -5,7 +5,7 @@
 import pytest
 from expression import Error, Ok
 
-from tests.support import list_store_calls, make_context
+from tests.support import advance_time, list_store_calls, make_context
 from wagtailrill.configuration.follower import ConfigurationFollower
 from wagtailrill.core.commands import LogEvent
 from wagtailrill.core.log_events import LogName
@@ -14,6 +14,7 @@
 from wagtailrill.organisations.keys import OpaqueKeyFormat, TenantKeys
 from wagtailrill.platform.configuration import PlatformConfigurationDecoder
 from wagtailrill.requests.checks import ArrivalChecks
+from wagtailrill.store.const import WATCH_PAUSE_S
 from wagtailrill.store.models import (
     Changes,
     Item,
@@ -227,3 +228,19 @@
     assert call.operation.wait_s <= 1.0
     harness.reply_watch(make_item(9, revision=9), make_item(10, revision=11))
     assert harness.get_status(route=10, key=10) == 200
+
+
+def test_unknown_word_is_logged_once_and_listed():
+    """Guards against a word without effect that no line and no status shows."""
+    harness = FollowerHarness()
+    columns = ["name", "host", "prefix", "kind", "timeout", "service"]
+    rows = [["r", "a.example", "/7/", "stream", "1s", "box"]]
+    routes = {"columns": columns, "rows": rows}
+    harness.reply_list(make_item(7, 7, routes=routes))
+    harness.reply_watch(make_item(8, 8, routes=routes))
+    (line,) = harness.find_log_fields(LogName.CONFIGURATION_FINDING)
+    assert (line["version"], line["path"]) == ("r7", "$.routes[r].kind")
+    assert len(harness.follower.list_findings()) == 1
+    advance_time(harness.ctx, WATCH_PAUSE_S)
+    harness.reply_watch(make_item(9, 9))
+    assert not harness.follower.list_findings()
--- a/wagtailrill/configuration/follower.py
+++ b/wagtailrill/configuration/follower.py
@@ -10,6 +10,7 @@
 from expression import Result
 
 from ..core.context import Context
+from ..core.findings import Finding
 from ..core.log_events import LogName
 from ..core.timer import TimerHandle
 from ..declaration.models import Configuration, DataCentreState, Declaration
@@ -108,6 +109,10 @@
             age_s=now_s - self.confirmed_s,
         )
 
+    def list_findings(self) -> tuple[Finding, ...]:
+        """Return the words of the configuration in force that are not understood."""
+        return self.current.declaration.findings if self.current is not None else ()
+
     @property
     def is_released(self) -> bool:
         """Return whether a configuration that the store shows may come into force."""
@@ -256,6 +261,16 @@
         return True
 
     def _take_declaration(self, declaration: Declaration, item: Item) -> None:
+        former = self._declaration
+        known_findings = former.findings if former is not None else ()
+        for finding in declaration.findings:
+            if finding not in known_findings:
+                self._ctx.log(
+                    LogName.CONFIGURATION_FINDING,
+                    version=declaration.deployment,
+                    path=finding.path,
+                    message=finding.message,
+                )
         self._declaration = declaration
         self._declaration_item = item
 
--- a/wagtailrill/core/log_events.py
+++ b/wagtailrill/core/log_events.py
@@ -23,6 +23,7 @@
     CONFIGURATION_ADOPTED = "configuration_adopted"
     CONFIGURATION_RELEASED = "configuration_released"
     CONFIGURATION_INVALID = "configuration_invalid"
+    CONFIGURATION_FINDING = "configuration_finding"
     ROUTE_SHADOWED = "route_shadowed"
     TENANT_KEY_SHARED = "tenant_key_shared"
     DATA_CENTRES_CLOSED = "data_centres_closed"
--- a/wagtailrill/platform/configuration.py
+++ b/wagtailrill/platform/configuration.py
@@ -12,6 +12,7 @@
 from expression import Error, Ok, Result
 
 from ..configuration.models import InvalidDeclaration
+from ..core.findings import Findings
 from ..core.json_fields import (
     FieldError,
     get_integer,
@@ -42,7 +43,8 @@
 from .units import parse_duration_s, parse_rows
 
 _VERSION_FORMAT: Final = re.compile(r"r([0-9]{1,18})")
-_IDEMPOTENT_BY_KIND: Final = {"safe": True, "unsafe": False}
+# Kinds of routes; the requests of an unknown one are run once at most.
+_IDEMPOTENT_BY_KIND: Final = {"safe": True, "download": True, "unsafe": False}
 
 
 @attrs.frozen
@@ -86,7 +88,8 @@
         # Without tenants no request needs a tenant key.
         without_tenants = fields.get("tenants") is None
         route_rows = parse_rows(fields.get("routes"), "routes")
-        routes = [_parse_route(row, without_tenants) for row in route_rows]
+        findings = Findings()
+        routes = [_parse_route(row, without_tenants, findings) for row in route_rows]
         service_rows = parse_rows(fields.get("services"), "services")
         service_names = {get_name(row, "name") for row in service_rows}
         routes_by_service: dict[str, list[Route]] = {name: [] for name in service_names}
@@ -120,6 +123,7 @@
                 parse_object(fields.get("limits"), "limits")
             ),
             version_number=_parse_version_number(fields.get("version")),
+            findings=tuple(findings.items),
         )
 
 
@@ -129,7 +133,9 @@
     return int(match[1]) if match is not None else None
 
 
-def _parse_route(row: dict[str, Any], without_tenants: bool) -> tuple[str, Route]:
+def _parse_route(
+    row: dict[str, Any], without_tenants: bool, findings: Findings
+) -> tuple[str, Route]:
     """Return the name of the service that the route is listed under, and the route."""
     name = get_name(row, "name")
     split = _parse_split(row.get("traffic_split"))
@@ -139,7 +145,7 @@
     return service, Route(
         method="",
         path=get_text(row, "prefix"),
-        idempotent=_parse_kind(get_name(row, "kind")),
+        idempotent=_parse_kind(get_name(row, "kind"), name, findings),
         tenant_key=(
             TenantKeyRule.NONE
             if without_tenants or row.get("public")
@@ -162,11 +168,14 @@
     )
 
 
-def _parse_kind(kind: str) -> bool:
+def _parse_kind(kind: str, route: str, findings: Findings) -> bool:
     """Return whether the requests of a kind of route are idempotent."""
     if kind not in _IDEMPOTENT_BY_KIND:
-        raise FieldError(f"kind {kind!r:.40} is unknown")
-    return _IDEMPOTENT_BY_KIND[kind]
+        findings.add(
+            f"$.routes[{route}].kind",
+            f"The kind {kind!r:.40} is unknown; its requests are run once at most.",
+        )
+    return _IDEMPOTENT_BY_KIND.get(kind, False)
 
 
 def _parse_priority(row: dict[str, Any]) -> int | None:
--- a/wagtailrill/router/router.py
+++ b/wagtailrill/router/router.py
@@ -148,6 +148,9 @@
             "ready": self.is_ready(),
             "draining": self.draining,
             "configuration_version": configuration.version if configuration else 0,
+            "configuration_findings": [
+                str(finding) for finding in self.configuration.list_findings()
+            ],
             "members": list(self.members.list_possibly_running()),
             "duties": list(self.duties.list_held_duties()),
             "backend_servers": len(self.servers.rows),
@@ -164,6 +167,7 @@
         now_s = self.ctx.now_s
         gauges = {
             "configuration_age_s": now_s - self.configuration.confirmed_s,
+            "configuration_findings": float(len(self.configuration.list_findings())),
             "lease_left_s": self.members.lease_until_s - now_s,
             "duties_held": float(len(self.duties.list_held_duties())),
             "members_live": float(len(self.members.get_other_members()) + 1),
