Test the configuration without versions with none that has one

Cause: test_configuration_without_a_version_is_taken_from_the_others wrote its first configuration with a version, as all runs do. Whether an instance that started named that version to the others depended on the order of its first answers from the store.

Change: the run writes another configuration without a version before the change, so that the promise is tested that the docstring names. It is as strict.

An instance that starts between configurations with and without a version may still apply the older one; the platform numbers all of them.

--- a/tests/configuration/test_configuration_exchange.py
+++ b/tests/configuration/test_configuration_exchange.py
@@ -198,8 +198,12 @@
 
 
 def test_configuration_without_a_version_is_taken_from_the_others():
-    """Guards against an older configuration of a deployment that has no versions."""
-    run = RestoreRun(b"old", b"new")
+    """Guards against an older configuration of a deployment that has no versions.
+
+    The first configuration of a run has a version, so that another one without comes
+    before the change.
+    """
+    run = RestoreRun(b"old", b"old", b"new")
     run.restore(2.0)
     started_s = run.fleet.now_s
     run.start("i-2")
