Place a request without looking at every server of the service

Change: server_index.py keeps the servers in order of cost, by tier (usable, suspect, cold) and data centre, as state that an event at a server changes; the rates of full servers are summed by class of cost. A server without events is looked at again within 0.2 s. queue.py keeps waiting requests by rank, in a lane for each owner of keys, with the times at which they become late. assignments.py and waits.py hold what runs where and the estimates of waiting.

--- a/wagtailrill/placement/const.py
+++ b/wagtailrill/placement/const.py
@@ -13,6 +13,10 @@
 # deadline.
 UNREPORTED_END_GRACE_S: Final = 0.5
 TICK_INTERVAL_S: Final = 0.02
+# The cost of a server without events is estimated again after this time.
+COST_REFRESH_INTERVAL_S: Final = 0.2
+# Requests with a particular choice of servers that are tried when a slot is free.
+PLACEMENTS_TRIED_MAX: Final = 8
 # Requests that a key's owner gets beyond its slots, so that a slot that becomes free
 # need not wait for a message to the dispatcher and back.
 OVERCOMMIT_REQUESTS_MAX: Final = 1
--- a/wagtailrill/placement/dispatcher.py
+++ b/wagtailrill/placement/dispatcher.py
@@ -4,7 +4,6 @@
 """
 
 from collections.abc import Callable
-from statistics import median_low
 
 import attrs
 
@@ -14,14 +13,15 @@
 from ..servers.load import Demand, LoadTable, ServerLoad
 from ..servers.models import ServerRow
 from ..servers.table import ServerTable
+from .assignments import AssignedRequest, Assignments
 from .const import (
     LATE_WAIT_RATIO_MAX,
     LATE_WAIT_RATIO_MIN,
     OVERCOMMIT_REQUESTS_MAX,
+    PLACEMENTS_TRIED_MAX,
     REQUEST_TIME_MARGIN_RATIO,
     RETRY_AFTER_MAX_S,
     RETRY_AFTER_MIN_S,
-    SPARE_RATE_RATIO_MIN,
     UNOWNED_RETRY_AFTER_MAX_S,
     UNREPORTED_END_GRACE_S,
 )
@@ -34,7 +34,10 @@
     PlaceVerdict,
 )
 from .pauses import ServerPauses
-from .queue import AssignedRequest, PendingRequest, ReplyCallback, ServerOptions
+from .queue import COMMON_LANE, RequestQueue
+from .records import PendingRequest, ReplyCallback, ServerOptions
+from .server_index import ServerIndex
+from .waits import WaitEstimates
 
 OwnerLookup = Callable[[int], str]
 
@@ -45,7 +48,8 @@
 
     For keyed services `find_owner` returns the name of the server that owns a key
     position, empty if none does. `estimate_unowned_s` returns in about how many seconds
-    a position without an owner has one again.
+    a position without an owner has one again. `includes` tells which of the service's
+    servers the dispatcher places requests on.
     """
 
     ctx: Context
@@ -53,6 +57,7 @@
     service: str
     find_owner: OwnerLookup
     estimate_unowned_s: Callable[[int], float]
+    includes: Callable[[ServerRow], bool] = lambda row: True
 
 
 class Dispatcher:
@@ -66,10 +71,22 @@
         self._parts = parts
         self._ctx = parts.ctx
         self._loads = LoadTable(parts.ctx)
-        self._assigned_requests: dict[tuple[str, int], AssignedRequest] = {}
-        self._queue: list[PendingRequest] = []
+        self._index = ServerIndex(
+            parts.ctx, parts.servers, self._loads, parts.service, parts.includes
+        )
+        self._assignments = Assignments()
+        self._queue = RequestQueue()
         self._demand = Demand()
         self._pauses = ServerPauses(parts.ctx)
+        self._waits = WaitEstimates(
+            parts.ctx,
+            self._queue,
+            self._index,
+            self._loads,
+            self._demand,
+            self._find_owner_load,
+            parts.estimate_unowned_s,
+        )
 
     def place_request(
         self, request: PlaceRequest, sender: str, data_centre: str, reply: ReplyCallback
@@ -81,40 +98,34 @@
         pending = self._make_pending(request, sender, data_centre, reply)
         if not request.extra:
             self._demand.count_request(self._ctx.now_s)
-        if self._try_to_place(pending, self._count_ahead(pending)):
+        if self._try_to_place(pending, self._queue.count_ahead(pending)):
             return
         if request.extra:
             self._refuse_request(pending)
             return
-        if not self._can_place_in_time(pending):
+        if not self._waits.can_place_in_time(pending):
             self._place_late_request(pending)
             return
-        self._queue.append(pending)
+        self._queue.add(pending, self._find_lane(pending))
         reply(PlaceAnswer(request.number, PlaceVerdict.QUEUED, "", 0.0))
 
     def record_end(self, end: PlaceEnd, sender: str) -> None:
         """Record that a request has ended or was cancelled, and place queued ones."""
-        assigned = self._assigned_requests.pop((sender, end.number), None)
-        if assigned is not None:
-            assigned.load.assigned_requests -= 1
+        key = (sender, end.number)
+        load = self._assignments.remove(key)
+        pending = self._queue.find(key)
         if not end.backend_server:
-            self._queue = [
-                p
-                for p in self._queue
-                if (p.sender, p.request.number) != (sender, end.number)
-            ]
-            self._place_queued()
-            return
-        load = self._find_load(end.backend_server)
-        if load is None:
+            if pending is not None:
+                self._queue.remove(pending)
+            if load is not None:
+                self._update_server(load)
             return
-        self._pauses.record_pause(sender, end.backend_server, end.pause_s)
-        report = None
-        if end.running != NO_REPORT:
-            report = LoadReport(end.running, end.waiting, load.slots, end.slowness)
-        outcome = AttemptOutcome(end.outcome)
-        self._loads.record_end(load, outcome, end.latency_s, report)
-        self._place_queued()
+        ended_load = self._find_load(end.backend_server)
+        if ended_load is not None:
+            self._record_outcome(ended_load, end, sender)
+        for changed_load in {load, ended_load} - {None}:
+            assert changed_load is not None
+            self._update_server(changed_load)
 
     def estimate_capacity(self, row: ServerRow) -> Capacity:
         """Return the usual capacity of a server, in requests per second."""
@@ -127,73 +138,91 @@
         """Return when a server last answered with a load report, in monotonic time."""
         return self._loads.get_load(row).last_answer_s
 
-    def record_load(self, row: ServerRow, load: LoadReport) -> None:
+    def record_load(self, row: ServerRow, report: LoadReport) -> None:
         """Record a load report that did not come with the answer to a request."""
-        self._loads.get_load(row).record_report(load, self._ctx.now_s)
+        load = self._loads.get_load(row)
+        load.record_report(report, self._ctx.now_s)
+        self._index.refresh(load)
 
     def tick(self) -> None:
         """Drop expired assignments; place queued requests or refuse those too late."""
         now_s = self._ctx.now_s
         self._pauses.drop_expired()
-        self._expire_assigned_requests(now_s)
-        for pending in list(self._queue):
-            becomes_late = not pending.late and now_s >= pending.late_from_s
-            pending.late |= becomes_late
-            if now_s >= pending.latest_start_s or (
-                becomes_late and not self._can_place_in_time(pending)
-            ):
+        for load in self._assignments.pop_expired(now_s):
+            self._index.refresh(load)
+        self._index.refresh_some(self._update_age)
+        for pending in self._queue.pop_due(now_s):
+            self._handle_due_request(pending)
+        self._queue.assign_lanes(self._find_lane)
+        for lane in self._queue.list_lanes():
+            self._place_queued(lane)
+
+    def _handle_due_request(self, pending: PendingRequest) -> None:
+        """Let a request that became late give way, or end its waiting."""
+        now_s = self._ctx.now_s
+        becomes_late = not pending.late and now_s >= pending.late_from_s
+        if becomes_late:
+            self._queue.mark_late(pending)
+        if now_s >= pending.latest_start_s or (
+            becomes_late and not self._waits.can_place_in_time(pending)
+        ):
+            self._queue.remove(pending)
+            self._place_late_request(pending)
+
+    def _record_outcome(self, load: ServerLoad, end: PlaceEnd, sender: str) -> None:
+        self._pauses.record_pause(sender, end.backend_server, end.pause_s)
+        report = None
+        if end.running != NO_REPORT:
+            report = LoadReport(end.running, end.waiting, load.slots, end.slowness)
+        outcome = AttemptOutcome(end.outcome)
+        self._loads.record_end(load, outcome, end.latency_s, report)
+
+    def _update_server(self, load: ServerLoad) -> None:
+        """Note that a request has left a server, and use the slot for queued ones."""
+        # A server that answers is not slow because of the requests that are left.
+        median_age_s = self._compute_median_age_s(load)
+        load.median_age_s = min(load.median_age_s, median_age_s)
+        self._index.refresh(load)
+        self._place_queued(load.name)
+        self._place_queued(COMMON_LANE)
+
+    def _update_age(self, load: ServerLoad) -> None:
+        load.median_age_s = self._compute_median_age_s(load)
+
+    def _compute_median_age_s(self, load: ServerLoad) -> float:
+        return self._assignments.compute_median_age_s(load, self._ctx.now_s)
+
+    def _place_queued(self, lane: str) -> None:
+        """Place the requests of a lane while there is room, in order of rank."""
+        first = self._queue.get_at(0, lane)
+        if first is None:
+            return
+        if first.request.key_position == NO_KEY:
+            self._place_queued_anywhere()
+            return
+        while first is not None and self._try_to_place(first, 0):
+            self._queue.remove(first)
+            first = self._queue.get_at(0, lane)
+
+    def _place_queued_anywhere(self) -> None:
+        """Place queued requests that any server can run while slots are free.
+
+        Those that end sooner at a faster server are passed over. The search ends after
+        some tries: the next event or tick goes on.
+        """
+        index, tries_left = 0, PLACEMENTS_TRIED_MAX
+        while tries_left and (pending := self._queue.get_at(index)) is not None:
+            options = self._find_options(pending.data_centre, pending.excluded)
+            load = options.choose_server(pending, index)
+            if load is not None:
                 self._queue.remove(pending)
-                self._place_late_request(pending)
-        self._place_queued()
-
-    def _expire_assigned_requests(self, now_s: float) -> None:
-        """Drop expired assignments; update the median age of each server's requests."""
-        ages_s: dict[int, list[float]] = {}
-        for key, assigned in list(self._assigned_requests.items()):
-            load = assigned.load
-            if now_s >= assigned.expires_s:
-                load.assigned_requests -= 1
-                del self._assigned_requests[key]
+                self._assign_server(pending, load)
                 continue
-            ages_s.setdefault(id(load), []).append(now_s - assigned.placed_s)
-        for load in self._loads.list_loads():
-            server_ages_s = ages_s.get(id(load))
-            load.median_age_s = median_low(server_ages_s) if server_ages_s else 0.0
-
-    def _place_queued(self) -> None:
-        """Place queued requests on servers with free slots, in order of rank."""
-        if not self._queue:
-            return
-        self._queue.sort(key=lambda pending: pending.rank)
-        if self._queue[0].request.key_position == NO_KEY:
-            self._place_queued_without_keys()
-        else:
-            self._queue = [p for p in self._queue if not self._try_to_place(p, 0)]
-
-    def _place_queued_without_keys(self) -> None:
-        """Place queued requests that any server can run while slots are free."""
-        still_queued: list[PendingRequest] = []
-        options_by_data_centre: dict[str, ServerOptions] = {}
-        for index, pending in enumerate(self._queue):
-            if pending.excluded:
-                placed = self._try_to_place(pending, len(still_queued))
-            else:
-                options = options_by_data_centre.get(pending.data_centre)
-                if options is None:
-                    options = self._find_options(pending.data_centre, frozenset())
-                    options_by_data_centre[pending.data_centre] = options
-                if options.best is None:
-                    still_queued += self._queue[index:]
-                    break
-                load = options.choose_server(pending, len(still_queued))
-                placed = load is not None
-                if load is not None:
-                    self._assign_server(pending, load)
-            if placed:
-                options_by_data_centre.clear()
-            else:
-                still_queued.append(pending)
-        self._queue = still_queued
+            if options.best is None and not pending.excluded:
+                return
+            tries_left -= 1
+            first_willing = min(options.count_waiting(), self._queue.count_in_time())
+            index = max(index + 1, first_willing if options.best is not None else 0)
 
     def _try_to_place(self, pending: PendingRequest, ahead_count: int) -> bool:
         """Place a request unless it has to wait for a slot or for a faster server."""
@@ -220,17 +249,19 @@
 
     def _assign_server(self, pending: PendingRequest, load: ServerLoad) -> None:
         request = pending.request
-        load.assigned_requests += 1
-        expires_s = self._ctx.now_s + request.left_s + UNREPORTED_END_GRACE_S
-        self._assigned_requests[pending.sender, request.number] = AssignedRequest(
-            load, self._ctx.now_s, expires_s
-        )
+        now_s = self._ctx.now_s
+        expires_s = now_s + request.left_s + UNREPORTED_END_GRACE_S
+        self._assignments.add(pending.key, AssignedRequest(load, now_s, expires_s))
+        self._index.update_slots(load)
         pending.reply(PlaceAnswer(request.number, PlaceVerdict.PLACED, load.name, 0.0))
 
-    def _find_owner_load(self, pending: PendingRequest) -> ServerLoad | None:
+    def _find_lane(self, pending: PendingRequest) -> str:
+        """Return the name of the owner of a request's key, empty without one."""
         position = pending.request.key_position
-        name = self._parts.find_owner(position) if position != NO_KEY else ""
-        row = self._parts.servers.rows.get(name)
+        return COMMON_LANE if position == NO_KEY else self._parts.find_owner(position)
+
+    def _find_owner_load(self, pending: PendingRequest) -> ServerLoad | None:
+        row = self._parts.servers.rows.get(self._find_lane(pending))
         if row is None or not self._parts.servers.accepts_keyed_requests(row):
             return None
         return self._loads.get_load(row)
@@ -239,44 +270,7 @@
         self, data_centre: str, excluded: frozenset[str]
     ) -> ServerOptions:
         """Return the present server options for requests from a data centre."""
-        best: ServerLoad | None = None
-        best_cost_s = float("inf")
-        full: list[tuple[ServerLoad, float]] = []
-        for row in self._list_candidates(excluded):
-            load = self._loads.get_load(row)
-            cost_s = self._loads.estimate_cost_s(load, data_centre)
-            if load.estimate_in_flight() >= load.slots:
-                full.append((load, cost_s))
-            elif cost_s < best_cost_s:
-                best, best_cost_s = load, cost_s
-        faster = [(load, cost_s) for load, cost_s in full if cost_s < best_cost_s]
-        return ServerOptions(
-            best,
-            best_cost_s,
-            sum(1.0 / self._loads.estimate_slot_interval_s(load) for load, _ in faster),
-            min((cost_s for _, cost_s in faster), default=float("inf")),
-        )
-
-    def _list_candidates(self, excluded: frozenset[str]) -> list[ServerRow]:
-        """Return the servers to choose from.
-
-        Cold, excluded and recently unreachable servers are left out unless no others
-        remain.
-        """
-        servers = self._parts.servers
-        rows = [
-            row
-            for row in servers.rows_by_service.get(self._parts.service, ())
-            if servers.accepts_work(row)
-        ]
-        now_s = self._ctx.now_s
-        warm = [r for r in rows if not servers.is_cold(r)] or rows
-        usable = [
-            r
-            for r in warm
-            if r.name not in excluded and not self._loads.get_load(r).is_suspect(now_s)
-        ]
-        return usable or [r for r in warm if r.name not in excluded] or warm
+        return self._index.find_options(data_centre, excluded)
 
     def _make_pending(
         self, request: PlaceRequest, sender: str, data_centre: str, reply: ReplyCallback
@@ -302,85 +296,12 @@
             late_in_s <= 0.0,
         )
 
-    def _can_place_in_time(self, pending: PendingRequest) -> bool:
-        """Return whether a request is expected to be placed in time.
-
-        That is before it becomes late or, as a late one, before its latest start.
-        """
-        now_s = self._ctx.now_s
-        if (
-            not pending.late
-            and now_s + self._estimate_wait_s(pending) < pending.late_from_s
-        ):
-            return True
-        return now_s + self._estimate_late_wait_s(pending) < pending.latest_start_s
-
-    def _estimate_wait_s(self, pending: PendingRequest) -> float:
-        """Return how long a request of this rank waits until it is placed."""
-        wait_s = self._estimate_owner_wait_s(pending)
-        return self._estimate_service_wait_s(pending) if wait_s is None else wait_s
-
-    def _estimate_late_wait_s(self, pending: PendingRequest) -> float:
-        """Return how long a late request waits for capacity that others leave unused.
-
-        Only the owner of a key can run a request for it, so such a request waits behind
-        all other requests for that owner.
-        """
-        if pending.request.key_position != NO_KEY:
-            owner = self._find_owner_load(pending)
-            if owner is None:
-                return self._parts.estimate_unowned_s(pending.request.key_position)
-            ahead_count = owner.estimate_in_flight() + 1.0 - owner.slots
-            ahead_count += sum(
-                self._find_owner_load(other) is owner for other in self._queue
-            )
-            return ahead_count * self._loads.estimate_slot_interval_s(owner)
-        rate_per_s, demand_per_s = (
-            self._estimate_service_rate_per_s(),
-            self._demand.compute_rate_per_s(self._ctx.now_s),
-        )
-        spare_per_s = max(rate_per_s - demand_per_s, rate_per_s * SPARE_RATE_RATIO_MIN)
-        return (
-            (len(self._queue) + 1) / spare_per_s if spare_per_s > 0.0 else float("inf")
-        )
-
-    def _estimate_owner_wait_s(self, pending: PendingRequest) -> float | None:
-        """Return the wait for a key's owner, or None for a request without a key."""
-        position = pending.request.key_position
-        if position == NO_KEY:
-            return None
-        load = self._find_owner_load(pending)
-        if load is None:
-            return self._parts.estimate_unowned_s(position)
-        ahead_count = load.estimate_in_flight() + 1.0 - load.slots
-        ahead_count += sum(
-            self._find_owner_load(other) is load and other.rank <= pending.rank
-            for other in self._queue
-        )
-        return ahead_count * self._loads.estimate_slot_interval_s(load)
-
-    def _estimate_service_wait_s(self, pending: PendingRequest) -> float:
-        rate_per_s = self._estimate_service_rate_per_s()
-        if rate_per_s <= 0.0:
-            return float("inf")
-        return (self._count_ahead(pending) + 1) / rate_per_s
-
-    def _count_ahead(self, pending: PendingRequest) -> int:
-        return sum(other.rank <= pending.rank for other in self._queue)
-
-    def _estimate_service_rate_per_s(self) -> float:
-        """Return how many requests per second all servers together can start."""
-        return sum(
-            1.0 / self._loads.estimate_slot_interval_s(self._loads.get_load(row))
-            for row in self._list_candidates(frozenset())
-        )
-
     def _refuse_request(self, pending: PendingRequest) -> None:
         request = pending.request
         verdict, longest_s = PlaceVerdict.REFUSED, RETRY_AFTER_MAX_S
         if request.key_position != NO_KEY and self._find_owner_load(pending) is None:
             verdict, longest_s = PlaceVerdict.MOVING, UNOWNED_RETRY_AFTER_MAX_S
-        wait_s = self._estimate_wait_s(pending)
+        wait_s = self._waits.estimate_wait_s(pending)
         retry_after_s = min(max(wait_s, RETRY_AFTER_MIN_S), longest_s)
         pending.reply(PlaceAnswer(request.number, verdict, "", retry_after_s))
 
--- a/wagtailrill/placement/queue.py
+++ b/wagtailrill/placement/queue.py
@@ -1,79 +1,116 @@
-"""Records of a dispatcher: pending and assigned requests, and server options."""
+"""Keeps the requests of a dispatcher that wait for a backend server, by rank.
 
-from collections.abc import Callable
+Adding, finding and removing a request, and counting those ahead of it, take a time that
+hardly grows with the queue.
+"""
 
-import attrs
+import heapq
+import itertools
+from collections.abc import Callable, Iterator
 
-from ..servers.load import ServerLoad
-from .messages import PlaceAnswer, PlaceRequest
+from sortedcontainers import SortedKeyList
 
-ReplyCallback = Callable[[PlaceAnswer], None]
+from .records import PendingRequest, RequestKey
 
+# Lane of the requests that any server can run, and of those whose key has no owner.
+COMMON_LANE = ""
 
-@attrs.define(eq=False)
-class PendingRequest:
-    """A request that has no backend server yet.
 
-    From `late_from_s` on it is not expected to reach its target latency; it then gets a
-    slot only when no request that is not late can use it. From `latest_start_s` on it
-    cannot end before its deadline. Both are monotonic times.
-    """
-
-    request: PlaceRequest
-    sender: str
-    data_centre: str
-    reply: ReplyCallback
-    arrived_s: float
-    late_from_s: float
-    latest_start_s: float
-    excluded: frozenset[str]
-    late: bool = False
-
-    @property
-    def rank(self) -> tuple[bool, int, float]:
-        """Return the sort key for the order in which requests are placed."""
-        caller_arrived_s = self.arrived_s - self.request.waited_s
-        return self.late, self.request.priority, caller_arrived_s
-
-
-@attrs.define(eq=False)
-class AssignedRequest:
-    """A request that was assigned to a backend server and has not ended.
-
-    `expires_s` is the monotonic time from which it no longer counts, even if its end
-    was not reported.
-    """
-
-    load: ServerLoad
-    placed_s: float
-    expires_s: float
-
-
-@attrs.frozen
-class ServerOptions:
-    """The best server with a free slot, and the faster servers that are full.
+class RequestQueue:
+    """Waiting requests in lanes: one for each owner of keys, and a common one.
 
-    `best_cost_s` is the cost of a request on the best server, that is its expected
-    latency weighted by failures and distance. `fastest_cost_s` is the lowest cost on a
-    faster, full server. The faster servers together start `faster_rate_per_s` requests
-    per second.
+    Within a lane the requests are in the order of their rank.
     """
 
-    best: ServerLoad | None
-    best_cost_s: float
-    faster_rate_per_s: float
-    fastest_cost_s: float
-
-    def choose_server(
-        self, pending: PendingRequest, ahead_count: int
-    ) -> ServerLoad | None:
-        """Return the server for a request, or None if it should wait.
-
-        It should wait if it would end sooner on a faster server, where `ahead_count`
-        other requests go first. Late requests and extra attempts never wait for a
-        faster server.
-        """
-        if pending.late or pending.request.extra or self.faster_rate_per_s <= 0.0:
-            return self.best
-        wait_s = (ahead_count + 1) / self.faster_rate_per_s
-        return None if wait_s + self.fastest_cost_s < self.best_cost_s else self.best
+    def __init__(self) -> None:
+        self._lanes: dict[str, SortedKeyList] = {}
+        self._lane_by_key: dict[RequestKey, str] = {}
+        self._requests: dict[RequestKey, PendingRequest] = {}
+        self._due: list[tuple[float, int, PendingRequest]] = []
+        self._due_numbers = itertools.count()
+
+    def __len__(self) -> int:
+        return len(self._requests)
+
+    def __iter__(self) -> Iterator[PendingRequest]:
+        return iter(list(self._requests.values()))
+
+    def add(self, pending: PendingRequest, lane: str = COMMON_LANE) -> None:
+        """Add a request; it becomes due when it gets late and at its latest start."""
+        former = self._requests.get(pending.key)
+        if former is not None:  # a new process of its sender counts from 1 again
+            self.remove(former)
+        self._put_into_lane(pending, lane)
+        self._requests[pending.key] = pending
+        for time_s in (pending.late_from_s, pending.latest_start_s):
+            heapq.heappush(self._due, (time_s, next(self._due_numbers), pending))
+
+    def remove(self, pending: PendingRequest) -> None:
+        """Remove a waiting request."""
+        del self._requests[pending.key]
+        self._take_out_of_lane(pending)
+
+    def find(self, key: RequestKey) -> PendingRequest | None:
+        """Return a waiting request, None if it does not wait."""
+        return self._requests.get(key)
+
+    def get_at(self, index: int, lane: str = COMMON_LANE) -> PendingRequest | None:
+        """Return the request at a position of a lane, None behind its end."""
+        requests = self._lanes.get(lane, ())
+        return requests[index] if index < len(requests) else None
+
+    def count(self, lane: str = COMMON_LANE) -> int:
+        """Return the number of requests in a lane."""
+        return len(self._lanes.get(lane, ()))
+
+    def count_ahead(self, pending: PendingRequest, lane: str = COMMON_LANE) -> int:
+        """Return how many requests of a lane come before a request, or with it."""
+        requests = self._lanes.get(lane)
+        if requests is None:
+            return 0
+        return int(requests.bisect_key_right(pending.rank))
+
+    def count_in_time(self, lane: str = COMMON_LANE) -> int:
+        """Return how many requests of a lane are not late; they come first."""
+        requests = self._lanes.get(lane)
+        return 0 if requests is None else int(requests.bisect_key_left((True,)))
+
+    def mark_late(self, pending: PendingRequest) -> None:
+        """Move a waiting request behind those that are not late."""
+        lane = self._take_out_of_lane(pending)
+        pending.late = True
+        self._put_into_lane(pending, lane)
+
+    def pop_due(self, now_s: float) -> list[PendingRequest]:
+        """Return the waiting requests that became due since the last call."""
+        due: dict[RequestKey, PendingRequest] = {}
+        while self._due and self._due[0][0] <= now_s:
+            pending = heapq.heappop(self._due)[2]
+            if self._requests.get(pending.key) is pending:
+                due[pending.key] = pending
+        return list(due.values())
+
+    def assign_lanes(self, find_lane: Callable[[PendingRequest], str]) -> None:
+        """Move each request to the lane that it needs now."""
+        for pending in self:
+            lane = find_lane(pending)
+            if lane != self._lane_by_key[pending.key]:
+                self._take_out_of_lane(pending)
+                self._put_into_lane(pending, lane)
+
+    def list_lanes(self) -> tuple[str, ...]:
+        """Return the names of the lanes in which requests wait."""
+        return tuple(self._lanes)
+
+    def _put_into_lane(self, pending: PendingRequest, lane: str) -> None:
+        if lane not in self._lanes:
+            self._lanes[lane] = SortedKeyList(key=lambda request: request.rank)
+        self._lanes[lane].add(pending)
+        self._lane_by_key[pending.key] = lane
+
+    def _take_out_of_lane(self, pending: PendingRequest) -> str:
+        lane = self._lane_by_key.pop(pending.key)
+        self._lanes[lane].remove(pending)
+        if not self._lanes[lane]:
+            del self._lanes[lane]
+        return lane
--- /dev/null
+++ b/wagtailrill/placement/server_index.py
@@ -0,0 +1,336 @@
+"""Keeps the servers of a service in the order of what a request costs at each of them.
+
+The dispatcher uses it. An event at a server changes the place of that server alone, so
+that placing a request does not visit all of them.
+"""
+
+import enum
+import math
+from collections.abc import Callable, Iterable
+from typing import Final
+
+import attrs
+from sortedcontainers import SortedList
+
+from ..core.context import Context
+from ..servers.const import REMOTE_COST_RATIO
+from ..servers.load import LoadTable, ServerLoad
+from ..servers.models import ServerRow
+from ..servers.table import ServerTable
+from .const import COST_REFRESH_INTERVAL_S, TICK_INTERVAL_S
+from .records import ServerOptions
+
+# Rates of full servers are summed in classes of cost, each this much above the last.
+COST_CLASSES: Final = 64
+COST_CLASSES_PER_E: Final = 8.0
+# Class of a server that is as fast as usual; most others are slower.
+USUAL_COST_CLASS: Final = 16
+
+
+class Tier(enum.IntEnum):
+    """Group of servers that is considered only if no earlier one has a server."""
+
+    USABLE = 0
+    SUSPECT = 1  # could not be reached lately
+    COLD = 2
+    COLD_SUSPECT = 3
+
+
+WARM_TIERS: Final = (Tier.USABLE, Tier.SUSPECT)
+COLD_TIERS: Final = (Tier.COLD, Tier.COLD_SUSPECT)
+# By whether a server is cold, and whether it is suspect.
+TIER_BY_STATE: Final = {
+    (False, False): Tier.USABLE,
+    (False, True): Tier.SUSPECT,
+    (True, False): Tier.COLD,
+    (True, True): Tier.COLD_SUSPECT,
+}
+
+
+@attrs.define(eq=False)
+class Candidate:
+    """A server as the index has it.
+
+    `cost` is the expected latency of a request from the same data centre, and `rate`
+    the requests that the server starts when it is full, both relative to the base
+    latency. `tier` is None while the server accepts no work.
+    """
+
+    load: ServerLoad
+    data_centre: str = ""
+    tier: Tier | None = None
+    cost: float = 0.0
+    rate: float = 0.0
+    free_slots: float = 0.0
+
+    @property
+    def entry(self) -> tuple[float, str]:
+        """Return the sort key among servers, the cheapest first."""
+        return self.cost, self.load.name
+
+
+class ServerGroup:
+    """The servers of one tier in one data centre.
+
+    `rate` is the sum of their rates, `free_slots` that of their free slots.
+    """
+
+    def __init__(self) -> None:
+        self.count = 0
+        self.rate = 0.0
+        self.free_slots = 0.0
+        self._free = SortedList()
+        self._full = SortedList()
+        self._full_rates = [0.0] * COST_CLASSES
+
+    def add(self, candidate: Candidate) -> None:
+        """Add a server."""
+        self.count += 1
+        self.rate += candidate.rate
+        if candidate.free_slots > 0.0:
+            self.free_slots += candidate.free_slots
+            self._free.add(candidate.entry)
+        else:
+            self._full.add(candidate.entry)
+            self._full_rates[_get_cost_class(candidate.cost)] += candidate.rate
+
+    def remove(self, candidate: Candidate) -> None:
+        """Remove a server, whose fields are still those with which it was added."""
+        self.count -= 1
+        self.rate -= candidate.rate
+        if candidate.free_slots > 0.0:
+            self.free_slots -= candidate.free_slots
+            self._free.remove(candidate.entry)
+        else:
+            self._full.remove(candidate.entry)
+            self._full_rates[_get_cost_class(candidate.cost)] -= candidate.rate
+
+    def change_slots(self, candidate: Candidate, free_slots: float) -> None:
+        """Change the free slots of a server of the group."""
+        if candidate.free_slots > 0.0 and free_slots > 0.0:
+            self.free_slots += free_slots - candidate.free_slots
+            candidate.free_slots = free_slots
+            return
+        self.remove(candidate)
+        candidate.free_slots = free_slots
+        self.add(candidate)
+
+    def find_cheapest_free(self, excluded: frozenset[str]) -> tuple[float, str] | None:
+        """Return cost and name of the cheapest server with a free slot, if any."""
+        for cost, name in self._free:
+            if name not in excluded:
+                return cost, name
+        return None
+
+    def sum_faster_rate(self, cost: float) -> float:
+        """Return the rate of the full servers that cost clearly less than `cost`."""
+        return max(0.0, sum(self._full_rates[: _get_cost_class(cost)]))
+
+    def get_lowest_full_cost(self) -> float:
+        """Return the cost of the cheapest full server, infinite if there is none."""
+        return self._full[0][0] if self._full else math.inf
+
+
+def _get_cost_class(cost: float) -> int:
+    if not 0.0 < cost < math.inf:
+        return 0 if cost <= 0.0 else COST_CLASSES - 1
+    number = USUAL_COST_CLASS + math.floor(COST_CLASSES_PER_E * math.log(cost))
+    return min(max(number, 0), COST_CLASSES - 1)
+
+
+class ServerIndex:
+    """Finds the best server for a request among the servers of a service.
+
+    `includes` tells which of them belong to the index. Costs change with time, too: a
+    part of the servers is looked at anew with each call of `refresh_some`.
+    """
+
+    def __init__(
+        self,
+        ctx: Context,
+        servers: ServerTable,
+        loads: LoadTable,
+        service: str,
+        includes: Callable[[ServerRow], bool],
+    ) -> None:
+        self._ctx = ctx
+        self._servers = servers
+        self._loads = loads
+        self._service = service
+        self._includes = includes
+        self._rows: tuple[ServerRow, ...] = ()
+        self._candidates: dict[str, Candidate] = {}
+        self._groups: dict[Tier, dict[str, ServerGroup]] = {tier: {} for tier in Tier}
+        self._to_refresh: list[str] = []
+
+    def find_options(self, data_centre: str, excluded: frozenset[str]) -> ServerOptions:
+        """Return the server options for requests from a data centre.
+
+        Servers that are cold, excluded or could not be reached lately are left out
+        unless no others remain.
+        """
+        self.follow_table()
+        while True:
+            groups, left_out = self._select_groups(excluded)
+            cost, name = _find_cheapest(groups, data_centre, left_out)
+            candidate = self._candidates.get(name)
+            if candidate is None or self._find_tier(candidate.load) is candidate.tier:
+                break
+            self._refresh(candidate)
+        return self._make_options(groups, data_centre, candidate, cost)
+
+    def refresh(self, load: ServerLoad) -> None:
+        """Put a server in its present place, after an event that concerns it."""
+        candidate = self._candidates.get(load.name)
+        if candidate is not None and candidate.load is load:
+            self._refresh(candidate)
+
+    def update_slots(self, load: ServerLoad) -> None:
+        """Note that a server got a request; its cost stays as it is."""
+        candidate = self._candidates.get(load.name)
+        if candidate is None or candidate.load is not load or candidate.tier is None:
+            return
+        if load.has_no_report:
+            self._refresh(candidate)  # an untried server costs less
+            return
+        group = self._groups[candidate.tier][candidate.data_centre]
+        group.change_slots(candidate, _count_free_slots(load))
+
+    def refresh_some(self, prepare: Callable[[ServerLoad], None]) -> None:
+        """Refresh some servers, so that each is seen within the refresh interval.
+
+        `prepare` updates what the load of a server does not know by itself.
+        """
+        self.follow_table()
+        if not self._to_refresh:
+            self._to_refresh = list(self._candidates)
+        share = TICK_INTERVAL_S / COST_REFRESH_INTERVAL_S
+        for _ in range(math.ceil(len(self._candidates) * share)):
+            if not self._to_refresh:
+                return
+            candidate = self._candidates.get(self._to_refresh.pop())
+            if candidate is not None:
+                prepare(candidate.load)
+                self._refresh(candidate)
+
+    def estimate_rate_per_s(self) -> float:
+        """Return how many requests per second the servers together can start."""
+        self.follow_table()
+        groups, _ = self._select_groups(frozenset())
+        rate = sum(group.rate for _, group in groups)
+        return max(0.0, rate) / self._loads.base_latency_s
+
+    def count_free_slots(self) -> float:
+        """Return the free slots of the servers that are warm and can be reached."""
+        self.follow_table()
+        return sum(g.free_slots for g in self._groups[Tier.USABLE].values())
+
+    def count_slots(self) -> int:
+        """Return the slots of all servers that accept work."""
+        return sum(
+            candidate.load.slots
+            for candidate in self._candidates.values()
+            if candidate.tier is not None
+        )
+
+    def follow_table(self) -> None:
+        """Take over the servers of the table if they have changed."""
+        rows = self._servers.rows_by_service.get(self._service, ())
+        if rows is self._rows:
+            return
+        self._rows = rows
+        loads = [self._loads.get_load(row) for row in rows if self._includes(row)]
+        present = {load.name: load for load in loads}
+        for name, candidate in list(self._candidates.items()):
+            if present.get(name) is not candidate.load:
+                self._take_out(candidate)
+                del self._candidates[name]
+        for load in loads:
+            candidate = self._candidates.setdefault(load.name, Candidate(load))
+            self._refresh(candidate)
+
+    def _refresh(self, candidate: Candidate) -> None:
+        self._take_out(candidate)
+        load = candidate.load
+        candidate.tier = self._find_tier(load)
+        if candidate.tier is None:
+            return
+        base_latency_s = self._loads.base_latency_s
+        candidate.cost = self._loads.estimate_local_cost_s(load) / base_latency_s
+        candidate.rate = base_latency_s / self._loads.estimate_slot_interval_s(load)
+        candidate.free_slots = _count_free_slots(load)
+        candidate.data_centre = load.row.entry.data_centre
+        groups = self._groups[candidate.tier]
+        groups.setdefault(candidate.data_centre, ServerGroup()).add(candidate)
+
+    def _take_out(self, candidate: Candidate) -> None:
+        if candidate.tier is not None:
+            self._groups[candidate.tier][candidate.data_centre].remove(candidate)
+            candidate.tier = None
+
+    def _find_tier(self, load: ServerLoad) -> Tier | None:
+        if not self._servers.accepts_work(load.row):
+            return None
+        is_cold = self._servers.is_cold(load.row)
+        return TIER_BY_STATE[is_cold, load.is_suspect(self._ctx.now_s)]
+
+    def _select_groups(
+        self, excluded: frozenset[str]
+    ) -> tuple[list[tuple[str, ServerGroup]], frozenset[str]]:
+        """Return the groups to choose from, and the servers to leave out of them."""
+        tiers = WARM_TIERS if self._count(WARM_TIERS) else COLD_TIERS
+        for tier in tiers:
+            if self._count((tier,)) > self._count_excluded(tier, excluded):
+                return list(self._groups[tier].items()), excluded
+        groups = [item for tier in tiers for item in self._groups[tier].items()]
+        return groups, frozenset()
+
+    def _count(self, tiers: Iterable[Tier]) -> int:
+        return sum(group.count for t in tiers for group in self._groups[t].values())
+
+    def _count_excluded(self, tier: Tier, excluded: frozenset[str]) -> int:
+        candidates = map(self._candidates.get, excluded)
+        return sum(c is not None and c.tier is tier for c in candidates)
+
+    def _make_options(
+        self,
+        groups: list[tuple[str, ServerGroup]],
+        data_centre: str,
+        best: Candidate | None,
+        best_cost: float,
+    ) -> ServerOptions:
+        faster_rate, fastest_cost = 0.0, math.inf
+        for group_data_centre, group in groups:
+            ratio = _get_distance_ratio(group_data_centre, data_centre)
+            faster_rate += group.sum_faster_rate(best_cost / ratio)
+            fastest_cost = min(fastest_cost, group.get_lowest_full_cost() * ratio)
+        base_latency_s = self._loads.base_latency_s
+        return ServerOptions(
+            best.load if best is not None else None,
+            best_cost * base_latency_s,
+            faster_rate / base_latency_s,
+            fastest_cost * base_latency_s,
+        )
+
+
+def _find_cheapest(
+    groups: list[tuple[str, ServerGroup]], data_centre: str, excluded: frozenset[str]
+) -> tuple[float, str]:
+    """Return cost and name of the best server with a free slot, no name without one."""
+    best_cost, best_name = math.inf, ""
+    for group_data_centre, group in groups:
+        found = group.find_cheapest_free(excluded)
+        if found is None:
+            continue
+        cost = found[0] * _get_distance_ratio(group_data_centre, data_centre)
+        if cost < best_cost or not best_name:
+            best_cost, best_name = cost, found[1]
+    return best_cost, best_name
+
+
+def _count_free_slots(load: ServerLoad) -> float:
+    return max(0.0, load.slots - load.estimate_in_flight())
+
+
+def _get_distance_ratio(server_data_centre: str, data_centre: str) -> float:
+    return 1.0 if server_data_centre == data_centre else 1.0 + REMOTE_COST_RATIO
--- a/wagtailrill/servers/load.py
+++ b/wagtailrill/servers/load.py
@@ -244,9 +244,13 @@
 
     def estimate_cost_s(self, load: ServerLoad, data_centre: str) -> float:
         """Return the expected latency weighted by failures and distance, in seconds."""
+        is_local = load.row.entry.data_centre == data_centre
+        distance_ratio = 1.0 if is_local else 1.0 + REMOTE_COST_RATIO
+        return self.estimate_local_cost_s(load) * distance_ratio
+
+    def estimate_local_cost_s(self, load: ServerLoad) -> float:
+        """Return the cost of a request from the server's data centre, in seconds."""
         cost_s = self.estimate_latency_s(load)
-        if load.row.entry.data_centre != data_centre:
-            cost_s *= 1.0 + REMOTE_COST_RATIO
         if load.has_no_report and not load.assigned_requests:
             cost_s *= UNTRIED_COST_RATIO
         return cost_s * (
