Ask the store rarely while another instance confirms its state

Cause: each instance watched two prefixes of the store with waits of 1 and 2 s, so that a watch that stays silent is noticed: 1.5 calls a machine and second.

Change: the reader of the server list tells with each answer to a poll up to which revision its own mirrors have seen changes, and how long ago the store confirmed that. A watch that is given up is cancelled, so that it holds no connection. Old instances ignore the new field, and send none.

--- a/tests/store/test_mirror.py
+++ b/tests/store/test_mirror.py
@@ -1,5 +1,6 @@
 """Guards mirrors of a prefix against failed watches and compacted history."""
 
+import pytest
 from expression import Error, Ok
 
 from tests.support import (
@@ -8,6 +9,13 @@
     list_store_calls,
     make_context,
 )
+from wagtailrill.store.const import (
+    CHANGE_ARRIVES_WITHIN_S,
+    CONFIRMATION_GAP_MAX_S,
+    CONFIRMATIONS_TRUSTED_AFTER_S,
+    CONFIRMED_WATCH_WAIT_S,
+    WATCH_WAIT_MAX_S,
+)
 from wagtailrill.store.mirror import MirrorSettings, PrefixMirror
 from wagtailrill.store.models import (
     Changes,
@@ -131,3 +139,100 @@
     harness.reply_in_era(2, ListPrefix, make_page(make_item("op/a", 20), revision=35))
     harness.reply_in_era(2, WatchPrefix, Ok(Changes((make_item("op/a", 36),), 36)))
     assert {k: i.value for k, i in harness.mirror.items.items()} == {"op/a": b"v36"}
+
+
+def start_watching(harness, revision=10):
+    harness.reply(ListPrefix, make_page(make_item("op/a", 3), revision=revision))
+
+
+def confirm_for(harness, seconds, revision=3):
+    """Confirm the mirror's state every half second."""
+    for _ in range(round(seconds / 0.5)):
+        harness.mirror.confirm(revision, 0.2)
+        advance_time(harness.ctx, 0.5)
+
+
+def get_last_watch(harness):
+    return list_store_calls(harness.ctx, WatchPrefix)[-1].operation
+
+
+def test_confirmed_mirror_asks_the_store_rarely():
+    """Guards against store calls that grow with the number of instances.
+
+    Each instance made 1.5 watches a second, so that a silent one is noticed in time. On
+    pcb-gate-large the price of calls was half of what the requests were worth.
+    """
+    harness = MirrorHarness()
+    start_watching(harness)
+    confirm_for(harness, CONFIRMATIONS_TRUSTED_AFTER_S)
+    harness.reply(WatchPrefix, Ok(Changes((), 11)))
+    assert get_last_watch(harness).wait_s == CONFIRMED_WATCH_WAIT_S
+    confirm_for(harness, 15.0)
+    assert list_store_calls(harness.ctx, ListPrefix) == []
+
+
+def test_change_that_a_silent_watch_holds_back_is_listed():
+    """Guards against a change that is not in force, as the long watch stays silent."""
+    harness = MirrorHarness()
+    start_watching(harness)
+    confirm_for(harness, CONFIRMATIONS_TRUSTED_AFTER_S)
+    harness.reply(WatchPrefix, Ok(Changes((), 11)))
+    harness.mirror.confirm(14, 0.2)
+    advance_time(harness.ctx, CHANGE_ARRIVES_WITHIN_S)
+    assert len(list_store_calls(harness.ctx, ListPrefix)) == 1
+    harness.reply(ListPrefix, make_page(make_item("op/a", 14), revision=15))
+    assert harness.mirror.items["op/a"].revision == 14
+
+
+def test_change_that_the_watch_returns_meanwhile_is_not_listed():
+    """Guards against a list for each change that another instance knows first."""
+    harness = MirrorHarness()
+    start_watching(harness)
+    harness.mirror.confirm(14, 0.2)
+    harness.reply(WatchPrefix, Ok(Changes((make_item("op/a", 14),), 14)))
+    advance_time(harness.ctx, 2 * CHANGE_ARRIVES_WITHIN_S)
+    assert list_store_calls(harness.ctx, ListPrefix) == []
+
+
+def test_mirror_asks_the_store_again_when_nobody_confirms_it():
+    """Guards against an old state while the instance that read the store is lost."""
+    harness = MirrorHarness()
+    start_watching(harness)
+    confirm_for(harness, CONFIRMATIONS_TRUSTED_AFTER_S)
+    harness.reply(WatchPrefix, Ok(Changes((), 11)))
+    advance_time(harness.ctx, CONFIRMATION_GAP_MAX_S)
+    assert len(list_store_calls(harness.ctx, ListPrefix)) == 1
+    harness.reply(ListPrefix, make_page(make_item("op/a", 3), revision=12))
+    assert get_last_watch(harness).wait_s == WATCH_WAIT_MAX_S
+
+
+@pytest.mark.parametrize("age_s", [WATCH_WAIT_MAX_S + 0.1, float("inf")])
+def test_old_confirmation_does_not_count(age_s):
+    """Guards against relying on an instance that cannot reach the store itself."""
+    harness = MirrorHarness()
+    start_watching(harness)
+    for _ in range(20):
+        harness.mirror.confirm(3, age_s)
+        advance_time(harness.ctx, 0.5)
+    harness.reply(WatchPrefix, Ok(Changes((), 11)))
+    assert get_last_watch(harness).wait_s == WATCH_WAIT_MAX_S
+
+
+def test_confirmed_time_is_that_of_the_other_instance():
+    """Guards against a configuration that counts as newer than anybody knows it is."""
+    harness = MirrorHarness()
+    start_watching(harness)
+    listed_s = harness.mirror.confirmed_s
+    advance_time(harness.ctx, 1.0)
+    harness.mirror.confirm(3, 0.4)
+    assert harness.mirror.confirmed_s == pytest.approx(listed_s + 0.6)
+    harness.mirror.confirm(14, 0.0)
+    assert harness.mirror.confirmed_s == pytest.approx(listed_s + 0.6)
+
+
+def test_removed_key_is_a_change_for_those_who_are_told():
+    """Guards against a removal that a silent watch holds back at another instance."""
+    harness = MirrorHarness()
+    start_watching(harness)
+    harness.reply(WatchPrefix, Ok(Changes((Removed("op/a", 12),), 13)))
+    assert harness.mirror.last_change_revision == 12
--- a/wagtailrill/configuration/follower.py
+++ b/wagtailrill/configuration/follower.py
@@ -78,7 +78,7 @@
         self._applied_s = 0.0
         self._items = KnownItems()
         self._release_timer: TimerHandle | None = None
-        self._mirror = PrefixMirror(
+        self.mirror = PrefixMirror(
             ctx,
             MirrorSettings(decoder.prefix, watch_wait_max_s=WATCH_WAIT_MAX_S),
             self._on_change,
@@ -86,7 +86,7 @@
 
     def start(self) -> None:
         """Start following the configuration."""
-        self._mirror.start()
+        self.mirror.start()
 
     def add_listener(self, listener: ConfigurationListener) -> None:
         """Add a function to call with each configuration that comes into force."""
@@ -95,7 +95,7 @@
     @property
     def confirmed_s(self) -> float:
         """Return the monotonic time at which the configuration was last confirmed."""
-        return self._mirror.confirmed_s
+        return self.mirror.confirmed_s
 
     def get_status(self) -> ConfigurationStatus | None:
         """Return the version and age of the configuration in force, if there is one."""
@@ -122,7 +122,7 @@
     def has_listed(self) -> bool:
         """Return whether the keys have been listed in the present era of the store."""
         era = self._ctx.store_era.current
-        return self._mirror.is_complete and get_era(self._mirror.revision) == era
+        return self.mirror.is_complete and get_era(self.mirror.revision) == era
 
     @property
     def declaration_key(self) -> str:
@@ -203,7 +203,7 @@
     def _on_change(self, keys: frozenset[str]) -> None:
         restored_for_s = self._ctx.now_s - self.restored_s
         self._items.update(
-            self._mirror.items, self._mirror.revision, keys, restored_for_s
+            self.mirror.items, self.mirror.revision, keys, restored_for_s
         )
         if self._items.is_holding:
             self._schedule_release(REWRITE_GRACE_S - restored_for_s)
@@ -218,7 +218,7 @@
             self._ctx.log(
                 LogName.DATA_CENTRES_CLOSED,
                 data_centres=",".join(sorted(closed_data_centres)),
-                revision=self._mirror.revision,
+                revision=self.mirror.revision,
             )
         is_applicable = self.is_released or self.current is not None
         if is_applicable and self._has_unapplied_change:
@@ -234,7 +234,7 @@
         # written again: the store may be away once more until then.
         if self._release_timer is None or self._release_timer.callback is None:
             timers = self._ctx.timers
-            self._release_timer = timers.call_later(delay_s, self._mirror.list_again)
+            self._release_timer = timers.call_later(delay_s, self.mirror.list_again)
 
     def _read_declaration(self, item: Item) -> bool:
         if item.revision <= self._last_read_revision:
--- a/wagtailrill/core/call_scope.py
+++ b/wagtailrill/core/call_scope.py
@@ -26,15 +26,18 @@
 
     def call_store(
         self, operation: "StoreOperation", on_result: "Callable[[StoreResult], None]"
-    ) -> None:
-        """Queue a store call; `on_result` receives its result unless abandoned."""
+    ) -> int:
+        """Queue a store call; `on_result` receives its result unless abandoned.
+
+        Return the id of the call, 0 if it fails at once.
+        """
         number = self._number
 
         def pass_on(result: "StoreResult") -> None:
             if number == self._number:
                 on_result(result)
 
-        self._ctx.call_store(operation, pass_on)
+        return self._ctx.call_store(operation, pass_on)
 
     def call_later(self, delay_s: float, callback: Callable[[], None]) -> TimerHandle:
         """Schedule a callback after a delay in seconds."""
--- a/wagtailrill/core/commands.py
+++ b/wagtailrill/core/commands.py
@@ -27,6 +27,13 @@
     operation: "StoreOperation"
 
 
+@attrs.frozen
+class CancelStoreCall:
+    """Abandon a call to the store, whose result is of no more use."""
+
+    call_id: int
+
+
 @attrs.frozen
 class CallBackend:
     """Make a control call to a backend server; `BackendReplied` returns its result."""
@@ -94,6 +101,7 @@
 Command = (
     SendPeer
     | CallStore
+    | CancelStoreCall
     | CallBackend
     | SendBackendRequest
     | CancelAttempt
--- a/wagtailrill/core/context.py
+++ b/wagtailrill/core/context.py
@@ -16,7 +16,14 @@
     order_result,
     strip_era,
 )
-from .commands import CallBackend, CallStore, Command, LogEvent, SendPeer
+from .commands import (
+    CallBackend,
+    CallStore,
+    CancelStoreCall,
+    Command,
+    LogEvent,
+    SendPeer,
+)
 from .invariants import Invariants
 from .log_events import LogName
 from .request_models import NO_NOTICE, ServerNotice
@@ -107,17 +114,26 @@
 
     def call_store(
         self, operation: "StoreOperation", on_result: "Callable[[StoreResult], None]"
-    ) -> None:
-        """Queue a store call; `on_result` receives its result in a later step."""
+    ) -> int:
+        """Queue a store call; `on_result` receives its result in a later step.
+
+        Return the id of the call, 0 if it fails at once.
+        """
         era = self.store_era.current
         error = find_outdated_condition(operation, era)
         if error is not None:
             failed = Error(error)
             self.timers.call_later(0.0, lambda: on_result(failed))
-            return
+            return 0
         call_id = next(self._call_ids)
         self._store_calls[call_id] = StoreCall(operation, era, on_result)
         self.commands.append(CallStore(call_id, strip_era(operation)))
+        return call_id
+
+    def cancel_store_call(self, call_id: int) -> None:
+        """Cancel a store call whose result is of no more use, if it is in progress."""
+        if self._store_calls.pop(call_id, None) is not None:
+            self.commands.append(CancelStoreCall(call_id))
 
     def call_backend(
         self,
--- a/wagtailrill/router/router.py
+++ b/wagtailrill/router/router.py
@@ -62,7 +62,13 @@
             ctx, self.servers, self.members, self.duties, cfg.key_table_prefix
         )
         self.entry_relay = (
-            EntryRelay(ctx, self.duties, self.discovery, self.servers)
+            EntryRelay(
+                ctx,
+                self.duties,
+                self.discovery,
+                self.servers,
+                (self.members.mirror, self.configuration.mirror),
+            )
             if self.discovery is not None
             else None
         )
--- a/wagtailrill/runtime/backend_calls.py
+++ b/wagtailrill/runtime/backend_calls.py
@@ -42,7 +42,7 @@
     control_dialect: ControlDialect
     metrics: Metrics
     write_log: Callable[[LogEvent], None]
-    start_task: Callable[[Coroutine[Any, Any, None]], None]
+    start_task: Callable[[Coroutine[Any, Any, None]], object]
     report_reply: Callable[[BackendReplied], object]
 
 
--- a/wagtailrill/runtime/driver.py
+++ b/wagtailrill/runtime/driver.py
@@ -16,6 +16,7 @@
     CallBackend,
     CallStore,
     CancelAttempt,
+    CancelStoreCall,
     CloseConnections,
     Command,
     LogEvent,
@@ -137,6 +138,7 @@
         self._timer: asyncio.TimerHandle | None = None
         self._timer_due_s = 0.0
         self._tasks: set[asyncio.Task[None]] = set()
+        self._store_tasks: dict[int, asyncio.Task[None]] = {}
         self._backend_calls = BackendCalls(
             BackendCallParts(
                 self.pools,
@@ -150,6 +152,7 @@
         self._command_handlers: dict[type, Callable[[Any], None]] = {
             SendPeer: lambda command: parts.transport.send(command.envelope),
             CallStore: self._call_store,
+            CancelStoreCall: self._cancel_store_call,
             CallBackend: self._backend_calls.call_backend,
             SendBackendRequest: self._send_backend_request,
             CancelAttempt: self._cancel_attempt,
@@ -250,13 +253,21 @@
         self._timer = None
         self.dispatch_event(None)
 
-    def _start_task(self, coroutine: Coroutine[Any, Any, None]) -> None:
+    def _start_task(self, coroutine: Coroutine[Any, Any, None]) -> asyncio.Task[None]:
         task = self._loop.create_task(coroutine)
         self._tasks.add(task)
         task.add_done_callback(self._tasks.discard)
+        return task
 
     def _call_store(self, command: CallStore) -> None:
-        self._start_task(self._async_call_store(command))
+        task = self._start_task(self._async_call_store(command))
+        self._store_tasks[command.call_id] = task
+        task.add_done_callback(lambda _: self._store_tasks.pop(command.call_id, None))
+
+    def _cancel_store_call(self, command: CancelStoreCall) -> None:
+        task = self._store_tasks.get(command.call_id)
+        if task is not None:
+            task.cancel()
 
     async def _async_call_store(self, command: CallStore) -> None:
         answer = await self._parts.store.async_call(command.operation)
--- a/wagtailrill/servers/messages.py
+++ b/wagtailrill/servers/messages.py
@@ -22,12 +22,26 @@
     doubted: tuple[str, ...]
 
 
+@attrs.frozen
+class MirrorState:
+    """What the store has confirmed to the reader of the keys with a prefix.
+
+    The last change has the revision `last_change_revision`; the store confirmed
+    `age_s` seconds ago that there was no later one.
+    """
+
+    prefix: str
+    last_change_revision: int
+    age_s: float
+
+
 @attrs.frozen
 class EntriesAnswer:
     """Changes up to `version`, or all entries if `full` is set.
 
     `age_s` is the time since the reader began to read the list from the store. `gone`
-    names the servers whose entries were removed.
+    names the servers whose entries were removed. `mirrors` tells of other keys of the
+    store that all instances follow.
     """
 
     number: int
@@ -37,6 +51,7 @@
     age_s: float
     entries: tuple[ServerEntry, ...]
     gone: tuple[str, ...]
+    mirrors: tuple[MirrorState, ...] = ()
 
 
 @attrs.frozen
--- a/wagtailrill/servers/relay.py
+++ b/wagtailrill/servers/relay.py
@@ -12,9 +12,10 @@
 from ..fleet.const import READER_DUTY_WEIGHT
 from ..fleet.duties import Duties
 from ..peer.registry import Envelope
+from ..store.mirror import PrefixMirror
 from .const import ENTRIES_AGE_MAX_S, LIST_INTERVAL_S, POLL_INTERVAL_S, RELAY_TICK_S
 from .discovery import Discovery
-from .messages import EntriesAnswer, EntriesRequest, ServerLeaving
+from .messages import EntriesAnswer, EntriesRequest, MirrorState, ServerLeaving
 from .models import ServerEntry, ServerProcess
 from .table import ServerTable
 
@@ -39,12 +40,21 @@
     are older than `ENTRIES_AGE_MAX_S` reads the store itself. Processes that have said
     that they leave are told to the reader with each request until it knows them, and
     `on_leaving` is called with those that it knows and its name.
+
+    The answers of the reader also confirm the state of `mirrors`, so that the others
+    need not ask the store as often.
     """
 
     def __init__(
-        self, ctx: Context, duties: Duties, discovery: Discovery, servers: ServerTable
+        self,
+        ctx: Context,
+        duties: Duties,
+        discovery: Discovery,
+        servers: ServerTable,
+        mirrors: tuple[PrefixMirror, ...] = (),
     ) -> None:
         self._ctx = ctx
+        self._mirrors = {mirror.prefix: mirror for mirror in mirrors}
         self._duties = duties
         self._discovery = discovery
         self._servers = servers
@@ -83,7 +93,10 @@
         now_s = self._ctx.now_s
         discovery = self._discovery
         interval_s = ENTRIES_AGE_MAX_S
-        if self._duties.holds(READER_DUTY):
+        is_reader = self._duties.holds(READER_DUTY)
+        for mirror in self._mirrors.values():
+            mirror.leads = is_reader
+        if is_reader:
             interval_s = LIST_INTERVAL_S
         elif now_s - self._requested_s >= POLL_INTERVAL_S:
             self._request_changes()
@@ -169,9 +182,21 @@
             self._ctx.now_s - self._discovery.confirmed_s,
             tuple(entry for entry in entries if entry is not None),
             tuple(n for n, c in sorted(changed.items()) if c.entry is None),
+            self._describe_mirrors(),
         )
         self._ctx.send(envelope.sender, answer, envelope.incarnation)
 
+    def _describe_mirrors(self) -> tuple[MirrorState, ...]:
+        return tuple(
+            MirrorState(
+                mirror.prefix,
+                mirror.last_change_revision,
+                self._ctx.now_s - mirror.confirmed_s,
+            )
+            for mirror in self._mirrors.values()
+            if mirror.is_complete
+        )
+
     # Other instances
 
     def _on_answer(self, envelope: Envelope) -> None:
@@ -179,6 +204,10 @@
         if answer.number != self._request_number or self._duties.holds(READER_DUTY):
             return
         self._learn_leaving(answer, envelope.sender)
+        for state in answer.mirrors:
+            mirror = self._mirrors.get(state.prefix)
+            if mirror is not None:
+                mirror.confirm(state.last_change_revision, state.age_s)
         # The read began no earlier: the answer was made after the request.
         confirmed_s = self._requested_s - answer.age_s
         if confirmed_s <= self._discovery.confirmed_s:
--- a/wagtailrill/servers/servers.capnp
+++ b/wagtailrill/servers/servers.capnp
@@ -30,6 +30,13 @@
   ageS @4 :Float64;
   entries @5 :List(ServerEntry);
   gone @6 :List(Text);
+  mirrors @7 :List(MirrorState);
+}
+
+struct MirrorState {
+  prefix @0 :Text;
+  lastChangeRevision @1 :UInt64;
+  ageS @2 :Float64;
 }
 
 struct ServerLeaving {
--- /dev/null
+++ b/wagtailrill/store/confirmation.py
@@ -0,0 +1,43 @@
+"""Tracks whether other instances tell reliably what the store has confirmed to them.
+
+Mirrors of store keys use it.
+"""
+
+from collections.abc import Callable
+
+from ..core.context import Context
+from ..core.timer import TimerHandle
+from .const import CONFIRMATION_GAP_MAX_S, CONFIRMATIONS_TRUSTED_AFTER_S
+
+
+class Confirmations:
+    """A series of confirmations, which ends with a gap; `on_ended` is called then."""
+
+    def __init__(self, ctx: Context, on_ended: Callable[[], None]) -> None:
+        self._ctx = ctx
+        self._on_ended = on_ended
+        self._began_s: float | None = None
+        self._end: TimerHandle | None = None
+
+    @property
+    def are_trusted(self) -> bool:
+        """Return whether the series has lasted long enough to rely on it."""
+        if self._began_s is None:
+            return False
+        return self._ctx.now_s - self._began_s >= CONFIRMATIONS_TRUSTED_AFTER_S
+
+    def record(self) -> None:
+        """Record a confirmation."""
+        if self._began_s is None:
+            self._began_s = self._ctx.now_s
+        if self._end is not None:
+            self._end.cancel()
+        self._end = self._ctx.timers.call_later(
+            CONFIRMATION_GAP_MAX_S, self._end_series
+        )
+
+    def _end_series(self) -> None:
+        were_trusted = self.are_trusted
+        self._began_s = self._end = None
+        if were_trusted:
+            self._on_ended()
--- a/wagtailrill/store/mirror.py
+++ b/wagtailrill/store/mirror.py
@@ -11,7 +11,11 @@
 from ..core.call_scope import CallScope
 from ..core.context import Context
 from ..core.log_events import LogName
+from .confirmation import Confirmations
 from .const import (
+    CHANGE_ARRIVES_WITHIN_S,
+    CONFIRMED_WATCH_WAIT_S,
+    LEADING_WAIT_RATIO,
     RETRY_GROWTH_RATIO,
     RETRY_INITIAL_S,
     RETRY_MAX_S,
@@ -54,10 +58,14 @@
     It also lists it again, without waiting for a pending call, once the store has been
     restored from an older copy.
 
+    While another instance tells what the store has confirmed to it, watches wait
+    longer. The prefix is listed again if that instance knows of a change that the watch
+    did not return, or falls silent. An instance that `leads` tells the others.
+
     `items` holds the last known keys. `on_change` receives the changed ones, after a
     list also if there are none.
     `confirmed_s` is the monotonic time at which `items` was last known to be complete,
-    `-inf` before the first list.
+    `-inf` before the first list. `last_change_revision` is that of the last change.
     """
 
     def __init__(
@@ -67,6 +75,8 @@
         self.revision = 0
         self.confirmed_s = float("-inf")
         self.failing_since_s: float | None = None
+        self.last_change_revision = 0
+        self.leads = False
         self._ctx = ctx
         self._cfg = cfg
         self._on_change = on_change
@@ -76,6 +86,8 @@
         self._retry_delay_s = RETRY_INITIAL_S
         self._started_s = 0.0
         self._calls = CallScope(ctx)
+        self._watch_call_id = 0
+        self._confirmations = Confirmations(ctx, self._on_confirmations_ended)
 
     def start(self) -> None:
         """Start to mirror the prefix."""
@@ -85,11 +97,45 @@
     def list_again(self) -> None:
         """List the prefix now, without waiting for a pending call."""
         self._calls.abandon()
+        self._cancel_watch()
         self._state = MirrorState.LISTING
         self._listed_items, self._list_revision = {}, 0
         self._started_s = self._ctx.now_s
         self._request_page("")
 
+    @property
+    def prefix(self) -> str:
+        """Return the prefix of the mirrored keys."""
+        return self._cfg.prefix
+
+    def confirm(self, last_change_revision: int, age_s: float) -> None:
+        """Note what the store has confirmed to another instance `age_s` seconds ago.
+
+        `last_change_revision` is that of the last change that it knows.
+        """
+        if age_s > self._cfg.watch_wait_max_s:
+            return
+        self._confirmations.record()
+        if last_change_revision <= self.revision:
+            self.confirmed_s = max(self.confirmed_s, self._ctx.now_s - age_s)
+        elif self._state is MirrorState.WATCHING:
+            self._calls.call_later(
+                CHANGE_ARRIVES_WITHIN_S,
+                lambda: self._list_if_behind(last_change_revision),
+            )
+
+    def _list_if_behind(self, last_change_revision: int) -> None:
+        if self.revision < last_change_revision and self._is_watching():
+            self.list_again()
+
+    def _on_confirmations_ended(self) -> None:
+        """Ask the store itself, as nobody else tells what it has confirmed."""
+        if self._is_watching():
+            self.list_again()
+
+    def _is_watching(self) -> bool:
+        return self._state is MirrorState.WATCHING
+
     @property
     def is_complete(self) -> bool:
         """Return whether the keys have been listed once."""
@@ -114,9 +160,14 @@
         changed_keys = {
             k for k, item in self._listed_items.items() if self.items.get(k) != item
         }
-        changed_keys |= self.items.keys() - self._listed_items.keys()
+        removed_keys = self.items.keys() - self._listed_items.keys()
+        changed_keys |= removed_keys
         self.items, self._listed_items = self._listed_items, {}
         self.revision = self._list_revision
+        revisions = [item.revision for item in self.items.values()]
+        if removed_keys:  # their removals have later revisions, up to that of the list
+            revisions.append(self.revision)
+        self.last_change_revision = max(self.last_change_revision, *revisions, 0)
         self._record_success()
         self._on_change(frozenset(changed_keys))
         self._start_watch()
@@ -124,11 +175,23 @@
     def _start_watch(self) -> None:
         self._state = MirrorState.WATCHING
         self._started_s = self._ctx.now_s
-        cfg = self._cfg
-        operation = WatchPrefix(cfg.prefix, self.revision, cfg.watch_wait_max_s)
-        self._calls.call_store(operation, self._on_changes)
+        operation = WatchPrefix(self._cfg.prefix, self.revision, self._get_wait_s())
+        self._watch_call_id = self._calls.call_store(operation, self._on_changes)
+
+    def _get_wait_s(self) -> float:
+        if self.leads:
+            return self._cfg.watch_wait_max_s * LEADING_WAIT_RATIO
+        if self._confirmations.are_trusted:
+            return CONFIRMED_WATCH_WAIT_S
+        return self._cfg.watch_wait_max_s
+
+    def _cancel_watch(self) -> None:
+        if self._watch_call_id:
+            self._ctx.cancel_store_call(self._watch_call_id)
+            self._watch_call_id = 0
 
     def _on_changes(self, result: StoreResult) -> None:
+        self._watch_call_id = 0
         if result.is_error():
             self._handle_error(result.error)
             return
@@ -138,6 +201,9 @@
             event.key for event in changes.events if self._apply_event(event)
         }
         self.revision = max(self.revision, changes.revision)
+        self.last_change_revision = max(
+            self.last_change_revision, *(event.revision for event in changes.events), 0
+        )
         self._record_success()
         if changed_keys:
             self._on_change(frozenset(changed_keys))
