Read the changes of the server list instead of all its pages

And each change of the fleet's keys ended the watches of all instances: a start of 195 within 0.3 s made each of them call the store several times.

Change: a read asks for the changes since the last one, with a watch of 0.1 s, and lists all entries when the last read is 2 s old, the list 10 s, after an error and after a restore. The pause of the fleet's mirror grows by 4 ms for each member, to 1 s at most. test_one_instance_reads_for_all counts such watches as reads now; its bounds stay.

--- a/tests/servers/test_relay.py
+++ b/tests/servers/test_relay.py
@@ -6,7 +6,7 @@
 from wagtailrill.core.commands import CallStore
 from wagtailrill.platform import wire
 from wagtailrill.servers.models import ServerState
-from wagtailrill.store.models import ListPrefix
+from wagtailrill.store.models import ListPrefix, WatchPrefix
 
 PROPAGATION_MAX_S = 2.0
 
@@ -24,13 +24,14 @@
 
 
 def count_list_calls(run, seconds):
-    """Return how often each instance reads the list from the store."""
+    """Return how often each instance reads the list, or its changes."""
     counts = dict.fromkeys(run.fleet.nodes, 0)
     original_handler = run.fleet._handlers[CallStore]
 
     def count_list_call(name, command):
         operation = command.operation
-        if isinstance(operation, ListPrefix) and operation.prefix == wire.SERVER_PREFIX:
+        is_read = isinstance(operation, ListPrefix | WatchPrefix)
+        if is_read and operation.prefix == wire.SERVER_PREFIX:
             counts[name] += 1
         original_handler(name, command)
 
--- a/wagtailrill/fleet/members.py
+++ b/wagtailrill/fleet/members.py
@@ -11,6 +11,11 @@
 from ..core.context import Context
 from ..core.log_events import LogName
 from ..core.timer import TimerHandle
+from ..store.const import (
+    FLEET_WATCH_PAUSE_MAX_S,
+    WATCH_PAUSE_PER_MEMBER_S,
+    WATCH_PAUSE_S,
+)
 from ..store.mirror import MirrorSettings, PrefixMirror
 from ..store.models import (
     Commit,
@@ -303,6 +308,10 @@
                     address=member.address,
                 )
         self._members = members
+        self.mirror.watch_pause_s = min(
+            WATCH_PAUSE_S + len(members) * WATCH_PAUSE_PER_MEMBER_S,
+            FLEET_WATCH_PAUSE_MAX_S,
+        )
         self._check_own_key()
         self._read_or_create_secret()
         self._notify_listeners()
--- a/wagtailrill/router/models.py
+++ b/wagtailrill/router/models.py
@@ -11,7 +11,7 @@
 from ..organisations.keys import TenantKeyFormat
 from ..rates.models import RateSettings
 from ..retries.extra_attempts import ExtraAttemptSettings
-from ..servers.discovery import EntryDecoder
+from ..servers.entry_listing import EntryDecoder
 from ..servers.models import ServerEntry
 from ..servers.warmth import ColdSettings
 
--- a/wagtailrill/servers/const.py
+++ b/wagtailrill/servers/const.py
@@ -8,6 +8,12 @@
 POLL_INTERVAL_S: Final = 0.5
 ENTRIES_AGE_MAX_S: Final = 1.4
 RELAY_TICK_S: Final = 0.05
+# A read that asks for changes ends after this time if there are none.
+CHANGES_WAIT_MAX_S: Final = 0.1
+# The list is read again as a whole after this time, or when this much has passed since
+# the last read, as the store keeps its history for some seconds only.
+LIST_VALID_S: Final = 10.0
+READ_GAP_MAX_S: Final = 2.0
 LIST_RETRY_DELAY_S: Final = 0.3
 # The limit on a cold server applies to any period of one second; the excess over 1 s
 # covers differences in clocks and network delays.
--- a/wagtailrill/servers/discovery.py
+++ b/wagtailrill/servers/discovery.py
@@ -4,30 +4,28 @@
 """
 
 from collections.abc import Callable
-from typing import Protocol
 
 import attrs
-from expression import Result
 
 from ..core.context import Context
 from ..core.log_events import LogName
 from ..store.const import REWRITE_GRACE_S
-from ..store.models import Item, Listed, ListPrefix, StoreError, StoreResult
-from .const import LIST_RETRY_DELAY_S
+from ..store.models import (
+    Changes,
+    Listed,
+    ListPrefix,
+    StoreError,
+    StoreResult,
+    WatchPrefix,
+)
+from .const import CHANGES_WAIT_MAX_S, LIST_RETRY_DELAY_S
+from .entry_listing import EntryDecoder, EntryListing, InvalidItem
 from .entry_order import EntryOrder
 from .models import ServerEntry
 
 EntriesCallback = Callable[[dict[str, ServerEntry]], None]
 
 
-class EntryDecoder(Protocol):
-    """Decodes the entry of a backend server."""
-
-    def decode(self, item: Item) -> Result[ServerEntry, str]:
-        """Return the entry, or the reason why it is not usable."""
-        ...
-
-
 @attrs.frozen
 class DiscoverySettings:
     """Key prefix of the entries in the store."""
@@ -38,6 +36,9 @@
 class Discovery:
     """Reads the entries on request, and keeps the last ones during a store outage.
 
+    The first read lists all entries. A later one asks only for the changes since,
+    unless the last one is long ago; a list is made again from time to time.
+
     `confirmed_s` is the time at which the read of the present entries began, here or in
     another instance. `on_entries` is called with each complete list of entries,
     `on_entries_read` before it, but only with lists that were read here.
@@ -56,7 +57,7 @@
         self._cfg = cfg
         self._decoder = decoder
         self._on_entries = on_entries
-        self._pending_entries: dict[str, ServerEntry] = {}
+        self._listing = EntryListing(decoder)
         self.on_entries_read: EntriesCallback = lambda entries: None
         self._is_reading = False
         self._order = EntryOrder(ctx)
@@ -65,14 +66,18 @@
         self._failing_since_s: float | None = None
         self._store_recovered_s = float("-inf")
         self._is_complete = False
-        self._invalid_keys: frozenset[str] = frozenset()
-        self._pending_invalid_keys: set[str] = set()
 
     def read_entries(self) -> None:
         """Read the entries, unless a read is in progress or has just failed."""
         if not self._is_reading and self._ctx.now_s >= self._retry_at_s:
             self._is_reading = True
-            self._request_page("")
+            self._read_started_s = self._ctx.now_s
+            if self._listing.may_be_updated(
+                self._ctx.now_s, self._ctx.store_era.current
+            ):
+                self._request_changes()
+            else:
+                self._request_page("")
 
     @property
     def may_lack_entries(self) -> bool:
@@ -108,10 +113,24 @@
     ) -> dict[str, ServerEntry]:
         return self.entries | entries if self.may_lack_entries else entries
 
+    def _request_changes(self) -> None:
+        watch = WatchPrefix(
+            self._cfg.prefix, self._listing.revision, CHANGES_WAIT_MAX_S
+        )
+        self._ctx.call_store(watch, self._on_changes)
+
+    def _on_changes(self, result: StoreResult) -> None:
+        if result.is_error():
+            self._request_page("")  # the history may be gone
+            return
+        changes = result.ok
+        assert isinstance(changes, Changes)
+        self._log_invalid(self._listing.apply_changes(changes))
+        self._finish_read()
+
     def _request_page(self, after: str) -> None:
         if not after:
-            self._read_started_s = self._ctx.now_s
-            self._pending_entries, self._pending_invalid_keys = {}, set()
+            self._listing.begin()
         self._ctx.call_store(ListPrefix(self._cfg.prefix, after), self._on_page)
 
     def _on_page(self, result: StoreResult) -> None:
@@ -120,25 +139,20 @@
             return
         page = result.ok
         assert isinstance(page, Listed)
-        for item in page.items:
-            self._decode_item(item)
+        self._log_invalid(self._listing.add_page(page))
         if page.has_more and page.items:
             self._request_page(page.items[-1].key)
             return
+        self._listing.finish(self._read_started_s)
         self._finish_read()
 
-    def _decode_item(self, item: Item) -> None:
-        decoded = self._decoder.decode(item)
-        if decoded.is_ok():
-            self._pending_entries[decoded.ok.name] = decoded.ok
-            return
-        self._pending_invalid_keys.add(item.key)
-        if item.key not in self._invalid_keys:
+    def _log_invalid(self, invalid_items: list[InvalidItem]) -> None:
+        for invalid in invalid_items:
             self._ctx.log(
                 LogName.SERVER_ENTRY_INVALID,
-                key=item.key,
-                reason=decoded.error,
-                revision=item.revision,
+                key=invalid.item.key,
+                reason=invalid.reason,
+                revision=invalid.item.revision,
             )
 
     def _finish_read(self) -> None:
@@ -151,8 +165,8 @@
             self._ctx.log(LogName.SERVER_LIST_REGAINED, outage_s=round(outage_s, 3))
         if not self.may_lack_entries:
             self._is_complete = True
-        entries = self._keep_former_entries(self._pending_entries)
-        self._invalid_keys = frozenset(self._pending_invalid_keys)
+        self._listing.read_s = now_s
+        entries = self._keep_former_entries(dict(self._listing.entries))
         self.confirmed_s = self._read_started_s
         self.entries = self._order.select_latest(entries)
         self.on_entries_read(self.entries)
--- a/wagtailrill/store/const.py
+++ b/wagtailrill/store/const.py
@@ -18,6 +18,10 @@
 LEADING_WAIT_RATIO: Final = 0.5
 # The pause collects changes in quick succession, so that one watch returns them.
 WATCH_PAUSE_S: Final = 0.1
+# Each change of the fleet's keys ends the watches of all instances. The pause of the
+# fleet's mirror grows with their number, so that a start of all costs few calls.
+WATCH_PAUSE_PER_MEMBER_S: Final = 0.004
+FLEET_WATCH_PAUSE_MAX_S: Final = 1.0
 RETRY_INITIAL_S: Final = 0.1
 RETRY_MAX_S: Final = 0.6
 RETRY_GROWTH_RATIO: Final = 2.0
--- a/wagtailrill/store/mirror.py
+++ b/wagtailrill/store/mirror.py
@@ -77,6 +77,7 @@
         self.failing_since_s: float | None = None
         self.last_change_revision = 0
         self.leads = False
+        self.watch_pause_s = cfg.watch_pause_s
         self._ctx = ctx
         self._cfg = cfg
         self._on_change = on_change
@@ -207,7 +208,7 @@
         self._record_success()
         if changed_keys:
             self._on_change(frozenset(changed_keys))
-            self._calls.call_later(self._cfg.watch_pause_s, self._start_watch)
+            self._calls.call_later(self.watch_pause_s, self._start_watch)
         else:
             self._start_watch()
 
