Make the first list of servers a stale read in large fleets

Cause: each instance lists the servers itself when it starts. A start of 195 within 0.3 s made 2,925 calls for 719 servers in pages of 50, before the reader could answer. Watches became long only 3 s after the first confirmation.

Change: in a fleet of 48 or more the first list of an instance other than the reader is a stale read, at a tenth of the price; the reader's answer, or a list of its own after 1.4 s, replaces it. Nothing that the reader tells comes from a stale read. Small fleets, whose list is a page, read as before. Confirmations count after 1 s without a gap.

--- a/tests/servers/test_relay.py
+++ b/tests/servers/test_relay.py
@@ -5,6 +5,7 @@
 from tests.runs.deployment import Deployment
 from wagtailrill.core.commands import CallStore
 from wagtailrill.platform import wire
+from wagtailrill.servers import relay
 from wagtailrill.servers.models import ServerState
 from wagtailrill.store.models import ListPrefix, WatchPrefix
 
@@ -116,3 +117,32 @@
         names = {r.name for r in run.get_router(name).servers.rows_by_service["box"]}
         assert run.get_router(name).servers.rows.get("box-1-1") is not row
         assert len(names) == 4
+
+
+@pytest.mark.parametrize("is_large", [True, False])
+def test_first_list_in_a_large_fleet_is_a_cheap_one(run, is_large, monkeypatch):
+    """Guards against a start of hundreds that costs as much as seconds of service.
+
+    195 instances read 15 pages each as they started. A stale read has a tenth of the
+    price; the reader itself never makes one.
+    """
+    instances_min = 6 if is_large else 7
+    monkeypatch.setattr(relay, "STALE_START_INSTANCES_MIN", instances_min)
+    operations = []
+    original_handler = run.fleet._handlers[CallStore]
+
+    def record(name, command):
+        operation = command.operation
+        if isinstance(operation, ListPrefix) and operation.prefix == wire.SERVER_PREFIX:
+            operations.append((name, operation.allow_stale))
+        original_handler(name, command)
+
+    run.fleet.register_handler(CallStore, record)
+    names = [n for n in run.fleet.nodes if n != find_reader(run)]
+    for name in names:
+        run.kill_instance(name)
+        run.fleet.start_instance(name)
+    run.fleet.run_until(run.now_s + 3.0)
+    started = [is_stale for name, is_stale in operations if name in names]
+    assert started == [is_large] * len(names)
+    assert all(run.get_router(name).servers.rows for name in names)
--- a/wagtailrill/router/router.py
+++ b/wagtailrill/router/router.py
@@ -68,6 +68,7 @@
                 self.discovery,
                 self.servers,
                 (self.members.mirror, self.configuration.mirror),
+                self.members.count_instances,
             )
             if self.discovery is not None
             else None
--- a/wagtailrill/servers/discovery.py
+++ b/wagtailrill/servers/discovery.py
@@ -60,6 +60,7 @@
         self._listing = EntryListing(decoder)
         self.on_entries_read: EntriesCallback = lambda entries: None
         self._is_reading = False
+        self._is_stale_read = False
         self._order = EntryOrder(ctx)
         self._retry_at_s = float("-inf")
         self._read_started_s = 0.0
@@ -67,10 +68,19 @@
         self._store_recovered_s = float("-inf")
         self._is_complete = False
 
-    def read_entries(self) -> None:
-        """Read the entries, unless a read is in progress or has just failed."""
+    @property
+    def has_read(self) -> bool:
+        """Return whether entries are known, read here or by another instance."""
+        return self.confirmed_s > float("-inf")
+
+    def read_entries(self, allow_stale: bool = False) -> None:
+        """Read the entries, unless a read is in progress or has just failed.
+
+        With `allow_stale` they may be some seconds old, which costs the store less.
+        """
         if not self._is_reading and self._ctx.now_s >= self._retry_at_s:
             self._is_reading = True
+            self._is_stale_read = allow_stale
             self._read_started_s = self._ctx.now_s
             if self._listing.may_be_updated(
                 self._ctx.now_s, self._ctx.store_era.current
@@ -131,7 +141,8 @@
     def _request_page(self, after: str) -> None:
         if not after:
             self._listing.begin()
-        self._ctx.call_store(ListPrefix(self._cfg.prefix, after), self._on_page)
+        operation = ListPrefix(self._cfg.prefix, after, self._is_stale_read)
+        self._ctx.call_store(operation, self._on_page)
 
     def _on_page(self, result: StoreResult) -> None:
         if result.is_error():
@@ -143,7 +154,8 @@
         if page.has_more and page.items:
             self._request_page(page.items[-1].key)
             return
-        self._listing.finish(self._read_started_s)
+        if not self._is_stale_read:
+            self._listing.finish(self._read_started_s)
         self._finish_read()
 
     def _log_invalid(self, invalid_items: list[InvalidItem]) -> None:
@@ -163,7 +175,7 @@
             self._failing_since_s = None
             self._store_recovered_s = now_s
             self._ctx.log(LogName.SERVER_LIST_REGAINED, outage_s=round(outage_s, 3))
-        if not self.may_lack_entries:
+        if not self.may_lack_entries and not self._is_stale_read:
             self._is_complete = True
         self._listing.read_s = now_s
         entries = self._keep_former_entries(dict(self._listing.entries))
--- a/wagtailrill/servers/relay.py
+++ b/wagtailrill/servers/relay.py
@@ -13,7 +13,14 @@
 from ..fleet.duties import Duties
 from ..peer.registry import Envelope
 from ..store.mirror import PrefixMirror
-from .const import ENTRIES_AGE_MAX_S, LIST_INTERVAL_S, POLL_INTERVAL_S, RELAY_TICK_S
+from .const import (
+    ENTRIES_AGE_MAX_S,
+    LIST_INTERVAL_S,
+    POLL_INTERVAL_S,
+    RELAY_TICK_S,
+    SIZE_WAIT_MAX_S,
+    STALE_START_INSTANCES_MIN,
+)
 from .discovery import Discovery
 from .messages import EntriesAnswer, EntriesRequest, MirrorState, ServerLeaving
 from .models import ServerEntry, ServerProcess
@@ -41,6 +48,8 @@
     that they leave are told to the reader with each request until it knows them, and
     `on_leaving` is called with those that it knows and its name.
 
+    `count_instances` returns the size of the fleet, 0 until it is known.
+
     The answers of the reader also confirm the state of `mirrors`, so that the others
     need not ask the store as often.
     """
@@ -52,8 +61,11 @@
         discovery: Discovery,
         servers: ServerTable,
         mirrors: tuple[PrefixMirror, ...] = (),
+        count_instances: Callable[[], int] = lambda: 1,
     ) -> None:
         self._ctx = ctx
+        self._started_s: float | None = None
+        self._count_instances = count_instances
         self._mirrors = {mirror.prefix: mirror for mirror in mirrors}
         self._duties = duties
         self._discovery = discovery
@@ -100,8 +112,24 @@
             interval_s = LIST_INTERVAL_S
         elif now_s - self._requested_s >= POLL_INTERVAL_S:
             self._request_changes()
-        if now_s - discovery.confirmed_s >= interval_s:
-            discovery.read_entries()
+        if self._is_size_known() and now_s - discovery.confirmed_s >= interval_s:
+            discovery.read_entries(allow_stale=not is_reader and self._may_be_stale())
+
+    def _is_size_known(self) -> bool:
+        """Return whether the size of the fleet is known, or not to be waited for."""
+        if self._started_s is None:
+            self._started_s = self._ctx.now_s
+        waited_s = self._ctx.now_s - self._started_s
+        return self._count_instances() > 0 or waited_s >= SIZE_WAIT_MAX_S
+
+    def _may_be_stale(self) -> bool:
+        """Return whether the entries may be some seconds old, as the reader's follow.
+
+        All instances may start at the same time; in a large fleet their first lists
+        would cost the store too much.
+        """
+        is_first = not self._discovery.has_read
+        return is_first and self._count_instances() >= STALE_START_INSTANCES_MIN
 
     def _request_changes(self) -> None:
         holder = self._duties.get_holder(READER_DUTY)
--- a/wagtailrill/store/const.py
+++ b/wagtailrill/store/const.py
@@ -9,7 +9,7 @@
 # store itself as often: its watches wait this long.
 CONFIRMED_WATCH_WAIT_S: Final = 20.0
 # Others count as telling it reliably after this time without a gap.
-CONFIRMATIONS_TRUSTED_AFTER_S: Final = 3.0
+CONFIRMATIONS_TRUSTED_AFTER_S: Final = 1.0
 # Two confirmations in a row may be lost before the store is asked again.
 CONFIRMATION_GAP_MAX_S: Final = 1.2
 # A watch returns a change of which others know already within this time.
