Wait for issuers of tokens that start at the same time as the instance

Cause: after a loss of all power the issuers come back within some tenths of a second, each with its instance. A request for a token that met none yet, or an earlier process of one, fell back after 80 ms to the instance's own share, which is a hundredth of the limit, and the instance asked nobody for a while.

Change: for 1.5 s after its first configuration an instance lets requests wait for a token up to 0.4 of their target, and asks again each 50 ms. A denial by an issuer counts at once, as before, and so does a loss of an issuer later on.

--- a/wagtailrill/rates/component.py
+++ b/wagtailrill/rates/component.py
@@ -74,10 +74,13 @@
             self._duties.register(f"{DUTY_PREFIX}{shard}", self, RATES_DUTY_WEIGHT)
 
     def take_token(
-        self, organisation: str, on_result: Callable[[RateLimitResult], None]
+        self,
+        organisation: str,
+        on_result: Callable[[RateLimitResult], None],
+        patience_s: float = 0.0,
     ) -> None:
         """Decide on a request now, or once a token has arrived or the wait is over."""
-        self.holder.take_token(organisation, on_result)
+        self.holder.take_token(organisation, on_result, patience_s)
 
     def on_duty_taken(
         self, duty: str, fence: int, predecessor_may_act_s: float
--- a/wagtailrill/rates/const.py
+++ b/wagtailrill/rates/const.py
@@ -13,6 +13,10 @@
 # instance.
 TOKEN_WAIT_S: Final = 0.08
 WAITERS_MAX: Final = 256
+# Just after the start of an instance the issuers may be starting, too: requests wait
+# longer for a token, and the issuers are asked again after START_RETRY_S.
+START_PERIOD_S: Final = 1.5
+START_RETRY_S: Final = 0.05
 # Pause before the next token request after one that got no answer.
 NO_ANSWER_BACKOFF_S: Final = 0.15
 # After a denial the next token request is sent when a token is due, but not earlier
--- a/wagtailrill/rates/holder.py
+++ b/wagtailrill/rates/holder.py
@@ -20,6 +20,8 @@
     OWN_SHARE_BURST_RATIO,
     RETRY_AFTER_MAX_S,
     RETRY_AFTER_MIN_S,
+    START_PERIOD_S,
+    START_RETRY_S,
     TOKEN_WAIT_S,
     UNUSED_TOKENS_MAX_AGE_S,
     WAITERS_MAX,
@@ -44,7 +46,8 @@
     """Tokens, demand and waiting requests of one organisation at this instance.
 
     `request_number` is that of the token request under way, 0 if there is none. Until
-    `backoff_until_s` no further one is sent.
+    `backoff_until_s` no further one is sent. With `will_ask_again` one follows soon, as
+    there was no issuer.
     """
 
     limit: RateLimit
@@ -58,6 +61,7 @@
     requested_s: float = float("-inf")
     backoff_until_s: float = float("-inf")
     denied_until_s: float = float("-inf")
+    will_ask_again: bool = False
 
     def count_request(self, now_s: float) -> None:
         """Add a request to the exponentially decaying demand."""
@@ -92,10 +96,13 @@
         self._send_token_request = send_token_request
         self._rows: dict[str, OrganisationRow] = {}
         self._last_request_number = 0
+        self._starts_until_s: float | None = None
 
     def configure(self, limits: dict[str, RateLimit]) -> None:
         """Apply the limits of a configuration, by organisation."""
         now_s = self._ctx.now_s
+        if self._starts_until_s is None:
+            self._starts_until_s = now_s + START_PERIOD_S
         rows: dict[str, OrganisationRow] = {}
         for name, limit in limits.items():
             row = self._rows.get(name)
@@ -121,8 +128,13 @@
                 self._compute_own_limit(row.limit), self._ctx.now_s
             )
 
-    def take_token(self, organisation: str, on_result: OnResult) -> None:
-        """Decide on a request now, or once a token has arrived or the wait is over."""
+    def take_token(
+        self, organisation: str, on_result: OnResult, patience_s: float = 0.0
+    ) -> None:
+        """Decide on a request now, or once a token has arrived or the wait is over.
+
+        After the start of this instance the wait is up to `patience_s`.
+        """
         row = self._rows.get(organisation)
         if row is None:
             on_result(RateLimitResult(False, RETRY_AFTER_MAX_S, "unknown_organisation"))
@@ -142,9 +154,10 @@
         if now_s < row.denied_until_s or len(row.waiters) >= WAITERS_MAX:
             self._use_own_share(row, on_result)
             return
-        row.waiters.append(Waiter(now_s + TOKEN_WAIT_S, on_result))
+        wait_s = max(TOKEN_WAIT_S, patience_s if self._is_starting() else 0.0)
+        row.waiters.append(Waiter(now_s + wait_s, on_result))
         self._request_tokens(organisation, row)
-        self._ctx.timers.call_later(TOKEN_WAIT_S, lambda: self._expire_waiters(row))
+        self._ctx.timers.call_later(wait_s, lambda: self._expire_waiters(row))
 
     def apply_grant(self, grant: TokenGrant) -> None:
         """Admit waiting requests with granted tokens; back off after a denial."""
@@ -157,7 +170,7 @@
         row.used_s = now_s
         self._admit_waiters(row)
         if not grant.issues:
-            row.backoff_until_s = now_s + NO_ANSWER_BACKOFF_S
+            self._handle_no_issuer(grant.organisation, row)
         elif grant.tokens == 0:
             backoff_s = max(min(grant.due_in_s, 1.0), DENIAL_BACKOFF_MIN_S)
             row.backoff_until_s = row.denied_until_s = now_s + backoff_s
@@ -187,12 +200,38 @@
             return
         self._last_request_number += 1
         row.request_number, row.requested_s = self._last_request_number, now_s
-        if not self._send_token_request(
-            organisation, wanted, 0, self._last_request_number
-        ):
+        number = row.request_number
+        if not self._send_token_request(organisation, wanted, 0, number):
             row.request_number = 0
-            row.backoff_until_s = now_s + NO_ANSWER_BACKOFF_S
-            self._resolve_waiters(row)
+            self._handle_no_issuer(organisation, row)
+        elif self._is_starting():
+            self._ctx.timers.call_later(
+                TOKEN_WAIT_S, lambda: self._ask_again(organisation, row, number)
+            )
+
+    def _is_starting(self) -> bool:
+        """Return whether the issuers may only be starting, as this instance is."""
+        until_s = self._starts_until_s
+        return until_s is not None and self._ctx.now_s < until_s
+
+    def _handle_no_issuer(self, organisation: str, row: OrganisationRow) -> None:
+        """Ask again soon while issuers may be starting, and later at other times."""
+        if self._is_starting():
+            if not row.will_ask_again:
+                row.will_ask_again = True
+                self._ctx.timers.call_later(
+                    START_RETRY_S, lambda: self._ask_again(organisation, row, 0)
+                )
+            return
+        row.backoff_until_s = self._ctx.now_s + NO_ANSWER_BACKOFF_S
+        self._resolve_waiters(row)
+
+    def _ask_again(self, organisation: str, row: OrganisationRow, number: int) -> None:
+        """Repeat a request for tokens unless it has been answered."""
+        row.will_ask_again = False
+        if row.waiters and row.request_number == number:
+            row.request_number = 0
+            self._request_tokens(organisation, row)
 
     def _resolve_waiters(self, row: OrganisationRow) -> None:
         """Decide on all waiting requests from the own share."""
@@ -206,11 +245,11 @@
 
     def _expire_waiters(self, row: OrganisationRow) -> None:
         now_s = self._ctx.now_s
-        has_expired = False
-        while row.waiters and row.waiters[0].expires_s <= now_s:
-            has_expired = True
-            self._use_own_share(row, row.waiters.popleft().on_result)
-        if has_expired and row.request_number:
+        expired = [w for w in row.waiters if w.expires_s <= now_s]
+        row.waiters = deque(w for w in row.waiters if w.expires_s > now_s)
+        for waiter in expired:
+            self._use_own_share(row, waiter.on_result)
+        if expired and row.request_number and not self._is_starting():
             # The issuer did not answer in time; a later answer is ignored.
             row.request_number = 0
             row.backoff_until_s = now_s + NO_ANSWER_BACKOFF_S
--- a/wagtailrill/requests/const.py
+++ b/wagtailrill/requests/const.py
@@ -8,6 +8,8 @@
 RETRY_AFTER_S: Final = 0.3
 # Another instance can take the request at once.
 DRAINING_RETRY_AFTER_S: Final = 0.05
+# At most this part of its target latency a request waits for an issuer that starts.
+TOKEN_WAIT_TARGET_RATIO: Final = 0.4
 # A request whose key has no owner is refused after this part of its target latency.
 KEY_WAIT_TARGET_RATIO: Final = 0.5
 PLACEMENT_RETRY_INTERVAL_S: Final = 0.06
--- a/wagtailrill/requests/interfaces.py
+++ b/wagtailrill/requests/interfaces.py
@@ -26,9 +26,15 @@
     """Rate limits of organisations across the fleet."""
 
     def take_token(
-        self, organisation: str, on_result: Callable[[RateLimitResult], None]
+        self,
+        organisation: str,
+        on_result: Callable[[RateLimitResult], None],
+        patience_s: float,
     ) -> None:
-        """Take a token; `on_result` gets the result, at once or after a short wait."""
+        """Take a token; `on_result` gets the result, at once or after a short wait.
+
+        The wait is up to `patience_s` while the issuers of tokens may be starting.
+        """
         ...
 
 
--- a/wagtailrill/requests/pipeline.py
+++ b/wagtailrill/requests/pipeline.py
@@ -33,6 +33,7 @@
     KEY_WAIT_TARGET_RATIO,
     MISDIRECTED_RETRY_DELAY_S,
     TIME_LEFT_MIN_S,
+    TOKEN_WAIT_TARGET_RATIO,
 )
 from .hedging import NOT_SENT, Hedging, HedgingParts
 from .interfaces import KeyRouter, RateLimitResult, RateLimits, RetryBudget
@@ -164,9 +165,11 @@
 
     def _take_token(self, row: RequestRow) -> None:
         if self._open_requests.is_open(row):
+            waited_s = self._ctx.now_s - row.arrived_s
             self._parts.rate_limits.take_token(
                 row.organisation,
                 lambda result: self._handle_token_result(row, result),
+                row.route.target_s * TOKEN_WAIT_TARGET_RATIO - waited_s,
             )
 
     def _refuse_if_blocked(self, row: RequestRow) -> bool:
