Read a stale list of servers at the first start of a deployment alone

Change: only an instance whose settings say that the whole deployment starts for the first time makes a stale read; no server can have left then. Every other start reads the list as it is. The size of the fleet no longer matters, and the test for that is replaced by one for the condition that holds now.

--- a/tests/servers/test_relay.py
+++ b/tests/servers/test_relay.py
@@ -1,13 +1,21 @@
 """Tests that all instances know the servers while one instance reads the list."""
 
 import pytest
+from expression import Ok
 
 from tests.runs.deployment import Deployment
+from tests.support import advance_time, list_store_calls, make_context, make_table
 from wagtailrill.core.commands import CallStore
+from wagtailrill.fleet.duties import Duties
+from wagtailrill.fleet.members import Members
+from wagtailrill.fleet.models import FleetSettings
 from wagtailrill.platform import wire
-from wagtailrill.servers import relay
+from wagtailrill.platform.discovery import PlatformEntryDecoder
+from wagtailrill.servers.const import ENTRIES_AGE_MAX_S, RELAY_TICK_S
+from wagtailrill.servers.discovery import Discovery, DiscoverySettings
 from wagtailrill.servers.models import ServerState
-from wagtailrill.store.models import ListPrefix, WatchPrefix
+from wagtailrill.servers.relay import EntryRelay
+from wagtailrill.store.models import Listed, ListPrefix, WatchPrefix
 
 PROPAGATION_MAX_S = 2.0
 
@@ -119,30 +127,25 @@
         assert len(names) == 4
 
 
-@pytest.mark.parametrize("is_large", [True, False])
-def test_first_list_in_a_large_fleet_is_a_cheap_one(run, is_large, monkeypatch):
-    """Guards against a start of hundreds that costs as much as seconds of service.
+@pytest.mark.parametrize("is_first_start", [True, False])
+def test_only_the_first_start_of_a_deployment_reads_a_stale_list(is_first_start):
+    """Guards against a server that left and is in use again after a restart.
 
-    195 instances read 15 pages each as they started. A stale read has a tenth of the
-    price; the reader itself never makes one.
+    A stale read has a tenth of the price: at the first start 195 instances read 15
+    pages each. Later, a server may have left within the seconds that it is old.
     """
-    instances_min = 6 if is_large else 7
-    monkeypatch.setattr(relay, "STALE_START_INSTANCES_MIN", instances_min)
-    operations = []
-    original_handler = run.fleet._handlers[CallStore]
-
-    def record(name, command):
-        operation = command.operation
-        if isinstance(operation, ListPrefix) and operation.prefix == wire.SERVER_PREFIX:
-            operations.append((name, operation.allow_stale))
-        original_handler(name, command)
-
-    run.fleet.register_handler(CallStore, record)
-    names = [n for n in run.fleet.nodes if n != find_reader(run)]
-    for name in names:
-        run.kill_instance(name)
-        run.fleet.start_instance(name)
-    run.fleet.run_until(run.now_s + 3.0)
-    started = [is_stale for name, is_stale in operations if name in names]
-    assert started == [is_large] * len(names)
-    assert all(run.get_router(name).servers.rows for name in names)
+    ctx = make_context()
+    discovery = Discovery(
+        ctx, DiscoverySettings("servers/"), PlatformEntryDecoder(), lambda entries: None
+    )
+    duties = Duties(ctx, Members(ctx, FleetSettings("fleet/", "127.0.0.1:1")))
+    EntryRelay(ctx, duties, discovery, make_table(ctx), (), is_first_start)
+    advance_time(ctx, RELAY_TICK_S)
+    (call,) = list_store_calls(ctx, ListPrefix)
+    assert call.operation.allow_stale is is_first_start
+    ctx.handle_store_reply(call.call_id, Ok(Listed((), False, 10)))
+    ctx.commands.clear()
+    advance_time(ctx, ENTRIES_AGE_MAX_S)
+    lists = list_store_calls(ctx, ListPrefix)
+    assert lists or list_store_calls(ctx, WatchPrefix)
+    assert not any(call.operation.allow_stale for call in lists)
--- a/wagtailrill/fleet/members.py
+++ b/wagtailrill/fleet/members.py
@@ -113,10 +113,6 @@
         """Return the other registered members by instance name."""
         return self._members
 
-    def count_instances(self) -> int:
-        """Return the number of registered instances with this one, 0 if unknown."""
-        return len(self._members) + 1 if self.mirror.is_complete else 0
-
     def list_contacts(self) -> dict[str, Member]:
         """Return all others that may be reached, by name, the registered ones first.
 
--- a/wagtailrill/platform/assembly.py
+++ b/wagtailrill/platform/assembly.py
@@ -98,6 +98,7 @@
             key_table_prefix=wire.KEY_TABLE_PREFIX,
             claim_prefix=wire.CLAIM_PREFIX,
             allowances=make_allowances(cfg.bounds),
+            is_first_start=cfg.is_first_start,
         ),
         adapter=EnvironmentAdapter(
             configuration_decoder=PlatformConfigurationDecoder(cfg.data_centres),
--- a/wagtailrill/platform/settings.py
+++ b/wagtailrill/platform/settings.py
@@ -45,7 +45,8 @@
     """Settings of one process, as the platform provides them.
 
     Addresses are `IP:port`. `data_centres` maps each data centre to its region.
-    `cpu_share` is the number of processors that the process may use.
+    `cpu_share` is the number of processors that the process may use. With
+    `is_first_start` the whole deployment starts for the first time.
     """
 
     instance: str
@@ -63,6 +64,7 @@
     memory_mb: int
     file_descriptors_max: int
     bounds: Bounds
+    is_first_start: bool = False
 
 
 # Fields of `Bounds` by the platform's names, and whether the value is a duration.
@@ -117,6 +119,7 @@
         memory_mb=get_integer(limits, "memory_mb"),
         file_descriptors_max=get_integer(limits, "max_fds"),
         bounds=_parse_bounds(fields.get("bounds", [])),
+        is_first_start=fields.get("bootstrap") is True,
     )
 
 
--- a/wagtailrill/router/models.py
+++ b/wagtailrill/router/models.py
@@ -30,7 +30,8 @@
     """Settings of one instance's router.
 
     `key_table_prefix` and `claim_prefix` are prefixes of the store keys that this
-    deployment writes.
+    deployment writes. With `is_first_start` the whole deployment starts for the first
+    time, so that nothing has ended or left yet.
     """
 
     identity: Identity
@@ -38,6 +39,7 @@
     key_table_prefix: str
     claim_prefix: str
     allowances: Allowances = attrs.field(factory=Allowances)
+    is_first_start: bool = False
 
 
 @attrs.frozen
--- a/wagtailrill/router/router.py
+++ b/wagtailrill/router/router.py
@@ -68,7 +68,7 @@
                 self.discovery,
                 self.servers,
                 (self.members.mirror, self.configuration.mirror),
-                self.members.count_instances,
+                cfg.is_first_start,
             )
             if self.discovery is not None
             else None
--- a/wagtailrill/servers/const.py
+++ b/wagtailrill/servers/const.py
@@ -8,10 +8,6 @@
 POLL_INTERVAL_S: Final = 0.5
 ENTRIES_AGE_MAX_S: Final = 1.4
 RELAY_TICK_S: Final = 0.05
-# In a fleet of as many, an instance that starts makes a stale read of the list first.
-STALE_START_INSTANCES_MIN: Final = 48
-# It waits this long to learn the size of the fleet.
-SIZE_WAIT_MAX_S: Final = 0.2
 # A read that asks for changes ends after this time if there are none.
 CHANGES_WAIT_MAX_S: Final = 0.1
 # The list is read again as a whole after this time, or when this much has passed since
--- a/wagtailrill/servers/relay.py
+++ b/wagtailrill/servers/relay.py
@@ -18,8 +18,6 @@
     LIST_INTERVAL_S,
     POLL_INTERVAL_S,
     RELAY_TICK_S,
-    SIZE_WAIT_MAX_S,
-    STALE_START_INSTANCES_MIN,
 )
 from .discovery import Discovery
 from .messages import EntriesAnswer, EntriesRequest, MirrorState, ServerLeaving
@@ -48,7 +46,7 @@
     that they leave are told to the reader with each request until it knows them, and
     `on_leaving` is called with those that it knows and its name.
 
-    `count_instances` returns the size of the fleet, 0 until it is known.
+    With `is_first_start` the whole deployment starts, and no server can have left yet.
 
     The answers of the reader also confirm the state of `mirrors`, so that the others
     need not ask the store as often.
@@ -61,11 +59,10 @@
         discovery: Discovery,
         servers: ServerTable,
         mirrors: tuple[PrefixMirror, ...] = (),
-        count_instances: Callable[[], int] = lambda: 1,
+        is_first_start: bool = False,
     ) -> None:
         self._ctx = ctx
-        self._started_s: float | None = None
-        self._count_instances = count_instances
+        self._is_first_start = is_first_start
         self._mirrors = {mirror.prefix: mirror for mirror in mirrors}
         self._duties = duties
         self._discovery = discovery
@@ -112,24 +109,11 @@
             interval_s = LIST_INTERVAL_S
         elif now_s - self._requested_s >= POLL_INTERVAL_S:
             self._request_changes()
-        if self._is_size_known() and now_s - discovery.confirmed_s >= interval_s:
-            discovery.read_entries(allow_stale=not is_reader and self._may_be_stale())
-
-    def _is_size_known(self) -> bool:
-        """Return whether the size of the fleet is known, or not to be waited for."""
-        if self._started_s is None:
-            self._started_s = self._ctx.now_s
-        waited_s = self._ctx.now_s - self._started_s
-        return self._count_instances() > 0 or waited_s >= SIZE_WAIT_MAX_S
-
-    def _may_be_stale(self) -> bool:
-        """Return whether the entries may be some seconds old, as the reader's follow.
-
-        All instances may start at the same time; in a large fleet their first lists
-        would cost the store too much.
-        """
-        is_first = not self._discovery.has_read
-        return is_first and self._count_instances() >= STALE_START_INSTANCES_MIN
+        if now_s - discovery.confirmed_s >= interval_s:
+            # All instances start together then; the reader's answers soon replace what
+            # is some seconds old.
+            may_be_stale = self._is_first_start and not discovery.has_read
+            discovery.read_entries(allow_stale=may_be_stale and not is_reader)
 
     def _request_changes(self) -> None:
         holder = self._duties.get_holder(READER_DUTY)
