Do not keep a list of servers current that broke off

Cause: a list whose second page was not answered left the servers of its first page behind, and the time of the list before it. The next read then asked for the changes since that page, and showed what had been read as the whole list: servers would vanish for up to 10 s.

Change: a list that begins ends the validity of the former one.

Result: test_list_that_broke_off_is_not_kept_current fails before.

--- a/tests/servers/test_entry_listing.py
+++ b/tests/servers/test_entry_listing.py
@@ -66,6 +66,17 @@
     assert not listing.may_be_updated(listing.read_s, ERA)
 
 
+def test_list_that_broke_off_is_not_kept_current():
+    """Guards against servers that vanish because a page of the list was not answered.
+
+    The changes since the first page were applied to what had been read of the list.
+    """
+    listing = make_listing(make_item("a", 3), make_item("b", 4))
+    listing.begin()
+    listing.add_page(Listed((make_item("a", 3),), True, build_revision(ERA, 30)))
+    assert not listing.may_be_updated(101.0, ERA)
+
+
 def test_change_between_two_pages_is_not_lost():
     """Guards against changes to entries of a page that was read already."""
     listing = EntryListing(PlatformEntryDecoder())
--- a/wagtailrill/servers/entry_listing.py
+++ b/wagtailrill/servers/entry_listing.py
@@ -62,7 +62,8 @@
         )
 
     def begin(self) -> None:
-        """Begin a new list."""
+        """Begin a new list, of which no part counts until it is complete."""
+        self._listed_s = NEVER_S
         self.entries, self._names_by_key, self.revision = {}, {}, 0
         self._former_invalid_keys, self._invalid_keys = self._invalid_keys, set()
 
