Leave a change to the next watch while a mirror pauses

Cause: a mirror that pauses between two watches, up to 1 s in a large fleet, took a change that it was told of for one that its watch holds back, and listed the prefix. For changes in quick succession each instance would list each time.

Change: only an instance with a watch under way lists.

Result: the new test fails before.

--- a/tests/store/test_mirror.py
+++ b/tests/store/test_mirror.py
@@ -236,3 +236,14 @@
     start_watching(harness)
     harness.reply(WatchPrefix, Ok(Changes((Removed("op/a", 12),), 13)))
     assert harness.mirror.last_change_revision == 12
+
+
+def test_change_in_the_pause_between_two_watches_is_not_listed():
+    """Guards against a list by each instance for changes in quick succession."""
+    harness = MirrorHarness()
+    harness.mirror.watch_pause_s = 1.0
+    start_watching(harness)
+    harness.reply(WatchPrefix, Ok(Changes((make_item("op/a", 14),), 14)))
+    harness.mirror.confirm(16, 0.2)
+    advance_time(harness.ctx, 2 * CHANGE_ARRIVES_WITHIN_S)
+    assert list_store_calls(harness.ctx, ListPrefix) == []
--- a/wagtailrill/store/mirror.py
+++ b/wagtailrill/store/mirror.py
@@ -126,7 +126,8 @@
             )
 
     def _list_if_behind(self, last_change_revision: int) -> None:
-        if self.revision < last_change_revision and self._is_watching():
+        # Between two watches the next one returns the change at once.
+        if self.revision < last_change_revision and self._watch_call_id:
             self.list_again()
 
     def _on_confirmations_ended(self) -> None:
