Drop what the index of servers does not use

Why: counts of slots and a choice of servers were meant for a division that is not built. The servers that an end concerns are updated in a fixed order, not in that of a set. The entry that two tests draw on stands once.

--- a/tests/platform/test_odd_entries.py
+++ b/tests/platform/test_odd_entries.py
@@ -31,17 +31,8 @@
 from wagtailrill.servers.messages import EntriesAnswer
 from wagtailrill.store.models import Item
 
-ENTRY = {
-    "service": "box",
-    "address": "10.0.0.1:80",
-    "zone": "north",
-    "version": "v1",
-    "slots": 6,
-    "state": "ready",
-    "warmup_left": "1500ms",
-    "seq": 4,
-    "born": 1_767_728_614_392,
-}
+from .test_decoders import ENTRY
+
 DEEP_LIST = "[" * 5_000 + "]" * 5_000
 ODD_VALUES = st.one_of(
     st.none(),
--- a/wagtailrill/placement/dispatcher.py
+++ b/wagtailrill/placement/dispatcher.py
@@ -48,8 +48,7 @@
 
     For keyed services `find_owner` returns the name of the server that owns a key
     position, empty if none does. `estimate_unowned_s` returns in about how many seconds
-    a position without an owner has one again. `includes` tells which of the service's
-    servers the dispatcher places requests on.
+    a position without an owner has one again.
     """
 
     ctx: Context
@@ -57,7 +56,6 @@
     service: str
     find_owner: OwnerLookup
     estimate_unowned_s: Callable[[int], float]
-    includes: Callable[[ServerRow], bool] = lambda row: True
 
 
 class Dispatcher:
@@ -71,9 +69,7 @@
         self._parts = parts
         self._ctx = parts.ctx
         self._loads = LoadTable(parts.ctx)
-        self._index = ServerIndex(
-            parts.ctx, parts.servers, self._loads, parts.service, parts.includes
-        )
+        self._index = ServerIndex(parts.ctx, parts.servers, self._loads, parts.service)
         self._assignments = Assignments()
         self._queue = RequestQueue()
         self._demand = Demand()
@@ -123,9 +119,10 @@
         ended_load = self._find_load(end.backend_server)
         if ended_load is not None:
             self._record_outcome(ended_load, end, sender)
-        for changed_load in {load, ended_load} - {None}:
-            assert changed_load is not None
-            self._update_server(changed_load)
+        if load is not None and load is not ended_load:
+            self._update_server(load)
+        if ended_load is not None:
+            self._update_server(ended_load)
 
     def estimate_capacity(self, row: ServerRow) -> Capacity:
         """Return the usual capacity of a server, in requests per second."""
--- a/wagtailrill/placement/server_index.py
+++ b/wagtailrill/placement/server_index.py
@@ -70,15 +70,11 @@
 
 
 class ServerGroup:
-    """The servers of one tier in one data centre.
-
-    `rate` is the sum of their rates, `free_slots` that of their free slots.
-    """
+    """The servers of one tier in one data centre; `rate` is the sum of their rates."""
 
     def __init__(self) -> None:
         self.count = 0
         self.rate = 0.0
-        self.free_slots = 0.0
         self._free = SortedList()
         self._full = SortedList()
         self._full_rates = [0.0] * COST_CLASSES
@@ -88,7 +84,6 @@
         self.count += 1
         self.rate += candidate.rate
         if candidate.free_slots > 0.0:
-            self.free_slots += candidate.free_slots
             self._free.add(candidate.entry)
         else:
             self._full.add(candidate.entry)
@@ -99,7 +94,6 @@
         self.count -= 1
         self.rate -= candidate.rate
         if candidate.free_slots > 0.0:
-            self.free_slots -= candidate.free_slots
             self._free.remove(candidate.entry)
         else:
             self._full.remove(candidate.entry)
@@ -108,7 +102,6 @@
     def change_slots(self, candidate: Candidate, free_slots: float) -> None:
         """Change the free slots of a server of the group."""
         if candidate.free_slots > 0.0 and free_slots > 0.0:
-            self.free_slots += free_slots - candidate.free_slots
             candidate.free_slots = free_slots
             return
         self.remove(candidate)
@@ -141,8 +134,8 @@
 class ServerIndex:
     """Finds the best server for a request among the servers of a service.
 
-    `includes` tells which of them belong to the index. Costs change with time, too: a
-    part of the servers is looked at anew with each call of `refresh_some`.
+    Costs change with time, too: a part of the servers is looked at anew with each call
+    of `refresh_some`.
     """
 
     def __init__(
@@ -151,13 +144,11 @@
         servers: ServerTable,
         loads: LoadTable,
         service: str,
-        includes: Callable[[ServerRow], bool],
     ) -> None:
         self._ctx = ctx
         self._servers = servers
         self._loads = loads
         self._service = service
-        self._includes = includes
         self._rows: tuple[ServerRow, ...] = ()
         self._candidates: dict[str, Candidate] = {}
         self._groups: dict[Tier, dict[str, ServerGroup]] = {tier: {} for tier in Tier}
@@ -169,7 +160,7 @@
         Servers that are cold, excluded or could not be reached lately are left out
         unless no others remain.
         """
-        self.follow_table()
+        self._follow_table()
         while True:
             groups, left_out = self._select_groups(excluded)
             cost, name = _find_cheapest(groups, data_centre, left_out)
@@ -201,7 +192,7 @@
 
         `prepare` updates what the load of a server does not know by itself.
         """
-        self.follow_table()
+        self._follow_table()
         if not self._to_refresh:
             self._to_refresh = list(self._candidates)
         share = TICK_INTERVAL_S / COST_REFRESH_INTERVAL_S
@@ -215,31 +206,18 @@
 
     def estimate_rate_per_s(self) -> float:
         """Return how many requests per second the servers together can start."""
-        self.follow_table()
+        self._follow_table()
         groups, _ = self._select_groups(frozenset())
         rate = sum(group.rate for _, group in groups)
         return max(0.0, rate) / self._loads.base_latency_s
 
-    def count_free_slots(self) -> float:
-        """Return the free slots of the servers that are warm and can be reached."""
-        self.follow_table()
-        return sum(g.free_slots for g in self._groups[Tier.USABLE].values())
-
-    def count_slots(self) -> int:
-        """Return the slots of all servers that accept work."""
-        return sum(
-            candidate.load.slots
-            for candidate in self._candidates.values()
-            if candidate.tier is not None
-        )
-
-    def follow_table(self) -> None:
+    def _follow_table(self) -> None:
         """Take over the servers of the table if they have changed."""
         rows = self._servers.rows_by_service.get(self._service, ())
         if rows is self._rows:
             return
         self._rows = rows
-        loads = [self._loads.get_load(row) for row in rows if self._includes(row)]
+        loads = [self._loads.get_load(row) for row in rows]
         present = {load.name: load for load in loads}
         for name, candidate in list(self._candidates.items()):
             if present.get(name) is not candidate.load:
