Await holders longer where changes of the fleet are seen later

Cause: the pause between two watches of the fleet's keys grows with the fleet, to 0.88 s at 195 instances, but a holder counted as gone after 0.4 s. One that had registered again within that time, as all do after an outage of the store, lost its duties to others.

Change: the pause grows by 2 ms a member, to 0.5 s, and what it is longer than 0.1 s is added to the time after which a holder counts as gone.

--- a/tests/fleet/test_duties.py
+++ b/tests/fleet/test_duties.py
@@ -4,11 +4,13 @@
 
 from tests.runs.deployment import CONFIG_KEY, Deployment
 from wagtailrill.core.events import DrainRequested
+from wagtailrill.fleet import members
 from wagtailrill.fleet.const import CLOCK_DRIFT_MAX_RATIO
 
 DUTY = "keys/roll"
 # A duty is looked at each 0.1 s; the rest is for the calls to the store.
 TAKEN_AGAIN_S = 0.2
+LONG_PAUSE_S = 0.5
 
 
 @pytest.fixture
@@ -213,3 +215,21 @@
     run.fleet.start_instance(former)
     run.fleet.run_until(run.now_s + 3.0)
     assert list_holders(run) == [successor]
+
+
+@pytest.mark.parametrize("seed", range(31, 37))
+def test_duties_stay_where_a_holder_registers_again_in_a_large_fleet(seed, monkeypatch):
+    """Guards against duties that change hands because changes are seen later.
+
+    In a fleet of hundreds the pause between two watches is longer than the time in
+    which an instance registers again.
+    """
+    monkeypatch.setattr(members, "WATCH_PAUSE_PER_MEMBER_S", LONG_PAUSE_S)
+    run = Deployment(seed)
+    run.start_all()
+    former = list_duties(run)
+    (holder,) = list_holders(run)
+    key = run.get_router(holder).members.build_key("members/" + holder)
+    run.fleet.store.model.remove_item(key)
+    run.fleet.run_until(run.now_s + 1.0)
+    assert list_duties(run) == former
--- a/wagtailrill/fleet/holder_liveness.py
+++ b/wagtailrill/fleet/holder_liveness.py
@@ -4,6 +4,7 @@
 """
 
 from ..core.context import Context
+from ..store.const import WATCH_PAUSE_S
 from ..store.revision import FIRST_ERA
 from .awaited_answers import AwaitedAnswers
 from .const import (
@@ -46,7 +47,8 @@
             return False
         if holder is None or self._has_resigned_or_ended(holder):
             return True
-        return self._members.get_absence_s(holder.instance) >= REREGISTRATION_GRACE_S
+        absent_s = self._members.get_absence_s(holder.instance)
+        return absent_s >= self._compute_reregistration_grace_s()
 
     def is_own_predecessor(self, holder: DutyHolder | None) -> bool:
         """Return whether a holder is an earlier process of this instance.
@@ -122,6 +124,14 @@
         until_s = self._get_restored_s() + UNKNOWN_HOLDER_MAX_S
         return max(0.0, until_s - self._ctx.now_s)
 
+    def _compute_reregistration_grace_s(self) -> float:
+        """Return for how long a holder that registers again may seem to be gone.
+
+        In a large fleet the mirror shows changes with a longer delay.
+        """
+        delay_s = self._members.mirror.watch_pause_s - WATCH_PAUSE_S
+        return REREGISTRATION_GRACE_S + delay_s
+
     def _has_resigned_or_ended(self, holder: DutyHolder) -> bool:
         return holder.instance == RESIGNED_HOLDER.instance or self._has_ended(holder)
 
--- a/wagtailrill/store/const.py
+++ b/wagtailrill/store/const.py
@@ -20,8 +20,8 @@
 WATCH_PAUSE_S: Final = 0.1
 # Each change of the fleet's keys ends the watches of all instances. The pause of the
 # fleet's mirror grows with their number, so that a start of all costs few calls.
-WATCH_PAUSE_PER_MEMBER_S: Final = 0.004
-FLEET_WATCH_PAUSE_MAX_S: Final = 1.0
+WATCH_PAUSE_PER_MEMBER_S: Final = 0.002
+FLEET_WATCH_PAUSE_MAX_S: Final = 0.5
 RETRY_INITIAL_S: Final = 0.1
 RETRY_MAX_S: Final = 0.6
 RETRY_GROWTH_RATIO: Final = 2.0
