--- a/tests/placement/load_patterns.py
+++ b/tests/placement/load_patterns.py
@@ -47,7 +47,7 @@
 
 @attrs.define
 class LoadResult:
-    """Requests by how they ended; `wasted` are those refused while slots were free."""
+    """Requests by how they ended, and how many were refused while slots were free."""
 
     in_time: int = 0
     late: int = 0
