--- a/wagtailrill/placement/const.py
+++ b/wagtailrill/placement/const.py
@@ -15,8 +15,7 @@
 TICK_INTERVAL_S: Final = 0.02
 # The cost of a server without events is estimated again after this time.
 COST_REFRESH_INTERVAL_S: Final = 0.2
-# When slots are free, at most this many queued requests are passed over that rather
-# wait for a faster server, or that must not use the free ones.
+# Requests with a particular choice of servers that are tried when a slot is free.
 PLACEMENTS_TRIED_MAX: Final = 8
 # Requests that a key's owner gets beyond its slots, so that a slot that becomes free
 # need not wait for a message to the dispatcher and back.
