--- a/review/rig/rig.py
+++ b/review/rig/rig.py
@@ -7,11 +7,14 @@
 import asyncio
 import base64
 import json
+import logging
 import os
+import random
 import shutil
 import signal
 import socket
 import subprocess
+import sys
 import tempfile
 import time
 import tomllib
@@ -59,7 +62,7 @@
     raise CannotRunError("no free port")
 
 
-take_port.next = 12000 + os.getpid() % 8000
+take_port.next = random.randrange(12000, 30000)
 
 
 # HTTP server
@@ -173,7 +176,7 @@
                     break
                 writer.write(answer)
                 await writer.drain()
-        except ConnectionError:
+        except (ConnectionError, asyncio.CancelledError):
             pass
         finally:
             self._writers.discard(writer)
@@ -337,12 +340,16 @@
 class StoreDoor:
     """One instance's way to the store.
 
-    While it `is_cut`, calls hang. `lose_answer(request)` tells whether a call is carried
-    out and its answer lost, after which its connection returns nothing further.
+    While it `is_cut`, calls hang; with a `status` such as 503 they are refused.
+    `lose_answer(request)` tells whether a call is carried out and its answer lost, after
+    which its connection returns nothing further; `draw_late_s(request)` is how much
+    later that happens.
     """
 
     def __init__(self, store):
         self.is_cut = False
+        self.status = 0
+        self.draw_late_s = lambda request: 0.0
         self.lose_answer = lambda request: False
         self._store = store
         self.server = HttpServer(self._handle)
@@ -350,7 +357,15 @@
     async def _handle(self, request):
         if self.is_cut:
             return None
+        if self.status:
+            return encode_answer(self.status)
         lost = self.lose_answer(request)
+        late_s = self.draw_late_s(request) if lost else 0.0
+        if late_s:
+            asyncio.get_running_loop().call_later(
+                late_s, lambda: asyncio.ensure_future(self._store.execute(request))
+            )
+            return None
         answer = await self._store.execute(request)
         return None if lost or self.is_cut else answer
 
@@ -658,6 +673,30 @@
                 stdout=log, stderr=log,
             )
 
+    def read_memory_mb(self):
+        """Return the resident memory of the process."""
+        try:
+            statm = Path(f"/proc/{self.process.pid}/statm").read_text()
+        except OSError:
+            return 0.0
+        return int(statm.split()[1]) * os.sysconf("SC_PAGE_SIZE") / 1e6
+
+    async def enforce_memory(self, record, limit_mb=300.0, restart_after_s=0.5):
+        """Kill the process when it exceeds its memory, and start it again."""
+        self.memory_kills = 0
+        self.memory_peak_mb = 0.0
+        while True:
+            memory_mb = self.read_memory_mb()
+            self.memory_peak_mb = max(self.memory_peak_mb, memory_mb)
+            if memory_mb > limit_mb:
+                self.memory_kills += 1
+                record.write("platform kills", self.name, f"at {memory_mb:.0f} MB")
+                self.process.kill()
+                await asyncio.to_thread(self.process.wait)
+                await asyncio.sleep(restart_after_s)
+                self.start()
+            await asyncio.sleep(0.01)
+
     def send_signal(self, number):
         self.process.send_signal(number)
 
@@ -739,6 +778,67 @@
         return request_id, answer
 
 
+class KeptClient:
+    """Sends one request after another on a connection that it keeps.
+
+    `lost` holds the ids of requests that were not the first on their connection and
+    whose connection ended without a complete answer.
+    """
+
+    def __init__(self, record, address, number):
+        self._record = record
+        self._address = address
+        self._name = f"{number:04x}"
+        self._number = 0
+        self._connection = None
+        self._served = 0
+        self.answers = {}
+        self.lost = []
+
+    async def send(self, method, target, host, body=b"", deadline_s=3.0, headers=None):
+        self._number += 1
+        request_id = f"{self._name}{self._number:012x}"
+        is_kept = self._connection is not None and self._served > 0
+        lines = [f"{method} {target} HTTP/1.1", f"Host: {host}",
+                 f"Request-Id: {request_id}", f"Deadline-Ms: {deadline_s * 1000:.0f}"]
+        lines += [f"{name}: {value}" for name, value in (headers or {}).items()]
+        lines.append(f"Content-Length: {len(body)}")
+        self._record.write("client sends", request_id, method, target, "to",
+                           self._address, "on a kept connection" if is_kept else "")
+        message = None
+        try:
+            async with asyncio.timeout(deadline_s):
+                if self._connection is None:
+                    host_name, _, port = self._address.rpartition(":")
+                    self._connection = await asyncio.open_connection(
+                        host_name, int(port)
+                    )
+                    self._served = 0
+                reader, writer = self._connection
+                writer.write("\r\n".join([*lines, "", ""]).encode() + body)
+                message = await read_message(reader)
+            has_ended = message is None
+        except TimeoutError:
+            has_ended = False
+        except OSError:
+            has_ended = True
+        status = int(message[0].split(" ")[1]) if message else 0
+        self.answers[request_id] = status
+        self._record.write("client gets", request_id, status,
+                           "the connection ended" if has_ended else "")
+        if has_ended and is_kept:
+            self.lost.append(request_id)
+        self._served += 1
+        if message is None or message[1].get("connection") == "close":
+            self.close()
+        return status
+
+    def close(self):
+        if self._connection is not None:
+            self._connection[1].close()
+            self._connection = None
+
+
 def build_config(version, routes, services, tenants=None):
     """Return the bytes of a configuration; routes and services are lists of dicts."""
 
@@ -808,6 +908,8 @@
 
 def run_case(case, folder):
     """Run `case(record, folder)`; exit with 1 if it returns that the rule broke."""
+    # Stand-ins that are cut off at the end leave tasks behind, which is no news.
+    logging.getLogger("asyncio").setLevel(logging.CRITICAL)
     record = Record(Path(folder) / "record.txt")
     temporary = Path(tempfile.mkdtemp(prefix="review-"))
     instances = []
@@ -829,7 +931,9 @@
             print(temporary)
         else:
             shutil.rmtree(temporary, ignore_errors=True)
-    raise SystemExit(code)
+    # The loop has ended: what is left of its tasks needs no clean end.
+    sys.stdout.flush()
+    os._exit(code)
 
 
 async def _run(case, record, temporary, instances):
