--- a/review/rig/rig.py
+++ b/review/rig/rig.py
@@ -403,6 +403,8 @@
     def __init__(self, life, first, last, fence, since_s, until_s):
         self.life, self.first, self.last, self.fence = life, first, last, fence
         self.since_s, self.until_s = since_s, until_s
+        # When its time runs out, whatever has been released before.
+        self.lease_until_s = until_s
 
 
 class Upstream:
@@ -504,7 +506,7 @@
         for hold in self.holds:
             same = (hold.first, hold.last, hold.fence) == (first, last, fence)
             if same and hold.until_s > now_s:
-                hold.until_s = until_s
+                hold.until_s = hold.lease_until_s = until_s
                 return 200
         self._cut(first, last, now_s)
         hold = Hold(self.life, first, last, fence, now_s, until_s)
@@ -571,7 +573,8 @@
             if self.life == life and key in self.running:
                 self.running.remove(key)
         body = f"{request_id} {life}".encode()
-        status = 500 if hold is not None and hold.until_s < time.monotonic() else 200
+        outlasts = hold is not None and hold.lease_until_s < time.monotonic()
+        status = 500 if outlasts else 200
         return self._answer(request, status, [("Upstream-Signature", "s")], body)
 
 
@@ -673,6 +676,11 @@
                 stdout=log, stderr=log,
             )
 
+    def change_settings(self, former, present):
+        """Change a text in the settings file, for this process and later ones."""
+        self._text = self._text.replace(former, present)
+        self.settings.write_text(self._text.replace("BOOTSTRAP", "false"))
+
     def read_memory_mb(self):
         """Return the resident memory of the process."""
         try:
