--- a/review/4/case.py
+++ b/review/4/case.py
@@ -1,14 +1,16 @@
-"""The settings change while machines start after planned stops."""
+"""The one zone in which a keyed service has upstreams is evacuated."""
 
 import asyncio
-import signal
+import random
 import sys
+import time
 from pathlib import Path
 
 HERE = Path(__file__).resolve().parent
 sys.path.insert(0, str(HERE.parent / "rig"))
 
 from rig import (  # noqa: E402
+    KEYS,
     TROUBLE,
     Client,
     Instance,
@@ -21,71 +23,88 @@
     wait_until,
 )
 
-HOST = "look.example"
-ROUNDS = 3
-SETTINGS_CHANGE_AFTER_S = 0.15
-RESTART_DELAY_S = 0.3
-# Of 3 machines: a tenth, two at least, end by themselves three times.
-MACHINES_MAX, ENDS_MAX = 2, 3
+HOST = "roll.example"
+EVACUATED_S = 12.0
+BOUND_S = 5.0
 
 
 async def case(record, folder, instances):
     store = Store(record)
-    upstreams = [Upstream(store, record, "look", f"u-{n}") for n in range(3)]
+    upstreams = [
+        Upstream(store, record, "roll", f"u-{n}", zone="z1", sharded=True)
+        for n in range(4)
+    ]
+    others = [Upstream(store, record, "look", f"v-{n}", zone="z2") for n in range(2)]
     store.put(
         "op/config",
         build_config(
-            7, [make_route("r1", HOST, "/a/", "safe", "look")], [make_service("look")]
+            7,
+            [
+                make_route("r1", HOST, "/a/", "safe", "roll"),
+                make_route("r2", HOST, "/b/", "safe", "look"),
+            ],
+            [
+                make_service("roll", sharded=True, warm="5s", grants="invoke"),
+                make_service("look"),
+            ],
         ),
     )
-    for upstream in upstreams:
+    for upstream in upstreams + others:
         await upstream.start()
     for number in range(3):
         door = await store.open_door()
-        instances.append(Instance(number, door, folder))
+        zone = "z1" if number == 0 else "z2"
+        instances.append(Instance(number, door, folder, zone, ("z1", "z2")))
         instances[-1].start()
     for instance in instances:
         await wait_until(instance.is_ready, f"{instance.name} is ready")
-    await asyncio.sleep(3.0)
-    client, ends = Client(record), asyncio.Event()
 
-    async def send_requests():
-        while not ends.is_set():
-            await client.send(instances[2].front, "GET", "/a/x", HOST)
-            await asyncio.sleep(0.05)
+    def all_held():
+        return all(any(u.find_hold(k) for u in upstreams) for k in range(0, KEYS, 64))
 
-    sender = asyncio.ensure_future(send_requests())
-    own_ends = {}
+    await wait_until(all_held, "all keys have owners")
+    client, rng, ends = Client(record), random.Random(1), asyncio.Event()
 
-    async def stop_and_start(instance, change):
-        """Stop a machine as planned, start it, and then change its settings."""
-        record.write("SIGTERM", instance.name)
-        instance.send_signal(signal.SIGTERM)
-        await asyncio.to_thread(instance.process.wait)
-        await asyncio.sleep(RESTART_DELAY_S)
-        instance.start()
-        record.write("starts", instance.name)
-        await asyncio.sleep(SETTINGS_CHANGE_AFTER_S)
-        instance.change_settings("quota_slack=20", f"quota_slack={20 + change}")
-        if TROUBLE:
-            record.write("SIGHUP", instance.name)
-            instance.send_signal(signal.SIGHUP)
-        await asyncio.sleep(1.0)
-        code = instance.process.poll()
-        if code is not None:
-            own_ends[instance.name] = own_ends.get(instance.name, 0) + 1
-            record.write("ended by itself", instance.name, "exit code", code)
-            instance.start()
-        await wait_until(instance.is_ready, f"{instance.name} is ready")
+    async def send_requests():
+        while not ends.is_set():
+            instance = rng.choice(instances)
+            path = rng.choice(("/a/x", "/b/x"))
+            key = rng.randrange(KEYS) if path == "/a/x" else None
+            await client.send(instance.front, "GET", path, HOST, key=key)
+            await asyncio.sleep(0.02)
 
-    for change in range(1, ROUNDS + 1):
-        await asyncio.gather(*(stop_and_start(i, change) for i in instances[:2]))
-        await asyncio.sleep(1.0)
+    clients = [asyncio.ensure_future(send_requests()) for _ in range(4)]
+    await asyncio.sleep(5.0)
+    evacuated_s = time.monotonic()
+    if TROUBLE:
+        store.put("op/evacuate/z1", b"{}")
+        record.write("z1 is evacuated")
+    await asyncio.sleep(EVACUATED_S)
+    taken_back_s = time.monotonic()
+    if TROUBLE:
+        store.remove("op/evacuate/z1")
+        record.write("z1 is taken back")
+    await asyncio.sleep(1.0)
     ends.set()
-    await sender
-    record.write("own ends", own_ends)
-    print(f"processes that ended by themselves: {own_ends or 'none'}")
-    return sum(n >= ENDS_MAX for n in own_ends.values()) >= MACHINES_MAX
+    await asyncio.gather(*clients)
+    late = [
+        run
+        for upstream in upstreams
+        for run in upstream.runs
+        if TROUBLE and evacuated_s + BOUND_S < run[3] < taken_back_s
+    ]
+    for request_id, life, key, begun_s in late:
+        record.write(
+            "LATE",
+            request_id,
+            "key",
+            key,
+            "at",
+            life,
+            f"{begun_s - evacuated_s:.3f} s after the evacuation",
+        )
+    print(f"{len(late)} requests reached the evacuated zone later than {BOUND_S} s")
+    return bool(late)
 
 
 run_case(case, HERE)
