--- a/review/rig/rig.py
+++ b/review/rig/rig.py
@@ -668,11 +668,6 @@
                 stderr=log,
             )
 
-    def change_settings(self, former, present):
-        """Change a text in the settings file, for this process and later ones."""
-        self._text = self._text.replace(former, present)
-        self.settings.write_text(self._text.replace("BOOTSTRAP", "false"))
-
     def read_memory_mb(self):
         """Return the resident memory of the process."""
         try:
