Release keys also from an owner that has started again

Cause: the granter renewed the grants of a crashed owner until it had read the new entry. The new process took the renewals as first grants. Its later start then counted as proof that nobody held the keys, and others got them without a release. Nothing in the answer to a grant tells which process gave it.

Change: a later start frees no keys. The process that is known under the name is asked to release them, at once when its start becomes known, or the grants run out. It gets no renewals for the process before it.

One test said that a later start frees the keys at once, which is the fault. It now asks for the answer to a release, for later and earlier starts alike.

--- a/tests/keys/test_grant_order.py
+++ b/tests/keys/test_grant_order.py
@@ -247,17 +247,43 @@
     assert run.row.segment.owner not in ("a", target)
 
 
-@pytest.mark.parametrize(("start_id", "is_freed"), [("a/0", False), ("a/2", True)])
-def test_entry_of_an_earlier_process_does_not_free_the_keys_of_a_later_one(
-    run, start_id, is_freed
-):
-    """An outdated entry must not count as proof that a later process has ended.
-
-    The list of servers may be older than the table, which a former granter wrote. Any
-    other start of the server freed the keys at once.
+@pytest.mark.parametrize("start_id", ["a/0", "a/2"])
+def test_other_start_of_an_owner_frees_its_keys_only_by_a_release(run, start_id):
+    """An entry of another process must not count as proof that nobody holds the keys.
+
+    The list of servers may be older than the table, which a former granter wrote. A
+    later process may have taken renewals that were meant for the one before it.
     """
     run.announce("a", start_id=start_id, state=ServerState.LEAVING)
     run.tick(0.05)
     run.answer_store(Ok(Committed(3)))
-    assert run.row.segment.owner != "a"
-    assert (run.count_grants(run.row.segment.owner) == 1) is is_freed
+    next_owner = run.row.segment.owner
+    assert next_owner != "a"
+    assert run.count_grants(next_owner) == 0
+    run.answer("a", ReleaseKeys, Ok(KeysReleased()))
+    assert run.count_grants(next_owner) == 1
+
+
+def test_later_start_of_an_owner_is_not_granted_the_keys_of_the_one_before(run):
+    """A process must not get keys by a renewal that belongs to an earlier one.
+
+    It took them under the former token, and nobody counted it as a holder.
+    """
+    sent = run.count_grants("a")
+    run.announce("a", start_id="a/2")
+    run.tick(GRANT_RENEWAL_INTERVAL_S)
+    assert run.count_grants("a") == sent
+
+
+def test_later_start_is_asked_to_release_while_the_one_before_does_not_answer(run):
+    """Keys must not wait for the answer of a process that has ended.
+
+    The release went to the crashed process; its call fails seconds later.
+    """
+    run.leave("a")
+    run.tick(0.05)
+    run.answer_store(Ok(Committed(3)))
+    assert len(run.find_calls("a", ReleaseKeys)) == 1
+    run.announce("a", start_id="a/2")
+    run.tick(0.05)
+    assert len(run.find_calls("a", ReleaseKeys)) == 2
--- a/tests/runs/deployment.py
+++ b/tests/runs/deployment.py
@@ -140,7 +140,11 @@
         return self.fleet.now_s
 
     def start_all(
-        self, servers_per_service: int = 4, declaration_name: bytes = b"first"
+        self,
+        servers_per_service: int = 4,
+        declaration_name: bytes = b"first",
+        cold_s: float = 0.0,
+        keeps_ids: bool = False,
     ) -> None:
         """Start instances and servers, and let 6 s of virtual time pass."""
         self.write_configuration(declaration_name)
@@ -148,7 +152,7 @@
             self.fleet.start_instance(instance)
         for number in range(servers_per_service):
             for service in ("roll", "box"):
-                self.add_server(service, number)
+                self.add_server(service, number, cold_s, keeps_ids)
         self.fleet.run_until(6.0)
 
     def write_configuration(self, declaration_name: bytes = b"first") -> None:
@@ -160,7 +164,9 @@
         self.fleet.store.write_operator_key(CONFIG_KEY, value)
         self.version_checks.record_write(version)
 
-    def add_server(self, service: str, number: int, cold_s: float = 0.0) -> None:
+    def add_server(
+        self, service: str, number: int, cold_s: float = 0.0, keeps_id: bool = False
+    ) -> None:
         """Start a backend server."""
         cfg = ServerModelSettings(
             f"{service}-{number}",
@@ -168,6 +174,7 @@
             keyed=service == "roll",
             cold_s=cold_s,
             service_time_s=0.02,
+            keeps_id=keeps_id,
         )
         self.servers.add_server(cfg, DATA_CENTRES[number % len(DATA_CENTRES)])
 
--- a/wagtailrill/keys/grants.py
+++ b/wagtailrill/keys/grants.py
@@ -32,7 +32,6 @@
     GRANT_RETRY_INTERVAL_S,
     OWNER_RETRY_DELAY_S,
     OWNER_SILENCE_MAX_S,
-    RELEASE_RETRY_INTERVAL_S,
     SERVER_CLOCK_DRIFT_MAX_RATIO,
 )
 from .models import FormerOwnerRow, Segment, SegmentRow, SegmentState
@@ -70,7 +69,9 @@
     """Calls the owners of segments and updates the segments by their answers.
 
     Former owners are asked to release the keys under the new fencing token, so that
-    they refuse every grant with an older one, however late it arrives.
+    they refuse every grant with an older one, however late it arrives. An owner that
+    has started again under its name is asked as well: no answer to a grant tells which
+    of its processes took the keys.
     """
 
     def __init__(self, parts: GrantParts) -> None:
@@ -105,6 +106,7 @@
         if (
             row.call_pending
             or not row.may_get_grant(self._ctx.now_s)
+            or self._has_owner_started_again(segment)
             or self._ctx.now_s - row.grant_sent_s < interval_s
             or self._open_calls[segment.owner] >= GRANT_CALLS_PER_SERVER_MAX
             or not self._parts.may_call()
@@ -130,6 +132,14 @@
             ),
         )
 
+    def _has_owner_started_again(self, segment: Segment) -> bool:
+        """Return whether a later process is known than the one that owns the keys.
+
+        That one may be granted them only as their next owner, under a higher token.
+        """
+        server = self._parts.servers.rows.get(segment.owner)
+        return server is not None and server.is_later_start_than(segment.start_id)
+
     def _on_grant_result(
         self,
         row: SegmentRow,
@@ -227,17 +237,13 @@
     def _check_former_owner(self, row: SegmentRow, former: FormerOwnerRow) -> None:
         now_s = self._ctx.now_s
         server = self._parts.servers.rows.get(former.process.owner)
-        if server is not None and server.is_later_start_than(former.process.start_id):
-            former.keys_freed = True
-            self._log_freed(row, former, "process_ended")
-        elif now_s >= former.held_until_s:
+        start_id = server.entry.start_id if server is not None else ""
+        if now_s >= former.held_until_s:
             former.keys_freed = True
             self._log_freed(row, former, "grant_expired")
-        elif (
-            not former.call_pending
-            and now_s - former.release_sent_s >= RELEASE_RETRY_INTERVAL_S
-        ):
+        elif former.is_release_due(now_s, start_id):
             former.call_pending, former.release_sent_s = True, now_s
+            former.asked_start_id = start_id
             segment = row.segment
             self._ctx.call_backend(
                 former.process.owner,
--- a/wagtailrill/keys/models.py
+++ b/wagtailrill/keys/models.py
@@ -10,7 +10,7 @@
 
 from ..core.json_fields import get_integer, load_object, parse_integer, parse_list
 from ..store.revision import FIRST_ERA, NUMBER_LIMIT, get_era
-from .const import KEY_POSITIONS
+from .const import KEY_POSITIONS, RELEASE_RETRY_INTERVAL_S
 
 
 def compute_token_floor(era: int) -> int:
@@ -141,17 +141,32 @@
     """The granter's state of the release by a former owner; times are monotonic.
 
     `held_until_s` is the latest time at which its grant expires. `keys_freed` means
-    that it no longer holds the keys: it released them, its grant expired or its
-    process ended. `call_pending` concerns calls to release.
+    that neither it nor a later process under its name holds the keys: they were
+    released, or the grant expired. `call_pending` concerns calls to release, and
+    `asked_start_id` is the process that was known under the name at the last one.
     """
 
     process: FormerOwner
     held_until_s: float
     release_sent_s: float = float("-inf")
     call_pending: bool = False
+    asked_start_id: str = ""
     release_failed: bool = False
     keys_freed: bool = False
 
+    def is_release_due(self, now_s: float, known_start_id: str) -> bool:
+        """Return whether the process known under the name is to be asked now.
+
+        A later process than the one that was asked is asked at once, as that one has
+        ended and does not answer.
+        """
+        if known_start_id != self.asked_start_id:
+            return True
+        return (
+            not self.call_pending
+            and now_s - self.release_sent_s >= RELEASE_RETRY_INTERVAL_S
+        )
+
     def describe(self, now_s: float) -> str:
         """Return `server:seconds` with the time that its grant may have left."""
         return f"{self.process.owner}:{max(0.0, self.held_until_s - now_s):.3f}"
--- a/wagtailrill/stand_ins/server_model.py
+++ b/wagtailrill/stand_ins/server_model.py
@@ -29,7 +29,8 @@
 
     `slots` requests run at once and `queue_max` more wait. Service times are lognormal
     with the median `service_time_s`. For `cold_s` after its start the server is cold:
-    requests above `cold_per_s` in any second are counted as overloads.
+    requests above `cold_per_s` in any second are counted as overloads. With `keeps_id`
+    all starts have the same ID.
     """
 
     name: str
@@ -41,6 +42,7 @@
     service_time_sigma: float = 0.4
     cold_s: float = 0.0
     cold_per_s: float = 10.0
+    keeps_id: bool = False
 
 
 @attrs.define
@@ -83,6 +85,8 @@
     @property
     def server_id(self) -> str:
         """Name of this process start: the server's name and the number of the start."""
+        if self.cfg.keeps_id:
+            return self.cfg.name
         return f"{self.cfg.name}-{self.start_count}"
 
     def restart(self, now_s: float) -> None:
--- a/wagtailrill/stand_ins/virtual_servers.py
+++ b/wagtailrill/stand_ins/virtual_servers.py
@@ -170,8 +170,10 @@
         previous_id = server.model.server_id
         server.model.restart(self.fleet.now_s)
         server.down = False
-        self.fleet.store.model.remove_item(ENTRY_PREFIX + previous_id)
-        del self.by_name[previous_id]
+        server.entry_sequence = 0
+        if server.model.server_id != previous_id:
+            self.fleet.store.model.remove_item(ENTRY_PREFIX + previous_id)
+            del self.by_name[previous_id]
         self.by_name[server.model.server_id] = server
         self._write_heartbeat(server)
 
