Wait for present owners, too, when a predecessor still acts

Cause: a granter that hears of its predecessor again waited longer for former owners only. The predecessor may renew the grants of ranges that have not been moved since; their owners counted as holders for the shorter time that had been assumed before. And each renewal that the granter sent itself lowered that time until it was answered.

Change: `on_predecessor_found` extends the time of present owners as well, and neither it nor a renewal that is sent shortens one.

Evidence: the new test of test_grant_order.py failed before, as the next owner was granted the keys too early; it still failed with the first half of the change, which showed the second half. It passes now.

--- a/tests/keys/test_grant_order.py
+++ b/tests/keys/test_grant_order.py
@@ -287,3 +287,20 @@
     run.announce("a", start_id="a/2")
     run.tick(0.05)
     assert len(run.find_calls("a", ReleaseKeys)) == 2
+
+
+def test_grants_of_a_predecessor_that_still_acts_count_for_its_owners():
+    """A predecessor may renew grants of ranges that have not been moved.
+
+    When it was found to act still, only former owners were waited for longer, not the
+    present ones, which lost their keys to others too early.
+    """
+    run = GranterRun(Segment(0, LAST, "a", "a/1", 5), predecessor_may_act_s=2.0)
+    run.granter.on_predecessor_stopped()
+    run.granter.on_predecessor_found(2.0)
+    may_hold_until_s = run.ctx.now_s + 2.0 + GRANT_HELD_MAX_S
+    owner = run.move_keys()
+    run.answer("a", ReleaseKeys, Error(FAILED))
+    while run.ctx.now_s < may_hold_until_s:
+        assert run.count_grants(owner) == 0
+        run.tick(0.05)
--- a/wagtailrill/keys/granter.py
+++ b/wagtailrill/keys/granter.py
@@ -134,11 +134,13 @@
         """Wait again for the grants of a predecessor, unless the bar has ended."""
         until_s = self._ctx.now_s + predecessor_may_act_s
         self._predecessor_may_act_until_s = until_s
+        latest_s = until_s + SENT_GRANT_HELD_MAX_S
         if self._ctx.now_s < self._grants_barred_until_s:
-            self._grants_barred_until_s = until_s + SENT_GRANT_HELD_MAX_S
+            self._grants_barred_until_s = latest_s
         for row in self.rows:
+            row.held_until_s = max(row.held_until_s, latest_s)
             for former in row.formers:
-                former.held_until_s = until_s + SENT_GRANT_HELD_MAX_S
+                former.held_until_s = max(former.held_until_s, latest_s)
 
     def tick(self) -> None:
         """Process all segments, and write the table if some get new owners."""
--- a/wagtailrill/keys/grants.py
+++ b/wagtailrill/keys/grants.py
@@ -117,7 +117,8 @@
         self._open_calls[segment.owner] += 1
         sent_s = self._ctx.now_s
         previous_held_until_s = row.held_until_s
-        row.held_until_s = sent_s + SENT_GRANT_HELD_MAX_S
+        # A predecessor that still acts may renew the grant later than this.
+        row.held_until_s = max(previous_held_until_s, sent_s + SENT_GRANT_HELD_MAX_S)
         self._ctx.call_backend(
             segment.owner,
             GrantKeys(
