Send no keyed requests to closed data centres

What callers saw: an evacuated zone went on getting keyed requests for as long as it was evacuated, if no server elsewhere could take the keys; beside a server that leaves, requests were held for their whole time although nothing could serve them.

Cause: `accepts_keyed_requests` asked whether a server leaves and not whether its data centre is closed. A key with such an owner counted as served, so its requests waited.

Change: keyed requests end 1 s after this instance learned of the closing, at once if it started later. A service whose servers may all get nothing is out of service: requests are refused at once, also those in a queue. Cold servers get keys if all warm ones are closed. Owners keep their grants and serve at once when their data centre is open.

--- a/tests/placement/test_dispatcher.py
+++ b/tests/placement/test_dispatcher.py
@@ -305,3 +305,17 @@
     advance_time(harness.ctx, 1.1)
     harness.dispatcher.tick()
     assert harness.answers[harness.send_request()].backend_server == "s-1"
+
+
+@pytest.mark.parametrize("position", [NO_KEY, 7])
+def test_waiting_requests_are_refused_when_the_last_data_centre_closes(position):
+    """Guards against requests that stay in a queue which nothing can empty."""
+    harness = DispatcherHarness(make_server_entry("s-1"), owners={7: "s-1"})
+    fields = {"key_position": position, "target_s": 8.0, "left_s": 10.0}
+    numbers = [harness.send_request(**fields) for _ in range(6)]
+    waiting = [n for n in numbers if harness.get_verdict(n) is PlaceVerdict.QUEUED]
+    assert waiting
+    harness.servers.closed_since_s = {"north": float("-inf")}
+    harness.dispatcher.tick()
+    assert {harness.get_verdict(n) for n in waiting} == {PlaceVerdict.REFUSED}
+    assert harness.get_verdict(harness.send_request(**fields)) is PlaceVerdict.REFUSED
--- a/wagtailrill/keys/assignment.py
+++ b/wagtailrill/keys/assignment.py
@@ -169,14 +169,20 @@
         ]
 
     def _may_own_keys(self, server: ServerRow) -> bool:
+        """Return whether a server may be given keys; cold ones only if all are cold."""
         servers = self._parts.servers
-        if not servers.accepts_work(server) or self._parts.is_owner_silent(server.name):
+        if not self._is_available(server):
             return False
         return not servers.is_cold(server) or all(
             servers.is_cold(row)
             for row in servers.rows_by_service.get(self._parts.service, ())
+            if self._is_available(row)
         )
 
+    def _is_available(self, server: ServerRow) -> bool:
+        is_silent = self._parts.is_owner_silent(server.name)
+        return self._parts.servers.accepts_work(server) and not is_silent
+
     def _build_load_map(self) -> LoadMap:
         rates = self._parts.usage.collect_rates()
         if rates or not self.is_first_assignment:
--- a/wagtailrill/keys/granter.py
+++ b/wagtailrill/keys/granter.py
@@ -178,7 +178,7 @@
 
     def _estimate_row_unowned_s(self, row: SegmentRow) -> float:
         if row.state is SegmentState.SERVING:
-            return 0.0
+            return self._estimate_unmoved_s(row)
         waits_s = [
             former.held_until_s - self._ctx.now_s
             for former in row.formers
@@ -186,6 +186,14 @@
         ]
         return max(waits_s, default=0.0) + TYPICAL_MOVE_DURATION_S
 
+    def _estimate_unmoved_s(self, row: SegmentRow) -> float:
+        """Return how long the owner's keys still wait for a move that is overdue.
+
+        What has kept them until now, such as the store, is assumed to last as long.
+        """
+        refused_for_s = self._parts.servers.get_refused_for_s(row.segment.owner)
+        return refused_for_s + TYPICAL_MOVE_DURATION_S if refused_for_s else 0.0
+
     def _must_wait_for_expiry(self, former: FormerOwnerRow) -> bool:
         return (
             former.release_failed
--- a/wagtailrill/placement/component.py
+++ b/wagtailrill/placement/component.py
@@ -27,6 +27,7 @@
     ANSWER_TIMEOUT_S,
     CONSECUTIVE_TIMEOUTS_MAX,
     LOCAL_CHOICE_PERIOD_S,
+    RETRY_AFTER_MAX_S,
     TICK_INTERVAL_S,
 )
 from .dispatcher import Dispatcher, DispatcherParts
@@ -179,7 +180,7 @@
         Return the number by which the query can be cancelled, 0 if it is already
         resolved.
         """
-        refusal = self._pause_checks.find_refusal(query)
+        refusal = self._find_refusal(query)
         if refusal is not None:
             on_result(refusal)
             return 0
@@ -211,6 +212,13 @@
         self._ctx.send(dispatcher, request)
         return number
 
+    def _find_refusal(self, query: PlacementQuery) -> NoServerAvailable | None:
+        """Return the refusal of a request that no server may get now, if it is one."""
+        if self._parts.servers.is_out_of_service(query.service, query.keyed):
+            instance = self._ctx.identity.instance
+            return NoServerAvailable(False, False, RETRY_AFTER_MAX_S, instance)
+        return self._pause_checks.find_refusal(query)
+
     def find_dispatcher(self, service: str) -> str:
         """Return the instance that places the requests of a service, empty if none."""
         row = self._rows.get(service)
@@ -287,7 +295,7 @@
         if server is not None:
             return ServerAssignment(server, PlacementRef("", 0))
         instance = self._ctx.identity.instance
-        return self._pause_checks.find_refusal(query) or NoServerAvailable(
+        return self._find_refusal(query) or NoServerAvailable(
             moving, query.keyed, 0.0, instance
         )
 
--- a/wagtailrill/placement/dispatcher.py
+++ b/wagtailrill/placement/dispatcher.py
@@ -96,7 +96,7 @@
             self._demand.count_request(self._ctx.now_s)
         if self._try_to_place(pending, self._queue.count_ahead(pending)):
             return
-        if request.extra:
+        if request.extra or self._is_out_of_service(pending):
             self._refuse_request(pending)
             return
         if not self._waits.can_place_in_time(pending):
@@ -148,12 +148,27 @@
         for load in self._assignments.pop_expired(now_s):
             self._index.refresh(load)
         self._index.refresh_some(self._update_age)
+        self._refuse_unservable()
         for pending in self._queue.pop_due(now_s):
             self._handle_due_request(pending)
         self._queue.assign_lanes(self._find_lane)
         for lane in self._queue.list_lanes():
             self._place_queued(lane)
 
+    def _refuse_unservable(self) -> None:
+        """End the waiting of all requests once no server may get them any more."""
+        lanes = self._queue.list_lanes()
+        first = self._queue.get_at(0, lanes[0]) if lanes else None
+        if first is None or not self._is_out_of_service(first):
+            return
+        for pending in self._queue:
+            self._queue.remove(pending)
+            self._refuse_request(pending)
+
+    def _is_out_of_service(self, pending: PendingRequest) -> bool:
+        keyed = pending.request.key_position != NO_KEY
+        return self._parts.servers.is_out_of_service(self._parts.service, keyed)
+
     def _handle_due_request(self, pending: PendingRequest) -> None:
         """Let a request that became late give way, or end its waiting."""
         now_s = self._ctx.now_s
@@ -296,9 +311,11 @@
     def _refuse_request(self, pending: PendingRequest) -> None:
         request = pending.request
         verdict, longest_s = PlaceVerdict.REFUSED, RETRY_AFTER_MAX_S
-        if request.key_position != NO_KEY and self._find_owner_load(pending) is None:
-            verdict, longest_s = PlaceVerdict.MOVING, UNOWNED_RETRY_AFTER_MAX_S
         wait_s = self._waits.estimate_wait_s(pending)
+        if self._is_out_of_service(pending):
+            wait_s = longest_s
+        elif request.key_position != NO_KEY and self._find_owner_load(pending) is None:
+            verdict, longest_s = PlaceVerdict.MOVING, UNOWNED_RETRY_AFTER_MAX_S
         retry_after_s = min(max(wait_s, RETRY_AFTER_MIN_S), longest_s)
         pending.reply(PlaceAnswer(request.number, verdict, "", retry_after_s))
 
--- a/wagtailrill/servers/const.py
+++ b/wagtailrill/servers/const.py
@@ -26,6 +26,10 @@
 # it leaves, which may be 1.45 s after the change reached the store; 2 s after the
 # change no request may reach the server.
 LEAVING_GRACE_S: Final = 0.5
+# Requests for keys of a server in a closed data centre stop this long after this
+# instance learned of the closing, which it does within 2 s; 5 s after it no request may
+# reach the server. Keys that can move have moved by then.
+CLOSING_GRACE_S: Final = 1.0
 # What a process has said of itself is remembered for this long after its entry is gone:
 # its entry may be missing for a while, as after an outage of the store. No pause that
 # a process asks for is longer.
--- a/wagtailrill/servers/table.py
+++ b/wagtailrill/servers/table.py
@@ -12,6 +12,7 @@
 from ..core.log_events import LogName
 from ..declaration.models import Configuration, Service
 from .const import (
+    CLOSING_GRACE_S,
     COLD_DURATION_DEFAULT_S,
     COLD_DURATION_MARGIN_S,
     GONE_ADDRESS_RETENTION_S,
@@ -27,16 +28,19 @@
 class ServerTable:
     """Rows of the announced or declared backend servers, by name and by service.
 
-    No server wants a pause after `last_pause_end_s`, a monotonic time.
+    No server wants a pause after `last_pause_end_s`, a monotonic time. `closed_since_s`
+    tells for each closed data centre when this instance learned that it closes, `-inf`
+    if it was closed before the first configuration.
     """
 
     def __init__(self, ctx: Context) -> None:
         self.rows: dict[str, ServerRow] = {}
         self.rows_by_service: dict[str, tuple[ServerRow, ...]] = {}
-        self.closed_data_centres: frozenset[str] = frozenset()
+        self.closed_since_s: dict[str, float] = {}
         self.last_pause_end_s = float("-inf")
         self._ctx = ctx
         self._services: dict[str, Service] = {}
+        self._configured_s: float | None = None
         self._gone_addresses: dict[str, tuple[float, str]] = {}
         self.notice_memory = NoticeMemory(ctx, self._is_present)
         self._listeners: list[TableListener] = []
@@ -47,8 +51,16 @@
 
     def configure(self, configuration: Configuration) -> None:
         """Apply the services and the closed data centres."""
+        learned_s = float("-inf")
+        if self._configured_s is None:
+            self._configured_s = self._ctx.now_s
+        else:
+            learned_s = self._ctx.now_s
         self._services = configuration.services
-        self.closed_data_centres = configuration.closed_data_centres
+        self.closed_since_s = {
+            name: self.closed_since_s.get(name, learned_s)
+            for name in configuration.closed_data_centres
+        }
         self._publish_rows()
 
     def update_entries(self, entries: dict[str, ServerEntry]) -> None:
@@ -64,9 +76,7 @@
 
     def accepts_work(self, row: ServerRow) -> bool:
         """Return whether new requests may go to a backend server."""
-        return (
-            not row.is_leaving and row.entry.data_centre not in self.closed_data_centres
-        )
+        return not row.is_leaving and row.entry.data_centre not in self.closed_since_s
 
     def mark_leaving(self, process: ServerProcess) -> bool:
         """Take a server process as leaving for good.
@@ -107,10 +117,41 @@
     def accepts_keyed_requests(self, row: ServerRow) -> bool:
         """Return whether requests for keys that a server holds may still go to it.
 
-        The keys of a leaving server move to others. If they cannot, for example while
-        the granter cannot reach the store, requests to it stop after a grace period.
+        The keys of a server that leaves or whose data centre is closed move to others.
+        If they cannot, as no other server is left or the granter cannot reach the
+        store, requests to it stop after a grace period.
+        """
+        return self._ctx.now_s < self._get_refusing_since_s(row)
+
+    def get_refused_for_s(self, name: str) -> float:
+        """Return for how many seconds a server has got no requests for its keys.
+
+        It is 0 if it gets them, or if it is unknown.
+        """
+        row = self.rows.get(name)
+        if row is None or self._configured_s is None:
+            return 0.0
+        since_s = max(self._get_refusing_since_s(row), self._configured_s)
+        return max(0.0, self._ctx.now_s - since_s)
+
+    def _get_refusing_since_s(self, row: ServerRow) -> float:
+        """Return when requests for the keys of a server end, infinite if they do not.
+
+        That is a monotonic time.
+        """
+        closed_since_s = self.closed_since_s.get(row.entry.data_centre, float("inf"))
+        return min(
+            row.leaving_since_s + LEAVING_GRACE_S, closed_since_s + CLOSING_GRACE_S
+        )
+
+    def is_out_of_service(self, service: str, keyed: bool) -> bool:
+        """Return whether a service has servers, but none that may get a request.
+
+        All of them leave or are in closed data centres, which nobody can wait for.
         """
-        return self._ctx.now_s < row.leaving_since_s + LEAVING_GRACE_S
+        accepts = self.accepts_keyed_requests if keyed else self.accepts_work
+        rows = self.rows_by_service.get(service, ())
+        return bool(rows) and not any(accepts(row) for row in rows)
 
     def find_address(self, name: str) -> str | None:
         """Return the address of a server, also for some time after its removal.
