Count the bodies that a process holds and limit them together

What callers saw: an upstream that answers without end, or one upload of 60 MB within the limits, took a process over the memory of its machine; it was killed, and requests of other callers that upstreams had run got no answer.

Cause: each body was bounded, all together were not, and `memory_mb` was parsed and never used. A body stood in up to four copies, one of them kept until the connection was used again. Answers to control calls and interim responses had the same bound as responses, 8 MB.

Change: one account, `BodyMemory`, for bodies of requests and responses until their exchange has ended, with 0.3 of the machine's memory. Over it the largest body that is being received is given up: a request with 503 `memory_full`, a response with 502 `answer_not_kept`; those of up to 64 KB never. Large bodies are written piece by piece as the transport takes them. Control answers have 64 KB, an exchange 32 interim responses.

--- a/tests/requests/test_evacuation.py
+++ b/tests/requests/test_evacuation.py
@@ -63,7 +63,7 @@
 
 
 def test_closed_data_centre_gets_no_requests_although_no_other_has_servers():
-    """Guards against keyed requests to a zone that cannot give its keys away (review/4).
+    """Guards against keyed requests to a zone that cannot give its keys away.
 
     Its servers went on getting them for as long as the zone was closed.
     """
--- a/wagtailrill/core/log_events.py
+++ b/wagtailrill/core/log_events.py
@@ -32,6 +32,7 @@
     REQUEST_WAITS = "request_waits"
     REQUEST_REFUSED = "request_refused"
     INPUT_REFUSED = "input_refused"
+    BODY_GIVEN_UP = "body_given_up"
     REQUEST_FAILED = "request_failed"
     REQUEST_RETRIED = "request_retried"
     REQUEST_KEY_MOVED = "request_key_moved"
--- a/wagtailrill/core/refusals.py
+++ b/wagtailrill/core/refusals.py
@@ -32,12 +32,14 @@
     OUTCOME_UNKNOWN = "outcome_unknown"
     REQUEST_CRASHES_SERVERS = "request_crashes_servers"
     QUEUE_FULL = "queue_full"
+    MEMORY_FULL = "memory_full"
     NO_BACKEND_SERVER = "no_backend_server"
     KEY_MOVING = "key_moving"
     CUT_OFF = "cut_off"
     DRAINING = "draining"
     BACKEND_LOST = "backend_lost"
     BACKEND_BAD_ANSWER = "backend_bad_answer"
+    ANSWER_NOT_KEPT = "answer_not_kept"
     DEADLINE_EXCEEDED = "deadline_exceeded"
     INTERNAL_ERROR = "internal_error"
 
@@ -59,12 +61,14 @@
     RefusalCode.OUTCOME_UNKNOWN: 409,
     RefusalCode.REQUEST_CRASHES_SERVERS: 503,
     RefusalCode.QUEUE_FULL: 503,
+    RefusalCode.MEMORY_FULL: 503,
     RefusalCode.NO_BACKEND_SERVER: 503,
     RefusalCode.KEY_MOVING: 503,
     RefusalCode.CUT_OFF: 503,
     RefusalCode.DRAINING: 503,
     RefusalCode.BACKEND_LOST: 502,
     RefusalCode.BACKEND_BAD_ANSWER: 502,
+    RefusalCode.ANSWER_NOT_KEPT: 502,
     RefusalCode.DEADLINE_EXCEEDED: 504,
     RefusalCode.INTERNAL_ERROR: 500,
 }
--- a/wagtailrill/core/request_models.py
+++ b/wagtailrill/core/request_models.py
@@ -87,6 +87,7 @@
     CONNECT_FAILED = "connect_failed"  # nothing was sent
     LOST = "lost"  # sent, but the connection closed before the whole answer
     BAD_ANSWER = "bad_answer"  # malformed, too long, unsigned or another request's
+    NO_MEMORY = "no_memory"  # answered, but this instance could not keep the body
     TIMED_OUT = "timed_out"
     CANCELLED = "cancelled"
 
--- a/wagtailrill/gateway/backend_connection.py
+++ b/wagtailrill/gateway/backend_connection.py
@@ -12,7 +12,13 @@
 import httptools
 
 from ..core.request_models import Headers
-from .const import KEEP_ALIVE_MARGIN_S, RESPONSE_HEAD_MAX_BYTES
+from .body_memory import BodyMemory
+from .body_writer import BodyWriter
+from .const import (
+    INTERIM_RESPONSES_MAX,
+    KEEP_ALIVE_MARGIN_S,
+    RESPONSE_HEAD_MAX_BYTES,
+)
 from .sockets import reset_on_close, set_tcp_options
 
 KEEP_ALIVE_TIMEOUT_PATTERN = re.compile(rb"timeout\s*=\s*(\d+)", re.IGNORECASE)
@@ -30,6 +36,7 @@
     ANSWERED = "answered"
     LOST = "lost"  # the connection closed before the response was complete
     MALFORMED = "malformed"  # not an HTTP response, or one that is too large
+    NO_MEMORY = "no_memory"  # the process gave up the body that was being received
 
 
 @attrs.frozen
@@ -55,7 +62,8 @@
     A response that does not match the request, such as a late one to an earlier
     request, is discarded, and the next one on the connection is awaited. The bytes of
     a head and those of a whole exchange are limited, since a faulty server may send
-    them without end. Times in seconds are those of the event loop's clock.
+    them without end. The body counts in the memory for bodies until the exchange ends.
+    Times in seconds are those of the event loop's clock.
 
     `may_get_extra_answer` is set by the pool after a request without an id: an extra
     answer to it cannot be told from the answer to the next request.
@@ -67,6 +75,7 @@
         self,
         response_max_bytes: int,
         on_idle_close: Callable[["BackendConnection"], None],
+        memory: BodyMemory | None = None,
     ) -> None:
         self.usable_until_s = float("inf")
         self.opened_s = 0.0
@@ -76,13 +85,17 @@
         self.refused_request_ids: set[str] = set()
         self.transport: asyncio.Transport | None = None
         self._loop = asyncio.get_running_loop()
-        self._response_max_bytes = response_max_bytes
+        self._connection_max_bytes = self._response_max_bytes = response_max_bytes
+        self._memory = memory or BodyMemory()
+        self._writer = BodyWriter()
+        self._is_parsing = False
         self._on_idle_close = on_idle_close
         self._on_end: EndCallback | None = None
         self._matches_request: ResponseMatcher = lambda response: True
         self._is_head_request = False
         self._at_eof = False
         self._response: RawResponse | None = None
+        self._hold = self._memory.open_hold(self._give_up_response)
         self._reset_parser()
 
     @property
@@ -106,16 +119,22 @@
         is_head_request: bool,
         matches_request: ResponseMatcher,
         on_end: EndCallback,
+        body: bytes = b"",
+        response_max_bytes: int | None = None,
     ) -> None:
-        """Send a request; `on_end` is called once unless the connection is aborted."""
+        """Send a request; `on_end` is called once unless the connection is aborted.
+
+        `response_max_bytes` is the limit on this response, if it is a lower one.
+        """
         assert self.transport is not None
+        self._response_max_bytes = response_max_bytes or self._connection_max_bytes
         self._on_end, self._matches_request, self._is_head_request = (
             on_end,
             matches_request,
             is_head_request,
         )
         self._reset_parser()
-        self.transport.write(data)
+        self._writer.write(self.transport, data, body)
 
     def abort(self) -> None:
         """Close the connection at once, without calling `on_end`.
@@ -123,32 +142,57 @@
         A request that has not arrived yet is lost.
         """
         self._on_end = None
+        self._release_response()
         self._abort_transport()
 
+    def pause_writing(self) -> None:
+        """Write no more of a request's body for now."""
+        self._writer.pause()
+
+    def resume_writing(self) -> None:
+        """Go on writing the body of a request."""
+        self._writer.resume()
+
     def data_received(self, data: bytes) -> None:
         """Parse a response; bytes outside an exchange close the connection."""
         if self._on_end is None:
             self._abort_transport()
             return
         is_malformed = False
+        self._is_parsing = True
         try:
             self._parser.feed_data(data)
         except (httptools.HttpParserUpgrade, httptools.HttpParserError):
             is_malformed = True
+        finally:
+            self._is_parsing = False
         is_malformed |= self._exceeds_limits(len(data))
         response = self._get_response()
         if response is not None:
             # Bytes after a complete response do not invalidate it, but the connection
             # cannot be used again.
             closes_connection = (
-                response.closes_connection or is_malformed or self._has_extra_bytes
+                response.closes_connection
+                or is_malformed
+                or self._has_extra_bytes
+                or not self._writer.is_done
             )
             self._end_exchange(
                 ExchangeEnd.ANSWERED,
                 attrs.evolve(response, closes_connection=closes_connection),
             )
         elif is_malformed:
-            self._end_exchange(ExchangeEnd.MALFORMED, None)
+            self._end_exchange(
+                ExchangeEnd.NO_MEMORY
+                if self._hold.is_closed
+                else ExchangeEnd.MALFORMED,
+                None,
+            )
+
+    def _give_up_response(self) -> None:
+        """End the exchange, as the process cannot keep what has been received."""
+        if not self._is_parsing:  # otherwise the callback of the parser ends it
+            self._end_exchange(ExchangeEnd.NO_MEMORY, None)
 
     def eof_received(self) -> bool:
         """Complete a response whose body ends with the connection."""
@@ -162,6 +206,7 @@
         """End the running exchange, or report the close of an idle connection."""
         self.transport = None
         if self._on_end is None:
+            self._release_response()
             self._on_idle_close(self)
         else:
             self._end_exchange(ExchangeEnd.LOST, None)
@@ -211,10 +256,19 @@
         self._body += body
         if len(self._body) > self._response_max_bytes:
             raise ValueError("the response body is too large")
+        self._hold.set_bytes(len(self._body))
+        if self._hold.is_closed:
+            raise ValueError("the memory for bodies is full")
 
     def on_message_complete(self) -> None:
-        """Finish the response, unless it is an interim (1xx) or discarded one."""
+        """Finish the response, unless it is an interim (1xx) or discarded one.
+
+        Raise `ValueError` if there are too many interim ones.
+        """
         if self._status < FINAL_STATUS_MIN:
+            self._interim_count += 1
+            if self._interim_count > INTERIM_RESPONSES_MAX:
+                raise ValueError("the interim responses are too many")
             self._reset_message()
             return
         self._finish_response()
@@ -266,9 +320,16 @@
         if response is None or response.closes_connection:
             self._abort_transport()
         self.last_used_s = self._loop.time()
+        self._release_response()
         if on_end is not None:
             on_end(end, response)
 
+    def _release_response(self) -> None:
+        """Keep nothing of the response, as the connection may be idle for long."""
+        self._writer.drop()
+        self._response = None
+        self._reset_message()
+
     def _apply_keep_alive_timeout(self) -> None:
         for name, value in self._headers:
             if name == b"keep-alive" and (
@@ -286,10 +347,13 @@
         self._response = None
         self._has_extra_bytes = False
         self._in_head = True
-        self._head_bytes = self._exchange_bytes = 0
+        self._head_bytes = self._exchange_bytes = self._interim_count = 0
         self._reset_message()
 
     def _reset_message(self) -> None:
         self._status = 0
         self._headers: list[tuple[bytes, bytes]] = []
         self._body = bytearray()
+        self._hold.release()
+        if self._hold.is_closed:
+            self._hold = self._memory.open_hold(self._give_up_response)
--- a/wagtailrill/gateway/backend_pool.py
+++ b/wagtailrill/gateway/backend_pool.py
@@ -19,9 +19,11 @@
     ServerNotice,
 )
 from .backend_connection import BackendConnection, ExchangeEnd, RawResponse
+from .body_memory import BodyMemory
 from .const import (
     CONNECT_TIMEOUT_S,
     CONNECTION_IDLE_MAX_S,
+    CONTROL_RESPONSE_MAX_BYTES,
     HOP_BY_HOP_HEADERS,
     REFUSALS_PER_CONNECTION_MAX,
     RESPONSE_MAX_BYTES,
@@ -33,6 +35,7 @@
 OUTCOME_BY_END = {
     ExchangeEnd.LOST: AttemptOutcome.LOST,
     ExchangeEnd.MALFORMED: AttemptOutcome.BAD_ANSWER,
+    ExchangeEnd.NO_MEMORY: AttemptOutcome.NO_MEMORY,
 }
 
 
@@ -90,12 +93,14 @@
         dialect: BackendDialect,
         response_max_bytes: int = RESPONSE_MAX_BYTES,
         connect_timeout_s: float = CONNECT_TIMEOUT_S,
+        memory: BodyMemory | None = None,
     ) -> None:
         self.address = address
         self.opened_count = 0
         self._dialect = dialect
         self._response_max_bytes = response_max_bytes
         self._connect_timeout_s = connect_timeout_s
+        self._memory = memory or BodyMemory()
         self._host, _, port = address.rpartition(":")
         self._port = int(port)
         self._host_line = b"host: " + address.encode() + b"\r\n"
@@ -220,7 +225,9 @@
     async def _async_open_connection(
         self, timeout_s: float
     ) -> BackendConnection | None:
-        conn = BackendConnection(self._response_max_bytes, self._remove_idle_connection)
+        conn = BackendConnection(
+            self._response_max_bytes, self._remove_idle_connection, self._memory
+        )
         conn.generation = self._generation
         try:
             async with asyncio.timeout(timeout_s):
@@ -238,11 +245,16 @@
         request = exchange.request
         exchange.may_get_extra_answer = conn.may_get_extra_answer
         conn.may_get_extra_answer = not request.caller_request_id
+        response_max_bytes = self._response_max_bytes
+        if request.is_control_call:
+            response_max_bytes = min(response_max_bytes, CONTROL_RESPONSE_MAX_BYTES)
         conn.send_request(
-            self._encode_request(request),
+            self._encode_head(request),
             request.method == "HEAD",
             lambda response: self._matches_request(exchange, response),
             lambda end, response: self._finish_exchange(exchange, conn, end, response),
+            request.body,
+            response_max_bytes,
         )
 
     def _matches_request(
@@ -319,7 +331,7 @@
             )
         )
 
-    def _encode_request(self, request: BackendRequest) -> bytes:
+    def _encode_head(self, request: BackendRequest) -> bytes:
         parts = [f"{request.method} {request.target} HTTP/1.1\r\n".encode("latin-1")]
         has_host = False
         for name, value in request.headers:
@@ -334,7 +346,6 @@
         if request.body or request.method not in ("GET", "HEAD", "DELETE", "OPTIONS"):
             parts.append(b"content-length: %d\r\n" % len(request.body))
         parts.append(b"\r\n")
-        parts.append(request.body)
         return b"".join(parts)
 
 
--- a/wagtailrill/gateway/caller_protocol.py
+++ b/wagtailrill/gateway/caller_protocol.py
@@ -13,7 +13,14 @@
 from ..core.refusals import Refusal, RefusalCode
 from ..core.request_models import CallerRequest
 from ..declaration.models import CallerLimits
-from .const import FIRST_REQUEST_TIME_S, LINGER_S, PIPELINED_REQUESTS_MAX
+from .body_memory import BodyHold, BodyMemory
+from .body_writer import BodyWriter
+from .const import (
+    FIRST_REQUEST_TIME_S,
+    LINGER_S,
+    PIPELINED_REQUESTS_MAX,
+    UNREAD_RESPONSE_S,
+)
 from .dialects import CallerDialect, CallerResponse
 from .request_parser import InputFault, InputPhase, ParsedRequest, RequestParser
 from .response_encoding import encode_response
@@ -58,22 +65,37 @@
 
 @attrs.define(eq=False)
 class Exchange:
-    """One request on a connection and its response."""
+    """One request on a connection and its response, with the memory of their bodies.
+
+    `is_begun` is set once the response is being written; `closes_connection` then says
+    whether the connection ends with it.
+    """
 
     protocol: "CallerProtocol"
     request_id: int
     keep_alive: bool
+    request_hold: BodyHold
+    response_hold: BodyHold
     is_head_request: bool = False
     response: CallerResponse | None = None
     # Handled only when the requests before it on the connection have been answered.
     deferred_request: CallerRequest | None = None
+    is_begun: bool = False
+    closes_connection: bool = False
 
     def set_response(self, response: CallerResponse) -> None:
         """Set the response, unless there is one; it is written in its turn."""
         if self.response is None:
             self.response = response
+            self.request_hold.release()
+            self.response_hold.set_bytes(len(response.body))
             self.protocol.flush_responses()
 
+    def release(self) -> None:
+        """Count the bodies no longer."""
+        self.request_hold.close()
+        self.response_hold.close()
+
 
 @attrs.define
 class CallerListenerState:
@@ -81,13 +103,14 @@
 
     While no configuration has confirmed the limits, `provisional_refusal` is given to a
     request that is larger. Once it `has_ended`, no connection reads or passes on what
-    it receives.
+    it receives. `memory` counts the bodies of requests and responses.
     """
 
     handler: RequestHandler
     dialect: CallerDialect
     limits: CallerLimits
     provisional_refusal: Refusal | None = None
+    memory: BodyMemory = attrs.field(factory=BodyMemory)
     connections: set["CallerProtocol"] = attrs.field(factory=set)
     request_ids: "itertools.count[int]" = attrs.field(
         factory=lambda: itertools.count(1)
@@ -114,7 +137,10 @@
         self._state = state
         self._loop = asyncio.get_running_loop()
         self._transport: asyncio.Transport | None = None
-        self._parser = RequestParser(lambda: state.limits)
+        self._parser = RequestParser(
+            lambda: state.limits, state.memory, self._refuse_input
+        )
+        self._writer = BodyWriter()
         self._pending_exchanges: deque[Exchange] = deque()
         self._is_flushing = False
         self._is_reading_paused = False
@@ -137,10 +163,18 @@
         """Tell the handler that the callers of open requests have left."""
         self._state.connections.discard(self)
         self._transport = None
-        while self._pending_exchanges:
-            exchange = self._pending_exchanges.popleft()
-            if exchange.response is None and exchange.deferred_request is None:
-                self._state.handler.handle_disconnect(exchange.request_id)
+        self._writer.drop()
+        self._parser.end()
+        self._drop_pending_exchanges()
+
+    def pause_writing(self) -> None:
+        """Write no more of a response for now, as the caller does not read it."""
+        self._writer.pause()
+
+    def resume_writing(self) -> None:
+        """Go on writing responses."""
+        self._writer.resume()
+        self.flush_responses()
 
     def eof_received(self) -> bool:
         """Close the connection: a caller that has closed its side has left."""
@@ -194,6 +228,7 @@
         bytes are not read.
         """
         limits = self._state.limits
+        self._offer_unread_response(now_s)
         if self._lingers_since_s is not None:
             if now_s - self._lingers_since_s > LINGER_S:
                 self.close()
@@ -209,6 +244,19 @@
         ):
             self.close()
 
+    def _offer_unread_response(self, now_s: float) -> None:
+        """Let a response be given up, with the connection, that is not being read."""
+        if self._writer.is_done or not self._pending_exchanges:
+            return
+        since_s = self._writer.paused_since_s
+        is_unread = since_s is not None and now_s - since_s >= UNREAD_RESPONSE_S
+        hold = self._pending_exchanges[0].response_hold
+        hold.set_give_up(self._abort if is_unread else None)
+
+    def _abort(self) -> None:
+        if self._transport is not None:
+            self._transport.abort()
+
     def _make_fault(self, refusal: Refusal, reason: str) -> InputFault:
         parser = self._parser
         return InputFault(
@@ -276,7 +324,9 @@
         exchange = Exchange(
             self,
             req.request_id,
-            keep_alive=parsed.keep_alive,
+            parsed.keep_alive,
+            parsed.hold,
+            state.memory.open_hold(),
             is_head_request=parsed.method == "HEAD",
         )
         self._pending_exchanges.append(exchange)
@@ -320,7 +370,14 @@
         self._state.handler.handle_refused_input(
             RefusedInput(fault, fields.caller_request_id, len(self._pending_exchanges))
         )
-        exchange = Exchange(self, next(self._state.request_ids), keep_alive=False)
+        memory = self._state.memory
+        exchange = Exchange(
+            self,
+            next(self._state.request_ids),
+            False,
+            memory.open_hold(),
+            memory.open_hold(),
+        )
         self._pending_exchanges.append(exchange)
         exchange.set_response(
             self._state.dialect.encode_refusal(fault.refusal, fields.caller_request_id)
@@ -355,30 +412,42 @@
         """
         if self._transport is None or not self._pending_exchanges:
             return False
+        if not self._writer.is_ready:
+            return False
         exchange = self._pending_exchanges[0]
         if exchange.deferred_request is not None:
             req, exchange.deferred_request = exchange.deferred_request, None
             self._state.handler.handle_request(req, exchange)
         if exchange.response is None:
             return False
+        if not exchange.is_begun:
+            self._begin_response(exchange, exchange.response)
+            if not self._writer.is_done:
+                return False
         self._pending_exchanges.popleft()
-        closes_connection = not exchange.keep_alive or (
-            self._state.is_stopping and not self._pending_exchanges
-        )
-        self._transport.write(
-            encode_response(
-                exchange.response, closes_connection, exchange.is_head_request
-            )
-        )
-        if closes_connection:
+        exchange.release()
+        if exchange.closes_connection:
             self._drop_pending_exchanges()
             self._close_after_response()
-        return not closes_connection
+        return not exchange.closes_connection
+
+    def _begin_response(self, exchange: Exchange, response: CallerResponse) -> None:
+        assert self._transport is not None
+        exchange.is_begun = True
+        is_last = len(self._pending_exchanges) == 1
+        exchange.closes_connection = not exchange.keep_alive or (
+            self._state.is_stopping and is_last
+        )
+        head, body = encode_response(
+            response, exchange.closes_connection, exchange.is_head_request
+        )
+        self._writer.write(self._transport, head, body)
 
     def _drop_pending_exchanges(self) -> None:
-        """Drop the requests after a response that closes the connection."""
+        """Drop the requests that can get no response any more."""
         while self._pending_exchanges:
             exchange = self._pending_exchanges.popleft()
+            exchange.release()
             if exchange.response is None and exchange.deferred_request is None:
                 self._state.handler.handle_disconnect(exchange.request_id)
 
--- a/wagtailrill/gateway/const.py
+++ b/wagtailrill/gateway/const.py
@@ -43,3 +43,15 @@
 TCP_KEEP_ALIVE_PROBES: Final = 2
 # A connection is closed when sent bytes stay unacknowledged for this long.
 TCP_USER_TIMEOUT_MS: Final = 1500
+# Bodies up to this size are not given up when the memory for bodies is full.
+SMALL_BODY_MAX_BYTES: Final = 65_536
+# Larger bodies are written piece by piece, as the peer reads them: a transport would
+# copy all that it cannot send at once.
+BODY_PIECE_BYTES: Final = 65_536
+# A control call is answered with a few headers.
+CONTROL_RESPONSE_MAX_BYTES: Final = 65_536
+# A server sends few interim responses (1xx) before the final one.
+INTERIM_RESPONSES_MAX: Final = 32
+# A caller that reads nothing of a large response for this long may lose it when the
+# memory for bodies is full.
+UNREAD_RESPONSE_S: Final = 2.0
--- a/wagtailrill/gateway/json_control.py
+++ b/wagtailrill/gateway/json_control.py
@@ -31,6 +31,7 @@
     {
         AttemptOutcome.LOST,
         AttemptOutcome.BAD_ANSWER,
+        AttemptOutcome.NO_MEMORY,
         AttemptOutcome.TIMED_OUT,
         AttemptOutcome.CANCELLED,
     }
--- a/wagtailrill/gateway/request_parser.py
+++ b/wagtailrill/gateway/request_parser.py
@@ -9,19 +9,27 @@
 from ..core.refusals import Refusal, RefusalCode
 from ..core.request_models import Headers
 from ..declaration.models import CallerLimits
+from .body_memory import BodyHold, BodyMemory
 from .const import REFUSAL_REASON_MAX_CHARS, REQUEST_TARGET_MAX_BYTES
 from .request_target import parse_request_target
 
+MEMORY_RETRY_AFTER_S = 1.0
 HEADERS_TOO_LARGE = Refusal(
     RefusalCode.HEADERS_TOO_LARGE, "The request headers are too large."
 )
 BODY_TOO_LARGE = Refusal(
     RefusalCode.REQUEST_TOO_LARGE, "The request body is too large."
 )
+MEMORY_FULL = Refusal(
+    RefusalCode.MEMORY_FULL,
+    "This instance has no memory for the request body now.",
+    retry_after_s=MEMORY_RETRY_AFTER_S,
+)
 MALFORMED_REQUEST = Refusal(
     RefusalCode.BAD_REQUEST, "The bytes are not an HTTP/1.1 request."
 )
 _EXPECT_HEADER_NAME = b"expect"
+_LENGTH_HEADER_NAME = b"content-length"
 _CONTINUE_EXPECTATION = b"100-continue"
 _UPGRADE_HEADER_NAME = b"upgrade"
 _TUNNEL_METHOD = b"CONNECT"
@@ -40,7 +48,8 @@
 class ParsedRequest:
     """A complete request; host and header names are in lower case.
 
-    The host of an absolute target takes precedence over the Host header.
+    The host of an absolute target takes precedence over the Host header. `hold` counts
+    the body until the request has ended.
     """
 
     method: str
@@ -50,6 +59,7 @@
     headers: Headers
     body: bytes
     keep_alive: bool
+    hold: BodyHold = attrs.field(eq=False, repr=False)
 
 
 @attrs.frozen
@@ -81,14 +91,25 @@
 
     The methods named `on_` are callbacks of httptools. `get_limits` is called whenever
     something is counted, so that new limits also apply to open connections.
+    `on_given_up` is called if the process cannot keep a body of which a part has been
+    received, unless `feed` returns that.
     """
 
-    def __init__(self, get_limits: Callable[[], CallerLimits]) -> None:
+    def __init__(
+        self,
+        get_limits: Callable[[], CallerLimits],
+        memory: BodyMemory | None = None,
+        on_given_up: Callable[[InputFault], None] = lambda fault: None,
+    ) -> None:
         self.phase = InputPhase.IDLE
         self.received_bytes = 0
         # Set while the caller may be waiting for an interim response before the body.
         self.awaits_continue = False
         self._get_limits = get_limits
+        self._memory = memory or BodyMemory()
+        self._on_given_up = on_given_up
+        self._is_parsing = False
+        self._hold = self._memory.open_hold(self._give_up_body)
         self._has_last_request = False
         # Received since a header, a part of a body or a request was last complete.
         self._incomplete_bytes = 0
@@ -107,7 +128,11 @@
             return []
         self.received_bytes += len(data)
         self._incomplete_bytes += len(data)
-        fault = self._parse(data) or self._find_endless_part()
+        self._is_parsing = True
+        try:
+            fault = self._parse(data) or self._find_endless_part()
+        finally:
+            self._is_parsing = False
         results: list[ParsedRequest | InputFault] = [*self._requests]
         self._requests.clear()
         if self._has_last_request:
@@ -122,6 +147,8 @@
         """Ignore all further bytes."""
         self.phase = InputPhase.ENDED
         self.awaits_continue = False
+        self._hold.release()
+        self._body = bytearray()
 
     def _parse(self, data: bytes) -> InputFault | None:
         try:
@@ -221,6 +248,26 @@
             name == _EXPECT_HEADER_NAME and value.lower() == _CONTINUE_EXPECTATION
             for name, value in self._headers
         )
+        self._refuse_body_beyond_memory()
+
+    def _refuse_body_beyond_memory(self) -> None:
+        """Refuse a body at once whose announced length can never be kept."""
+        lengths = [v for n, v in self._headers if n == _LENGTH_HEADER_NAME]
+        if lengths and lengths[0].isdigit():
+            length = int(lengths[0])
+            limits = self._get_limits()
+            if self._memory.limit_bytes < length <= limits.body_max_bytes:
+                raise _InputFaultError(self._make_memory_fault(length))
+
+    def _make_memory_fault(self, body_bytes: int) -> InputFault:
+        return InputFault(
+            MEMORY_FULL, "memory", body_bytes, self._memory.limit_bytes, self.headers
+        )
+
+    def _give_up_body(self) -> None:
+        """Refuse the request, as the process cannot keep what has been received."""
+        if not self._is_parsing:  # otherwise the callback of the parser refuses it
+            self._on_given_up(self._make_memory_fault(len(self._body)))
 
     def on_body(self, body: bytes) -> None:
         """Collect a part of the body; stop if it becomes too large."""
@@ -231,6 +278,9 @@
         if body_bytes > limit_bytes:
             self._raise_limit_exceeded(BODY_TOO_LARGE, "body", body_bytes, limit_bytes)
         self._body += body
+        self._hold.set_bytes(body_bytes)
+        if self._hold.is_closed:
+            raise _InputFaultError(self._make_memory_fault(body_bytes))
 
     def on_message_complete(self) -> None:
         """Add the request to those that are complete."""
@@ -250,7 +300,10 @@
             headers=self.headers,
             body=bytes(self._body),
             keep_alive=self._parser.should_keep_alive(),
+            hold=self._hold,
         )
+        self._hold.set_give_up(None)
+        self._begin_body()
         self._requests.append(request)
         self._has_last_request = not request.keep_alive
         self.received_bytes = self._incomplete_bytes = 0
@@ -272,4 +325,8 @@
         self._target_parts: list[bytes] = []
         self._headers: list[tuple[bytes, bytes]] = []
         self._header_bytes = 0
+        self._begin_body()
+
+    def _begin_body(self) -> None:
         self._body = bytearray()
+        self._hold = self._memory.open_hold(self._give_up_body)
--- a/wagtailrill/gateway/response_encoding.py
+++ b/wagtailrill/gateway/response_encoding.py
@@ -15,8 +15,8 @@
 
 def encode_response(
     response: CallerResponse, closes_connection: bool, is_head_request: bool
-) -> bytes:
-    """Return the bytes of a response; one to a HEAD request has no body."""
+) -> tuple[bytes, bytes]:
+    """Return head and body of a response; one to a HEAD request has no body."""
     parts: list[bytes] = [
         _STATUS_LINES.get(response.status) or b"HTTP/1.1 %d \r\n" % response.status
     ]
@@ -28,6 +28,5 @@
     if closes_connection:
         parts.append(b"connection: close\r\n")
     parts.append(b"\r\n")
-    if not is_head_request and response.status not in _STATUSES_WITHOUT_BODY:
-        parts.append(response.body)
-    return b"".join(parts)
+    has_body = not is_head_request and response.status not in _STATUSES_WITHOUT_BODY
+    return b"".join(parts), response.body if has_body else b""
--- a/wagtailrill/native/assembly.py
+++ b/wagtailrill/native/assembly.py
@@ -64,6 +64,7 @@
         ),
         load_balancer_lag_s=cfg.load_balancer_lag_s,
         stop_timeout_s=cfg.load_balancer_lag_s + cfg.drain_s,
+        body_memory_bytes=cfg.limits.body_memory_bytes,
         peer_secrets=cfg.peer_secrets,
     )
 
--- a/wagtailrill/placement/component.py
+++ b/wagtailrill/placement/component.py
@@ -261,13 +261,17 @@
         result: AttemptResult | None = None,
     ) -> None:
         load = result.load if result is not None else None
+        outcome = result.outcome if result is not None else AttemptOutcome.CANCELLED
+        if outcome is AttemptOutcome.NO_MEMORY:
+            # It says nothing about the server, and older instances do not know it.
+            outcome = AttemptOutcome.CANCELLED
         self._ctx.send(
             dispatcher,
             PlaceEnd(
                 number=number,
                 service=service,
                 backend_server=backend_server,
-                outcome=result.outcome.value if result is not None else "cancelled",
+                outcome=outcome.value,
                 latency_s=result.latency_s if result is not None else 0.0,
                 running=load.running if load is not None else NO_REPORT,
                 waiting=load.waiting if load is not None else NO_REPORT,
--- a/wagtailrill/platform/assembly.py
+++ b/wagtailrill/platform/assembly.py
@@ -36,6 +36,10 @@
 # The platform checks readiness every second and stops sending requests to an instance
 # after two failed checks.
 LOAD_BALANCER_LAG_S: Final = 2.6
+# Part of a machine's memory for bodies. While the parts of a body are joined it is held
+# twice, and the program itself takes some 60 MB.
+BODY_MEMORY_RATIO: Final = 0.3
+BYTES_PER_MB: Final = 1_000_000
 # Apply until the first configuration of the operator replaces them.
 INITIAL_CALLER_LIMITS: Final = CallerLimits(16_384, 67_108_864, 3.0, 15.0)
 
@@ -119,5 +123,6 @@
         caller_limits=INITIAL_CALLER_LIMITS,
         load_balancer_lag_s=LOAD_BALANCER_LAG_S,
         stop_timeout_s=cfg.bounds.stop_s,
+        body_memory_bytes=int(cfg.memory_mb * BYTES_PER_MB * BODY_MEMORY_RATIO),
         reload_allowances=SettingsFile(path, cfg).reload_allowances,
     )
--- a/wagtailrill/requests/refusals.py
+++ b/wagtailrill/requests/refusals.py
@@ -70,6 +70,11 @@
         "The backend server's answer was malformed or not its answer to this request.",
         MayHaveRun.UNKNOWN,
     ),
+    AttemptOutcome.NO_MEMORY: Refusal(
+        RefusalCode.ANSWER_NOT_KEPT,
+        "This instance has no memory for the backend server's answer now.",
+        MayHaveRun.UNKNOWN,
+    ),
     AttemptOutcome.TIMED_OUT: DEADLINE_EXCEEDED,
 }
 
--- a/wagtailrill/runtime/backend_pools.py
+++ b/wagtailrill/runtime/backend_pools.py
@@ -3,6 +3,7 @@
 from typing import Protocol
 
 from ..gateway.backend_pool import BackendPool
+from ..gateway.body_memory import BodyMemory
 from ..gateway.dialects import BackendDialect
 
 
@@ -17,8 +18,14 @@
 class BackendPools:
     """Pools by the name of their backend server."""
 
-    def __init__(self, dialect: BackendDialect, addresses: ServerAddresses) -> None:
+    def __init__(
+        self,
+        dialect: BackendDialect,
+        addresses: ServerAddresses,
+        memory: BodyMemory,
+    ) -> None:
         self._dialect = dialect
+        self._memory = memory
         self._addresses = addresses
         self._pools: dict[str, BackendPool] = {}
 
@@ -32,7 +39,7 @@
             return None
         pool = self._pools.get(backend_server)
         if pool is None or pool.address != address:
-            pool = BackendPool(address, self._dialect)
+            pool = BackendPool(address, self._dialect, memory=self._memory)
             self._pools[backend_server] = pool
         return pool
 
--- a/wagtailrill/runtime/driver.py
+++ b/wagtailrill/runtime/driver.py
@@ -36,6 +36,7 @@
 from ..core.refusals import MayHaveRun, Refusal, RefusalCode
 from ..core.request_models import AttemptOutcome, AttemptResult, CallerRequest
 from ..gateway.backend_pool import BackendPool
+from ..gateway.body_memory import BodyMemory
 from ..gateway.caller_protocol import Exchange, RefusedInput
 from ..gateway.dialects import (
     BackendDialect,
@@ -99,6 +100,7 @@
     metrics: Metrics
     tracing: Tracing
     write_log: Callable[[LogEvent], None]
+    memory: BodyMemory = attrs.field(factory=BodyMemory)
 
 
 @attrs.define(eq=False, slots=True)
@@ -129,7 +131,8 @@
     """
 
     def __init__(self, parts: DriverParts) -> None:
-        self.pools = BackendPools(parts.backend_dialect, parts.router)
+        self.pools = BackendPools(parts.backend_dialect, parts.router, parts.memory)
+        parts.memory.on_given_up = self._log_given_up_body
         self._parts = parts
         self._loop = asyncio.get_running_loop()
         self._open_requests: dict[int, OpenRequest] = {}
@@ -227,6 +230,15 @@
         )
         self._parts.metrics.record_answer(refusal.status, refusal.code.value, 0.0)
 
+    def _log_given_up_body(self, body_bytes: int) -> None:
+        memory = self._parts.memory
+        fields = (
+            ("body_bytes", body_bytes),
+            ("held_bytes", memory.held_bytes),
+            ("limit_bytes", memory.limit_bytes),
+        )
+        self._parts.write_log(LogEvent(LogName.BODY_GIVEN_UP, fields))
+
     def _execute_commands(self, commands: list[Command]) -> None:
         for command in commands:
             try:
--- a/wagtailrill/runtime/process.py
+++ b/wagtailrill/runtime/process.py
@@ -16,6 +16,7 @@
 from ..core.events import DrainRequested, PeerReceived
 from ..core.invariants import Invariants
 from ..declaration.models import CallerLimits, Configuration
+from ..gateway.body_memory import BodyMemory
 from ..gateway.caller_protocol import CallerListenerState, make_protocol_factory
 from ..gateway.dialects import BackendDialect, CallerDialect, ControlDialect
 from ..observability.logs import EventLog, LineWriter
@@ -59,7 +60,8 @@
 
     After a request to stop, the load balancer may open new connections for
     `load_balancer_lag_s`; the process has to end within `stop_timeout_s`.
-    `caller_limits` apply until a configuration sets others. `peer_secrets` sign the
+    `caller_limits` apply until a configuration sets others; `body_memory_bytes` limits
+    all bodies together that the process holds. `peer_secrets` sign the
     frames between instances; without them the fleet's secret in the store does.
     `reload_allowances` reads the settings again and returns the allowances, None if
     they have not changed.
@@ -74,6 +76,7 @@
     caller_limits: CallerLimits
     load_balancer_lag_s: float
     stop_timeout_s: float
+    body_memory_bytes: int
     peer_secrets: tuple[bytes, ...] = attrs.field(repr=False, default=())
     reload_allowances: Callable[[], Allowances | None] = lambda: None
 
@@ -95,6 +98,7 @@
             lambda envelope: self.driver.dispatch_event(PeerReceived(envelope)),
         )
         external = cfg.external
+        self.body_memory = BodyMemory(cfg.body_memory_bytes)
         self.driver: Driver = Driver(
             DriverParts(
                 router=self.router,
@@ -106,6 +110,7 @@
                 metrics=self.metrics,
                 tracing=external.tracing,
                 write_log=self.event_log.write_event,
+                memory=self.body_memory,
             )
         )
         self.caller_listener_state = CallerListenerState(
@@ -113,6 +118,7 @@
             external.caller_dialect,
             cfg.caller_limits,
             provisional_refusal=NOT_READY,
+            memory=self.body_memory,
         )
         self.router.configuration.add_listener(self._apply_configuration)
         self.router.members.add_listener(self._update_peers)
@@ -164,6 +170,9 @@
             **gauges,
             **self.router.collect_gauges(),
             "caller_connections": len(self.caller_listener_state.connections),
+            "body_held_bytes": self.body_memory.held_bytes,
+            "body_held_peak_bytes": self.body_memory.peak_bytes,
+            "bodies_given_up": self.body_memory.given_up_count,
             "log_lines_left_out": self.event_log.suppressed_count,
             "log_lines_dropped": self._writer.dropped_count,
         }
--- a/wagtailrill/settings/models.py
+++ b/wagtailrill/settings/models.py
@@ -6,6 +6,7 @@
 
 from .const import (
     DEFAULT_BODY_MAX_BYTES,
+    DEFAULT_BODY_MEMORY_BYTES,
     DEFAULT_CALLER_CONNECTIONS_MAX,
     DEFAULT_CELL,
     DEFAULT_DEFERRABLE_QUEUE_MAX_REQUESTS,
@@ -30,10 +31,14 @@
 
 @attrs.frozen
 class Limits:
-    """Limits on the memory that callers can make an instance use."""
+    """Limits on the memory that callers and servers can make an instance use.
+
+    `body_memory_bytes` is for all bodies together, of requests and responses.
+    """
 
     body_max_bytes: int = DEFAULT_BODY_MAX_BYTES
     response_max_bytes: int = DEFAULT_RESPONSE_MAX_BYTES
+    body_memory_bytes: int = DEFAULT_BODY_MEMORY_BYTES
     header_max_bytes: int = DEFAULT_HEADER_MAX_BYTES
     queue_max_requests: int = DEFAULT_QUEUE_MAX_REQUESTS
     deferrable_queue_max_requests: int = DEFAULT_DEFERRABLE_QUEUE_MAX_REQUESTS
--- a/wagtailrill/settings/parse.py
+++ b/wagtailrill/settings/parse.py
@@ -28,6 +28,11 @@
         1,
         const.BODY_MAX_BYTES_BOUND,
     ),
+    "body_memory_bytes": (
+        const.DEFAULT_BODY_MEMORY_BYTES,
+        const.BODY_MEMORY_BYTES_LOWER_BOUND,
+        const.BODY_MEMORY_BYTES_BOUND,
+    ),
     "header_max_bytes": (
         const.DEFAULT_HEADER_MAX_BYTES,
         const.HEADER_MAX_BYTES_LOWER_BOUND,
