Limit the store's responses that are being received together

Cause: each response was bounded at 8 MB, but up to 8 calls at once, and further ones on new connections after failures, kept as much each.

Change: a call ends without an answer when all that is being received exceeds 16 MB.

Evidence: the new test of 12 calls to a store that answers without end; without the bound each of them keeps up to 8 MB.

--- a/tests/platform/test_store_client.py
+++ b/tests/platform/test_store_client.py
@@ -3,7 +3,11 @@
 import anyio
 import pytest
 
-from wagtailrill.platform.store_client import PlatformStore, _read_era
+from wagtailrill.platform.store_client import (
+    RECEIVING_MAX_BYTES,
+    PlatformStore,
+    _read_era,
+)
 from wagtailrill.stand_ins.faults import Outage, StoreFaults
 from wagtailrill.stand_ins.http import async_serve
 from wagtailrill.stand_ins.store import StoreStandIn
@@ -255,3 +259,49 @@
     """Guards against a damaged era by which all true answers would be outdated."""
     headers = [(b"Store-Era", value) for value in values]
     assert _read_era(headers) == era
+
+
+class EndlessStore:
+    """Answers each call with a body without end, and counts what it has sent."""
+
+    def __init__(self):
+        self.sent_bytes = 0
+
+    async def serve(self, stream):
+        async with stream:
+            try:
+                await stream.receive()
+                await stream.send(b"HTTP/1.1 200 OK\r\n\r\n")
+                while True:
+                    await stream.send(b"x" * 65_536)
+                    self.sent_bytes += 65_536
+            except (anyio.BrokenResourceError, anyio.EndOfStream):
+                pass
+
+
+def test_answers_of_the_store_without_end_are_limited_together():
+    """Guards against calls that together fill the memory: each kept up to 8 MB."""
+    endless = EndlessStore()
+    results, peaks = [], []
+
+    async def async_main():
+        listener = await anyio.create_tcp_listener(local_host="127.0.0.1")
+        port = listener.extra(anyio.abc.SocketAttribute.local_port)
+        async with anyio.create_task_group() as server_group:
+            server_group.start_soon(listener.serve, endless.serve)
+            async with (
+                PlatformStore((f"127.0.0.1:{port}",), TIMEOUT_S) as store,
+                anyio.create_task_group() as tg,
+            ):
+
+                async def async_call():
+                    results.append((await store.async_call(Get("a"))).result)
+                    peaks.append(store.receiving_peak_bytes)
+
+                for _ in range(12):
+                    tg.start_soon(async_call)
+            server_group.cancel_scope.cancel()
+
+    anyio.run(async_main)
+    assert {result.error.kind for result in results} == {StoreErrorKind.NO_ANSWER}
+    assert max(peaks) <= RECEIVING_MAX_BYTES + 12 * 65_536
--- a/wagtailrill/platform/store_client.py
+++ b/wagtailrill/platform/store_client.py
@@ -51,6 +51,8 @@
 from .units import format_duration, parse_duration_s
 
 RESPONSE_MAX_BYTES: Final = 8_388_608
+# All responses that are being received, together.
+RECEIVING_MAX_BYTES: Final = 16_777_216
 CONNECTIONS_MAX: Final = 8
 KEEPALIVE_S: Final = 30.0
 ERA_DIGITS_MAX: Final = 9
@@ -109,6 +111,7 @@
     A call ends within `timeout_s` seconds, a watch up to its `wait_s` later. After a
     call without a response the client switches to the next address, and makes no
     further call on the connections that are open: all of them may have gone silent.
+    `receiving_peak_bytes` is the most that it held of responses at a time.
     """
 
     def __init__(self, addresses: tuple[str, ...], timeout_s: float) -> None:
@@ -117,6 +120,8 @@
         self._timeout_s = timeout_s
         self._pool = _make_pool()
         self._former_pools: set[_ConnectionPool] = set()
+        self._receiving_bytes = 0
+        self.receiving_peak_bytes = 0
 
     async def __aenter__(self) -> Self:
         return self
@@ -176,14 +181,29 @@
             headers=[_JSON_HEADER] if content else [],
             content=content,
         ) as response:
-            chunks, size = [], 0
+            content = await self._async_receive(response)
+            era = _read_era(response.headers)
+            return _HttpResponse(response.status, era, content)
+
+    async def _async_receive(self, response: httpcore.Response) -> bytes:
+        """Return the body of a response; raise an error if it is too large."""
+        chunks, size = [], 0
+        try:
             async for chunk in response.aiter_stream():
                 size += len(chunk)
-                if size > RESPONSE_MAX_BYTES:
+                self._receiving_bytes += len(chunk)
+                self.receiving_peak_bytes = max(
+                    self.receiving_peak_bytes, self._receiving_bytes
+                )
+                if (
+                    size > RESPONSE_MAX_BYTES
+                    or self._receiving_bytes > RECEIVING_MAX_BYTES
+                ):
                     raise httpcore.RemoteProtocolError("the response is too large")
                 chunks.append(chunk)
-            era = _read_era(response.headers)
-            return _HttpResponse(response.status, era, b"".join(chunks))
+            return b"".join(chunks)
+        finally:
+            self._receiving_bytes -= size
 
 
 def _make_pool() -> _ConnectionPool:
