Use no server of an entry that lacks its start or number

Cause: a missing `born` was read as start number 0 and a missing `seq` as unknown, so the entry was taken whatever was known, as another start of an upstream that was up all the while. Its next beat then looked like a later start.

Change: both are required, as whole numbers. Such an entry names no upstream.

--- a/tests/keys/test_quick_restart.py
+++ b/tests/keys/test_quick_restart.py
@@ -1,5 +1,6 @@
 """Owners of keys that are back under their name before anybody knows of it."""
 
+import json
 from collections.abc import Callable
 
 import pytest
@@ -58,19 +59,28 @@
     crash_owner(run, 4, 0.4)
 
 
+def write_odd_entry(run: Deployment) -> None:
+    """Another writer puts an entry without start and number in an owner's place."""
+    key = "servers/roll-5"
+    (item,) = run.fleet.store.model.list_items(key)
+    odd = {k: v for k, v in json.loads(item.value).items() if k not in ("born", "seq")}
+    run.fleet.store.model.put_item(key, json.dumps(odd).encode())
+
+
 @pytest.mark.parametrize(
     "cause",
     [
+        write_odd_entry,
         crash_two_at_once,
         crash_before_the_granter_is_lost,
         crash_one_after_the_other,
         crash_while_orders_are_lost,
     ],
 )
-def test_owner_that_is_back_at_once_holds_no_key_beside_another(
+def test_owner_that_seems_to_start_again_holds_no_key_beside_another(
     run, cause: Callable[[Deployment], None]
 ):
-    """Guards against keys held twice after a quick restart of their owner (review/1).
+    """Guards against keys held twice after a quick restart (review/1, review/2).
 
     The new process took renewals for the one before it. When its entry was read, the
     keys went to others at once, since the process that had been granted them was gone.
--- a/tests/platform/test_odd_entries.py
+++ b/tests/platform/test_odd_entries.py
@@ -145,6 +145,19 @@
     assert decode(json.dumps(ENTRY | changes).encode()).is_error()
 
 
+@pytest.mark.parametrize("name", ["born", "seq"])
+@pytest.mark.parametrize("odd", [None, "1", 1.5, True, [], -1])
+def test_entry_without_start_or_number_names_no_server(name, odd):
+    """Guards against an entry of another writer that counts as a start (review/2).
+
+    It was taken whatever was known, and the keys of the server that was up went to
+    others when its next entry came.
+    """
+    without = {key: value for key, value in ENTRY.items() if key != name}
+    assert decode(json.dumps(without).encode()).is_error()
+    assert decode(json.dumps(ENTRY | {name: odd}).encode()).is_error()
+
+
 @pytest.mark.parametrize("server_id", ["", "i-1\r\nx: 1", "x" * 2_000])
 def test_odd_id_costs_its_entry_alone(server_id):
     """Guards against an id that ends the header which names the server."""
--- a/tests/servers/test_entry_listing.py
+++ b/tests/servers/test_entry_listing.py
@@ -13,7 +13,8 @@
 
 def make_item(name, number, **fields):
     values = {"service": "box", "address": "10.0.0.1:80", "zone": "north", "slots": 2}
-    value = json.dumps(values | {"state": "ready", "seq": number} | fields).encode()
+    values |= {"state": "ready", "seq": number, "born": 1}
+    value = json.dumps(values | fields).encode()
     return Item(f"servers/{name}", value, build_revision(ERA, number))
 
 
--- a/wagtailrill/platform/discovery.py
+++ b/wagtailrill/platform/discovery.py
@@ -37,8 +37,10 @@
     state = get_name(fields, "state")
     if state not in _STATE_BY_NAME:
         raise FieldError(f"state {state!r:.40} is unknown")
-    # Start time in Unix milliseconds: a restarted server may keep its name.
-    started_unix_ms = get_integer(fields, "born") if "born" in fields else 0
+    # Start time in Unix milliseconds: a restarted server may keep its name. An entry
+    # without it, or without the number of its write, is not from the server itself and
+    # cannot be put in order with those that are.
+    started_unix_ms = get_integer(fields, "born")
     return ServerEntry(
         name=name,
         service=get_name(fields, "service"),
@@ -54,8 +56,7 @@
             else 0.0
         ),
         revision=item.revision,
-        # The number of the server's write, 0 if the entry names none.
-        sequence=get_integer(fields, "seq") if "seq" in fields else 0,
+        sequence=get_integer(fields, "seq"),
     )
 
 
