Count a request and its response in one hold

Change: one hold serves a request and then its response. A small body costs two additions. The announced length is looked at only where it could exceed the memory.

--- a/wagtailrill/gateway/body_memory.py
+++ b/wagtailrill/gateway/body_memory.py
@@ -34,25 +34,23 @@
         """
         return BodyHold(self, give_up)
 
-    def change(self, hold: "BodyHold", added_bytes: int) -> None:
-        """Count bytes that a hold has got or, if negative, no longer has."""
-        self.held_bytes += added_bytes
+    def track(self, hold: "BodyHold") -> None:
+        """Make room after a hold has grown, or note that it is no longer large."""
         if hold.give_up is not None and hold.held_bytes > SMALL_BODY_MAX_BYTES:
             self._large_holds.add(hold)
         else:
             self._large_holds.discard(hold)
-        if added_bytes <= 0:
-            return
         while self.held_bytes > self.limit_bytes and self._large_holds:
             self._give_up_largest()
-        self.peak_bytes = max(self.peak_bytes, self.held_bytes)
 
     def _give_up_largest(self) -> None:
         hold = max(self._large_holds, key=lambda large: large.held_bytes)
         give_up, hold.give_up = hold.give_up, None
         assert give_up is not None
         body_bytes = hold.held_bytes
-        hold.close()
+        self._large_holds.discard(hold)
+        self.held_bytes -= body_bytes
+        hold.held_bytes, hold.is_closed = 0, True
         self.given_up_count += 1
         self.on_given_up(body_bytes)
         give_up()
@@ -76,22 +74,27 @@
         """Count a body of a size in bytes."""
         if self.is_closed:
             return
-        added_bytes = held_bytes - self.held_bytes
+        memory = self._memory
+        memory.held_bytes += held_bytes - self.held_bytes
+        was_large = self.held_bytes > SMALL_BODY_MAX_BYTES
         self.held_bytes = held_bytes
-        self._memory.change(self, added_bytes)
+        if was_large or held_bytes > SMALL_BODY_MAX_BYTES:
+            memory.track(self)
+        if memory.held_bytes > memory.peak_bytes:
+            memory.peak_bytes = memory.held_bytes
 
     def set_give_up(self, give_up: Callable[[], None] | None) -> None:
         """Set what ends the body's use; without it the body is kept."""
         self.give_up = give_up
-        self._memory.change(self, 0)
+        if self.held_bytes > SMALL_BODY_MAX_BYTES:
+            self._memory.track(self)
 
     def release(self) -> None:
         """Count the body no longer."""
-        released_bytes, self.held_bytes = self.held_bytes, 0
-        if released_bytes:
-            self._memory.change(self, -released_bytes)
+        if self.held_bytes:
+            self.set_bytes(0)
 
     def close(self) -> None:
         """Count the body no longer, and nothing later."""
-        self.is_closed = True
         self.release()
+        self.is_closed = True
--- a/wagtailrill/gateway/caller_protocol.py
+++ b/wagtailrill/gateway/caller_protocol.py
@@ -65,8 +65,9 @@
 
 @attrs.define(eq=False)
 class Exchange:
-    """One request on a connection and its response, with the memory of their bodies.
+    """One request on a connection and its response.
 
+    `hold` counts the body of the request and, once there is one, that of the response.
     `is_begun` is set once the response is being written; `closes_connection` then says
     whether the connection ends with it.
     """
@@ -74,8 +75,7 @@
     protocol: "CallerProtocol"
     request_id: int
     keep_alive: bool
-    request_hold: BodyHold
-    response_hold: BodyHold
+    hold: BodyHold
     is_head_request: bool = False
     response: CallerResponse | None = None
     # Handled only when the requests before it on the connection have been answered.
@@ -87,15 +87,9 @@
         """Set the response, unless there is one; it is written in its turn."""
         if self.response is None:
             self.response = response
-            self.request_hold.release()
-            self.response_hold.set_bytes(len(response.body))
+            self.hold.set_bytes(len(response.body))
             self.protocol.flush_responses()
 
-    def release(self) -> None:
-        """Count the bodies no longer."""
-        self.request_hold.close()
-        self.response_hold.close()
-
 
 @attrs.define
 class CallerListenerState:
@@ -250,7 +244,7 @@
             return
         since_s = self._writer.paused_since_s
         is_unread = since_s is not None and now_s - since_s >= UNREAD_RESPONSE_S
-        hold = self._pending_exchanges[0].response_hold
+        hold = self._pending_exchanges[0].hold
         hold.set_give_up(self._abort if is_unread else None)
 
     def _abort(self) -> None:
@@ -326,7 +320,6 @@
             req.request_id,
             parsed.keep_alive,
             parsed.hold,
-            state.memory.open_hold(),
             is_head_request=parsed.method == "HEAD",
         )
         self._pending_exchanges.append(exchange)
@@ -370,14 +363,8 @@
         self._state.handler.handle_refused_input(
             RefusedInput(fault, fields.caller_request_id, len(self._pending_exchanges))
         )
-        memory = self._state.memory
-        exchange = Exchange(
-            self,
-            next(self._state.request_ids),
-            False,
-            memory.open_hold(),
-            memory.open_hold(),
-        )
+        request_id = next(self._state.request_ids)
+        exchange = Exchange(self, request_id, False, self._state.memory.open_hold())
         self._pending_exchanges.append(exchange)
         exchange.set_response(
             self._state.dialect.encode_refusal(fault.refusal, fields.caller_request_id)
@@ -425,7 +412,7 @@
             if not self._writer.is_done:
                 return False
         self._pending_exchanges.popleft()
-        exchange.release()
+        exchange.hold.close()
         if exchange.closes_connection:
             self._drop_pending_exchanges()
             self._close_after_response()
@@ -447,7 +434,7 @@
         """Drop the requests that can get no response any more."""
         while self._pending_exchanges:
             exchange = self._pending_exchanges.popleft()
-            exchange.release()
+            exchange.hold.close()
             if exchange.response is None and exchange.deferred_request is None:
                 self._state.handler.handle_disconnect(exchange.request_id)
 
--- a/wagtailrill/gateway/request_parser.py
+++ b/wagtailrill/gateway/request_parser.py
@@ -109,6 +109,7 @@
         self._memory = memory or BodyMemory()
         self._on_given_up = on_given_up
         self._is_parsing = False
+        self._body = bytearray()
         self._hold = self._memory.open_hold(self._give_up_body)
         self._has_last_request = False
         # Received since a header, a part of a body or a request was last complete.
@@ -252,11 +253,14 @@
 
     def _refuse_body_beyond_memory(self) -> None:
         """Refuse a body at once whose announced length can never be kept."""
+        limit_bytes = self._memory.limit_bytes
+        body_max_bytes = self._get_limits().body_max_bytes
+        if limit_bytes >= body_max_bytes:
+            return
         lengths = [v for n, v in self._headers if n == _LENGTH_HEADER_NAME]
         if lengths and lengths[0].isdigit():
             length = int(lengths[0])
-            limits = self._get_limits()
-            if self._memory.limit_bytes < length <= limits.body_max_bytes:
+            if limit_bytes < length <= body_max_bytes:
                 raise _InputFaultError(self._make_memory_fault(length))
 
     def _make_memory_fault(self, body_bytes: int) -> InputFault:
@@ -303,7 +307,8 @@
             hold=self._hold,
         )
         self._hold.set_give_up(None)
-        self._begin_body()
+        self._body = bytearray()
+        self._hold = self._memory.open_hold(self._give_up_body)
         self._requests.append(request)
         self._has_last_request = not request.keep_alive
         self.received_bytes = self._incomplete_bytes = 0
@@ -325,8 +330,3 @@
         self._target_parts: list[bytes] = []
         self._headers: list[tuple[bytes, bytes]] = []
         self._header_bytes = 0
-        self._begin_body()
-
-    def _begin_body(self) -> None:
-        self._body = bytearray()
-        self._hold = self._memory.open_hold(self._give_up_body)
