Split what has grown large with the account of bodies

Change: requests and their responses stand in `caller_exchange.py`, the message of a request's end in `reports.py`, tests of callers' bodies in a file of their own. Nothing else changes.

--- a/wagtailrill/gateway/caller_protocol.py
+++ b/wagtailrill/gateway/caller_protocol.py
@@ -6,15 +6,16 @@
 import asyncio
 import itertools
 from collections import deque
-from typing import Any, Protocol
+from typing import Any
 
 import attrs
 
 from ..core.refusals import Refusal, RefusalCode
 from ..core.request_models import CallerRequest
 from ..declaration.models import CallerLimits
-from .body_memory import BodyHold, BodyMemory
+from .body_memory import BodyMemory
 from .body_writer import BodyWriter
+from .caller_exchange import Exchange, RefusedInput, RequestHandler
 from .const import (
     FIRST_REQUEST_TIME_S,
     LINGER_S,
@@ -34,63 +35,6 @@
 )
 
 
-@attrs.frozen
-class RefusedInput:
-    """Bytes that a connection refused by itself.
-
-    `caller_request_id` is empty if it was not received. `pending_requests` is the
-    number of unanswered requests before them on the connection.
-    """
-
-    fault: InputFault
-    caller_request_id: str
-    pending_requests: int
-
-
-class RequestHandler(Protocol):
-    """Handles requests; implemented by the driver."""
-
-    def handle_request(self, req: CallerRequest, exchange: "Exchange") -> None:
-        """Handle a request; its response is given to the exchange."""
-        ...
-
-    def handle_disconnect(self, request_id: int) -> None:
-        """Handle that the caller closed the connection before the response."""
-        ...
-
-    def handle_refused_input(self, refused: RefusedInput) -> None:
-        """Record a request that the connection refused by itself."""
-        ...
-
-
-@attrs.define(eq=False)
-class Exchange:
-    """One request on a connection and its response.
-
-    `hold` counts the body of the request and, once there is one, that of the response.
-    `is_begun` is set once the response is being written; `closes_connection` then says
-    whether the connection ends with it.
-    """
-
-    protocol: "CallerProtocol"
-    request_id: int
-    keep_alive: bool
-    hold: BodyHold
-    is_head_request: bool = False
-    response: CallerResponse | None = None
-    # Handled only when the requests before it on the connection have been answered.
-    deferred_request: CallerRequest | None = None
-    is_begun: bool = False
-    closes_connection: bool = False
-
-    def set_response(self, response: CallerResponse) -> None:
-        """Set the response, unless there is one; it is written in its turn."""
-        if self.response is None:
-            self.response = response
-            self.hold.set_bytes(len(response.body))
-            self.protocol.flush_responses()
-
-
 @attrs.define
 class CallerListenerState:
     """State that all connections of one listener share.
--- a/wagtailrill/placement/component.py
+++ b/wagtailrill/placement/component.py
@@ -33,7 +33,6 @@
 from .dispatcher import Dispatcher, DispatcherParts
 from .messages import (
     NO_KEY,
-    NO_REPORT,
     PlaceAnswer,
     PlaceEnd,
     PlaceRequest,
@@ -47,6 +46,7 @@
     ServerAssignment,
 )
 from .pauses import PauseChecks
+from .reports import build_end
 
 DUTY_PREFIX = "place/"
 
@@ -260,25 +260,8 @@
         backend_server: str = "",
         result: AttemptResult | None = None,
     ) -> None:
-        load = result.load if result is not None else None
-        outcome = result.outcome if result is not None else AttemptOutcome.CANCELLED
-        if outcome is AttemptOutcome.NO_MEMORY:
-            # It says nothing about the server, and older instances do not know it.
-            outcome = AttemptOutcome.CANCELLED
-        self._ctx.send(
-            dispatcher,
-            PlaceEnd(
-                number=number,
-                service=service,
-                backend_server=backend_server,
-                outcome=outcome.value,
-                latency_s=result.latency_s if result is not None else 0.0,
-                running=load.running if load is not None else NO_REPORT,
-                waiting=load.waiting if load is not None else NO_REPORT,
-                slowness=load.slowness if load is not None else 1.0,
-                pause_s=result.notice.pause_s if result is not None else 0.0,
-            ),
-        )
+        end = build_end(number, service, backend_server, result)
+        self._ctx.send(dispatcher, end)
 
     # Asking the dispatcher
 
--- a/wagtailrill/runtime/driver.py
+++ b/wagtailrill/runtime/driver.py
@@ -37,7 +37,7 @@
 from ..core.request_models import AttemptOutcome, AttemptResult, CallerRequest
 from ..gateway.backend_pool import BackendPool
 from ..gateway.body_memory import BodyMemory
-from ..gateway.caller_protocol import Exchange, RefusedInput
+from ..gateway.caller_exchange import Exchange, RefusedInput
 from ..gateway.dialects import (
     BackendDialect,
     CallerDialect,
