--- a/tests/runs/faults.py
+++ b/tests/runs/faults.py
@@ -3,11 +3,15 @@
 The functions' names are the values of the `--fault` flag.
 """
 
+import json
 from collections.abc import Callable
 from functools import partial
 from typing import Final
 
+import attrs
+
 from wagtailrill.stand_ins.virtual_models import VirtualServer
+from wagtailrill.stand_ins.virtual_servers import ENTRY_PREFIX
 
 from .deployment import CLOSED_PREFIX, Deployment
 
@@ -33,6 +37,27 @@
         run.servers.crash_server(server, run.rng.uniform(0.1, 2.0))
 
 
+def restart_under_its_id(run: Deployment) -> None:
+    """Crash a server, which is back under its id within 0.8 s."""
+    server = _choose_server(run)
+    if server is not None:
+        model = server.model
+        model.cfg = attrs.evolve(model.cfg, name=model.server_id, keeps_id=True)
+        run.servers.crash_server(server, run.rng.uniform(0.05, 0.8))
+
+
+def write_odd_entry(run: Deployment) -> None:
+    """Put an entry without start and number in a server's place, until its next."""
+    server = _choose_server(run)
+    store = run.fleet.store
+    if server is None or store.down:
+        return
+    for item in store.model.list_items(f"{ENTRY_PREFIX}{server.model.server_id}"):
+        fields = json.loads(item.value)
+        odd = {k: v for k, v in fields.items() if k not in ("born", "seq")}
+        store.model.put_item(item.key, json.dumps(odd).encode())
+
+
 def freeze_server(run: Deployment) -> None:
     """Freeze a server for up to 6 s."""
     server = _choose_server(run)
@@ -349,5 +374,6 @@
 
 # Those that are only drawn when they are named, too.
 NAMED_FAULTS: Final[dict[str, Fault]] = FAULTS | {
-    fault.__name__: fault for fault in (restore_beside_losses,)
+    fault.__name__: fault
+    for fault in (restore_beside_losses, restart_under_its_id, write_odd_entry)
 }
