End a given-up body's exchange after what needs its memory

Cause: a response that is answered counts its body and may have another one given up in the middle of the commands of a step. The end of that exchange ran a step inside, whose messages to other instances overtook those of the outer one; receivers drop what is overtaken.

Change: the memory is free at once, and the exchange or the request ends in the next turn of the event loop.

Evidence: the new test of test_body_account.py failed before, as the exchange had ended at once, and passes now.

--- a/tests/gateway/test_body_account.py
+++ b/tests/gateway/test_body_account.py
@@ -14,8 +14,10 @@
     make_request,
     make_response,
 )
+from tests.gateway.test_cut_responses import Transport
 from wagtailrill.core.request_models import AttemptOutcome
 from wagtailrill.declaration.models import CallerLimits
+from wagtailrill.gateway.backend_connection import BackendConnection, ExchangeEnd
 from wagtailrill.gateway.backend_pool import BackendPool
 from wagtailrill.gateway.body_memory import BodyMemory
 from wagtailrill.gateway.const import (
@@ -131,6 +133,31 @@
     assert memory.held_bytes == 0
 
 
+def test_response_that_is_given_up_ends_after_what_needs_its_memory():
+    """Guards against a step of the router in the middle of another one.
+
+    A step that answers a request may need the memory of another response. Messages of
+    a step inside it would overtake its own, which receivers then drop.
+    """
+    memory, given_up = make_memory()
+    ends = []
+
+    async def async_main():
+        conn = BackendConnection(LIMIT_BYTES, lambda conn: None, memory)
+        conn.transport = Transport()
+        conn.send_request(b"", False, lambda r: True, lambda *end: ends.append(end))
+        conn.data_received(ENDLESS_HEAD + PIECE * 100)
+        kept = memory.open_hold()
+        kept.set_bytes(LIMIT_BYTES - 1)
+        at_once = list(ends)
+        await asyncio.sleep(0)
+        return at_once
+
+    assert asyncio.run(async_main()) == []
+    assert ends == [(ExchangeEnd.NO_MEMORY, None)]
+    assert given_up == [len(PIECE) * 100]
+
+
 def test_idle_connection_keeps_nothing_of_its_last_response():
     """Guards against bodies that are held until their connection is used again."""
     memory, _ = make_memory()
--- a/wagtailrill/gateway/backend_connection.py
+++ b/wagtailrill/gateway/backend_connection.py
@@ -12,7 +12,7 @@
 import httptools
 
 from ..core.request_models import Headers
-from .body_memory import BodyMemory
+from .body_memory import BodyHold, BodyMemory
 from .body_writer import BodyWriter
 from .const import (
     INTERIM_RESPONSES_MAX,
@@ -190,8 +190,16 @@
             )
 
     def _give_up_response(self) -> None:
-        """End the exchange, as the process cannot keep what has been received."""
+        """End the exchange, as the process cannot keep what has been received.
+
+        It ends later, as what needs the memory may be in the middle of a step.
+        """
         if not self._is_parsing:  # otherwise the callback of the parser ends it
+            self._body = bytearray()
+            self._loop.call_soon(self._end_given_up_exchange, self._hold)
+
+    def _end_given_up_exchange(self, hold: BodyHold) -> None:
+        if hold is self._hold and self._on_end is not None:
             self._end_exchange(ExchangeEnd.NO_MEMORY, None)
 
     def eof_received(self) -> bool:
--- a/wagtailrill/gateway/body_memory.py
+++ b/wagtailrill/gateway/body_memory.py
@@ -30,7 +30,8 @@
     def open_hold(self, give_up: Callable[[], None] | None = None) -> "BodyHold":
         """Return a hold of no bytes.
 
-        `give_up` ends what the body belongs to; without it the body is kept.
+        `give_up` drops the body and ends what it belongs to, but calls no handler
+        before it returns; without it the body is kept.
         """
         return BodyHold(self, give_up)
 
--- a/wagtailrill/gateway/caller_protocol.py
+++ b/wagtailrill/gateway/caller_protocol.py
@@ -76,7 +76,7 @@
         self._loop = asyncio.get_running_loop()
         self._transport: asyncio.Transport | None = None
         self._parser = RequestParser(
-            lambda: state.limits, state.memory, self._refuse_input
+            lambda: state.limits, state.memory, self._refuse_given_up_request
         )
         self._writer = BodyWriter()
         self._pending_exchanges: deque[Exchange] = deque()
@@ -299,6 +299,14 @@
             return fault
         return attrs.evolve(fault, refusal=refusal)
 
+    def _refuse_given_up_request(self, fault: InputFault) -> None:
+        """Refuse a request later, as what needs its memory may be in a step."""
+        self._loop.call_soon(self._refuse_if_open, fault)
+
+    def _refuse_if_open(self, fault: InputFault) -> None:
+        if self._transport is not None:
+            self._refuse_input(fault)
+
     def _refuse_input(self, fault: InputFault) -> None:
         """Refuse the bytes after the last complete request."""
         self._parser.end()
--- a/wagtailrill/gateway/request_parser.py
+++ b/wagtailrill/gateway/request_parser.py
@@ -271,7 +271,9 @@
     def _give_up_body(self) -> None:
         """Refuse the request, as the process cannot keep what has been received."""
         if not self._is_parsing:  # otherwise the callback of the parser refuses it
-            self._on_given_up(self._make_memory_fault(len(self._body)))
+            fault = self._make_memory_fault(len(self._body))
+            self.end()
+            self._on_given_up(fault)
 
     def on_body(self, body: bytes) -> None:
         """Collect a part of the body; stop if it becomes too large."""
