Hold the cost of the account to the 2% that is the target

Cause: the bound of test_account_costs_little was twice the stated target, 2% of the processor time of a request that takes 0.5 ms.

Change: the bound is the target. Three holds a request are still assumed, though one is opened now.

Evidence: the test passes with the stricter bound, alone, on the landed code.

--- a/tests/gateway/test_body_account.py
+++ b/tests/gateway/test_body_account.py
@@ -287,4 +287,4 @@
         hold.set_bytes(1_000)
         hold.close()
     # Three of them a request; a request takes more than 0.5 ms of processor time.
-    assert (time.process_time() - started_s) / 20_000 * 3 < 0.02 * 0.0005 * 2
+    assert (time.process_time() - started_s) / 20_000 * 3 < 0.02 * 0.0005
