--- a/review/rig2/rig.py
+++ b/review/rig2/rig.py
@@ -164,7 +164,7 @@
                 "peer": f"{ip}:{find_port(ip)}",
             }
         addresses = self.addresses[name]
-        peer_port = addresses["peer"].rpartition(":")[2]
+        ip, _, peer_port = addresses["peer"].rpartition(":")
         text = f"""
 node = "{name}"
 role = "instance"
