Draw the ports of the review's scripts apart from outgoing ones

Cause: a port that is found free may be given to an outgoing connection before the process listens on it, as one of the project's tests met.

--- a/review/rig2/rig.py
+++ b/review/rig2/rig.py
@@ -9,6 +9,7 @@
 import contextlib
 import json
 import os
+import random
 import shutil
 import signal
 import socket
@@ -63,6 +64,9 @@
 ]
 HEARTBEAT_S = 0.87
 READY_TIMEOUT_S = 30.0
+# Below the ports that the system gives to outgoing connections.
+PORT_MIN = 20_000
+PORT_MAX = 30_000
 STREAM_MAX_BYTES = 2**22
 
 
@@ -71,10 +75,12 @@
 
 
 def find_port(host: str = "127.0.0.1") -> int:
-    """Return a port that is free now."""
-    with socket.socket() as sock:
-        sock.bind((host, 0))
-        return int(sock.getsockname()[1])
+    """Return a port that is free now, and that no outgoing connection takes."""
+    while True:
+        port = random.randrange(PORT_MIN, PORT_MAX)
+        with socket.socket() as sock, contextlib.suppress(OSError):
+            sock.bind((host, port))
+            return port
 
 
 class Record:
