Draw the ports of tests below those of outgoing connections

Cause: tests bound port 0, closed the socket and passed the number to a program or transport that listened there later.

--- a/tests/crowds/program.py
+++ b/tests/crowds/program.py
@@ -16,10 +16,10 @@
 from tests.platform.test_program import (
     ROOT,
     RunningProgram,
-    find_free_port,
     make_configuration,
     make_settings,
 )
+from tests.ports import find_free_port
 from wagtailrill.stand_ins.backend_server import (
     PLATFORM,
     BackendApplication,
--- a/tests/peer/test_connections.py
+++ b/tests/peer/test_connections.py
@@ -7,7 +7,8 @@
 from wagtailrill.peer.frame import FrameCodec, add_length_prefix
 from wagtailrill.peer.tcp import PeerTransport
 
-from .test_tcp import async_connect, find_free_port, make_envelope
+from ..ports import find_free_port
+from .test_tcp import async_connect, make_envelope
 
 FRAMES = 5
 
--- a/tests/peer/test_tcp.py
+++ b/tests/peer/test_tcp.py
@@ -1,7 +1,5 @@
 """Guards the peer transport against malicious input and lost connections."""
 
-import socket
-
 import anyio
 import pytest
 import structlog
@@ -12,18 +10,13 @@
 from wagtailrill.peer.registry import Envelope
 from wagtailrill.peer.tcp import PeerTransport
 
+from ..ports import find_free_port
 from .conftest import Note
 
 # A busy machine starts a listener late: its address is looked up in a thread.
 START_MAX_S = 30.0
 
 
-def find_free_port():
-    with socket.socket() as sock:
-        sock.bind(("127.0.0.1", 0))
-        return sock.getsockname()[1]
-
-
 async def async_connect(port):
     """Connect to a listener as soon as it is up."""
     with anyio.fail_after(START_MAX_S):
--- a/tests/platform/test_program.py
+++ b/tests/platform/test_program.py
@@ -8,7 +8,6 @@
 import json
 import random
 import signal
-import socket
 import subprocess
 import sys
 import time
@@ -30,6 +29,7 @@
 from wagtailrill.stand_ins.server_model import ServerModel, ServerModelSettings
 from wagtailrill.stand_ins.store import WRITE_PATH, StoreStandIn
 
+from ..ports import find_free_port
 from .test_decoders import CONFIGURATION
 
 ROOT = Path(__file__).parents[2]
@@ -40,12 +40,6 @@
 WAIT_MAX_S = 60.0
 
 
-def find_free_port() -> int:
-    with socket.socket() as sock:
-        sock.bind(("127.0.0.1", 0))
-        return sock.getsockname()[1]
-
-
 def make_settings(store: str, ports: dict[str, int], grace: str) -> str:
     return f"""
 node = "n-1"
