Give organisations without a limit no buckets

Cause: "no limit" is an infinite rate and burst, and the sums of buckets don't hold for them. TokenHolder.configure rounded the infinite burst down (OverflowError). Issuers raised on tokens of such a bucket, two updates in one step gave NaN (0 times infinity), and a limit that came back found the bucket and the row of before.

Change: limits that bind and organisations without one are kept apart where a configuration is applied. Holders admit the requests of the latter at once, also those that wait for a token when the limit goes; issuers grant instances that still have a limit all they ask for. No infinite number reaches a bucket.

--- a/wagtailrill/rates/holder.py
+++ b/wagtailrill/rates/holder.py
@@ -27,7 +27,7 @@
     WAITERS_MAX,
 )
 from .messages import TokenGrant
-from .models import RateLimit, RateSettings, TokenBucket
+from .models import RateLimit, RateSettings, TokenBucket, split_limits
 
 OnResult = Callable[[RateLimitResult], None]
 ADMITTED = RateLimitResult(True)
@@ -79,6 +79,8 @@
 class TokenHolder:
     """Admits requests with granted tokens, or from the own share when none arrive.
 
+    Requests of organisations without a limit are admitted at once.
+
     The own share is this instance's part of `OWN_SHARE_BOUND_RATIO` of the fleet's
     bound. It is divided evenly among the instances, so using it needs no coordination.
     """
@@ -95,6 +97,7 @@
         self._list_instances = list_instances
         self._send_token_request = send_token_request
         self._rows: dict[str, OrganisationRow] = {}
+        self._unlimited: frozenset[str] = frozenset()
         self._last_request_number = 0
         self._starts_until_s: float | None = None
 
@@ -103,18 +106,35 @@
         now_s = self._ctx.now_s
         if self._starts_until_s is None:
             self._starts_until_s = now_s + START_PERIOD_S
-        rows: dict[str, OrganisationRow] = {}
-        for name, limit in limits.items():
-            row = self._rows.get(name)
-            own_limit = self._compute_own_limit(limit)
-            if row is None:
-                row = OrganisationRow(limit, TokenBucket(own_limit, now_s))
-            elif row.limit != limit:
-                row.limit = limit
-                row.own_bucket.set_limit(own_limit, now_s)
-                row.tokens = min(row.tokens, math.floor(limit.burst))
-            rows[name] = row
-        self._rows = rows
+        binding, self._unlimited = split_limits(limits)
+        former_rows = self._rows
+        self._rows = {
+            name: self._configure_row(former_rows.get(name), limit)
+            for name, limit in binding.items()
+        }
+        freed = [former_rows[name] for name in self._unlimited & former_rows.keys()]
+        if freed:
+            # The other components have applied the configuration by then, too.
+            self._ctx.timers.call_later(0.0, lambda: self._admit_all(freed))
+
+    def _configure_row(
+        self, row: OrganisationRow | None, limit: RateLimit
+    ) -> OrganisationRow:
+        """Return the row of an organisation with a limit, a new one if it had none."""
+        own_limit = self._compute_own_limit(limit)
+        if row is None:
+            return OrganisationRow(limit, TokenBucket(own_limit, self._ctx.now_s))
+        if row.limit != limit:
+            row.limit = limit
+            row.own_bucket.set_limit(own_limit, self._ctx.now_s)
+            row.tokens = min(row.tokens, math.floor(limit.burst))
+        return row
+
+    def _admit_all(self, rows: list[OrganisationRow]) -> None:
+        """Admit the waiting requests of organisations whose limits have gone."""
+        for row in rows:
+            while row.waiters:
+                row.waiters.popleft().on_result(ADMITTED)
 
     def apply_settings(self, cfg: RateSettings) -> None:
         """Replace the settings and recompute the own shares."""
@@ -135,13 +155,13 @@
 
         After the start of this instance the wait is up to `patience_s`.
         """
+        if organisation in self._unlimited:
+            on_result(ADMITTED)
+            return
         row = self._rows.get(organisation)
         if row is None:
             on_result(RateLimitResult(False, RETRY_AFTER_MAX_S, "unknown_organisation"))
             return
-        if math.isinf(row.limit.rate_per_s):
-            on_result(ADMITTED)
-            return
         now_s = self._ctx.now_s
         row.count_request(now_s)
         if row.tokens > 0 and not row.waiters:
--- a/wagtailrill/rates/issuer.py
+++ b/wagtailrill/rates/issuer.py
@@ -7,7 +7,7 @@
 
 from ..core.context import Context
 from .const import ISSUED_BOUND_RATIO, ISSUED_BURST_RATIO, ISSUED_BURSTS_PER_WINDOW
-from .models import RateLimit, RateSettings, TokenBucket
+from .models import RateLimit, RateSettings, TokenBucket, split_limits
 
 
 @attrs.define(eq=False)
@@ -28,19 +28,21 @@
 
     A bucket starts empty, so that the tokens of a predecessor in the same window and
     the tokens of this issuer stay within the bound together. Once per window the
-    buckets of a duty may start full.
+    buckets of a duty may start full. An organisation without a limit gets all tokens
+    that instances ask for, which may act by an earlier configuration.
     """
 
     def __init__(self, ctx: Context, cfg: RateSettings) -> None:
         self._ctx = ctx
         self._cfg = cfg
         self._declared_limits: dict[str, RateLimit] = {}
+        self._unlimited: frozenset[str] = frozenset()
         self._bucket_limits: dict[str, RateLimit] = {}
         self._shards: dict[str, BucketShard] = {}
 
     def configure(self, limits: dict[str, RateLimit]) -> None:
         """Apply the limits of a configuration, by organisation."""
-        self._declared_limits = limits
+        self._declared_limits, self._unlimited = split_limits(limits)
         self._apply_limits()
 
     def apply_settings(self, cfg: RateSettings) -> None:
@@ -96,6 +98,8 @@
         self, duty: str, organisation: str, wanted: int, returned: int
     ) -> int:
         """Put `returned` tokens back and take up to `wanted`; return how many."""
+        if organisation in self._unlimited:
+            return wanted
         bucket = self._get_bucket(duty, organisation)
         if bucket is None:
             return 0
@@ -104,6 +108,8 @@
 
     def compute_token_delay_s(self, duty: str, organisation: str) -> float:
         """Return the seconds until another token of an organisation is due."""
+        if organisation in self._unlimited:
+            return 0.0
         bucket = self._get_bucket(duty, organisation)
         return bucket.compute_token_delay_s() if bucket is not None else 1.0
 
--- a/wagtailrill/rates/models.py
+++ b/wagtailrill/rates/models.py
@@ -1,6 +1,7 @@
 """Rate limits, the bound derived from them, and the token bucket."""
 
 import math
+from collections.abc import Mapping
 
 import attrs
 
@@ -36,7 +37,7 @@
         burst leaves a high rate. The burst may be used `bursts_per_window` times in a
         window. An infinite limit is returned unchanged.
         """
-        if math.isinf(limit.rate_per_s):
+        if limit.is_unlimited:
             return limit
         bound = self.compute_bound(limit) * bound_ratio
         burst = max(1.0, bound * burst_ratio)
@@ -47,11 +48,27 @@
 
 @attrs.frozen
 class RateLimit:
-    """Rate in requests/s and burst in requests; an infinite rate means no limit."""
+    """Rate in requests/s and burst in requests; an infinite rate means no limit.
+
+    An organisation without a limit has no bucket: sums with infinite numbers give NaN.
+    """
 
     rate_per_s: float
     burst: float
 
+    @property
+    def is_unlimited(self) -> bool:
+        """Return whether all requests are admitted."""
+        return math.isinf(self.rate_per_s)
+
+
+def split_limits(
+    limits: Mapping[str, RateLimit],
+) -> tuple[dict[str, RateLimit], frozenset[str]]:
+    """Return the limits that bind, and the organisations that have none, by name."""
+    binding = {name: limit for name, limit in limits.items() if not limit.is_unlimited}
+    return binding, frozenset(limits.keys() - binding.keys())
+
 
 @attrs.define
 class TokenBucket:
