Keep an error in one component from ending the watch of the configuration

Cause: components were configured in a row, so an error in one kept the later ones at the old version, which already counted as applied. It also left the mirror's handler of the watch before the next watch was started. A decoder that raised had the same effect, and its version was never read again, as its revision had been noted.

Change, after weighing two ways: computing all new state first would keep the old version in force as a whole, with keys that had been withdrawn, for as long as one component fails. The status, configuration_applied and the age count a version only once all components act by it; configuration_incomplete and callback_failed name the others, and the gauges configuration_failed_listeners and callback_failures count them. Mirrors tell their owner of a change again after an error, and go on watching. Listeners of the members and of a restored store are kept apart in the same way. As for invariants, tests raise such errors, and the daemon logs them.

--- a/tests/configuration/test_follower.py
+++ b/tests/configuration/test_follower.py
@@ -7,6 +7,7 @@
 
 from tests.support import advance_time, list_store_calls, make_context
 from wagtailrill.configuration.follower import ConfigurationFollower
+from wagtailrill.configuration.listeners import ConfigurationListener
 from wagtailrill.core.commands import LogEvent
 from wagtailrill.core.log_events import LogName
 from wagtailrill.core.refusals import Refusal
@@ -50,15 +51,17 @@
 class FollowerHarness:
     """A follower and the checks that it configures; the test answers store calls."""
 
-    def __init__(self) -> None:
+    def __init__(self, *earlier_listeners: ConfigurationListener) -> None:
         self.ctx = make_context()
         self.log_lines: list[LogEvent] = []
-        decoder = PlatformConfigurationDecoder({"north": "sea"})
-        self.follower = ConfigurationFollower(self.ctx, decoder)
+        self.decoder = PlatformConfigurationDecoder({"north": "sea"})
+        self.follower = ConfigurationFollower(self.ctx, self.decoder)
         self.checks = ArrivalChecks(
             self.ctx, TenantKeys(OpaqueKeyFormat()), lambda name: False, False
         )
-        self.follower.add_listener(self.checks.configure)
+        for listener in earlier_listeners:
+            self.follower.add_listener("failing", listener)
+        self.follower.add_listener("checks", self.checks.configure)
         self.follower.start()
 
     def reply_list(self, *items: Item, has_more: bool = False) -> None:
--- a/tests/configuration/test_restored_configuration.py
+++ b/tests/configuration/test_restored_configuration.py
@@ -33,7 +33,7 @@
         super().__init__()
         self.applied = []
         self.follower = ConfigurationFollower(self.ctx, VersionDecoder({}))
-        self.follower.add_listener(self.record)
+        self.follower.add_listener("record", self.record)
 
     def start(self, version):
         self.write(version)
--- a/tests/fleet/test_members.py
+++ b/tests/fleet/test_members.py
@@ -67,7 +67,7 @@
     harness.restore(60.0)
     foreign_lease = harness.grant_lease()
     harness.ctx.store_era.observe(2, harness.ctx.now_s)
-    harness.ctx.store_era.notify_listeners()
+    harness.ctx.store_era.notify_listeners(harness.ctx.guard)
     harness.members.stop()
     harness.run(0.1)
     harness.register_other(1, foreign_lease)
--- a/tests/fleet/test_restored_holders.py
+++ b/tests/fleet/test_restored_holders.py
@@ -28,9 +28,9 @@
     run.fleet.store.unreachable_instances.add(holder)
     cut_off_s = run.now_s
     run.fleet.restore_store(1.0)
-    store_era = run.get_router(holder).members._ctx.store_era
-    store_era.observe(2, run.fleet.read_clock_s(run.fleet.nodes[holder]))
-    store_era.notify_listeners()
+    ctx = run.get_router(holder).ctx
+    ctx.store_era.observe(2, run.fleet.read_clock_s(run.fleet.nodes[holder]))
+    ctx.store_era.notify_listeners(ctx.guard)
     run.fleet.run_until(cut_off_s + LEASE_TTL_S)
     assert holder in list_holders(run)
     run.fleet.run_until(cut_off_s + LEASE_TTL_S + OUTAGE_DUTY_EXTENSION_S)
--- a/wagtailrill/configuration/follower.py
+++ b/wagtailrill/configuration/follower.py
@@ -3,7 +3,7 @@
 The router uses it.
 """
 
-from collections.abc import Callable, Mapping
+from collections.abc import Mapping
 from typing import Protocol
 
 import attrs
@@ -20,11 +20,10 @@
 from ..store.revision import FIRST_ERA, get_era
 from .const import WATCH_WAIT_MAX_S
 from .known_items import KnownItems
+from .listeners import ConfigurationListener, ConfigurationListeners
 from .messages import LostItem
 from .models import ConfigurationStatus, InvalidDeclaration
 
-ConfigurationListener = Callable[[Configuration], None]
-
 
 class ConfigurationDecoder(Protocol):
     """Locates the configuration in the store and decodes it."""
@@ -56,9 +55,10 @@
     before a restore applies nothing until `release` is called, as the store may show an
     older configuration than the others act by.
 
-    It alone decides which configuration is in force: listeners apply each one whole.
-    Closed data centres are applied as `OUT`. `current` is the configuration in force,
-    None until the first one is applied. An invalid declaration is logged and the
+    It alone decides which configuration is to be in force: listeners apply each one
+    whole. Closed data centres are applied as `OUT`. `current` is the configuration that
+    the listeners were given last, None before the first one; `in_force` is the last one
+    that all of them have applied. An invalid declaration is logged and the
     configuration in force is kept.
     """
 
@@ -66,7 +66,7 @@
         self.current: Configuration | None = None
         self._ctx = ctx
         self._decoder = decoder
-        self._listeners: list[ConfigurationListener] = []
+        self._listeners = ConfigurationListeners(ctx, self._log_applied)
         self._declaration: Declaration | None = None
         self._declaration_item: Item | None = None
         self._has_unapplied_change = False
@@ -75,7 +75,6 @@
         self._reported_restored_s = float("-inf")
         self._last_read_revision = 0
         self._closed_data_centres: frozenset[str] = frozenset()
-        self._applied_s = 0.0
         self._items = KnownItems()
         self._release_timer: TimerHandle | None = None
         self.mirror = PrefixMirror(
@@ -88,9 +87,18 @@
         """Start following the configuration."""
         self.mirror.start()
 
-    def add_listener(self, listener: ConfigurationListener) -> None:
-        """Add a function to call with each configuration that comes into force."""
-        self._listeners.append(listener)
+    def add_listener(self, name: str, listener: ConfigurationListener) -> None:
+        """Add a function that applies each configuration that comes into force."""
+        self._listeners.add(name, listener)
+
+    @property
+    def in_force(self) -> Configuration | None:
+        """Return the last configuration that all listeners have applied."""
+        return self._listeners.in_force
+
+    def list_failed_listeners(self) -> tuple[str, ...]:
+        """Return the names of those that have not applied the newest configuration."""
+        return self._listeners.list_failed()
 
     @property
     def confirmed_s(self) -> float:
@@ -99,14 +107,16 @@
 
     def get_status(self) -> ConfigurationStatus | None:
         """Return the version and age of the configuration in force, if there is one."""
-        if self.current is None:
+        in_force = self.in_force
+        if in_force is None:
             return None
         now_s = self._ctx.now_s
         return ConfigurationStatus(
-            version=self.current.declaration.deployment,
-            revision=self.current.version,
-            in_force_s=now_s - self._applied_s,
+            version=in_force.declaration.deployment,
+            revision=in_force.version,
+            in_force_s=now_s - self._listeners.in_force_since_s,
             age_s=now_s - self.confirmed_s,
+            failed_listeners=self.list_failed_listeners(),
         )
 
     def list_findings(self) -> tuple[Finding, ...]:
@@ -231,8 +241,8 @@
 
     def _apply_if_known(self) -> None:
         if self._declaration is not None:
-            self._has_unapplied_change = False
             self._apply_declaration(self._declaration)
+            self._has_unapplied_change = False
 
     def _schedule_release(self, delay_s: float) -> None:
         # Only an answer from after the grace period shows what the operator has not
@@ -244,8 +254,8 @@
     def _read_declaration(self, item: Item) -> bool:
         if item.revision <= self._last_read_revision:
             return False
-        self._last_read_revision = item.revision
         decoded = self._decoder.decode(item)
+        self._last_read_revision = item.revision
         if decoded.is_error():
             self._ctx.log(
                 LogName.CONFIGURATION_INVALID,
@@ -307,13 +317,24 @@
             revision,
             attrs.evolve(declaration, data_centres=data_centres),
         )
-        self._applied_s = self._ctx.now_s
+        self._listeners.apply(self.current)
+        failed = self._listeners.list_failed()
+        if failed:
+            self._ctx.log(
+                LogName.CONFIGURATION_INCOMPLETE,
+                revision=revision,
+                version=declaration.deployment,
+                failed=",".join(failed),
+            )
+
+    def _log_applied(self) -> None:
+        in_force = self.in_force
+        assert in_force is not None
+        declaration = in_force.declaration
         self._ctx.log(
             LogName.CONFIGURATION_APPLIED,
-            revision=revision,
+            revision=in_force.version,
             version=declaration.deployment,
             services=len(declaration.services),
             organisations=len(declaration.organisations),
         )
-        for listener in self._listeners:
-            listener(self.current)
--- a/wagtailrill/core/context.py
+++ b/wagtailrill/core/context.py
@@ -17,6 +17,7 @@
     order_result,
     strip_era,
 )
+from .callback_guard import CallbackGuard
 from .commands import (
     CallBackend,
     CallStore,
@@ -62,7 +63,8 @@
 
     `now_s` is the monotonic and `wall_s` the Unix time in seconds, both as of the
     current step. Components read no clock of their own. `store_era` tells of restores
-    of the store from an older copy; `store_budget` bounds repeated calls of the store.
+    of the store from an older copy; `store_budget` bounds repeated calls of the store;
+    `guard` runs callbacks whose errors must not stop the rest.
     """
 
     def __init__(
@@ -74,6 +76,7 @@
         self.now_s = 0.0
         self.wall_s = 0.0
         self.timers = TimerService()
+        self.guard = CallbackGuard(invariants, self.log)
         self.store_era = StoreEra()
         self.store_budget = StoreBudget(self.timers, rng, lambda: self.now_s)
         self.commands: list[Command] = []
@@ -170,7 +173,7 @@
         former_era = self.store_era.current
         if self.store_era.observe(era, self.now_s):
             self.log(LogName.STORE_RESTORED, era=era, former_era=former_era)
-            self.store_era.notify_listeners()
+            self.store_era.notify_listeners(self.guard)
 
     def handle_backend_reply(
         self, call_id: int, result: "ControlResult", notice: ServerNotice = NO_NOTICE
--- a/wagtailrill/fleet/members.py
+++ b/wagtailrill/fleet/members.py
@@ -449,7 +449,7 @@
 
     def _notify_listeners(self) -> None:
         for listener in self._listeners:
-            listener()
+            self._ctx.guard.run("members changed", listener)
 
     def get_item(self, name: str) -> Item | None:
         """Return the mirrored item of a name below the fleet's prefix, if present."""
--- a/wagtailrill/router/router.py
+++ b/wagtailrill/router/router.py
@@ -8,6 +8,7 @@
 from ..claims.claims import Claims
 from ..configuration.exchange import ConfigurationExchange
 from ..configuration.follower import ConfigurationFollower
+from ..configuration.listeners import ConfigurationListener
 from ..core.commands import Command
 from ..core.context import Context
 from ..core.events import DrainRequested, Event
@@ -162,14 +163,17 @@
 
     def get_status(self) -> dict[str, Any]:
         """Return the state of this instance for the admin interface."""
-        configuration = self.configuration.current
+        in_force = self.configuration.in_force
         counters = self.pipeline.counters
         return {
             "instance": self.cfg.identity.instance,
             "data_centre": self.cfg.identity.data_centre,
             "ready": self.is_ready(),
             "draining": self.draining,
-            "configuration_version": configuration.version if configuration else 0,
+            "configuration_version": in_force.version if in_force else 0,
+            "configuration_failed_listeners": list(
+                self.configuration.list_failed_listeners()
+            ),
             "configuration_findings": [
                 str(finding) for finding in self.configuration.list_findings()
             ],
@@ -192,6 +196,10 @@
         gauges = {
             "configuration_age_s": now_s - self.configuration.confirmed_s,
             "configuration_findings": float(len(self.configuration.list_findings())),
+            "configuration_failed_listeners": float(
+                len(self.configuration.list_failed_listeners())
+            ),
+            "callback_failures": float(self.ctx.guard.failures.total()),
             "lease_left_s": self.members.lease_until_s - now_s,
             "store_turned_away": float(self.ctx.store_budget.is_turned_away),
             "duties_held": float(len(self.duties.list_held_duties())),
@@ -293,7 +301,7 @@
             self.entry_relay.attach(self.host)
         if self.rollouts is not None:
             self.rollouts.attach(self.host)
-        self.configuration.add_listener(self._apply_configuration)
+        self._follow_configuration()
         self.host.register_event_handler(DrainRequested, self._start_drain)
 
     def _list_notice_receivers(self, service: str) -> frozenset[str]:
@@ -317,19 +325,25 @@
         self.duties.resign_all()
         self.members.stop()
 
-    def _apply_configuration(self, configuration: Configuration) -> None:
-        for component in (
-            self.servers,
-            self.cold_allowances,
-            self.retry_budget,
-            self.keys,
-            self.rates,
-            self.placement,
-            self.pipeline,
-        ):
-            component.configure(configuration)
+    def _follow_configuration(self) -> None:
+        """Have all components apply each configuration, in this order."""
+        listeners: dict[str, ConfigurationListener] = {
+            "servers": self.servers.configure,
+            "cold_allowances": self.cold_allowances.configure,
+            "retry_budget": self.retry_budget.configure,
+            "keys": self.keys.configure,
+            "rates": self.rates.configure,
+            "placement": self.placement.configure,
+            "pipeline": self.pipeline.configure,
+        }
         if self.rollouts is not None:
-            self.rollouts.configure(configuration)
+            listeners["rollouts"] = self.rollouts.configure
+        if isinstance(self._adapter.servers, DeclaredServers):
+            listeners["declared_servers"] = self._update_declared_servers
+        for name, listener in listeners.items():
+            self.configuration.add_listener(name, listener)
+
+    def _update_declared_servers(self, configuration: Configuration) -> None:
         servers = self._adapter.servers
         if isinstance(servers, DeclaredServers):
             self.servers.update_entries(servers.list_entries(configuration))
--- a/wagtailrill/runtime/process.py
+++ b/wagtailrill/runtime/process.py
@@ -148,7 +148,7 @@
             state.connection_limit.on_closed = functools.partial(
                 self._log_closed_connections, name
             )
-        self.router.configuration.add_listener(self._apply_configuration)
+        self.router.configuration.add_listener("callers", self._apply_configuration)
         self.router.members.add_listener(self._update_peers)
         self.metrics.add_gauge_source(self._collect_gauges)
         self.caller_server = make_server(self.caller_listener_state, cfg.caller_address)
--- a/wagtailrill/store/era.py
+++ b/wagtailrill/store/era.py
@@ -11,6 +11,7 @@
 import attrs
 from expression import Error, Ok
 
+from ..core.callback_guard import CallbackGuard
 from .models import (
     Changes,
     Commit,
@@ -81,10 +82,10 @@
         """Take a time by which the era had begun, as another instance knows it."""
         self.began_by_s = min(self.began_by_s, began_by_s)
 
-    def notify_listeners(self) -> None:
-        """Call the listeners after a restore."""
+    def notify_listeners(self, guard: CallbackGuard) -> None:
+        """Call the listeners after a restore, each whatever the others do."""
         for listener in self._listeners:
-            listener()
+            guard.run("store restored", listener)
 
 
 @attrs.frozen
--- a/wagtailrill/store/mirror.py
+++ b/wagtailrill/store/mirror.py
@@ -12,6 +12,7 @@
 from ..core.context import Context
 from ..core.log_events import LogName
 from ..core.timer import TimerHandle
+from .change_notifier import ChangeCallback, ChangeNotifier
 from .confirmation import Confirmations
 from .const import (
     CHANGE_ARRIVES_WITHIN_S,
@@ -35,8 +36,6 @@
 from .removals import RemovalLog
 from .revision import get_era
 
-ChangeCallback = Callable[[frozenset[str]], None]
-
 
 class MirrorState(enum.Enum):
     """Which kind of store call the mirror makes, if any."""
@@ -90,7 +89,7 @@
         self.watch_pause_s = cfg.watch_pause_s
         self._ctx = ctx
         self._cfg = cfg
-        self._on_change = on_change
+        self._notifier = ChangeNotifier(ctx, f"mirror {cfg.prefix}", on_change)
         self._state = MirrorState.LISTING
         self._listed_items: dict[str, Item] = {}
         self._list_revision = 0
@@ -272,8 +271,7 @@
         else:
             changed_keys = self._replace_items()
         self._record_success()
-        self._on_change(frozenset(changed_keys))
-        self.on_updated()
+        self._notify(frozenset(changed_keys))
         self._start_watch()
 
     def _replace_items(self) -> set[str]:
@@ -353,10 +351,14 @@
             self.last_change_revision, *(event.revision for event in changes.events), 0
         )
         if changed_keys:
-            self._on_change(frozenset(changed_keys))
-            self.on_updated()
+            self._notify(frozenset(changed_keys))
         return bool(changed_keys)
 
+    def _notify(self, changed_keys: frozenset[str]) -> None:
+        """Tell of changes; an error in what is called must not end the watch."""
+        self._notifier.notify(changed_keys)
+        self._ctx.guard.run(f"relay of {self._cfg.prefix}", lambda: self.on_updated())
+
     def _apply_event(self, event: Item | Removed) -> bool:
         """Apply an event unless it is outdated; return whether `items` changed."""
         known_item = self.items.get(event.key)
