Lower figures of a configuration that are too large instead of refusing it

Seen by callers: a version with one large figure (max_connections 10^9; warmup_per_s, a rate, a burst or a weight beyond 10^12; a priority beyond 65,535; a duration beyond 115 days) was refused as a whole and logged as configuration_invalid. Routes and keys stayed at the version before, for good.

Cause: the decoder checked figures against what the product can use, but the store accepts only valid configurations, so each figure that it accepts has to come into force. Some bounds are needed, as peer messages carry 16-bit priorities, and sums have to stay finite.

Change: a figure beyond its bound counts as the bound; weights of a split are lowered together, so that their ratio stays. Negative figures, NaN, fractions of integers and other types are refused as before.

--- a/wagtailrill/core/json_fields.py
+++ b/wagtailrill/core/json_fields.py
@@ -11,6 +11,8 @@
 # Peer messages carry numbers without a closer bound in 64 bits, signed or not.
 INTEGER_MAX: Final = 2**63 - 1
 UINT64_MAX: Final = 2**64 - 1
+# Rates and bursts beyond this bind nothing, and sums of them stay exact enough.
+NUMBER_MAX: Final = 1e12
 # Names are sent in headers and peer messages; a store key has at most 200 bytes.
 NAME_MAX_LENGTH: Final = 255
 
@@ -91,9 +93,42 @@
     return parse_integer(fields.get(name), name, minimum, maximum)
 
 
-def get_number(fields: Mapping[str, Any], name: str, maximum: float = 1e12) -> float:
+def get_number(
+    fields: Mapping[str, Any], name: str, maximum: float = NUMBER_MAX
+) -> float:
     """Return a field that is a number from 0 to `maximum`; raise `FieldError`."""
     value = fields.get(name)
     if type(value) not in (int, float) or not 0.0 <= value <= maximum:  # type: ignore[operator]
         raise FieldError(f"{name} is not a number from 0 to {maximum:g}")
     return float(value)  # type: ignore[arg-type]
+
+
+def get_capped_number(
+    fields: Mapping[str, Any], name: str, maximum: float = NUMBER_MAX
+) -> float:
+    """Return a field that is a number from 0, at most `maximum`; raise `FieldError`.
+
+    A larger number stands for `maximum`.
+    """
+    return float(min(_get_any_number(fields, name, 0), maximum))
+
+
+def get_capped_integer(
+    fields: Mapping[str, Any], name: str, minimum: int = 0, maximum: int = INTEGER_MAX
+) -> int:
+    """Return a field that is an integer from `minimum`, at most `maximum`.
+
+    A larger one stands for `maximum`. Raise `FieldError` for another value.
+    """
+    number = min(_get_any_number(fields, name, minimum), maximum)
+    if number != int(number):
+        raise FieldError(f"{name} is not an integer")
+    return int(number)
+
+
+def _get_any_number(fields: Mapping[str, Any], name: str, minimum: int) -> int | float:
+    value: Any = fields.get(name)
+    if type(value) not in (int, float) or not value >= minimum:
+        raise FieldError(f"{name} is not a number from {minimum}")
+    number: int | float = value
+    return number
--- a/wagtailrill/platform/configuration.py
+++ b/wagtailrill/platform/configuration.py
@@ -1,5 +1,8 @@
 """Decodes the operator's configuration into a declaration and closed data centres.
 
+The store accepts only valid configurations. So a figure that is larger than the router
+can use is lowered to the largest one, and keeps no version from coming into force.
+
 Used by the router's configuration follower.
 """
 
@@ -14,10 +17,11 @@
 from ..configuration.models import InvalidDeclaration
 from ..core.findings import Findings
 from ..core.json_fields import (
+    NUMBER_MAX,
     FieldError,
-    get_integer,
+    get_capped_integer,
+    get_capped_number,
     get_name,
-    get_number,
     get_text,
     load_object,
     parse_object,
@@ -40,8 +44,10 @@
 from ..servers.models import CONNECTIONS_MAX
 from ..store.models import Item
 from . import wire
-from .units import parse_duration_s, parse_rows
+from .units import parse_capped_duration_s, parse_rows
 
+# Sums of some of them are finite.
+_WEIGHT_MAX: Final = 1e300
 _VERSION_FORMAT: Final = re.compile(r"r([0-9]{1,18})")
 # Kinds of routes; the requests of an unknown one are run once at most.
 _IDEMPOTENT_BY_KIND: Final = {
@@ -145,7 +151,7 @@
     name = get_name(row, "name")
     split = _parse_split(row.get("traffic_split"))
     service = split[0].service if split else get_name(row, "service")
-    timeout_s = parse_duration_s(row.get("timeout"), "timeout")
+    timeout_s = parse_capped_duration_s(row.get("timeout"), "timeout")
     target_latency = row.get("target_latency")
     return service, Route(
         method="",
@@ -164,10 +170,12 @@
         target_latency_s=(
             None
             if target_latency is None
-            else parse_duration_s(target_latency, "target_latency")
+            else parse_capped_duration_s(target_latency, "target_latency")
         ),
         attempts_max=(
-            max(get_integer(row, "max_attempts"), 1) if "max_attempts" in row else 1
+            max(get_capped_integer(row, "max_attempts"), 1)
+            if "max_attempts" in row
+            else 1
         ),
         split=split,
     )
@@ -186,7 +194,7 @@
 def _parse_priority(row: dict[str, Any]) -> int | None:
     if "priority" not in row:
         return None
-    return get_integer(row, "priority", maximum=PRIORITY_MAX)
+    return get_capped_integer(row, "priority", maximum=PRIORITY_MAX)
 
 
 def _parse_split(value: Any) -> tuple[SplitPart, ...]:
@@ -195,20 +203,23 @@
     if not isinstance(value, list):
         raise FieldError("traffic_split is not a list")
     parts = [parse_object(part, "a part of traffic_split") for part in value]
-    split = tuple(
-        SplitPart(get_name(part, "service"), get_number(part, "weight"))
-        for part in parts
+    weights = [get_capped_number(part, "weight", _WEIGHT_MAX) for part in parts]
+    # Large weights are lowered together, so that their ratios stay.
+    scale = min(1.0, NUMBER_MAX / max(weights, default=1.0)) if any(weights) else 1.0
+    return tuple(
+        SplitPart(get_name(part, "service"), weight * scale)
+        for part, weight in zip(parts, weights, strict=True)
+        if weight > 0.0
     )
-    return tuple(part for part in split if part.weight > 0.0)
 
 
 def _parse_service(row: dict[str, Any], routes: tuple[Route, ...]) -> Service:
     cold_start = None
     if "warmup_per_s" in row:
         duration_s = (
-            parse_duration_s(row["warmup"], "warmup") if "warmup" in row else 0.0
+            parse_capped_duration_s(row["warmup"], "warmup") if "warmup" in row else 0.0
         )
-        cold_start = ColdStart(duration_s, get_number(row, "warmup_per_s"))
+        cold_start = ColdStart(duration_s, get_capped_number(row, "warmup_per_s"))
     return Service(
         name=get_name(row, "name"),
         routes=routes,
@@ -217,20 +228,22 @@
         checks_grants=True,
         cold_start=cold_start,
         connections_max=(
-            get_integer(row, "max_connections", maximum=CONNECTIONS_MAX)
+            get_capped_integer(row, "max_connections", maximum=CONNECTIONS_MAX)
             if "max_connections" in row
             else 0
         ),
         health_path=str(row.get("health_check_path", "")),
-        transfer_warm_s=parse_duration_s(row["warm"], "warm") if "warm" in row else 0.0,
+        transfer_warm_s=parse_capped_duration_s(row["warm"], "warm")
+        if "warm" in row
+        else 0.0,
     )
 
 
 def _parse_organisation(row: dict[str, Any]) -> Organisation:
     # A rate of 0 or a missing rate means that the organisation is not rate limited.
     name = get_name(row, "name")
-    rate_per_s = get_number(row, "rate_per_s") if "rate_per_s" in row else 0.0
-    burst = get_number(row, "burst") if "burst" in row else 0.0
+    rate_per_s = get_capped_number(row, "rate_per_s") if "rate_per_s" in row else 0.0
+    burst = get_capped_number(row, "burst") if "burst" in row else 0.0
     api_keys = row.get("api_keys", [])
     if not isinstance(api_keys, list):
         raise FieldError(f"api_keys of {name} is not a list")
@@ -248,10 +261,12 @@
 
 def _parse_caller_limits(fields: Mapping[str, Any]) -> CallerLimits:
     return CallerLimits(
-        header_max_bytes=get_integer(fields, "max_header_bytes", 1),
-        body_max_bytes=get_integer(fields, "max_body_bytes", 1),
-        header_timeout_s=parse_duration_s(
+        header_max_bytes=get_capped_integer(fields, "max_header_bytes", 1),
+        body_max_bytes=get_capped_integer(fields, "max_body_bytes", 1),
+        header_timeout_s=parse_capped_duration_s(
             fields.get("header_timeout"), "header_timeout"
         ),
-        idle_timeout_s=parse_duration_s(fields.get("idle_timeout"), "idle_timeout"),
+        idle_timeout_s=parse_capped_duration_s(
+            fields.get("idle_timeout"), "idle_timeout"
+        ),
     )
--- a/wagtailrill/platform/units.py
+++ b/wagtailrill/platform/units.py
@@ -10,21 +10,33 @@
 
 _DURATION_PATTERN: Final = re.compile(r"\s*([0-9]+(?:\.[0-9]+)?)\s*(ms|s)\s*")
 _SECONDS_PER_UNIT: Final = {"ms": 0.001, "s": 1.0}
-# Longer durations are treated as malformed, so that sums of durations stay finite.
+# Sums of durations up to this one stay finite.
 _DURATION_MAX_S: Final = 10_000_000.0
 
 
 def parse_duration_s(value: Any, name: str) -> float:
     """Return the seconds of a duration such as `1500ms`; raise `FieldError`."""
-    match = _DURATION_PATTERN.fullmatch(value) if isinstance(value, str) else None
-    if match is None:
-        raise FieldError(f"{name} is not a duration: {value!r:.40}")
-    duration_s = float(match[1]) * _SECONDS_PER_UNIT[match[2]]
+    duration_s = _parse_any_duration_s(value, name)
     if duration_s > _DURATION_MAX_S:
         raise FieldError(f"{name} is too long: {value!r:.40}")
     return duration_s
 
 
+def parse_capped_duration_s(value: Any, name: str) -> float:
+    """Return the seconds of a duration, a longer one as the longest allowed one.
+
+    Raise `FieldError` if it is malformed.
+    """
+    return min(_parse_any_duration_s(value, name), _DURATION_MAX_S)
+
+
+def _parse_any_duration_s(value: Any, name: str) -> float:
+    match = _DURATION_PATTERN.fullmatch(value) if isinstance(value, str) else None
+    if match is None:
+        raise FieldError(f"{name} is not a duration: {value!r:.40}")
+    return float(match[1]) * _SECONDS_PER_UNIT[match[2]]
+
+
 def format_duration(duration_s: float) -> str:
     """Return a duration in the platform's format, in whole milliseconds."""
     return f"{round(duration_s * 1000.0)}ms"
