List in the store which earlier holders of a duty may still act

Cause: a granter that is cut off from the store renews grants for up to 8 s after its lease. Its successor reckoned with it, but only in its own memory. Once that one was killed, had stopped as planned, had been cut off itself or had found its own entry after a write without an answer, the next holder looked at the last holder alone, which had ended, and waited for nobody. A bound of the first granter's renewals was missing in the wait for its grants, and in that of issuers for the tokens of another.

Change: whoever takes a duty writes, in the same commit as the entry, the list of earlier holders that may still act (`earlier-holders/DUTY`), under the condition that it is as it has read it. The list has names and fencing tokens; a reader counts the bound from when it first saw a holder in the list, as no two instances share a clock. Known ends (another incarnation, an answer) shorten it, and the list is removed when all have ended, so take-overs after calm times wait as before. Weighed: a time in the entry (no common clock), the key table (tokens of tenants have none), the servers' grants (a server that left the list can't be asked). Only key and token duties have the list; a second placer, reader or judge of roll-outs does no harm, in a chain as before.

Also: a last holder whose end was not seen, as the mirror had a gap, counts from when its entry was seen, not from the first list.

--- a/wagtailrill/fleet/const.py
+++ b/wagtailrill/fleet/const.py
@@ -49,5 +49,7 @@
 REREGISTRATION_GRACE_S: Final = 0.4
 # After a restore of the store, holders write their entries again within this time.
 RESTORE_SETTLE_S: Final = 1.0
+# The list of earlier holders is removed again if it is still there after this time.
+FORGET_INTERVAL_S: Final = 2.0
 # An announcement is repeated to instances that have not answered it.
 ANNOUNCEMENT_INTERVAL_S: Final = 0.3
--- a/wagtailrill/fleet/duties.py
+++ b/wagtailrill/fleet/duties.py
@@ -29,6 +29,7 @@
 )
 from .duty_row import DutyRow, count_preferred_members
 from .duty_ticks import DutyTicks
+from .earlier_holders import NO_SUCCESSION, EarlierHolders, Succession
 from .holder_liveness import HolderLiveness
 from .members import Members
 from .messages import DutyAnnouncement, DutyStopped
@@ -48,7 +49,8 @@
     shows whether it still runs. During an outage of the store the holder keeps the duty
     for another `OUTAGE_DUTY_EXTENSION_S`, since no one else can take it then. A
     successor must assume that its predecessor acts for as long, unless that process is
-    known to have ended.
+    known to have ended; the same holds for the holders before it, which are listed in
+    the store while they may act (`EarlierHolders`).
 
     After a restore of the store from a copy, an entry that was written in an earlier
     era names nobody: a later holder may be missing from the copy. The holder writes its
@@ -61,6 +63,7 @@
         self._rows: dict[str, DutyRow] = {}
         self._has_resigned = False
         self._liveness = HolderLiveness(ctx, members)
+        self._earlier_holders = EarlierHolders(ctx, members, self._liveness)
         self._restored_lease_until_s = float("-inf")
         ctx.store_era.add_listener(self._on_store_restored)
         members.add_listener(self._on_members_changed)
@@ -71,10 +74,19 @@
         host.register_message_handler([DutyAnnouncement], self._on_announcement)
         host.register_message_handler([DutyStopped], self._on_stopped)
 
-    def register(self, duty: str, listener: DutyListener, weight: int) -> None:
-        """Become a candidate for a duty; `weight` is its relative load."""
+    def register(
+        self,
+        duty: str,
+        listener: DutyListener,
+        weight: int,
+        is_exclusive: bool = True,
+    ) -> None:
+        """Become a candidate for a duty; `weight` is its relative load.
+
+        Unless it `is_exclusive`, a second holder does no harm.
+        """
         if duty not in self._rows:
-            row = DutyRow(duty, listener, weight)
+            row = DutyRow(duty, listener, weight, is_exclusive)
             self._rows[duty] = row
             self._read_holder(row)
             self._ticks.resume()
@@ -158,6 +170,7 @@
             self._read_holder(row)
 
     def _read_holder(self, row: DutyRow) -> None:
+        self._earlier_holders.observe(row)
         item = self._members.get_item(DUTIES_PREFIX + row.name)
         holder = read_holder(item) if item is not None else None
         known_fence = row.holder.fence if row.holder is not None else 0
@@ -167,6 +180,7 @@
 
     def _record_holder(self, row: DutyRow, holder: DutyHolder) -> None:
         row.holder, row.vacant_since_s = holder, None
+        row.holder_seen_s = self._ctx.now_s
         self._ticks.resume()
         if not row.is_held or holder.fence <= row.fence:
             return
@@ -201,11 +215,13 @@
         holder: DutyHolder,
         revision: int | None,
         on_written: Callable[[int], None],
+        succession: Succession = NO_SUCCESSION,
     ) -> None:
         """Write the entry of a duty if its revision is the given one.
 
-        `on_written` receives the new revision. A commit without an answer may have
-        taken effect; the mirror then shows the entry, and the next attempt confirms it.
+        The list of earlier holders is written with it. `on_written` receives the new
+        revision. A commit without an answer may have taken effect; the mirror then
+        shows the entry, and the next attempt confirms it.
         """
         if revision is None or self._ctx.now_s < row.next_write_s:
             return
@@ -224,9 +240,12 @@
             if isinstance(committed, Committed) and get_era(committed.revision) == era:
                 on_written(committed.revision)
 
-        self._ctx.call_store(
-            Commit((Expected(key, revision),), (Put(key, value),)), on_result
+        commit = Commit(
+            (Expected(key, revision), *succession.expected),
+            (Put(key, value), *succession.puts),
+            succession.removes,
         )
+        self._ctx.call_store(commit, on_result)
 
     def _get_stored_revision(self, row: DutyRow) -> int | None:
         """Return the newest known revision of an entry, None until it has been read."""
@@ -259,22 +278,17 @@
         if self._ctx.now_s - row.vacant_since_s < preferred_count * RANK_DELAY_S:
             return
         # Read now: the mirror may show this write before the commit is answered.
-        former_holder = row.holder
-        may_act_s = self._liveness.compute_may_act_s(former_holder)
+        succession = self._earlier_holders.plan(row)
         self._write_holder(
             row,
             self._liveness.build_own_holder(0),
             self._get_stored_revision(row),
-            lambda fence: self._on_taken(row, fence, former_holder, may_act_s),
+            lambda fence: self._on_taken(row, fence, succession),
+            succession,
         )
 
-    def _on_taken(
-        self,
-        row: DutyRow,
-        fence: int,
-        former_holder: DutyHolder | None,
-        predecessor_may_act_s: float,
-    ) -> None:
+    def _on_taken(self, row: DutyRow, fence: int, succession: Succession) -> None:
+        former_holder, predecessor_may_act_s = row.holder, succession.may_act_s
         row.holder = self._liveness.build_own_holder(fence)
         row.fence = fence
         if self._rows.get(row.name) is not row or self._has_resigned:
@@ -285,7 +299,7 @@
         row.predecessor_bound_s = self._ctx.now_s + predecessor_may_act_s
         row.predecessor_may_act_until_s = row.predecessor_bound_s
         row.answers = self._liveness.await_predecessors(
-            former_holder, predecessor_may_act_s
+            succession.list_instances(), predecessor_may_act_s
         )
         self._ctx.log(
             LogName.DUTY_TAKEN,
@@ -293,6 +307,7 @@
             fence=row.fence,
             predecessor_may_act_s=round(predecessor_may_act_s, 3),
             former_holder=former_holder.instance if former_holder is not None else "",
+            may_act=",".join(sorted(succession.list_instances())),
             awaited=len(row.answers.instances),
         )
         row.listener.on_duty_taken(row.name, row.fence, predecessor_may_act_s)
@@ -325,9 +340,10 @@
 
     def _keep_duty(self, row: DutyRow) -> None:
         now_s = self._ctx.now_s
-        is_answer_needed = (
-            not row.is_confirmed or now_s < row.predecessor_may_act_until_s
-        )
+        may_predecessor_act = now_s < row.predecessor_may_act_until_s
+        if not may_predecessor_act and not self._is_of_earlier_era(row.fence):
+            self._earlier_holders.forget(row)
+        is_answer_needed = not row.is_confirmed or may_predecessor_act
         if is_answer_needed and now_s - row.announced_s >= ANNOUNCEMENT_INTERVAL_S:
             self._announce(row, row.answers.instances)
         if (
--- a/wagtailrill/fleet/duty_row.py
+++ b/wagtailrill/fleet/duty_row.py
@@ -6,7 +6,7 @@
 import attrs
 
 from .awaited_answers import AwaitedAnswers
-from .models import DutyHolder, DutyListener, hash_rank
+from .models import DutyHolder, DutyListener, HolderTerm, hash_rank
 
 
 @attrs.define(eq=False)
@@ -16,15 +16,21 @@
     `fence` is of an earlier era of the store from a restore until this instance has
     written its entry again. It then acts until `acts_until_s` at the latest, and writes
     the entry if `is_confirmed`: nobody can have taken the duty over before the restore.
-    Times are monotonic.
+    Nobody else may do an exclusive duty at the same time. Times are monotonic.
     """
 
     name: str
     listener: DutyListener
     weight: int
+    is_exclusive: bool = True
     holder: DutyHolder | None = None
+    holder_seen_s: float = float("-inf")
+    # Since when each earlier holder has been seen in the stored list.
+    earlier_terms_s: dict[HolderTerm, float] = attrs.field(factory=dict)
     is_held: bool = False
     fence: int = 0
+    # Time before which the list of earlier holders is not removed again.
+    forgets_from_s: float = float("-inf")
     commit_pending: bool = False
     # Time before which the entry is not written again, after a write without an answer.
     next_write_s: float = float("-inf")
--- a/wagtailrill/fleet/holder_liveness.py
+++ b/wagtailrill/fleet/holder_liveness.py
@@ -16,7 +16,7 @@
 )
 from .members import Members
 from .messages import DutyAnnouncement, DutyStopped
-from .models import RESIGNED_HOLDER, DutyHolder
+from .models import RESIGNED_HOLDER, DutyHolder, HolderTerm
 
 
 class HolderLiveness:
@@ -45,7 +45,7 @@
             return False
         if self._ctx.now_s - self._get_restored_s() < RESTORE_SETTLE_S:
             return False
-        if holder is None or self._has_resigned_or_ended(holder):
+        if holder is None or self._has_ended(holder.term):
             return True
         absent_s = self._members.get_absence_s(holder.instance)
         return absent_s >= self._compute_reregistration_grace_s()
@@ -65,24 +65,39 @@
             and self._ctx.now_s - self._get_restored_s() >= RESTORE_SETTLE_S
         )
 
-    def compute_may_act_s(self, holder: DutyHolder | None) -> float:
-        """Return for how many seconds a former holder may still act."""
-        unknown_s = self._compute_unknown_holder_s()
-        if holder is None or self._has_resigned_or_ended(holder):
-            return unknown_s
-        absent_s = self._members.get_absence_s(holder.instance)
-        return max(unknown_s, ENDED_HOLDER_MAX_S - absent_s)
+    def compute_last_may_act_s(self, term: HolderTerm, seen_s: float) -> float:
+        """Return for how many seconds the last holder may still act.
+
+        Its entry was first seen at `seen_s`; it is not registered any more.
+        """
+        if self._has_ended(term):
+            return 0.0
+        absent_s = self._members.get_absence_s(term.instance)
+        # Unless its end was seen, it may have come and gone while the mirror was not
+        # up to date.
+        absent_s = min(absent_s, self._ctx.now_s - seen_s)
+        return max(0.0, ENDED_HOLDER_MAX_S - absent_s)
+
+    def compute_earlier_may_act_s(self, term: HolderTerm, listed_s: float) -> float:
+        """Return for how many seconds a holder before the last one may still act.
+
+        It was first seen in the list at `listed_s`, when its lease had ended. It may be
+        registered again, which does not extend its term.
+        """
+        if self._has_ended(term):
+            return 0.0
+        return max(0.0, listed_s + ENDED_HOLDER_MAX_S - self._ctx.now_s)
 
     def await_predecessors(
-        self, former_holder: DutyHolder | None, may_act_s: float
+        self, earlier_instances: set[str], may_act_s: float
     ) -> AwaitedAnswers:
         """Return whose answers show that nobody else acts for a duty that was taken."""
-        if self._compute_unknown_holder_s() > 0.0:
-            others = self.list_possibly_running_others()
+        if self.compute_unknown_holder_s() > 0.0:
+            others = self.list_possibly_running_others() | earlier_instances
             return AwaitedAnswers(others, True, self.knows_all_instances())
-        if former_holder is None or may_act_s <= 0.0:
+        if may_act_s <= 0.0:
             return AwaitedAnswers()
-        return AwaitedAnswers({former_holder.instance})
+        return AwaitedAnswers(set(earlier_instances))
 
     def build_own_holder(self, fence: int) -> DutyHolder:
         """Return this process as a holder."""
@@ -121,7 +136,7 @@
             restored_s = max(restored_s, self._era_known_s)
         return restored_s
 
-    def _compute_unknown_holder_s(self) -> float:
+    def compute_unknown_holder_s(self) -> float:
         """Return for how many seconds a holder that no entry names may still act.
 
         Its lease is from before the restore, so it ended soon after it.
@@ -137,15 +152,12 @@
         delay_s = self._members.mirror.watch_pause_s - WATCH_PAUSE_S
         return REREGISTRATION_GRACE_S + delay_s
 
-    def _has_resigned_or_ended(self, holder: DutyHolder) -> bool:
-        return holder.instance == RESIGNED_HOLDER.instance or self._has_ended(holder)
-
-    def _has_ended(self, holder: DutyHolder) -> bool:
-        """Return whether the process of a holder has ended, or is this one.
+    def _has_ended(self, term: HolderTerm) -> bool:
+        """Return whether a holder has resigned, its process has ended or is this one.
 
         The platform does not run two processes of one instance at the same time.
         """
-        if holder.instance == self._ctx.identity.instance:
+        if term.instance in (RESIGNED_HOLDER.instance, self._ctx.identity.instance):
             return True
-        member = self._members.get_other_members().get(holder.instance)
-        return member is not None and member.incarnation != holder.incarnation
+        member = self._members.get_other_members().get(term.instance)
+        return member is not None and member.incarnation != term.incarnation
--- a/wagtailrill/fleet/models.py
+++ b/wagtailrill/fleet/models.py
@@ -1,7 +1,8 @@
 """Models of members and duty holders, and their values in the store."""
 
+import contextlib
 import json
-from collections.abc import Mapping
+from collections.abc import Iterable, Mapping
 from typing import Any, Protocol
 
 import attrs
@@ -14,6 +15,7 @@
     get_number,
     load_object,
     parse_integer,
+    parse_list,
     parse_name,
 )
 from ..declaration.check import is_address
@@ -22,6 +24,7 @@
 
 MEMBERS_PREFIX = "members/"
 DUTIES_PREFIX = "duties/"
+EARLIER_HOLDERS_PREFIX = "earlier-holders/"
 SECRET_NAME = "secret"
 # That of a machine which does not name one.
 DEFAULT_CAPACITY = 1.0
@@ -63,6 +66,15 @@
         return json.dumps(attrs.asdict(self)).encode()
 
 
+@attrs.frozen
+class HolderTerm:
+    """The time for which a process holds a duty under one fencing token."""
+
+    instance: str
+    incarnation: int
+    fence: int
+
+
 @attrs.frozen
 class DutyHolder:
     """The process that holds a duty.
@@ -84,6 +96,11 @@
         """
         return self.era < get_era(self.fence)
 
+    @property
+    def term(self) -> HolderTerm:
+        """Return the holder's term."""
+        return HolderTerm(self.instance, self.incarnation, self.fence)
+
     def to_bytes(self) -> bytes:
         """Return the stored value of the duty's key."""
         fields = {
@@ -144,6 +161,31 @@
         return None
 
 
+def format_earlier_holders(terms: Iterable[HolderTerm]) -> bytes:
+    """Return the stored list of earlier holders."""
+    return json.dumps({"terms": [attrs.astuple(term) for term in terms]}).encode()
+
+
+def read_earlier_holders(item: Item) -> tuple[HolderTerm, ...]:
+    """Return the stored list of earlier holders, without malformed entries."""
+    try:
+        rows = parse_list(load_object(item.value, "the list").get("terms"), "terms")
+    except FieldError:
+        return ()
+    terms = []
+    for row in rows:
+        with contextlib.suppress(FieldError, ValueError):
+            instance, incarnation, fence = parse_list(row, "a term")
+            terms.append(
+                HolderTerm(
+                    parse_name(instance, "instance"),
+                    parse_integer(incarnation, "incarnation"),
+                    parse_integer(fence, "fence"),
+                )
+            )
+    return tuple(terms)
+
+
 def hash_rank(name: str, instance: str) -> int:
     """Return the hash that orders instances for a name (rendezvous hashing)."""
     return xxhash.xxh3_64_intdigest(f"{name}\0{instance}".encode())
--- a/wagtailrill/placement/component.py
+++ b/wagtailrill/placement/component.py
@@ -110,7 +110,10 @@
             self._rows[service.name] = ServiceRow(prefix + service.name)
             if not service.keyed:
                 self._parts.duties.register(
-                    prefix + service.name, self, SERVICE_DUTY_WEIGHT
+                    prefix + service.name,
+                    self,
+                    SERVICE_DUTY_WEIGHT,
+                    is_exclusive=False,
                 )
         self._parts.costs.keep_services(frozenset(configuration.services))
         for name in self._rows.keys() - configuration.services.keys():
--- a/wagtailrill/rollouts/component.py
+++ b/wagtailrill/rollouts/component.py
@@ -186,7 +186,9 @@
         duties = self._parts.duties
         for name in self._rows:
             if self._cfg.enabled:
-                duties.register(DUTY_PREFIX + name, self, ROLLOUT_DUTY_WEIGHT)
+                duties.register(
+                    DUTY_PREFIX + name, self, ROLLOUT_DUTY_WEIGHT, is_exclusive=False
+                )
             else:
                 duties.withdraw(DUTY_PREFIX + name)
 
--- a/wagtailrill/servers/relay.py
+++ b/wagtailrill/servers/relay.py
@@ -90,7 +90,7 @@
         for mirror in mirrors:
             mirror.on_updated = self._push_changes
             mirror.is_relay_expected = self._is_reader_known
-        duties.register(READER_DUTY, self, READER_DUTY_WEIGHT)
+        duties.register(READER_DUTY, self, READER_DUTY_WEIGHT, is_exclusive=False)
         self._next_tick = ctx.timers.call_later(0.0, self._tick)
 
     def attach(self, host: ComponentHost) -> None:
