Don't let a new lease revive a duty that may have been taken

Cause: the right to act followed the lease of the member, whichever it was. A holder that regained the store after its lease had ended got another lease within some milliseconds, mostly between two looks at its duties, and acted under it until its mirror or an announcement told it of its successor.

Change: a duty remembers the lease under which it was taken. Under another lease it counts as held for what was left of the former right to act, and again without limit once the mirror shows the keys as of the new registration with its own entry unchanged: nobody takes a duty from a registered holder.

--- a/tests/fleet/test_successive_holders.py
+++ b/tests/fleet/test_successive_holders.py
@@ -9,6 +9,7 @@
 
 from tests.runs.deployment import Deployment
 from wagtailrill.core.events import DrainRequested
+from wagtailrill.fleet.const import LEASE_TTL_S, OUTAGE_DUTY_EXTENSION_S
 from wagtailrill.keys.const import KEY_POSITIONS
 from wagtailrill.rates.component import get_issuing_duty
 
@@ -169,6 +170,26 @@
     assert case.doubles == set()
 
 
+@pytest.mark.parametrize("seed", range(31, 37))
+def test_granter_whose_lease_has_ended_does_not_act_by_a_new_one(seed):
+    """Against a granter that regains the store, but not yet knows of its successor."""
+    case = SuccessionRun(seed)
+    case.cut_off(case.first, CUT_S + 6.0)
+    case.hide_server(CUT_S + 6.0)
+    store = case.run.fleet.store
+
+    def regain():
+        store.unreachable_instances.discard(case.first)
+        store.has_silent_watches = True
+
+    acts_max_s = LEASE_TTL_S + OUTAGE_DUTY_EXTENSION_S
+    case.run.fleet.call_later(acts_max_s - 0.5, regain)
+    case.advance(acts_max_s + 0.4)
+    assert case.first not in case.find_holders()
+    case.advance(WATCHED_S)
+    assert case.doubles == set()
+
+
 def test_former_issuer_is_known_to_the_successor_of_its_successor():
     """Against tokens of a tenant that two issuers hand out in one window."""
     duty = get_issuing_duty("busy")
--- a/wagtailrill/fleet/duties.py
+++ b/wagtailrill/fleet/duties.py
@@ -52,6 +52,9 @@
     known to have ended; the same holds for the holders before it, which are listed in
     the store while they may act (`EarlierHolders`).
 
+    The right to act ends with the lease under which a duty was taken. Another lease
+    gives it back only once the mirror shows that nobody has taken the duty meanwhile.
+
     After a restore of the store from a copy, an entry that was written in an earlier
     era names nobody: a later holder may be missing from the copy. The holder writes its
     entry again; a successor must assume that any instance may still act.
@@ -146,9 +149,13 @@
     def _may_act(self, row: DutyRow) -> bool:
         if self._is_of_earlier_era(row.fence):
             return self._ctx.now_s < row.acts_until_s
-        until_s = self._members.lease_until_s
-        if not self._members.is_store_answering():
-            until_s += OUTAGE_DUTY_EXTENSION_S
+        members = self._members
+        if row.lease_id != members.lease_id:
+            until_s = members.former_lease_until_s + OUTAGE_DUTY_EXTENSION_S
+        elif members.is_store_answering():
+            until_s = members.lease_until_s
+        else:
+            until_s = members.lease_until_s + OUTAGE_DUTY_EXTENSION_S
         return self._ctx.now_s < until_s
 
     def _release_duty(self, row: DutyRow) -> None:
@@ -279,18 +286,21 @@
             return
         # Read now: the mirror may show this write before the commit is answered.
         succession = self._earlier_holders.plan(row)
+        lease_id = self._members.lease_id
         self._write_holder(
             row,
             self._liveness.build_own_holder(0),
             self._get_stored_revision(row),
-            lambda fence: self._on_taken(row, fence, succession),
+            lambda fence: self._on_taken(row, fence, succession, lease_id),
             succession,
         )
 
-    def _on_taken(self, row: DutyRow, fence: int, succession: Succession) -> None:
+    def _on_taken(
+        self, row: DutyRow, fence: int, succession: Succession, lease_id: int
+    ) -> None:
         former_holder, predecessor_may_act_s = row.holder, succession.may_act_s
         row.holder = self._liveness.build_own_holder(fence)
-        row.fence = fence
+        row.fence, row.lease_id = fence, lease_id
         if self._rows.get(row.name) is not row or self._has_resigned:
             self._release_duty(row)
             return
@@ -343,6 +353,7 @@
         may_predecessor_act = now_s < row.predecessor_may_act_until_s
         if not may_predecessor_act and not self._is_of_earlier_era(row.fence):
             self._earlier_holders.forget(row)
+        self._confirm_lease(row)
         is_answer_needed = not row.is_confirmed or may_predecessor_act
         if is_answer_needed and now_s - row.announced_s >= ANNOUNCEMENT_INTERVAL_S:
             self._announce(row, row.answers.instances)
@@ -359,6 +370,16 @@
                 lambda fence: self._record_reassertion(row, fence),
             )
 
+    def _confirm_lease(self, row: DutyRow) -> None:
+        """Hold a duty under a new lease, if nobody has taken it before that began.
+
+        Nobody takes it from a registered holder.
+        """
+        if self._members.is_registration_mirrored():
+            item = self._members.get_item(DUTIES_PREFIX + row.name)
+            if item is not None and item.revision == row.fence:
+                row.lease_id = self._members.lease_id
+
     def _is_lease_valid_since_restore(self) -> bool:
         """Return whether the lease has been renewed or granted since the restore.
 
@@ -374,6 +395,7 @@
             LogName.DUTY_REASSERTED, duty=row.name, fence=fence, former_fence=row.fence
         )
         row.fence, row.holder = fence, self._liveness.build_own_holder(fence)
+        row.lease_id = self._members.lease_id
         row.is_confirmed, row.acts_until_s = True, float("inf")
 
     # Messages
--- a/wagtailrill/fleet/duty_row.py
+++ b/wagtailrill/fleet/duty_row.py
@@ -29,6 +29,8 @@
     earlier_terms_s: dict[HolderTerm, float] = attrs.field(factory=dict)
     is_held: bool = False
     fence: int = 0
+    # Lease under which the duty was taken, or found to be still held.
+    lease_id: int = 0
     # Time before which the list of earlier holders is not removed again.
     forgets_from_s: float = float("-inf")
     commit_pending: bool = False
--- a/wagtailrill/fleet/members.py
+++ b/wagtailrill/fleet/members.py
@@ -59,7 +59,8 @@
 class Members:
     """Keeps the lease on this instance's key, and a mirror of the fleet's keys.
 
-    `lease_until_s` is when the lease ends at the earliest, on this instance's clock.
+    `lease_until_s` is when the lease ends at the earliest, on this instance's clock,
+    and `former_lease_until_s` when the leases before it did.
     `secrets` authenticate peer messages unless secrets are configured. All instances
     share the first; the others are former ones. It is empty until one is known.
 
@@ -74,7 +75,7 @@
 
     def __init__(self, ctx: Context, cfg: FleetSettings) -> None:
         self.lease_id = 0
-        self.lease_until_s = float("-inf")
+        self.lease_until_s = self.former_lease_until_s = float("-inf")
         self.secrets: tuple[bytes, ...] = ()
         self._ctx = ctx
         self._cfg = cfg
@@ -181,6 +182,11 @@
         """Return whether this instance is registered and its lease has not ended."""
         return self._is_registered and self._ctx.now_s < self.lease_until_s
 
+    def is_registration_mirrored(self) -> bool:
+        """Return whether the mirror shows the keys as of the present registration."""
+        is_mirrored = self.mirror.revision >= self._registered_revision
+        return is_mirrored and self.is_lease_valid()
+
     def is_store_answering(self) -> bool:
         """Return whether the store answered the last renewal of the lease."""
         return self._failing_since_s is None
@@ -217,6 +223,7 @@
         # Answers about a former lease are of no more use.
         self._lease_calls.abandon()
         self._is_registered = False
+        self._note_lease_end()
         sent_s = self._ctx.now_s
         self._lease_calls.call_store(
             LeaseGrant(LEASE_TTL_S),
@@ -279,6 +286,7 @@
     def _on_lease_renewed(self, result: StoreResult, sent_s: float) -> None:
         if result.is_error():
             if result.error.kind is StoreErrorKind.LEASE_ENDED:
+                self._note_lease_end()
                 self.lease_until_s = float("-inf")
                 self._ctx.log(LogName.MEMBER_LEASE_ENDED, lease=self.lease_id)
                 self._request_lease()
@@ -294,6 +302,9 @@
         due_s = self._renewal_sent_s + LEASE_RENEW_INTERVAL_S
         self._schedule_renewal(max(0.0, due_s - self._ctx.now_s))
 
+    def _note_lease_end(self) -> None:
+        self.former_lease_until_s = max(self.former_lease_until_s, self.lease_until_s)
+
     def _extend_lease(self, ttl_s: float, sent_s: float) -> None:
         until_s = sent_s + ttl_s * (1.0 - CLOCK_DRIFT_MAX_RATIO)
         self.lease_until_s = max(self.lease_until_s, until_s)
