Let the work for a request grow no faster than its bytes

Cause: the route of a path was looked for by cutting the path at each of its slashes, which copies a part of it each time: the square of its length, 0.76 s for 65,000 slashes. A target could have 64 KiB whatever limit the operator had set for headers.

Change: a path is compared only at the lengths of the prefixes that the configuration has. max_header_bytes bounds a target, too, apart from the headers (431). Looking for the same cause in paths, queries, header fields, cookies and lists found one more: many Connection headers, each of which copied the set of names to drop.

--- a/wagtailrill/declaration/routing.py
+++ b/wagtailrill/declaration/routing.py
@@ -75,35 +75,38 @@
 
     def __init__(self, declaration: Declaration) -> None:
         self._path_tables: dict[str, _PathTable] = {}
-        self._prefix_entries: dict[str, dict[str, _RouteEntry]] = {}
+        self._prefix_tables: dict[str, _PrefixTable] = {}
         self.shadowed_routes: tuple[Route, ...] = ()
         for service in declaration.services:
             for route in service.routes:
                 self._add_route(_RouteEntry(service, route))
-        for table in self._path_tables.values():
-            table.sort_key_positions()
+        for path_table in self._path_tables.values():
+            path_table.sort_key_positions()
 
     def find_route(self, method: str, path: str, host: str = "") -> RouteMatch | None:
         """Return the route of a request, or None; `path` has no query."""
         if not path.startswith("/"):
             return None
         for route_host in _list_route_hosts(host):
-            table = self._path_tables.get(route_host)
-            route_match = table.find_route(method, path) if table is not None else None
-            if route_match is None and route_host in self._prefix_entries:
-                route_match = _match_prefix(self._prefix_entries[route_host], path)
-            if route_match is not None:
-                return route_match
+            path_table = self._path_tables.get(route_host)
+            if path_table is not None:
+                route_match = path_table.find_route(method, path)
+                if route_match is not None:
+                    return route_match
+            prefix_table = self._prefix_tables.get(route_host)
+            if prefix_table is not None:
+                route_match = prefix_table.find_route(path)
+                if route_match is not None:
+                    return route_match
         return None
 
     def _add_route(self, entry: _RouteEntry) -> None:
         route = entry.route
         if route.by_prefix:
-            entries = self._prefix_entries.setdefault(route.host, {})
-            shadowed = entries.get(route.path)
+            prefix_table = self._prefix_tables.setdefault(route.host, _PrefixTable())
+            shadowed = prefix_table.add_route(entry)
             if shadowed is not None:
-                self.shadowed_routes += (shadowed.route,)
-            entries[route.path] = entry
+                self.shadowed_routes += (shadowed,)
         else:
             self._path_tables.setdefault(route.host, _PathTable()).add_route(entry)
 
@@ -122,14 +125,35 @@
     return (host, "") if name == host else (host, name, "")
 
 
-def _match_prefix(prefixes: dict[str, _RouteEntry], path: str) -> RouteMatch | None:
-    """Return the route with the longest prefix of the path, or None."""
-    end = len(path)
-    while (end := path.rfind("/", 0, end)) >= 0:
-        entry = prefixes.get(path[: end + 1])
-        if entry is not None:
-            return RouteMatch(entry.service, entry.route, None)
-    return None
+class _PrefixTable:
+    """Routes by prefix, which ends with a slash.
+
+    A path is only compared at the lengths of known prefixes: its own slashes may be
+    very many, and a part of it would be copied for each.
+    """
+
+    def __init__(self) -> None:
+        self._entries: dict[str, _RouteEntry] = {}
+        # The longest one first.
+        self._prefix_lengths: list[int] = []
+
+    def add_route(self, entry: _RouteEntry) -> Route | None:
+        """Add a route; return the one that it replaces, if there is one."""
+        prefix = entry.route.path
+        replaced = self._entries.get(prefix)
+        self._entries[prefix] = entry
+        if len(prefix) not in self._prefix_lengths:
+            self._prefix_lengths.append(len(prefix))
+            self._prefix_lengths.sort(reverse=True)
+        return replaced.route if replaced is not None else None
+
+    def find_route(self, path: str) -> RouteMatch | None:
+        """Return the route with the longest prefix of a path, or None."""
+        for length in self._prefix_lengths:
+            entry = self._entries.get(path[:length])
+            if entry is not None:
+                return RouteMatch(entry.service, entry.route, None)
+        return None
 
 
 class _PathTable:
--- a/wagtailrill/gateway/const.py
+++ b/wagtailrill/gateway/const.py
@@ -6,8 +6,6 @@
 CONTROL_TIMEOUT_S: Final = 0.25
 # Network devices between two hosts drop connections that are idle for minutes.
 CONNECTION_IDLE_MAX_S: Final = 10.0
-# A request target is not one of the headers, which have a limit of their own.
-REQUEST_TARGET_MAX_BYTES: Final = 65_536
 RESPONSE_MAX_BYTES: Final = 8_388_608
 RESPONSE_HEAD_MAX_BYTES: Final = 65_536
 CLEANUP_INTERVAL_S: Final = 0.25
--- a/wagtailrill/gateway/request_parser.py
+++ b/wagtailrill/gateway/request_parser.py
@@ -12,7 +12,6 @@
     FIELD_COST_BYTES,
     REFUSAL_REASON_MAX_CHARS,
     REQUEST_COST_BYTES,
-    REQUEST_TARGET_MAX_BYTES,
     SMALL_BODY_MAX_BYTES,
 )
 from .parsed_request import (
@@ -174,7 +173,8 @@
 
     def _find_endless_part(self) -> InputFault | None:
         """Return a fault if what is not complete yet is larger than any header."""
-        limit_bytes = self._limits.header_max_bytes + REQUEST_TARGET_MAX_BYTES
+        # A target and the header after it may each be as large as all headers.
+        limit_bytes = 2 * self._limits.header_max_bytes
         if self._incomplete_bytes <= limit_bytes:
             return None
         return InputFault(
@@ -227,8 +227,17 @@
         self.phase = InputPhase.HEAD
 
     def on_url(self, url: bytes) -> None:
-        """Collect a part of the request target."""
+        """Collect a part of the request target; stop if it becomes too large.
+
+        It is counted apart from the headers, with the same limit.
+        """
         self._target_parts.append(url)
+        self._target_bytes += len(url)
+        limit_bytes = self._limits.header_max_bytes
+        if self._target_bytes > limit_bytes:
+            self._raise_limit_exceeded(
+                HEADERS_TOO_LARGE, "target", self._target_bytes, limit_bytes
+            )
 
     def on_header(self, name: bytes, value: bytes) -> None:
         """Collect a header; stop if the headers become too large.
@@ -262,7 +271,7 @@
         if self._announced_bytes is not None:
             self._refuse_large_body(self._announced_bytes)
         # Long targets count from here on, as most are short.
-        self._head_cost_bytes += sum(map(len, self._target_parts))
+        self._head_cost_bytes += self._target_bytes
 
     def _refuse_large_body(self, length: int) -> None:
         """Refuse a body at once that is too large, or that can never be kept."""
@@ -364,6 +373,7 @@
 
     def _reset_request(self) -> None:
         self._target_parts: list[bytes] = []
+        self._target_bytes = 0
         self._headers: list[tuple[bytes, bytes]] = []
         self._header_bytes = self._head_cost_bytes = 0
         self._announced_bytes = None
--- a/wagtailrill/organisations/headers.py
+++ b/wagtailrill/organisations/headers.py
@@ -76,10 +76,10 @@
     reader. It gets the name with hyphens in place of underscores, because some servers
     treat the two alike.
     """
-    dropped: frozenset[bytes] = HOP_BY_HOP_HEADERS
+    dropped = set(HOP_BY_HOP_HEADERS)
     for name, value in headers:
         if name == b"connection":
-            dropped |= _parse_connection_names(value)
+            dropped.update(_parse_connection_names(value))
     return tuple(
         (name, value)
         for name, value in headers
