Move the right to act for a duty into a module of its own

Change: ActingRight in fleet/acting_right.py judges it by the lease, an outage and a restore of the store. No change of behaviour.

--- a/wagtailrill/fleet/duties.py
+++ b/wagtailrill/fleet/duties.py
@@ -20,12 +20,11 @@
     StoreResult,
 )
 from ..store.revision import get_era
+from .acting_right import ActingRight
 from .awaited_answers import AwaitedAnswers
 from .const import (
     ANNOUNCEMENT_INTERVAL_S,
-    OUTAGE_DUTY_EXTENSION_S,
     RANK_DELAY_S,
-    REREGISTRATION_GRACE_S,
 )
 from .duty_row import DutyRow, count_preferred_members
 from .duty_ticks import DutyTicks
@@ -46,14 +45,10 @@
     """Takes vacant duties, and keeps them while this instance's member lease is valid.
 
     The key of a duty stays in the store and names its last holder, whose member key
-    shows whether it still runs. During an outage of the store the holder keeps the duty
-    for another `OUTAGE_DUTY_EXTENSION_S`, since no one else can take it then. A
-    successor must assume that its predecessor acts for as long, unless that process is
-    known to have ended; the same holds for the holders before it, which are listed in
-    the store while they may act (`EarlierHolders`).
-
-    The right to act ends with the lease under which a duty was taken. Another lease
-    gives it back only once the mirror shows that nobody has taken the duty meanwhile.
+    shows whether it still runs. A successor must assume that its predecessor acts for
+    as long as `ActingRight` allows, unless that process is known to have ended. The
+    same holds for the holders before it, which are listed in the store while they may
+    act (`EarlierHolders`).
 
     After a restore of the store from a copy, an entry that was written in an earlier
     era names nobody: a later holder may be missing from the copy. The holder writes its
@@ -67,7 +62,7 @@
         self._has_resigned = False
         self._liveness = HolderLiveness(ctx, members)
         self._earlier_holders = EarlierHolders(ctx, members, self._liveness)
-        self._restored_lease_until_s = float("-inf")
+        self._right = ActingRight(ctx, members)
         ctx.store_era.add_listener(self._on_store_restored)
         members.add_listener(self._on_members_changed)
         self._ticks = DutyTicks(ctx, members, self._tick)
@@ -103,7 +98,7 @@
     def holds(self, duty: str) -> bool:
         """Return whether this instance holds a duty and may act for it now."""
         row = self._rows.get(duty)
-        return row is not None and row.is_held and self._may_act(row)
+        return row is not None and row.is_held and self._right.may_act(row)
 
     def get_fence(self, duty: str) -> int:
         """Return the fencing token of a duty held here, 0 if it is not."""
@@ -146,23 +141,11 @@
             if row.is_held:
                 self._release_duty(row)
 
-    def _may_act(self, row: DutyRow) -> bool:
-        if self._is_of_earlier_era(row.fence):
-            return self._ctx.now_s < row.acts_until_s
-        members = self._members
-        if row.lease_id != members.lease_id:
-            until_s = members.former_lease_until_s + OUTAGE_DUTY_EXTENSION_S
-        elif members.is_store_answering():
-            until_s = members.lease_until_s
-        else:
-            until_s = members.lease_until_s + OUTAGE_DUTY_EXTENSION_S
-        return self._ctx.now_s < until_s
-
     def _release_duty(self, row: DutyRow) -> None:
         self._ctx.log(LogName.DUTY_RESIGNED, duty=row.name, fence=row.fence)
         self._stop_acting(row)
         revision: int | None = row.fence
-        if self._is_of_earlier_era(row.fence):
+        if self._right.is_of_earlier_era(row.fence):
             revision = self._get_stored_revision(row)
         self._write_holder(row, RESIGNED_HOLDER, revision, lambda fence: None)
 
@@ -207,7 +190,7 @@
     def _tick(self) -> None:
         self._liveness.observe_era()
         for row in list(self._rows.values()):
-            if row.is_held and not self._may_act(row):
+            if row.is_held and not self._right.may_act(row):
                 self._ctx.log(LogName.DUTY_LOST, duty=row.name, fence=row.fence)
                 self._stop_acting(row)
             elif row.is_held:
@@ -256,12 +239,12 @@
 
     def _get_stored_revision(self, row: DutyRow) -> int | None:
         """Return the newest known revision of an entry, None until it has been read."""
-        if self._is_of_earlier_era(self._members.mirror.revision):
+        if self._right.is_of_earlier_era(self._members.mirror.revision):
             return None
         item = self._members.get_item(DUTIES_PREFIX + row.name)
         stored = item.revision if item is not None else 0
         known = row.holder.fence if row.holder is not None else 0
-        return stored if self._is_of_earlier_era(known) else max(stored, known)
+        return stored if self._right.is_of_earlier_era(known) else max(stored, known)
 
     # Taking a vacant duty
 
@@ -329,18 +312,13 @@
     def _on_store_restored(self) -> None:
         """Keep the held duties until their entries are written again.
 
-        The lease ended no earlier than `lease_until_s`, and nobody can have taken a
-        duty over within a grace time after that. Later, the others are asked first.
+        Those that others may have taken over meanwhile are asked about first.
         """
-        now_s = self._ctx.now_s
-        lease_until_s = self._restored_lease_until_s = self._members.lease_until_s
+        self._right.note_restore()
         for row in self._rows.values():
             if not row.is_held:
                 continue
-            row.acts_until_s = min(
-                row.acts_until_s, lease_until_s + OUTAGE_DUTY_EXTENSION_S
-            )
-            if now_s >= lease_until_s + REREGISTRATION_GRACE_S:
+            if self._right.limit_by_former_lease(row):
                 row.is_confirmed = False
                 others = self._liveness.list_possibly_running_others()
                 others |= row.answers.instances
@@ -351,17 +329,17 @@
     def _keep_duty(self, row: DutyRow) -> None:
         now_s = self._ctx.now_s
         may_predecessor_act = now_s < row.predecessor_may_act_until_s
-        if not may_predecessor_act and not self._is_of_earlier_era(row.fence):
+        if not may_predecessor_act and not self._right.is_of_earlier_era(row.fence):
             self._earlier_holders.forget(row)
-        self._confirm_lease(row)
+        self._right.confirm_lease(row)
         is_answer_needed = not row.is_confirmed or may_predecessor_act
         if is_answer_needed and now_s - row.announced_s >= ANNOUNCEMENT_INTERVAL_S:
             self._announce(row, row.answers.instances)
         if (
-            self._is_of_earlier_era(row.fence)
+            self._right.is_of_earlier_era(row.fence)
             and (row.is_confirmed or row.answers.are_complete)
             and not row.commit_pending
-            and self._is_lease_valid_since_restore()
+            and self._right.is_lease_valid_since_restore()
         ):
             self._write_holder(
                 row,
@@ -370,24 +348,6 @@
                 lambda fence: self._record_reassertion(row, fence),
             )
 
-    def _confirm_lease(self, row: DutyRow) -> None:
-        """Hold a duty under a new lease, if nobody has taken it before that began.
-
-        Nobody takes it from a registered holder.
-        """
-        if self._members.is_registration_mirrored():
-            item = self._members.get_item(DUTIES_PREFIX + row.name)
-            if item is not None and item.revision == row.fence:
-                row.lease_id = self._members.lease_id
-
-    def _is_lease_valid_since_restore(self) -> bool:
-        """Return whether the lease has been renewed or granted since the restore.
-
-        The restore may have removed it, and with it the right to act.
-        """
-        until_s = self._members.lease_until_s
-        return self._members.is_lease_valid() and until_s > self._restored_lease_until_s
-
     def _record_reassertion(self, row: DutyRow, fence: int) -> None:
         if not row.is_held or fence <= row.fence:
             return
@@ -454,8 +414,3 @@
         added = row.answers.add(others - {self._ctx.identity.instance})
         if added:
             self._announce(row, added)
-
-    # State of a duty
-
-    def _is_of_earlier_era(self, revision: int) -> bool:
-        return get_era(revision) < self._ctx.store_era.current
