Move the lease of an instance out of the mirror of the members

Cause: fleet/members.py had 471 lines and two jobs: the lease and key of this instance, and what is known of the others.

Change: Registration in fleet/registration.py has the first; Members passes on what others ask of it. A function to set replaces an attribute that was overwritten from outside. No change of behaviour.

--- a/wagtailrill/configuration/exchange.py
+++ b/wagtailrill/configuration/exchange.py
@@ -74,7 +74,7 @@
         # The highest version whose declaration was sent and could not be used.
         self._unusable_version = -1
         self._timer: TimerHandle | None = None
-        members.get_configuration_version = lambda: follower.version_number
+        members.follow_configuration_version(lambda: follower.version_number)
 
     def attach(self, host: ComponentHost) -> None:
         """Register the handlers of this component."""
--- a/wagtailrill/fleet/members.py
+++ b/wagtailrill/fleet/members.py
@@ -5,13 +5,9 @@
 
 from collections.abc import Callable
 
-import attrs
-
-from ..core.call_scope import CallScope
 from ..core.context import Context
 from ..core.log_events import LogName
 from ..core.timer import TimerHandle
-from ..store.budget import UNANSWERED_KINDS, is_unanswered
 from ..store.const import (
     FLEET_WATCH_PAUSE_MAX_S,
     WATCH_PAUSE_PER_MEMBER_S,
@@ -20,26 +16,12 @@
 from ..store.mirror import MirrorSettings, PrefixMirror
 from ..store.models import (
     Commit,
-    Committed,
     Expected,
     Item,
-    Leased,
-    LeaseGrant,
-    LeaseRenew,
-    ListPrefix,
     Put,
-    StoreError,
-    StoreErrorKind,
-    StoreResult,
 )
 from .const import (
-    CLOCK_DRIFT_MAX_RATIO,
-    ENDED_LEASE_RETRY_MAX_S,
-    ENDED_LEASE_RETRY_MIN_S,
-    LEASE_RENEW_INTERVAL_S,
-    LEASE_RETRY_MAX_S,
     LEASE_TTL_S,
-    REREGISTRATION_GRACE_S,
     SECRETS_MAX,
     VANISHED_MEMBER_RETENTION_S,
 )
@@ -51,6 +33,7 @@
     Member,
     read_member,
 )
+from .registration import Registration
 
 SECRET_BYTES = 32
 MembersListener = Callable[[], None]
@@ -59,8 +42,6 @@
 class Members:
     """Keeps the lease on this instance's key, and a mirror of the fleet's keys.
 
-    `lease_until_s` is when the lease ends at the earliest, on this instance's clock,
-    and `former_lease_until_s` when the leases before it did.
     `secrets` authenticate peer messages unless secrets are configured. All instances
     share the first; the others are former ones. It is empty until one is known.
 
@@ -68,24 +49,13 @@
     the id of the former one may belong to another instance. The others stay registered
     for the duration of a lease. Instances that only the copy names are not registered,
     but may be running.
-
-    `get_configuration_version` returns the number that is registered as the newest
-    known version of the configuration.
     """
 
     def __init__(self, ctx: Context, cfg: FleetSettings) -> None:
-        self.lease_id = 0
-        self.lease_until_s = self.former_lease_until_s = float("-inf")
         self.secrets: tuple[bytes, ...] = ()
         self._ctx = ctx
         self._cfg = cfg
-        self._own_member = Member(
-            ctx.identity.instance,
-            ctx.identity.incarnation,
-            cfg.peer_address,
-            ctx.identity.data_centre,
-            capacity=cfg.capacity,
-        )
+        self._registration = Registration(ctx, cfg, self._notify_listeners)
         self._members: dict[str, Member] = {}
         self._complete_since_s = float("inf")
         self._vanished_since_s: dict[str, float] = {}
@@ -93,15 +63,6 @@
         self._unconfirmed: set[str] = set()
         self._unconfirmed_end: TimerHandle | None = None
         self._listeners: list[MembersListener] = []
-        self._is_registered = False
-        self._registered_revision = 0
-        self._renewal: TimerHandle | None = None
-        self._lease_calls = CallScope(ctx)
-        self.get_configuration_version: Callable[[], int] = lambda: 0
-        self._is_stopped = False
-        self._failing_since_s: float | None = None
-        # When the latest renewal was sent, and the latest one that was answered.
-        self._renewal_sent_s = self._renewed_s = float("-inf")
         secret_key = self.build_key(SECRET_NAME)
         self.mirror = PrefixMirror(
             ctx,
@@ -114,7 +75,7 @@
         self._ctx.store_era.add_listener(self._on_store_restored)
         self._ctx.store_budget.is_probed = True
         self.mirror.start()
-        self._request_lease()
+        self._registration.request_lease()
 
     def add_listener(self, listener: MembersListener) -> None:
         """Add a callback that is called after each change of the fleet's keys."""
@@ -130,7 +91,7 @@
 
     def list_capacities(self) -> dict[str, float]:
         """Return the capacities of all registered members and of this instance."""
-        members = (self._own_member, *self._members.values())
+        members = (self._registration.own_member, *self._members.values())
         return {member.instance: member.capacity for member in members}
 
     def list_contacts(self) -> dict[str, Member]:
@@ -145,8 +106,11 @@
 
     def register_again(self) -> None:
         """Register what has changed since, unless a registration is due anyway."""
-        if self._is_registered and not self._is_stopped:
-            self._register_member()
+        self._registration.register_again()
+
+    def check_store(self) -> None:
+        """Renew the lease now, as the store may have been restored meanwhile."""
+        self._registration.renew_now()
 
     def list_possibly_running(self) -> tuple[str, ...]:
         """Return the sorted names of all instances that may run, including this one.
@@ -154,7 +118,7 @@
         Fleet-wide allowances are divided into fixed shares by their number.
         """
         now_s = self._ctx.now_s
-        names = {self._own_member.instance, *self._members}
+        names = {self._ctx.identity.instance, *self._members}
         names |= {
             name
             for name, since_s in self._vanished_since_s.items()
@@ -178,193 +142,50 @@
         since_s = self._vanished_since_s.get(instance, self._complete_since_s)
         return self._ctx.now_s - since_s
 
+    @property
+    def lease_id(self) -> int:
+        """Return the id of the lease, 0 before the first one."""
+        return self._registration.lease_id
+
+    @property
+    def lease_until_s(self) -> float:
+        """Return when the lease ends at the earliest, on this instance's clock."""
+        return self._registration.lease_until_s
+
+    @property
+    def former_lease_until_s(self) -> float:
+        """Return when the leases before the present one ended."""
+        return self._registration.former_lease_until_s
+
     def is_lease_valid(self) -> bool:
         """Return whether this instance is registered and its lease has not ended."""
-        return self._is_registered and self._ctx.now_s < self.lease_until_s
+        return self._registration.is_lease_valid()
 
     def is_registration_mirrored(self) -> bool:
         """Return whether the mirror shows the keys as of the present registration."""
-        is_mirrored = self.mirror.revision >= self._registered_revision
+        is_mirrored = self.mirror.revision >= self._registration.registered_revision
         return is_mirrored and self.is_lease_valid()
 
     def is_store_answering(self) -> bool:
         """Return whether the store answered the last renewal of the lease."""
-        return self._failing_since_s is None
-
-    def stop(self) -> None:
-        """Remove the registration, since the process stops.
+        return self._registration.is_store_answering()
 
-        The lease runs out: after a restore that this process has not heard of, its id
-        may belong to another instance.
-        """
-        self._is_stopped = True
-        if self._is_registered:
-            key = self.build_key(MEMBERS_PREFIX + self._own_member.instance)
-            expected = Expected(key, self._registered_revision)
-            self._ctx.call_store(
-                Commit((expected,), removes=(key,)), lambda result: None
-            )
+    def follow_configuration_version(self, get_version: Callable[[], int]) -> None:
+        """Register the number of the newest known version of the configuration."""
+        self._registration.get_configuration_version = get_version
 
-    # Lease
+    def stop(self) -> None:
+        """Remove the registration, since the process stops."""
+        self._registration.stop()
 
     def _on_store_restored(self) -> None:
-        self._lease_calls.abandon()
-        self.lease_id = 0
         self._unconfirmed = set(self._members)
         if self._unconfirmed_end is not None:
             self._unconfirmed_end.cancel()
         self._unconfirmed_end = self._ctx.timers.call_later(
             LEASE_TTL_S, self._drop_unconfirmed
         )
-        if not self._is_stopped:
-            self._request_lease()
-
-    def _request_lease(self) -> None:
-        # Answers about a former lease are of no more use.
-        self._lease_calls.abandon()
-        self._is_registered = False
-        self._note_lease_end()
-        sent_s = self._ctx.now_s
-        self._lease_calls.call_store(
-            LeaseGrant(LEASE_TTL_S),
-            lambda result: self._on_lease_granted(result, sent_s),
-        )
-
-    def _on_lease_granted(self, result: StoreResult, sent_s: float) -> None:
-        if result.is_error():
-            self._retry_later(result.error, self._request_lease)
-            return
-        leased = result.ok
-        assert isinstance(leased, Leased)
-        self.lease_id = leased.lease_id
-        self._extend_lease(leased.ttl_s, sent_s)
-        self._register_member()
-
-    def _register_member(self) -> None:
-        own_member = attrs.evolve(
-            self._own_member,
-            store_era=self._ctx.store_era.current,
-            configuration_version=self.get_configuration_version(),
-        )
-        key = self.build_key(MEMBERS_PREFIX + own_member.instance)
-        put = Put(key, own_member.to_bytes(), self.lease_id)
-        self._lease_calls.call_store(Commit((), (put,)), self._on_registered)
-
-    def _on_registered(self, result: StoreResult) -> None:
-        if result.is_error():
-            ended = result.error.kind is StoreErrorKind.LEASE_ENDED
-            self._retry_later(
-                result.error, self._request_lease if ended else self._register_member
-            )
-            return
-        committed = result.ok
-        assert isinstance(committed, Committed)
-        self._is_registered = True
-        self._registered_revision = committed.revision
-        self._record_store_answer()
-        self._schedule_renewal(LEASE_RENEW_INTERVAL_S)
-
-    def _schedule_renewal(self, delay_s: float) -> None:
-        if self._renewal is not None:
-            self._renewal.cancel()
-        self._renewal = self._lease_calls.call_later(delay_s, self._renew_lease)
-
-    def _renew_lease(self) -> None:
-        if self._is_stopped:
-            return
-        sent_s = self._renewal_sent_s = self._ctx.now_s
-        # A renewal whose answer is late or lost is followed by the next one in time.
-        is_failing = self._failing_since_s is not None
-        self._schedule_renewal(
-            self._draw_retry_delay_s() if is_failing else LEASE_RENEW_INTERVAL_S
-        )
-        self._lease_calls.call_store(
-            LeaseRenew(self.lease_id),
-            lambda result: self._on_lease_renewed(result, sent_s),
-        )
-
-    def _on_lease_renewed(self, result: StoreResult, sent_s: float) -> None:
-        if result.is_error():
-            if result.error.kind is StoreErrorKind.LEASE_ENDED:
-                self._note_lease_end()
-                self.lease_until_s = float("-inf")
-                self._ctx.log(LogName.MEMBER_LEASE_ENDED, lease=self.lease_id)
-                self._request_lease()
-                self._notify_listeners()
-            elif sent_s > self._renewed_s and self._record_failure(result.error):
-                self._schedule_renewal(self._draw_retry_delay_s())
-            return
-        leased = result.ok
-        assert isinstance(leased, Leased)
-        self._renewed_s = max(self._renewed_s, sent_s)
-        self._extend_lease(leased.ttl_s, sent_s)
-        self._record_store_answer()
-        due_s = self._renewal_sent_s + LEASE_RENEW_INTERVAL_S
-        self._schedule_renewal(max(0.0, due_s - self._ctx.now_s))
-
-    def _note_lease_end(self) -> None:
-        self.former_lease_until_s = max(self.former_lease_until_s, self.lease_until_s)
-
-    def _extend_lease(self, ttl_s: float, sent_s: float) -> None:
-        until_s = sent_s + ttl_s * (1.0 - CLOCK_DRIFT_MAX_RATIO)
-        self.lease_until_s = max(self.lease_until_s, until_s)
-
-    def _retry_later(self, error: StoreError, call: Callable[[], None]) -> None:
-        """Repeat a call once the store answers a cheaper one."""
-        self._record_failure(error)
-        if error.kind in UNANSWERED_KINDS:
-            delay_s = self._draw_retry_delay_s()
-            self._lease_calls.call_later(delay_s, lambda: self._probe_store(call))
-        else:
-            self._lease_calls.call_later(self._draw_retry_delay_s(), call)
-
-    def _probe_store(self, call: Callable[[], None]) -> None:
-        """Ask the store, by a call that costs it little, if it serves this instance."""
-        operation = (
-            LeaseRenew(self.lease_id)
-            if self.lease_id
-            else ListPrefix(self.build_key(MEMBERS_PREFIX), allow_stale=True)
-        )
-
-        def on_result(result: StoreResult) -> None:
-            if is_unanswered(result):
-                return
-            self._lease_calls.abandon()
-            if result.is_error():
-                self._request_lease()
-            else:
-                call()
-
-        self._lease_calls.call_store(operation, on_result)
-        self._lease_calls.call_later(
-            self._draw_retry_delay_s(), lambda: self._probe_store(call)
-        )
-
-    def _draw_retry_delay_s(self) -> float:
-        # A holder that registers again within this time keeps its duties.
-        may_keep_duties = self._ctx.now_s < self.lease_until_s + REREGISTRATION_GRACE_S
-        if may_keep_duties:
-            return self._ctx.rng.uniform(0.0, LEASE_RETRY_MAX_S)
-        return self._ctx.rng.uniform(ENDED_LEASE_RETRY_MIN_S, ENDED_LEASE_RETRY_MAX_S)
-
-    def check_store(self) -> None:
-        """Renew the lease now, as the store may have been restored meanwhile."""
-        if self._is_registered:
-            self._renew_lease()
-
-    def _record_failure(self, error: StoreError) -> bool:
-        """Record that a call failed; return whether it is the first in a row."""
-        if self._failing_since_s is not None:
-            return False
-        self._failing_since_s = self._ctx.now_s
-        self._ctx.log(LogName.STORE_LOST, kind=error.kind.value, message=error.message)
-        return True
-
-    def _record_store_answer(self) -> None:
-        if self._failing_since_s is not None:
-            outage_s = self._ctx.now_s - self._failing_since_s
-            self._failing_since_s = None
-            self._ctx.log(LogName.STORE_REGAINED, outage_s=round(outage_s, 3))
+        self._registration.restart_after_restore()
 
     # Other instances
 
@@ -414,7 +235,7 @@
             for key, item in self.mirror.items.items()
             if key.startswith(prefix)
         ]
-        return [m for m in read if m and m.instance != self._own_member.instance]
+        return [m for m in read if m and m.instance != self._ctx.identity.instance]
 
     def _is_outdated(self, member: Member) -> bool:
         era = member.store_era
@@ -425,20 +246,11 @@
         self._on_change(frozenset())
 
     def _check_own_key(self) -> None:
-        """Register again if the own key is gone, as after a lease lost in an outage.
-
-        A registration without an answer may take effect after a restore, under a lease
-        that belongs to another instance by then.
-        """
-        item = self.mirror.items.get(
-            self.build_key(MEMBERS_PREFIX + self._own_member.instance)
-        )
-        is_current = self.mirror.revision >= self._registered_revision
-        is_own = item is not None and item.lease_id == self.lease_id
-        # Under a lease that seems to have ended, its renewal shows what to do.
-        if self.is_lease_valid() and not self._is_stopped and not is_own and is_current:
-            self._is_registered = False
-            self._register_member()
+        """Have the own key repaired, as after a lease lost in an outage."""
+        registration = self._registration
+        if self.mirror.revision >= registration.registered_revision:
+            item = self.get_item(MEMBERS_PREFIX + self._ctx.identity.instance)
+            registration.repair(item.lease_id if item is not None else None)
 
     def _read_or_create_secret(self) -> None:
         """Take the secret of the fleet, or write it if the store has none.
