--- a/tests/store/test_mirror.py
+++ b/tests/store/test_mirror.py
@@ -16,7 +16,8 @@
     CONFIRMED_WATCH_WAIT_S,
     WATCH_WAIT_MAX_S,
 )
-from wagtailrill.store.mirror import MirrorSettings, PrefixMirror
+from wagtailrill.store.mirror import PrefixMirror
+from wagtailrill.store.mirror_models import MirrorSettings
 from wagtailrill.store.models import (
     Changes,
     Item,
--- a/wagtailrill/configuration/follower.py
+++ b/wagtailrill/configuration/follower.py
@@ -15,7 +15,8 @@
 from ..core.timer import TimerHandle
 from ..declaration.models import Configuration, DataCentreState, Declaration
 from ..store.const import REWRITE_GRACE_S
-from ..store.mirror import MirrorSettings, PrefixMirror
+from ..store.mirror import PrefixMirror
+from ..store.mirror_models import MirrorSettings
 from ..store.models import Item
 from ..store.revision import FIRST_ERA, get_era
 from .const import WATCH_WAIT_MAX_S
--- a/wagtailrill/fleet/members.py
+++ b/wagtailrill/fleet/members.py
@@ -13,7 +13,8 @@
     WATCH_PAUSE_PER_MEMBER_S,
     WATCH_PAUSE_S,
 )
-from ..store.mirror import MirrorSettings, PrefixMirror
+from ..store.mirror import PrefixMirror
+from ..store.mirror_models import MirrorSettings
 from ..store.models import (
     Commit,
     Expected,
--- a/wagtailrill/store/mirror.py
+++ b/wagtailrill/store/mirror.py
@@ -3,11 +3,8 @@
 Used for the fleet's member keys and for the configuration.
 """
 
-import enum
 from collections.abc import Callable
 
-import attrs
-
 from ..core.call_scope import CallScope
 from ..core.context import Context
 from ..core.log_events import LogName
@@ -20,9 +17,8 @@
     CONFIRMED_WATCH_WAIT_S,
     LEADING_WAIT_RATIO,
     RELAY_RETURN_S,
-    WATCH_PAUSE_S,
-    WATCH_WAIT_MAX_S,
 )
+from .mirror_models import MirrorSettings, MirrorState
 from .models import (
     Changes,
     Item,
@@ -37,27 +33,6 @@
 from .revision import get_era
 
 
-class MirrorState(enum.Enum):
-    """Which kind of store call the mirror makes, if any."""
-
-    LISTING = "listing"
-    WATCHING = "watching"
-    RELAYED = "relayed"  # another instance passes the changes on
-
-
-@attrs.frozen
-class MirrorSettings:
-    """Prefix to mirror; pause between watches and longest wait of one in seconds.
-
-    Values of `private_keys` are not passed on to other instances.
-    """
-
-    prefix: str
-    watch_pause_s: float = WATCH_PAUSE_S
-    watch_wait_max_s: float = WATCH_WAIT_MAX_S
-    private_keys: frozenset[str] = frozenset()
-
-
 class PrefixMirror:
     """Lists a prefix, then watches it; lists it again after a failed watch.
 
