Take only a later registration as proof that a holder has ended

Found by reading what ends the wait for a holder, shown on the virtual clock: an instance took the duty of a running holder and waited for nobody.

Cause: a holder counted as ended if its instance was registered with another process number. Announcements arrive before the mirror shows the registration of a process that has just started, so the number of the process before it differed, too. With silent watches of the store the mirror lags by up to 2 s.

Change: the registration has to be later than the holder's entry; both have revisions.

Tests of fleet, keys and rates pass.

--- a/tests/fleet/test_duties.py
+++ b/tests/fleet/test_duties.py
@@ -70,6 +70,31 @@
         assert run.now_s - start_s < 1.5
 
 
+@pytest.mark.parametrize("seed", [1, 5, 8])
+def test_restarted_holder_is_not_taken_for_its_earlier_process(seed):
+    """Guards against a second holder where the mirror lags behind announcements.
+
+    It still showed the earlier process, whose number differs from the one that had
+    announced itself, so the new holder counted as ended, and nobody waited for it.
+    """
+    run = Deployment(seed, instances=5)
+    run.start_all()
+    run.fleet.run_until(10.0 + seed * 0.13)
+    (holder,) = list_holders(run)
+    run.fleet.store.has_silent_watches = True
+    run.fleet.run_until(run.now_s + 0.3)
+    run.kill_instance(holder)
+    run.fleet.start_instance(holder)
+    restarted_s = run.now_s
+    run.fleet.run_until(restarted_s + 3.0)
+    takers = {
+        name
+        for at_s, name, fields in run.find_log_lines("duty_taken")
+        if at_s > restarted_s and fields["duty"] == DUTY
+    }
+    assert takers == {holder}
+
+
 def test_holder_keeps_its_duty_while_the_store_is_down(run):
     """Guards against keys without a granter during an outage of the store."""
     (former,) = list_holders(run)
--- a/wagtailrill/fleet/holder_liveness.py
+++ b/wagtailrill/fleet/holder_liveness.py
@@ -155,9 +155,13 @@
     def _has_ended(self, term: HolderTerm) -> bool:
         """Return whether a holder has resigned, its process has ended or is this one.
 
-        The platform does not run two processes of one instance at the same time.
+        The platform does not run two processes of one instance at the same time, so
+        another one that has registered after the term began shows its end. The mirror
+        may still show an earlier process, when the holder has announced itself.
         """
         if term.instance in (RESIGNED_HOLDER.instance, self._ctx.identity.instance):
             return True
         member = self._members.get_other_members().get(term.instance)
-        return member is not None and member.incarnation != term.incarnation
+        if member is None or member.incarnation == term.incarnation:
+            return False
+        return self._members.get_registered_revision(term.instance) > term.fence
--- a/wagtailrill/fleet/members.py
+++ b/wagtailrill/fleet/members.py
@@ -90,6 +90,11 @@
         """Return the other registered members by instance name."""
         return self._members
 
+    def get_registered_revision(self, instance: str) -> int:
+        """Return the revision of an instance's registration, 0 without one."""
+        item = self.get_item(MEMBERS_PREFIX + instance)
+        return item.revision if item is not None else 0
+
     def list_capacities(self) -> dict[str, float]:
         """Return the capacities of all registered members and of this instance."""
         members = (self._registration.own_member, *self._members.values())
