Name what bounds the right to act after a restore

Cause: read as a newcomer, limit_by_former_lease both set a bound and told whether others may have taken the duty, and `_right` could be read as a side.

Change: two functions, and `_acting_right`. No change of behaviour.

--- a/wagtailrill/fleet/acting_right.py
+++ b/wagtailrill/fleet/acting_right.py
@@ -52,17 +52,22 @@
         """Note the lease from before a restore of the store."""
         self._restored_lease_until_s = self._members.lease_until_s
 
-    def limit_by_former_lease(self, row: DutyRow) -> bool:
+    def limit_by_former_lease(self, row: DutyRow) -> None:
         """Bound the right to act for a duty that was held when the store was restored.
 
-        Return whether somebody may have taken it over before that: the lease ended no
-        earlier than `lease_until_s`, and nobody takes a duty within a grace time after.
+        It lasts until the entry has been written again.
         """
-        lease_until_s = self._restored_lease_until_s
-        row.acts_until_s = min(
-            row.acts_until_s, lease_until_s + OUTAGE_DUTY_EXTENSION_S
-        )
-        return self._ctx.now_s >= lease_until_s + REREGISTRATION_GRACE_S
+        until_s = self._restored_lease_until_s + OUTAGE_DUTY_EXTENSION_S
+        row.acts_until_s = min(row.acts_until_s, until_s)
+
+    def may_others_have_taken(self) -> bool:
+        """Return whether another instance may have taken duties before the restore.
+
+        The lease ended no earlier than this instance knows, and nobody takes a duty
+        within a grace time after that.
+        """
+        grace_until_s = self._restored_lease_until_s + REREGISTRATION_GRACE_S
+        return self._ctx.now_s >= grace_until_s
 
     def is_lease_valid_since_restore(self) -> bool:
         """Return whether the lease has been renewed or granted since the restore.
--- a/wagtailrill/fleet/duties.py
+++ b/wagtailrill/fleet/duties.py
@@ -62,7 +62,7 @@
         self._has_resigned = False
         self._liveness = HolderLiveness(ctx, members)
         self._earlier_holders = EarlierHolders(ctx, members, self._liveness)
-        self._right = ActingRight(ctx, members)
+        self._acting_right = ActingRight(ctx, members)
         ctx.store_era.add_listener(self._on_store_restored)
         members.add_listener(self._on_members_changed)
         self._ticks = DutyTicks(ctx, members, self._tick)
@@ -98,7 +98,7 @@
     def holds(self, duty: str) -> bool:
         """Return whether this instance holds a duty and may act for it now."""
         row = self._rows.get(duty)
-        return row is not None and row.is_held and self._right.may_act(row)
+        return row is not None and row.is_held and self._acting_right.may_act(row)
 
     def get_fence(self, duty: str) -> int:
         """Return the fencing token of a duty held here, 0 if it is not."""
@@ -145,7 +145,7 @@
         self._ctx.log(LogName.DUTY_RESIGNED, duty=row.name, fence=row.fence)
         self._stop_acting(row)
         revision: int | None = row.fence
-        if self._right.is_of_earlier_era(row.fence):
+        if self._acting_right.is_of_earlier_era(row.fence):
             revision = self._get_stored_revision(row)
         self._write_holder(row, RESIGNED_HOLDER, revision, lambda fence: None)
 
@@ -190,7 +190,7 @@
     def _tick(self) -> None:
         self._liveness.observe_era()
         for row in list(self._rows.values()):
-            if row.is_held and not self._right.may_act(row):
+            if row.is_held and not self._acting_right.may_act(row):
                 self._ctx.log(LogName.DUTY_LOST, duty=row.name, fence=row.fence)
                 self._stop_acting(row)
             elif row.is_held:
@@ -239,12 +239,16 @@
 
     def _get_stored_revision(self, row: DutyRow) -> int | None:
         """Return the newest known revision of an entry, None until it has been read."""
-        if self._right.is_of_earlier_era(self._members.mirror.revision):
+        if self._acting_right.is_of_earlier_era(self._members.mirror.revision):
             return None
         item = self._members.get_item(DUTIES_PREFIX + row.name)
         stored = item.revision if item is not None else 0
         known = row.holder.fence if row.holder is not None else 0
-        return stored if self._right.is_of_earlier_era(known) else max(stored, known)
+        return (
+            stored
+            if self._acting_right.is_of_earlier_era(known)
+            else max(stored, known)
+        )
 
     # Taking a vacant duty
 
@@ -314,11 +318,12 @@
 
         Those that others may have taken over meanwhile are asked about first.
         """
-        self._right.note_restore()
+        self._acting_right.note_restore()
         for row in self._rows.values():
             if not row.is_held:
                 continue
-            if self._right.limit_by_former_lease(row):
+            self._acting_right.limit_by_former_lease(row)
+            if self._acting_right.may_others_have_taken():
                 row.is_confirmed = False
                 others = self._liveness.list_possibly_running_others()
                 others |= row.answers.instances
@@ -329,17 +334,19 @@
     def _keep_duty(self, row: DutyRow) -> None:
         now_s = self._ctx.now_s
         may_predecessor_act = now_s < row.predecessor_may_act_until_s
-        if not may_predecessor_act and not self._right.is_of_earlier_era(row.fence):
+        if not may_predecessor_act and not self._acting_right.is_of_earlier_era(
+            row.fence
+        ):
             self._earlier_holders.forget(row)
-        self._right.confirm_lease(row)
+        self._acting_right.confirm_lease(row)
         is_answer_needed = not row.is_confirmed or may_predecessor_act
         if is_answer_needed and now_s - row.announced_s >= ANNOUNCEMENT_INTERVAL_S:
             self._announce(row, row.answers.instances)
         if (
-            self._right.is_of_earlier_era(row.fence)
+            self._acting_right.is_of_earlier_era(row.fence)
             and (row.is_confirmed or row.answers.are_complete)
             and not row.commit_pending
-            and self._right.is_lease_valid_since_restore()
+            and self._acting_right.is_lease_valid_since_restore()
         ):
             self._write_holder(
                 row,
