--- a/review/build-3.sh
+++ b/review/build-3.sh
@@ -3,4 +3,4 @@
 # package. The system itself is built by the deploy file.
 set -euo pipefail
 cd "$(dirname "$0")"
-python3 -m compileall -q stand_ins_3 11 12
+python3 -m compileall -q stand_ins_3 11 12 13
