Keep case 13 inside the share of upstreams that a release replaces

Change: five upstreams, two of them replaced; each new one starts first and is cold for the configured warmup. The second to leave is faster than the others, so that it gets the keys of the first. The stand-in counts the writes done while one of them loses its answer.

--- a/review/13/case.py
+++ b/review/13/case.py
@@ -28,6 +28,14 @@
 TURNED_AWAY_S = 1.0
 HOLD_MAX_S = 0.5
 LONG_WORK_MS = 3_600
+# Two of them are replaced, a share of 0.4.
+UPSTREAMS = 5
+SLOTS = 12
+# As the configuration says; one that starts during traffic is cold so long.
+WARMUP_S = 4.0
+LOSING_S = 4.5
+# Upstreams differ in speed; the fastest gets the keys of one that leaves.
+FAST_PERCENT = 60
 RUN_MAX_S = 100.0
 BROKEN, HELD, COULD_NOT_RUN = 1, 0, 2
 
@@ -37,6 +45,7 @@
 
     def __init__(self, fleet: Fleet, journal: Journal) -> None:
         self.is_armed = False
+        self.done_writes = 0
         self._fleet, self._journal = fleet, journal
         self._machine = ""
         self._turned_away_until_s = -1.0
@@ -46,6 +55,12 @@
     async def intercept(self, call: Call) -> Answer | bool | None:
         """Deal with a call, or let it pass."""
         now_s = self._journal.now_s()
+        is_turned_away = (
+            call.machine == self._machine and now_s < self._turned_away_until_s
+        )
+        self.done_writes += (
+            self.is_armed and call.name == "kv-txn" and not is_turned_away
+        )
         if self.is_armed and not self._machine and call.writes(TABLE_PREFIX):
             self._machine = call.machine
             self._journal.note(f"store: write of {call.machine} gets no answer")
@@ -54,7 +69,7 @@
             return None
         if call.machine != self._machine:
             return False
-        if now_s < self._turned_away_until_s:
+        if is_turned_away:
             return Answer(429, b"{}", {"content-type": "application/json"})
         if call.name == "kv-key" and not self._has_read:
             self._has_read = True
@@ -79,12 +94,12 @@
         self._tasks: set[asyncio.Task[None]] = set()
         self._number = 0
 
-    async def add_upstream(self, name: str) -> Upstream:
+    async def add_upstream(self, name: str, warmup_s: float = 0.0) -> Upstream:
         """Start an upstream of the sharded service."""
         (port,) = find_free_ports(1)
         address = f"{HOST}:{port}"
         up = Upstream(self.fleet.store, self.journal, name, "ledger", address)
-        up.sharded, up.slots = True, 12
+        up.sharded, up.slots, up.warmup_s = True, SLOTS, warmup_s
         self.upstreams.append(up)
         await up.start()
         return up
@@ -121,6 +136,9 @@
         """Play the case and return the exit status."""
         first = await self.add_upstream("i-first")
         second = await self.add_upstream("i-second")
+        second.slowness_percent = FAST_PERCENT
+        for number in range(3, UPSTREAMS + 1):
+            await self.add_upstream(f"i-{number}")
         services = [
             {"name": "ledger", "sharded": True, "kind": "safe", "timeout": "6s"}
         ]
@@ -133,16 +151,26 @@
         self.fleet.store.intercept = trouble.intercept
         try:
             await asyncio.sleep(8)
-            for number in range(10):
-                self.send(number * 6_553 + 100, LONG_WORK_MS)
+            await self.add_upstream("i-new-1", WARMUP_S)
+            await asyncio.sleep(1.0)
+            ranges = [grant for grant in first.grants if grant.until_s]
+            step = max(1, len(ranges) // SLOTS)
+            for grant in ranges[::step][:SLOTS]:
+                self.send((grant.first + grant.last) // 2, LONG_WORK_MS)
             await asyncio.sleep(0.2)
             first.drain()
             await asyncio.sleep(0.3)
-            await self.add_upstream("i-third")
+            await self.add_upstream("i-new-2", WARMUP_S)
             await asyncio.sleep(1.4)
             trouble.is_armed = with_trouble
             second.drain()
-            await asyncio.sleep(12)
+            await asyncio.sleep(LOSING_S)
+            trouble.is_armed = False
+            self.journal.note(
+                f"store: {trouble.done_writes} writes done in {LOSING_S} s, "
+                "at most one of them without an answer"
+            )
+            await asyncio.sleep(7.5)
         finally:
             await cancel(sending)
             await cancel(watching)
--- a/review/stand_ins_3/upstream.py
+++ b/review/stand_ins_3/upstream.py
@@ -54,9 +54,12 @@
         self.name, self.service, self.address = name, service, address
         self.sharded = False
         self.slots = 6
+        # How long work takes on its machine, in per cent of the usual.
+        self.slowness_percent = 100
         self.zone = "zone-a"
         self.state = "ready"
-        self.warmup_left_s = 0.0
+        # For how long the process is cold after its start.
+        self.warmup_s = 0.0
         self.clock_ahead_s = 0.0
         # Makes the body of an answer from the id of its request.
         self.make_body: Callable[[str], bytes] = lambda rid: f"for {rid}".encode()
@@ -77,6 +80,7 @@
         self._server: Server | None = None
         self._beat: asyncio.Task[None] | None = None
         self._born_ms = self._seq = 0
+        self._started_s = 0.0
 
     @property
     def is_up(self) -> bool:
@@ -89,6 +93,7 @@
         """Start a process: it holds and knows nothing of before."""
         now_s = time.time() + self.clock_ahead_s
         self._born_ms, self._seq = int(now_s * MS_PER_S), 0
+        self._started_s = time.monotonic()
         self.grants, self._fences, self._running = [], [], {}
         self.state = "ready"
         self._server = Server(self._handle)
@@ -126,6 +131,7 @@
     def write_entry(self) -> None:
         """Write the entry once."""
         self._seq += 1
+        cold_left_s = max(0.0, self._started_s + self.warmup_s - time.monotonic())
         entry = {
             "service": self.service,
             "address": self.address,
@@ -133,7 +139,7 @@
             "version": "v1",
             "slots": self.slots,
             "state": self.state,
-            "warmup_left": f"{self.warmup_left_s * MS_PER_S:.0f}ms",
+            "warmup_left": f"{cold_left_s * MS_PER_S:.0f}ms",
             "seq": self._seq,
             "born": self._born_ms,
         }
@@ -175,8 +181,8 @@
         await asyncio.sleep(60)
 
     def _load(self) -> dict[str, str]:
-        running = len(self._running)
-        return {"upstream-load": f"{running},{self._waiting},{self.slots},100"}
+        counts = (len(self._running), self._waiting, self.slots, self.slowness_percent)
+        return {"upstream-load": ",".join(map(str, counts))}
 
     async def _run(self, request: Request) -> Answer | None:
         headers = request.headers
@@ -202,7 +208,7 @@
         self._journal.note(f"{self.name} runs {echo['request-id']}")
         work_ms = int(request.path.rstrip("/").rpartition("-")[2])
         try:
-            await asyncio.sleep(work_ms / MS_PER_S)
+            await asyncio.sleep(work_ms / MS_PER_S * self.slowness_percent / 100)
         finally:
             self._running.pop(run, None)
             async with self._free:
