Draw the ports of the third review below those of outgoing connections

Cause: one of five runs of case 13 beside the others could not run, since a machine wasn't ready within 20 s; its log wasn't kept. The stand-ins drew ports from the range of outgoing connections.

Change: ports as the tests draw them; a start that fails prints the logs. Case 13 notes the store's writes only if one of them is disturbed.

--- a/review/13/case.py
+++ b/review/13/case.py
@@ -166,10 +166,11 @@
             second.drain()
             await asyncio.sleep(LOSING_S)
             trouble.is_armed = False
-            self.journal.note(
-                f"store: {trouble.done_writes} writes done in {LOSING_S} s, "
-                "at most one of them without an answer"
-            )
+            if with_trouble:
+                self.journal.note(
+                    f"store: {trouble.done_writes} writes done in {LOSING_S} s, "
+                    "at most one of them without an answer"
+                )
             await asyncio.sleep(7.5)
         finally:
             await cancel(sending)
--- a/review/stand_ins_3/fleet.py
+++ b/review/stand_ins_3/fleet.py
@@ -3,10 +3,12 @@
 import asyncio
 import json
 import os
+import random
 import shutil
 import signal
 import socket
 import subprocess
+import sys
 import tempfile
 import tomllib
 from pathlib import Path
@@ -19,6 +21,9 @@
 HOST = "127.0.0.1"
 READY_TIMEOUT_S = 20.0
 STOP_TIMEOUT_S = 8.0
+LOCAL_RANGE_FILE = Path("/proc/sys/net/ipv4/ip_local_port_range")
+PORT_MIN = 10_240
+LOG_TAIL_CHARS = 2_000
 # As in the site file of pcb-gate.
 BOUNDS = [
     "seed_lag=3s",
@@ -47,19 +52,31 @@
     "hold_max=10000ms",
     "thaw=300ms",
 ]
+_rng = random.Random(os.getpid())
+_drawn: set[int] = set()
 
 
 def find_free_ports(count: int) -> list[int]:
-    """Return free ports, all of them different."""
-    socks = [socket.socket() for _ in range(count)]
-    for sock in socks:
-        sock.bind((HOST, 0))
-    ports = [sock.getsockname()[1] for sock in socks]
-    for sock in socks:
-        sock.close()
+    """Return free ports, all different, that no outgoing connection can take."""
+    limit = int(LOCAL_RANGE_FILE.read_text().split()[0])
+    ports: list[int] = []
+    while len(ports) < count:
+        port = _rng.randrange(PORT_MIN, limit)
+        if port not in _drawn and _is_free(port):
+            _drawn.add(port)
+            ports.append(port)
     return ports
 
 
+def _is_free(port: int) -> bool:
+    with socket.socket() as sock:
+        try:
+            sock.bind((HOST, port))
+        except OSError:
+            return False
+    return True
+
+
 class Machine:
     """One machine of the system, with one process."""
 
@@ -94,6 +111,12 @@
                 stderr=log,
             )
 
+    def describe(self) -> str:
+        """Return how the process stands, and the end of its log."""
+        status = None if self.process is None else self.process.poll()
+        log = (self._folder / f"{self.name}.log").read_text()[-LOG_TAIL_CHARS:]
+        return f"{self.name}: exit status {status}\n{log}"
+
     def signal(self, number: signal.Signals) -> None:
         """Send a signal to the process."""
         if self.process is not None and self.process.poll() is None:
@@ -185,10 +208,15 @@
         for machine in self.machines:
             await self.store.start(HOST, machine.store_port, machine.name)
             machine.start()
-        async with asyncio.timeout(READY_TIMEOUT_S):
+        try:
+            async with asyncio.timeout(READY_TIMEOUT_S):
+                for machine in self.machines:
+                    while not await machine.is_ready():
+                        await asyncio.sleep(0.1)
+        except TimeoutError:
             for machine in self.machines:
-                while not await machine.is_ready():
-                    await asyncio.sleep(0.1)
+                print(machine.describe(), file=sys.stderr)
+            raise
 
     async def stop(self) -> None:
         """End all that was started."""
