Don't take a refused repetition of a table write for its outcome

Two upstreams held the same keys for 3.3 s.

Cause: a write of the key table got no answer and its repetition was refused (429). The granter took the refusal for the outcome of the write, dropped the planned next owner and granted the keys to the present one. The first attempt was executed after that. The table then listed neither this owner nor a release by it.

Change: a write of one key with all its attempts is an object of the store package with one outcome: written, superseded, or not executed. A refusal ends it only if no earlier attempt may still be executed; otherwise it is looked up and repeated after 0.25 s. The keys whose owner the write replaces get no first grant until then; renewals, releases and grants of other ranges go on. A restored table whose write is refused is written again.

--- a/tests/keys/test_grant_order.py
+++ b/tests/keys/test_grant_order.py
@@ -16,7 +16,6 @@
     KEY_POSITIONS,
     PLAN_INTERVAL_S,
     SERVER_CLOCK_DRIFT_MAX_RATIO,
-    STORE_RETRY_DELAY_S,
     STRIPE_POSITIONS,
 )
 from wagtailrill.keys.grants import GRANT_HELD_MAX_S
@@ -31,6 +30,7 @@
     ReleaseKeys,
 )
 from wagtailrill.servers.models import ServerState
+from wagtailrill.store.const import STORE_RETRY_DELAY_S
 from wagtailrill.store.models import (
     Commit,
     Committed,
--- a/wagtailrill/core/call_scope.py
+++ b/wagtailrill/core/call_scope.py
@@ -14,10 +14,16 @@
 
 
 class CallScope:
-    """Store calls and timers whose results are ignored once they are abandoned."""
+    """Store calls and timers whose results are ignored once they are abandoned.
 
-    def __init__(self, ctx: Context) -> None:
+    Results of store calls are also ignored while `accepts_results` returns False.
+    """
+
+    def __init__(
+        self, ctx: Context, accepts_results: Callable[[], bool] = lambda: True
+    ) -> None:
         self._ctx = ctx
+        self._accepts_results = accepts_results
         self._number = 0
 
     def abandon(self) -> None:
@@ -34,7 +40,7 @@
         number = self._number
 
         def pass_on(result: "StoreResult") -> None:
-            if number == self._number:
+            if number == self._number and self._accepts_results():
                 on_result(result)
 
         return self._ctx.call_store(operation, pass_on)
--- a/wagtailrill/keys/const.py
+++ b/wagtailrill/keys/const.py
@@ -9,7 +9,6 @@
 GRANT_RENEWAL_INTERVAL_S: Final = 0.7
 GRANT_RETRY_INTERVAL_S: Final = 0.25
 RELEASE_RETRY_INTERVAL_S: Final = 0.5
-STORE_RETRY_DELAY_S: Final = 0.25
 # Backend servers' clocks may run slow by up to this ratio.
 SERVER_CLOCK_DRIFT_MAX_RATIO: Final = 0.02
 GRANT_MARGIN_S: Final = 0.05
--- a/wagtailrill/keys/table_store.py
+++ b/wagtailrill/keys/table_store.py
@@ -8,32 +8,29 @@
 from ..core.context import Context
 from ..core.log_events import LogName
 from ..core.timer import TimerHandle
-from ..store.models import (
-    Commit,
-    Committed,
-    Expected,
-    Found,
-    Get,
-    Put,
-    StoreErrorKind,
-    StoreOperation,
-    StoreResult,
+from ..store.conditional_put import (
+    ConditionalPut,
+    PutCallbacks,
+    PutOutcome,
+    PutRequest,
+    PutResult,
 )
+from ..store.const import STORE_RETRY_DELAY_S
+from ..store.models import Found, Get, Item, StoreError, StoreResult
 from ..store.revision import get_era
-from .const import STORE_RETRY_DELAY_S
 from .models import EMPTY_TABLE, KeyTable, compute_token_floor
 
 OnWritten = Callable[[bool], None]
 OnTakenOver = Callable[[KeyTable, bool], None]
-NOT_EXECUTED_KINDS = frozenset({StoreErrorKind.REFUSED, StoreErrorKind.INVALID})
 
 
 class TableStore:
     """Stores the table under the condition that nobody else has written it.
 
     `fence` is the highest fencing token of the table, `revision` its revision in the
-    store. While `write_pending` is set, no other write may begin. `on_taken_over`
-    receives the table and whether it is outdated.
+    store. `write_pending` is set as long as any attempt at a write may still be
+    executed; no other write may begin then. `on_taken_over` receives the table and
+    whether it is outdated.
 
     After a restore of the store the stored table is an outdated copy. Nothing more is
     written until the duty has a fencing token of the present era. A granter that knows
@@ -57,7 +54,8 @@
         self._table_key = table_key
         self._duty_fence = duty_fence
         self._on_taken_over = on_taken_over
-        self._calls = CallScope(ctx)
+        # What a restore has overtaken is written again when the duty is confirmed.
+        self._calls = CallScope(ctx, self._is_of_present_era)
         self._retry: TimerHandle | None = None
 
     @property
@@ -74,7 +72,11 @@
         return not self.write_pending and self._is_of_present_era()
 
     def change_duty_fence(self, duty_fence: int) -> None:
-        """Write under another fencing token of the duty; abandon pending calls."""
+        """Write under another fencing token of the duty; abandon pending calls.
+
+        The token is of a later era of the store. An abandoned write that is executed
+        after all is of an earlier one, so the table counts as outdated then.
+        """
         self._duty_fence = duty_fence
         self._calls.abandon()
         self.write_pending = False
@@ -90,49 +92,29 @@
         if self._retry is not None:
             self._retry.cancel()
             self._retry = None
-        self._call_store(Get(self._table_key), self._on_takeover_read)
+        self._calls.call_store(Get(self._table_key), self._on_takeover_read)
 
-    def _retry_takeover(self) -> None:
-        self._retry = self._calls.call_later(STORE_RETRY_DELAY_S, self.take_over_table)
+    def _retry_later(self, callback: Callable[[], None]) -> None:
+        self._retry = self._calls.call_later(STORE_RETRY_DELAY_S, callback)
 
     def _on_takeover_read(self, result: StoreResult) -> None:
         if result.is_error():
-            self._retry_takeover()
+            self._retry_later(self.take_over_table)
             return
-        table = self._parse_item(result)
+        table = self._read_found_table(result)
         is_outdated = table.is_older_than_era(get_era(self._duty_fence))
         self._raise_fence(table.fence)
         written_table = table if is_outdated else self._stamp_table(table)
-        self.write_pending = True
-        self._commit(
+        self._put(
             written_table,
             lambda written: self._on_takeover_written(written, table, is_outdated),
         )
 
-    def _parse_item(self, result: StoreResult) -> KeyTable:
-        """Note the revision of a read table; return it, empty if there is none."""
-        found = result.ok
-        assert isinstance(found, Found)
-        self.revision = 0
-        if found.item is None:
-            return EMPTY_TABLE
-        self.revision = found.item.revision
-        parsed = KeyTable.from_bytes(found.item.value)
-        if parsed.is_ok():
-            return parsed.ok
-        self._ctx.log(
-            LogName.KEY_TABLE_INVALID,
-            service=self._service,
-            revision=self.revision,
-            reason=parsed.error,
-        )
-        return EMPTY_TABLE
-
     def _on_takeover_written(
         self, written: bool, table: KeyTable, is_outdated: bool
     ) -> None:
         if not written:
-            self._retry_takeover()
+            self._retry_later(self.take_over_table)
             return
         self._ctx.log(
             LogName.KEY_TABLE_READ,
@@ -145,6 +127,28 @@
         )
         self._on_taken_over(table, is_outdated)
 
+    def _read_found_table(self, result: StoreResult) -> KeyTable:
+        found = result.ok
+        assert isinstance(found, Found)
+        return self._read_item(found.item)
+
+    def _read_item(self, item: Item | None) -> KeyTable:
+        """Note the revision of a read table; return it, empty if there is none."""
+        self.revision = 0
+        if item is None:
+            return EMPTY_TABLE
+        self.revision = item.revision
+        parsed = KeyTable.from_bytes(item.value)
+        if parsed.is_ok():
+            return parsed.ok
+        self._ctx.log(
+            LogName.KEY_TABLE_INVALID,
+            service=self._service,
+            revision=self.revision,
+            reason=parsed.error,
+        )
+        return EMPTY_TABLE
+
     # Writes
 
     def restore_table(self, table: KeyTable) -> None:
@@ -154,50 +158,47 @@
 
         def on_read(result: StoreResult) -> None:
             if result.is_error():
-                self._calls.call_later(
-                    STORE_RETRY_DELAY_S, lambda: self.restore_table(table)
-                )
+                self._retry_later(lambda: self.restore_table(table))
                 return
-            self._parse_item(result)
-            self.write_table(attrs.evolve(table, fence=self.fence), self._log_restored)
-
-        self._call_store(Get(self._table_key), on_read)
-
-    def _log_restored(self, written: bool) -> None:
-        if written:
-            self._ctx.log(
-                LogName.KEY_TABLE_RESTORED,
-                service=self._service,
-                revision=self.revision,
-                fence=self.fence,
+            self._read_found_table(result)
+            restored = attrs.evolve(table, fence=self.fence)
+            self.write_table(
+                restored, lambda written: self._on_restore_written(written, restored)
             )
 
+        self._calls.call_store(Get(self._table_key), on_read)
+
+    def _on_restore_written(self, written: bool, table: KeyTable) -> None:
+        if not written:
+            self._retry_later(lambda: self.restore_table(table))
+            return
+        self._ctx.log(
+            LogName.KEY_TABLE_RESTORED,
+            service=self._service,
+            revision=self.revision,
+            fence=self.fence,
+        )
+
     def write_table(self, table: KeyTable, on_written: OnWritten) -> None:
-        """Write a table; `on_written` receives whether it is in the store."""
-        self.write_pending = True
-        self._commit(self._stamp_table(table), on_written)
+        """Write a table; `on_written` receives whether it is in the store.
+
+        If it is not, no attempt at the write will be executed any more.
+        """
+        self._put(self._stamp_table(table), on_written)
 
     def _stamp_table(self, table: KeyTable) -> KeyTable:
         return attrs.evolve(table, duty_fence=self._duty_fence)
 
-    def _commit(self, table: KeyTable, on_written: OnWritten) -> None:
-        commit = Commit(
-            (Expected(self._table_key, self.revision),),
-            (Put(self._table_key, table.to_bytes()),),
-        )
-        self._call_store(
-            commit, lambda result: self._on_commit_result(result, table, on_written)
+    def _put(self, table: KeyTable, on_written: OnWritten) -> None:
+        self.write_pending = True
+        callbacks = PutCallbacks(
+            lambda result: self._on_put_result(result, table, on_written),
+            self._log_failed_attempt,
         )
+        req = PutRequest(self._table_key, table.to_bytes(), self.revision)
+        ConditionalPut(self._calls, req, callbacks).start()
 
-    def _on_commit_result(
-        self, result: StoreResult, table: KeyTable, on_written: OnWritten
-    ) -> None:
-        if result.is_ok():
-            committed = result.ok
-            assert isinstance(committed, Committed)
-            self._finish_write(committed.revision, table, on_written)
-            return
-        error = result.error
+    def _log_failed_attempt(self, error: StoreError) -> None:
         self._ctx.log(
             LogName.KEY_TABLE_WRITE_FAILED,
             service=self._service,
@@ -205,67 +206,34 @@
             message=error.message,
             revision=self.revision,
         )
-        if error.kind in NOT_EXECUTED_KINDS:
-            self.write_pending = False
-            on_written(False)
-        else:
-            # The commit may have taken effect, or another instance has written.
-            self._check_commit(table, on_written)
 
-    def _check_commit(self, table: KeyTable, on_written: OnWritten) -> None:
-        """Read the table back to learn the outcome of a commit."""
-
-        def on_read(result: StoreResult) -> None:
-            if result.is_error():
-                self._calls.call_later(
-                    STORE_RETRY_DELAY_S, lambda: self._check_commit(table, on_written)
-                )
-                return
-            found = result.ok
-            assert isinstance(found, Found)
-            item = found.item
-            if item is not None and item.value == table.to_bytes():
-                self._finish_write(item.revision, table, on_written)
-            elif (item.revision if item is not None else 0) == self.revision:
-                # The commit may still take effect. Until it is known to have or not,
-                # no other owner may be granted keys, so it is repeated.
-                self._commit(table, on_written)
-            elif self._is_newer_than_stored(table, result):
-                # A late write from before a restore has replaced the complete table.
-                self._commit(table, on_written)
-            else:
+    def _on_put_result(
+        self, result: PutResult, table: KeyTable, on_written: OnWritten
+    ) -> None:
+        match result:
+            case PutResult(PutOutcome.WRITTEN, Item(revision=revision)):
+                self.write_pending = False
+                self.revision = revision
+                self._raise_fence(table.fence)
+                on_written(True)
+            case PutResult(PutOutcome.SUPERSEDED, item):
+                self._on_superseded(item, table, on_written)
+            case _:
+                self.write_pending = False
                 on_written(False)
-                self.take_over_table()
-
-        self._call_store(Get(self._table_key), on_read)
 
-    def _is_newer_than_stored(self, table: KeyTable, result: StoreResult) -> bool:
-        """Return whether the stored table is of an earlier era than a complete one."""
-        stored = self._parse_item(result)
-        era = get_era(self._duty_fence)
-        return stored.is_older_than_era(era) and not table.is_older_than_era(era)
-
-    def _finish_write(
-        self, revision: int, table: KeyTable, on_written: OnWritten
+    def _on_superseded(
+        self, item: Item | None, table: KeyTable, on_written: OnWritten
     ) -> None:
-        self.write_pending = False
-        self.revision = revision
-        self._raise_fence(table.fence)
-        on_written(True)
+        era = get_era(self._duty_fence)
+        stored = self._read_item(item)
+        if stored.is_older_than_era(era) and not table.is_older_than_era(era):
+            # A late write from before a restore has replaced the complete table.
+            self._put(table, on_written)
+        else:
+            on_written(False)
+            self.take_over_table()
 
     def _raise_fence(self, fence: int) -> None:
         floor = compute_token_floor(get_era(self._duty_fence))
         self.fence = max(self.fence, fence, floor)
-
-    # Calls
-
-    def _call_store(
-        self, operation: StoreOperation, on_result: Callable[[StoreResult], None]
-    ) -> None:
-        """Call the store; the result of a call that a restore overtakes is ignored."""
-
-        def pass_on(result: StoreResult) -> None:
-            if self._is_of_present_era():
-                on_result(result)
-
-        self._calls.call_store(operation, pass_on)
--- a/wagtailrill/store/const.py
+++ b/wagtailrill/store/const.py
@@ -41,6 +41,8 @@
 RETRY_BURST: Final = 2.0
 # A call waits for the budget no longer than this.
 RETRY_WAIT_MAX_S: Final = 8.0
+# A granter asks the store again this long after it was refused or got no answer.
+STORE_RETRY_DELAY_S: Final = 0.25
 # The store turns an instance away when so many calls in a row have failed, over this
 # time: a reset of its connections alone fails several at once, and some answers may be
 # lost while others come.
