Don't write known owners over a table whose takeover was refused

What could be seen: keys of another granter's owners granted to others.

Cause: a granter whose write meets another table takes that one over. If the store refused the write of the takeover, the granter counted as able to write until the next try. It then wrote its own earlier rows at the revision of the table it had just read, and so forgot the owners in it.

Change: no other write begins until a refused takeover has been repeated.

Measured: the new test fails before (a write 0.05 s after the refusal) and passes.

--- a/tests/keys/test_unanswered_table_writes.py
+++ b/tests/keys/test_unanswered_table_writes.py
@@ -5,7 +5,8 @@
 
 from tests.keys.granter_run import LAST, TABLE_KEY, GranterRun
 from wagtailrill.core.commands import CallStore
-from wagtailrill.keys.models import Segment
+from wagtailrill.keys.const import KEY_POSITIONS
+from wagtailrill.keys.models import KeyTable, Segment
 from wagtailrill.servers.control import (
     GrantKeys,
     KeysGranted,
@@ -26,6 +27,8 @@
 NO_ANSWER = Error(StoreError(StoreErrorKind.NO_ANSWER, ""))
 NOT_EXECUTED_KINDS = (StoreErrorKind.REFUSED, StoreErrorKind.INVALID)
 TICK_S = 0.05
+OTHER_TABLE = KeyTable((Segment(0, KEY_POSITIONS - 1, "c", "c/1", 9),), 9, 8)
+OTHER_ITEM = Item(TABLE_KEY, OTHER_TABLE.to_bytes(), 5)
 
 
 class PendingMove:
@@ -101,3 +104,18 @@
     move.show_unchanged_table()
     run.answer_store(Ok(Committed(4)))
     assert run.row.segment.owner != move.owner
+
+
+def test_refused_takeover_of_a_changed_table_writes_no_former_owners(move):
+    """Guards against a table of another granter that is replaced by stale owners."""
+    run = move.run
+    run.answer_store(Error(StoreError(StoreErrorKind.CONFLICT, "")))
+    run.answer_store(Ok(Found(OTHER_ITEM)))
+    run.answer_store(Ok(Found(OTHER_ITEM)))  # the takeover reads it once more
+    run.answer_store(Error(StoreError(StoreErrorKind.REFUSED, "")))
+    run.tick(TICK_S)
+    assert not any(isinstance(call, CallStore) for call in run.open_calls)
+    run.tick(STORE_RETRY_DELAY_S)
+    run.answer_store(Ok(Found(OTHER_ITEM)))
+    run.answer_store(Ok(Committed(6)))
+    assert run.row.segment.owner == "c"
--- a/wagtailrill/keys/table_store.py
+++ b/wagtailrill/keys/table_store.py
@@ -95,6 +95,8 @@
         self._calls.call_store(Get(self._table_key), self._on_takeover_read)
 
     def _retry_later(self, callback: Callable[[], None]) -> None:
+        # The table in the store may be another one than the known rows make.
+        self.write_pending = True
         self._retry = self._calls.call_later(STORE_RETRY_DELAY_S, callback)
 
     def _on_takeover_read(self, result: StoreResult) -> None:
