Test that a refused write of a restored table is repeated

Cause: the refusal of that write left the table outdated until the next move, so a successor would have waited for all grants to end.

Change: the test.

Measured: it passes; by reading, the former code made no further call then.

--- a/tests/keys/test_restored_table.py
+++ b/tests/keys/test_restored_table.py
@@ -23,6 +23,7 @@
     KeysReleased,
     ReleaseKeys,
 )
+from wagtailrill.store.const import STORE_RETRY_DELAY_S
 from wagtailrill.store.models import (
     Commit,
     Committed,
@@ -112,6 +113,17 @@
     assert read_written_table(run).segments[0].owner == "a"
 
 
+def test_known_owners_are_written_again_until_the_store_takes_them(run):
+    """Guards against a restored table that stays outdated after one refusal."""
+    restore_store(run)
+    confirm_duty(run)
+    run.answer_store(FOUND_COPY)
+    run.answer_store(Error(StoreError(StoreErrorKind.REFUSED, "")))
+    run.tick(STORE_RETRY_DELAY_S)
+    run.answer_store(FOUND_COPY)
+    assert read_written_table(run).segments[0].owner == "a"
+
+
 def test_late_write_from_before_the_restore_is_replaced(run):
     """Guards against an old table that overwrites the one of the present era."""
     restore_store(run)
