Don't report a change as refused that may still take effect

What operators could see: "The declaration exceeds 1 MB", and the change in force some seconds later.

Cause: `wagtailrillctl apply` took the error of a repeated write for the outcome of the change, although an earlier attempt without an answer may still be executed.

Change: such an error ends the command only if no attempt went unanswered. Other- wise the declaration is read back and the write repeated, as after other errors.

Measured: of the two new cases, "invalid after a lost answer" failed before; both pass.

--- a/tests/cli/test_store_commands.py
+++ b/tests/cli/test_store_commands.py
@@ -35,13 +35,16 @@
 )
 DECLARATION_KEY = "piraeus/config"
 NO_ANSWER = Error(StoreError(StoreErrorKind.NO_ANSWER, "no answer"))
+INVALID = Error(StoreError(StoreErrorKind.INVALID, "invalid"))
+ERRORS_WITHOUT_EFFECT = {"refuse": NO_ANSWER, "invalid": INVALID}
 
 
 class FaultyStore:
     """Implements `Store` with a list of faults; each write uses up one.
 
     "race": another operator writes first; "refuse": the write has no effect and no
-    answer; "lose": it takes effect, but its answer is lost.
+    answer; "lose": it takes effect, but its answer is lost; "invalid": the store does
+    not accept it.
     """
 
     def __init__(self, faults=()):
@@ -61,8 +64,8 @@
         fault = self.faults.pop(0) if self.faults and is_write else ""
         if fault == "race":
             self.put_declaration(OTHER_DECLARATION)
-        if fault == "refuse":
-            return StoreAnswer(NO_ANSWER)
+        if fault in ERRORS_WITHOUT_EFFECT:
+            return StoreAnswer(ERRORS_WITHOUT_EFFECT[fault])
         result = self.model.apply_operation(operation, 0.0)
         if fault == "lose, then race":
             self.put_declaration(OTHER_DECLARATION)
@@ -101,6 +104,14 @@
         "accepted",
     ),
     "write lost": (("refuse",), {}, ExitCode.OK, NEW_DECLARATION, "accepted"),
+    "invalid": (("invalid",), {}, ExitCode.REFUSED, OLD_DECLARATION, "exceeds"),
+    "invalid after a lost answer": (
+        ("refuse",) + ("invalid",) * 99,
+        {},
+        ExitCode.UNREACHABLE,
+        OLD_DECLARATION,
+        "may have",
+    ),
     "other operator first": (
         ("race",),
         {},
--- a/wagtailrill/cli/declaration_store.py
+++ b/wagtailrill/cli/declaration_store.py
@@ -96,9 +96,10 @@
                     if not uncertain:
                         return WriteConflict(uncertain=False)
                 case Result(tag="error", error=StoreError(StoreErrorKind.INVALID)):
-                    return CommandFailure(
-                        ExitCode.REFUSED, "The declaration exceeds 1 MB."
-                    )
+                    if not uncertain:
+                        return CommandFailure(
+                            ExitCode.REFUSED, "The declaration exceeds 1 MB."
+                        )
                 case _:
                     uncertain = True
             outcome = await self._async_read_back(document, revision)
