Measure how long a configuration can have waited until it was in force

Change: `configuration_applied` has `delay_max_s`, the time since the store last confirmed the configuration before it, and a histogram collects it. It is an upper bound: an instance does not know when the operator got the answer to its write.

Measured: the new test fails before (no such field).

--- a/tests/configuration/test_follower.py
+++ b/tests/configuration/test_follower.py
@@ -8,7 +8,7 @@
 from tests.support import advance_time, list_store_calls, make_context
 from wagtailrill.configuration.follower import ConfigurationFollower
 from wagtailrill.configuration.listeners import ConfigurationListener
-from wagtailrill.core.commands import LogEvent
+from wagtailrill.core.commands import LogEvent, RecordConfigurationDelay
 from wagtailrill.core.log_events import LogName
 from wagtailrill.core.refusals import Refusal
 from wagtailrill.core.request_models import CallerRequest
@@ -137,6 +137,20 @@
     assert harness.get_status(route=8, key=7) == 401
 
 
+def test_delay_of_a_configuration_counts_from_the_last_confirmation():
+    """Guards against a delay that counts from when a list was asked for."""
+    harness = FollowerHarness()
+    harness.reply_list(make_item(7, revision=7))
+    advance_time(harness.ctx, 0.75)
+    harness.fail_watch()
+    advance_time(harness.ctx, 0.25)
+    harness.reply_list(make_item(8, revision=8))
+    first, second = harness.find_log_fields(LogName.CONFIGURATION_APPLIED)
+    assert "delay_max_s" not in first
+    assert second["delay_max_s"] == 1.0
+    assert RecordConfigurationDelay(1.0) in harness.ctx.commands
+
+
 ROUTE_COLUMNS = [
     "name",
     "host",
--- a/wagtailrill/configuration/follower.py
+++ b/wagtailrill/configuration/follower.py
@@ -9,6 +9,7 @@
 import attrs
 from expression import Result
 
+from ..core.commands import RecordConfigurationDelay
 from ..core.context import Context
 from ..core.findings import Finding
 from ..core.log_events import LogName
@@ -338,4 +339,16 @@
             version=declaration.deployment,
             services=len(declaration.services),
             organisations=len(declaration.organisations),
+            **self._measure_delay(),
         )
+
+    def _measure_delay(self) -> dict[str, float]:
+        """Return the longest time since the change was stored, as a field of a log.
+
+        It is empty for the first configuration, which may have been stored long ago.
+        """
+        delay_max_s = self._ctx.now_s - self.mirror.changed_after_s
+        if delay_max_s == float("inf"):
+            return {}
+        self._ctx.emit_command(RecordConfigurationDelay(delay_max_s))
+        return {"delay_max_s": round(delay_max_s, 3)}
--- a/wagtailrill/core/commands.py
+++ b/wagtailrill/core/commands.py
@@ -90,6 +90,13 @@
     body: bytes
 
 
+@attrs.frozen
+class RecordConfigurationDelay:
+    """Observe how long a configuration can have been stored before it was in force."""
+
+    delay_max_s: float
+
+
 @attrs.frozen
 class LogEvent:
     """Write a structured log line."""
@@ -109,5 +116,6 @@
     | RefuseRequest
     | AnswerRequest
     | ReplayAnswer
+    | RecordConfigurationDelay
     | LogEvent
 )
--- a/wagtailrill/observability/metrics.py
+++ b/wagtailrill/observability/metrics.py
@@ -35,6 +35,10 @@
         self._control_calls = self._make_counter(
             "wagtailrill_control_calls_total", "Control calls by operation and result."
         )
+        self._configuration_delay = self._make_histogram(
+            "wagtailrill_configuration_delay_seconds",
+            "Longest time that a configuration can have been stored until in force.",
+        )
         self._failed_steps = self._make_counter(
             "wagtailrill_failed_steps_total", "Events whose handling failed."
         )
@@ -64,6 +68,10 @@
         """Count a control call to a backend server."""
         self._control_calls.inc({"operation": operation, "result": result})
 
+    def record_configuration_delay(self, delay_max_s: float) -> None:
+        """Observe how long a configuration can have waited until it was in force."""
+        self._configuration_delay.observe({}, delay_max_s)
+
     def record_failed_step(self, event: str) -> None:
         """Count an event or command whose handling failed."""
         self._failed_steps.inc({"event": event})
--- a/wagtailrill/runtime/driver.py
+++ b/wagtailrill/runtime/driver.py
@@ -20,6 +20,7 @@
     CloseConnections,
     Command,
     LogEvent,
+    RecordConfigurationDelay,
     RefuseRequest,
     ReplayAnswer,
     SendBackendRequest,
@@ -164,6 +165,7 @@
             RefuseRequest: self._refuse_request,
             AnswerRequest: self._answer_request,
             ReplayAnswer: self._replay_answer,
+            RecordConfigurationDelay: self._record_configuration_delay,
             LogEvent: parts.write_log,
         }
 
@@ -236,6 +238,9 @@
                 _LOG.exception("command_failed", command_type=name)
                 self._parts.metrics.record_failed_step(name)
 
+    def _record_configuration_delay(self, command: RecordConfigurationDelay) -> None:
+        self._parts.metrics.record_configuration_delay(command.delay_max_s)
+
     def _arm_timer(self) -> None:
         due_s = self._parts.router.get_next_due_s()
         if self._timer is not None:
--- a/wagtailrill/store/mirror.py
+++ b/wagtailrill/store/mirror.py
@@ -48,7 +48,8 @@
     list also if there are none; `on_updated` is called after it. `is_relay_expected`
     returns whether another instance is known that relays.
     `confirmed_s` is the monotonic time at which `items` was last known to be complete,
-    `-inf` before the first list. `last_change_revision` is that of the last change.
+    `-inf` before the first list. `last_change_revision` is that of the last change, and
+    `changed_after_s` a time at which the store still confirmed the items before it.
     """
 
     def __init__(
@@ -56,7 +57,7 @@
     ) -> None:
         self.items: dict[str, Item] = {}
         self.revision = 0
-        self.confirmed_s = float("-inf")
+        self.confirmed_s = self.changed_after_s = float("-inf")
         self.failing_since_s: float | None = None
         self.last_change_revision = 0
         self.on_updated: Callable[[], None] = lambda: None
@@ -245,6 +246,8 @@
             changed_keys: set[str] = set()
         else:
             changed_keys = self._replace_items()
+        if changed_keys:
+            self.changed_after_s = self.confirmed_s
         self._record_success()
         self._notify(frozenset(changed_keys))
         self._start_watch()
@@ -326,6 +329,7 @@
             self.last_change_revision, *(event.revision for event in changes.events), 0
         )
         if changed_keys:
+            self.changed_after_s = self.confirmed_s
             self._notify(frozenset(changed_keys))
         return bool(changed_keys)
 
