Have a new reader list the configuration at once

Cause: in an outage the reader gives its duty up, and all wait 1.5 to 2 s after the store's first answer for what the next reader relays. The instance that takes the duty kept that wait, too, so nobody relayed anything and each instance listed the configuration for itself.

After a silent outage that ended at 25.0 s: reader at 25.1 s, versions in force from 26.97 to 27.58 s, where the rule allows 3 s after the outage.

Change: an instance that becomes the reader lists at once. The bound of the tests of configurations was 2.5 s; the smallest of the platform is 2 s.

--- a/tests/runs/deployment.py
+++ b/tests/runs/deployment.py
@@ -122,6 +122,7 @@
         self._open_calls: dict[tuple[str, int, int], Call] = {}
         self._request_numbers = itertools.count(1)
         self._versions = itertools.count(1)
+        self.last_version = 0
         self.fleet = VirtualFleet(self._make_router, seed)
         self.servers = VirtualServers(self.fleet, seed + 2)
         self.servers.on_execution = self._check_key_owner
@@ -159,7 +160,7 @@
         """Write a declaration as the next version, unless the store is down."""
         if self.fleet.store.down:
             return
-        version = next(self._versions)
+        version = self.last_version = next(self._versions)
         value = b"%s/%d" % (declaration_name, version)
         self.fleet.store.write_operator_key(CONFIG_KEY, value)
         self.version_checks.record_write(version)
--- a/tests/runs/store_load.py
+++ b/tests/runs/store_load.py
@@ -23,6 +23,8 @@
 WINDOW_S: Final = 30.0
 TROUBLE_BEGINS_S: Final = 5.0
 ADDED_INSTANCES: Final = 6
+CONFIGURATION_CHECK_S: Final = 0.05
+CONFIGURATION_WAIT_MAX_S: Final = 10.0
 
 
 def compute_cost(operation: StoreOperation) -> float:
@@ -119,6 +121,19 @@
 
         self.run.fleet.call_later(seconds, serve_again)
 
+    def measure_configuration_s(self, names: list[str]) -> float:
+        """Return after how long a new configuration is in force at some instances."""
+        self.run.write_configuration()
+        written_s = self.run.now_s
+        number = self.run.last_version
+        while any(
+            self.run.get_router(name).configuration.version_number < number
+            for name in names
+        ):
+            self.run.fleet.run_until(self.run.now_s + CONFIGURATION_CHECK_S)
+            assert self.run.now_s - written_s < CONFIGURATION_WAIT_MAX_S
+        return self.run.now_s - written_s
+
     def find_holder(self, duty: str) -> str:
         """Return the instance that holds a duty."""
         routers = {name: self.run.get_router(name) for name in self.run.fleet.nodes}
--- a/tests/runs/test_store_load.py
+++ b/tests/runs/test_store_load.py
@@ -17,7 +17,8 @@
 # Of 77 instances; a reader's own calls weigh more in a smaller fleet.
 QUIET_MAX = 0.3
 TROUBLE_RATIO_MAX = 1.2
-CONFIGURATION_BOUND_S = 2.5
+# The smallest bound of the platform.
+CONFIGURATION_BOUND_S = 2.0
 REGAINED_BOUND_S = 1.0
 # These are the same as `third_busy` on the virtual clock.
 ALIKE = {"third_many", "third_reset"}
@@ -63,22 +64,6 @@
     load.run.fleet.run_until(load.run.now_s + seconds)
 
 
-def measure_configuration_s(load, names):
-    """Return after how long a new configuration is in force at some instances."""
-    load.run.write_configuration()
-    written_s = load.run.now_s
-    number = max(
-        load.run.get_router(n).configuration.version_number
-        for n in load.run.fleet.nodes
-    )
-    while any(
-        load.run.get_router(n).configuration.version_number <= number for n in names
-    ):
-        run_for(load, 0.05)
-        assert load.run.now_s - written_s < 10.0
-    return load.run.now_s - written_s
-
-
 @pytest.mark.parametrize("refusal", list(Refusal))
 def test_refused_instances_follow_the_others(load, refusal):
     """Guards against refused instances that act by an old configuration or server."""
@@ -86,7 +71,7 @@
     load.turn_away(refused, refusal, 9.0)
     run_for(load, 3.0)
     names = list(load.run.fleet.nodes)
-    assert measure_configuration_s(load, names) <= CONFIGURATION_BOUND_S
+    assert load.measure_configuration_s(names) <= CONFIGURATION_BOUND_S
     server = load.run.servers.by_name["box-1-1"]
     load.run.servers.drain_server(server)
     run_for(load, 2.0)
@@ -100,7 +85,7 @@
     reader = load.find_holder("servers")
     load.turn_away([reader], refusal, 7.0)
     names = [n for n in load.run.fleet.nodes if n != reader]
-    assert measure_configuration_s(load, names) <= CONFIGURATION_BOUND_S
+    assert load.measure_configuration_s(names) <= CONFIGURATION_BOUND_S
 
 
 def test_refused_reader_hands_its_duty_over(load):
@@ -139,4 +124,4 @@
     """Guards against instances that wait for what a lost reader would have relayed."""
     load.run.kill_instance(load.find_holder("servers"))
     names = list(load.run.fleet.nodes)
-    assert measure_configuration_s(load, names) <= CONFIGURATION_BOUND_S
+    assert load.measure_configuration_s(names) <= CONFIGURATION_BOUND_S
--- a/wagtailrill/store/mirror.py
+++ b/wagtailrill/store/mirror.py
@@ -92,8 +92,10 @@
 
     @leads.setter
     def leads(self, leads: bool) -> None:
+        is_new_leader = leads and not self._leads
         self._leads = leads
-        if leads and self._state is MirrorState.RELAYED:
+        awaits_relay = self._state is MirrorState.RELAYED or self._is_retrying
+        if is_new_leader and awaits_relay:
             self.list_again()  # the others wait for what it confirms
 
     def list_again(self) -> None:
