Relay the configuration while the list of servers is not complete

Cause: a reader that has never read the list of servers itself can't know for 2.3 s after an outage whether it is complete. It answered no request in that time, so the configuration and the members were not relayed, either.

Change: it answers with the state of the mirrors and without entries.

--- a/tests/runs/test_configuration_after_outage.py
+++ b/tests/runs/test_configuration_after_outage.py
@@ -22,7 +22,7 @@
     return load
 
 
-@pytest.mark.parametrize("refusal", [r for r in Refusal if r is not Refusal.SILENT])
+@pytest.mark.parametrize("refusal", list(Refusal))
 @pytest.mark.parametrize("seed", SEEDS)
 def test_configuration_written_after_an_outage_is_in_force_in_time(seed, refusal):
     """Guards against instances that wait for a reader that waits itself."""
--- a/wagtailrill/servers/messages.py
+++ b/wagtailrill/servers/messages.py
@@ -73,7 +73,8 @@
 class EntriesAnswer:
     """Changes up to `version`, or all entries if `full` is set.
 
-    `age_s` is the time since the reader began to read the list from the store. `gone`
+    `age_s` is the time since the reader began to read the list from the store; it is
+    infinite, and there are no entries, while the reader has no complete list. `gone`
     names the servers whose entries were removed. `mirrors` tells of other keys of the
     store that all instances follow. With `is_handing_over` the store turns the reader
     away, and another instance takes its duty.
--- a/wagtailrill/servers/relay.py
+++ b/wagtailrill/servers/relay.py
@@ -255,25 +255,35 @@
         holder = self._duties.get_holder(READER_DUTY)
         if holder is None or not self._duties.holds(READER_DUTY):
             return
-        if not self._discovery.is_complete:
-            return  # the others keep what they know, or read the store themselves
-        full = request.reader_fence != holder.fence
+        if self._discovery.is_complete:
+            answer = self._describe_entries(request, holder.fence)
+        else:
+            # The others keep the entries that they know, or read them themselves.
+            answer = EntriesAnswer(
+                request.number, holder.fence, 0, False, float("inf"), (), ()
+            )
+        answer = attrs.evolve(
+            answer,
+            mirrors=self._describe_mirrors(request),
+            is_handing_over=is_handing_over,
+        )
+        self._ctx.send(envelope.sender, answer, envelope.incarnation)
+
+    def _describe_entries(self, request: EntriesRequest, fence: int) -> EntriesAnswer:
+        full = request.reader_fence != fence
         known_version = 0 if full else request.version
         changed = {n: c for n, c in self._changes.items() if c.version > known_version}
         names = {n for n in request.doubted if n in self._changes} | changed.keys()
         entries = (self._changes[name].entry for name in sorted(names))
-        answer = EntriesAnswer(
+        return EntriesAnswer(
             request.number,
-            holder.fence,
+            fence,
             self._version,
             full,
             self._ctx.now_s - self._discovery.confirmed_s,
             tuple(entry for entry in entries if entry is not None),
             tuple(n for n, c in sorted(changed.items()) if c.entry is None),
-            self._describe_mirrors(request),
-            is_handing_over,
         )
-        self._ctx.send(envelope.sender, answer, envelope.incarnation)
 
     def _describe_mirrors(self, request: EntriesRequest) -> tuple[MirrorState, ...]:
         known = {revision.prefix: revision for revision in request.mirrors}
