Wait less for the relay of the configuration after an outage

Cause: if the instance that becomes the reader after an outage of the store ends at once, the others wait for it for 1.5 s after their own first answer, and up to 0.5 s more for the spread of their lists: up to 2.9 s with the time until that answer. The platform allows 2 s from the confirmation of a version.

Change: mirrors wait for 0.6 s, so that an instance that hears nothing has them within 2 s of the store's return. Lists of servers, of which a new reader knows nothing for longer, wait for 1.5 s as before.

--- a/tests/runs/test_configuration_after_outage.py
+++ b/tests/runs/test_configuration_after_outage.py
@@ -6,6 +6,7 @@
 
 import pytest
 
+from wagtailrill.servers.relay import READER_DUTY
 from wagtailrill.stand_ins.virtual_fleet import Refusal
 
 from .store_load import StoreLoad
@@ -22,6 +23,18 @@
     return load
 
 
+def kill_next_reader(load):
+    """Kill the instance that becomes the reader, before it can relay anything."""
+    run = load.run
+    while not (readers := [n for n in run.fleet.nodes if holds_reader_duty(run, n)]):
+        run.fleet.run_until(run.now_s + 0.001)
+    run.kill_instance(readers[0])
+
+
+def holds_reader_duty(run, name):
+    return run.get_router(name).duties.holds(READER_DUTY)
+
+
 @pytest.mark.parametrize("refusal", list(Refusal))
 @pytest.mark.parametrize("seed", SEEDS)
 def test_configuration_written_after_an_outage_is_in_force_in_time(seed, refusal):
@@ -30,3 +43,14 @@
     load.run.fleet.run_until(load.run.now_s + OUTAGE_S)
     names = list(load.run.fleet.nodes)
     assert load.measure_configuration_s(names) <= CONFIGURATION_BOUND_S
+
+
+@pytest.mark.parametrize("refusal", list(Refusal))
+@pytest.mark.parametrize("seed", SEEDS)
+def test_reader_that_is_lost_at_once_delays_no_configuration(seed, refusal):
+    """Guards against a fleet that waits for the relay of a reader that has ended."""
+    load = begin_outage(seed, refusal)
+    load.run.fleet.run_until(load.run.now_s + OUTAGE_S)
+    kill_next_reader(load)
+    names = [n for n in load.run.instance_names if n in load.run.fleet.nodes]
+    assert load.measure_configuration_s(names) <= CONFIGURATION_BOUND_S
--- a/wagtailrill/store/const.py
+++ b/wagtailrill/store/const.py
@@ -53,9 +53,13 @@
 FAILING_AFTER_FAILURES: Final = 2
 # Calls that wait for the store resume within this time after it answers again.
 RESUME_SPREAD_S: Final = 0.5
-# After a time without the store, others tell again within this time what it holds; only
-# then an instance reads it itself.
+# After a time without the store, others tell again within this time which servers there
+# are; only then an instance lists them itself.
 RELAY_RETURN_S: Final = 1.5
+# The same for mirrors, which a new reader lists first. An instance that hears nothing
+# has them within 2 s of the store's return: with the longest delay of a lease that has
+# ended, and `RESUME_SPREAD_S`.
+MIRROR_RELAY_RETURN_S: Final = 0.6
 # After an outage of the store or a restore from a copy, the operator and the running
 # backend servers write their keys again within 2 s.
 REWRITE_GRACE_S: Final = 2.3
--- a/wagtailrill/store/mirror.py
+++ b/wagtailrill/store/mirror.py
@@ -16,6 +16,7 @@
     CONFIRMATION_GAP_MAX_S,
     CONFIRMED_WATCH_WAIT_S,
     LEADING_WAIT_RATIO,
+    MIRROR_RELAY_RETURN_S,
     RELAY_RETURN_S,
 )
 from .mirror_models import MirrorSettings, MirrorState
@@ -196,7 +197,7 @@
         self._state, self._is_retrying = MirrorState.LISTING, True
         # Others that the store serves may relay what it holds, once they are back.
         is_relay_awaited = self._is_relay_followed and not self.leads
-        resume_after_s = RELAY_RETURN_S if is_relay_awaited else 0.0
+        resume_after_s = MIRROR_RELAY_RETURN_S if is_relay_awaited else 0.0
         self._calls.retry(self.list_again, resume_after_s)
 
     @property
