Don't let an overdrawn budget delay the reader's list

Cause: a list that fails once, while the store is not failing, is repeated within the budget of retries, which waits up to 8 s when it is overdrawn; an answer to another call does not resume it then. If the reader is the one that waits, so do all that follow it, for up to the 1.5 s of its last confirmation, and then each of them asks the store.

Change: the reader repeats a list after 0.9 s at the latest. Others keep to the budget, as they may follow the reader. The least delay of a retry, which no caller set, is gone.

Measured: the new test fails before and passes.

--- a/tests/store/test_mirror.py
+++ b/tests/store/test_mirror.py
@@ -10,10 +10,12 @@
     make_context,
 )
 from wagtailrill.store.const import (
+    BACKOFF_MAX_S,
     CHANGE_ARRIVES_WITHIN_S,
     CONFIRMATION_GAP_MAX_S,
     CONFIRMATIONS_TRUSTED_AFTER_S,
     CONFIRMED_WATCH_WAIT_S,
+    RETRY_WAIT_MAX_S,
     WATCH_WAIT_MAX_S,
 )
 from wagtailrill.store.mirror import PrefixMirror
@@ -29,6 +31,8 @@
     WatchPrefix,
 )
 
+NO_ANSWER = Error(StoreError(StoreErrorKind.NO_ANSWER))
+
 
 class MirrorHarness:
     """A mirror whose store calls are answered by the test."""
@@ -248,3 +252,16 @@
     harness.mirror.confirm(16, 0.2)
     advance_time(harness.ctx, 2 * CHANGE_ARRIVES_WITHIN_S)
     assert list_store_calls(harness.ctx, ListPrefix) == []
+
+
+def test_failed_list_of_a_reader_waits_for_no_budget():
+    """Guards against a fleet that waits for seconds for a list of its reader."""
+    harness = MirrorHarness()
+    harness.mirror.leads = True
+    budget = harness.ctx.store_budget
+    budget.fleet_size = 80
+    while budget.draw_delay_s() < RETRY_WAIT_MAX_S / 2:
+        pass
+    harness.reply(ListPrefix, NO_ANSWER)
+    advance_time(harness.ctx, BACKOFF_MAX_S)
+    assert list_store_calls(harness.ctx, ListPrefix)
--- a/wagtailrill/core/call_scope.py
+++ b/wagtailrill/core/call_scope.py
@@ -6,6 +6,7 @@
 from collections.abc import Callable
 from typing import TYPE_CHECKING
 
+from ..store.const import RETRY_WAIT_MAX_S
 from .context import Context
 from .timer import TimerHandle
 
@@ -53,17 +54,18 @@
         self,
         callback: Callable[[], None],
         resume_after_s: float = 0.0,
-        delay_min_s: float = 0.0,
+        delay_max_s: float = RETRY_WAIT_MAX_S,
     ) -> None:
         """Schedule a callback that repeats a store call, within the shared budget.
 
-        It runs `delay_min_s` from now at the earliest, or `resume_after_s` after the
-        store answers this instance again.
+        It runs `resume_after_s` after the store answers this instance again, or before.
+        Unless the store is failing, it runs after `delay_max_s` at the latest, whatever
+        is left of the budget.
         """
         self._ctx.store_budget.retry(
             self._bind(callback),
             resume_after_s=resume_after_s,
-            delay_min_s=delay_min_s,
+            delay_max_s=delay_max_s,
         )
 
     def _bind(self, callback: Callable[[], None]) -> Callable[[], None]:
--- a/wagtailrill/store/budget.py
+++ b/wagtailrill/store/budget.py
@@ -128,10 +128,12 @@
         callback: Callable[[], None],
         cost: float = 1.0,
         resume_after_s: float = 0.0,
-        delay_min_s: float = 0.0,
+        delay_max_s: float = RETRY_WAIT_MAX_S,
     ) -> None:
         """Call `callback` when a call of that cost may be made, but once only.
 
+        Unless the store is failing, that is after `delay_max_s` seconds at the latest.
+
         When the store answers this instance again before that, it is called
         `resume_after_s` seconds later, and some jitter.
         """
@@ -139,8 +141,10 @@
         number, pending = self._last_number, PendingRetry(callback, resume_after_s)
         self._pending[number] = pending
         waits_for_probe = self.is_probed and self.is_failing
-        delay_s = RETRY_WAIT_MAX_S if waits_for_probe else self.draw_delay_s(cost)
-        self._schedule(number, max(delay_min_s, delay_s))
+        delay_s = RETRY_WAIT_MAX_S
+        if not waits_for_probe:
+            delay_s = min(self.draw_delay_s(cost), delay_max_s)
+        self._schedule(number, delay_s)
 
     def _schedule(self, number: int, delay_s: float) -> None:
         pending = self._pending[number]
--- a/wagtailrill/store/mirror.py
+++ b/wagtailrill/store/mirror.py
@@ -12,11 +12,13 @@
 from .change_notifier import ChangeCallback, ChangeNotifier
 from .confirmation import Confirmations
 from .const import (
+    BACKOFF_MAX_S,
     CHANGE_ARRIVES_WITHIN_S,
     CONFIRMED_WATCH_WAIT_S,
     LEADING_WAIT_RATIO,
     MIRROR_RELAY_RETURN_S,
     RELAY_RETURN_S,
+    RETRY_WAIT_MAX_S,
 )
 from .mirror_models import MirrorSettings, MirrorState
 from .models import (
@@ -201,7 +203,9 @@
         # Others that the store serves may relay what it holds, once they are back.
         is_relay_awaited = self._is_relay_followed and not self.leads
         resume_after_s = MIRROR_RELAY_RETURN_S if is_relay_awaited else 0.0
-        self._calls.retry(self.list_again, resume_after_s)
+        # Others wait for what this one relays.
+        delay_max_s = BACKOFF_MAX_S if self.leads else RETRY_WAIT_MAX_S
+        self._calls.retry(self.list_again, resume_after_s, delay_max_s=delay_max_s)
 
     @property
     def is_complete(self) -> bool:
