Don't complete an answer whose body was given up

Cause: a body that is given up for memory is dropped at once, and its exchange ends in the next turn of the event loop. If the end of the answer was read in between - the end of the connection, or the last chunk -, the emptied body counted as whole.

Change: an exchange whose body was given up ends without an answer, whatever ends it.

--- a/tests/gateway/test_body_account.py
+++ b/tests/gateway/test_body_account.py
@@ -158,6 +158,54 @@
     assert given_up == [len(PIECE) * 100]
 
 
+LARGE_PART = PIECE * 100
+CHUNKED_HEAD = STATUS_LINE + b"transfer-encoding: chunked\r\n\r\n"
+LENGTH_HEAD = STATUS_LINE + b"content-length: %d\r\n\r\n" % (2 * len(LARGE_PART))
+# What is read of a response, and how it ends in the step that gives it up.
+ENDS_OF_GIVEN_UP_RESPONSES = {
+    "end of the connection": (
+        ENDLESS_HEAD + LARGE_PART,
+        BackendConnection.eof_received,
+    ),
+    "last chunk": (
+        CHUNKED_HEAD + b"%x\r\n%b\r\n" % (len(LARGE_PART), LARGE_PART),
+        lambda conn: conn.data_received(b"0\r\n\r\n"),
+    ),
+    "rest of the length": (
+        LENGTH_HEAD + LARGE_PART,
+        lambda conn: conn.data_received(LARGE_PART),
+    ),
+    "reset": (ENDLESS_HEAD + LARGE_PART, lambda conn: conn.connection_lost(None)),
+}
+
+
+@pytest.mark.parametrize("case", ENDS_OF_GIVEN_UP_RESPONSES)
+def test_response_that_is_given_up_is_not_completed_in_the_same_step(case):
+    """Guards against an empty body that is passed on as a whole response.
+
+    The end of a response was handled between the step that gave its body up and the one
+    that ends the exchange, and the emptied body counted as complete.
+    """
+    data, end_response = ENDS_OF_GIVEN_UP_RESPONSES[case]
+    memory, given_up = make_memory()
+    ends = []
+
+    async def async_main():
+        conn = BackendConnection(RESPONSE_MAX_BYTES, lambda conn: None, memory)
+        conn.transport = Transport()
+        conn.send_request(b"", False, lambda r: True, lambda *end: ends.append(end))
+        conn.data_received(data)
+        memory.open_hold().set_bytes(LIMIT_BYTES)
+        end_response(conn)
+        await asyncio.sleep(0)
+
+    asyncio.run(async_main())
+    assert given_up == [len(LARGE_PART)]
+    ((end, response),) = ends
+    assert end in (ExchangeEnd.NO_MEMORY, ExchangeEnd.LOST)
+    assert response is None
+
+
 def test_idle_connection_keeps_nothing_of_its_last_response():
     """Guards against bodies that are held until their connection is used again."""
     memory, _ = make_memory()
--- a/wagtailrill/gateway/backend_connection.py
+++ b/wagtailrill/gateway/backend_connection.py
@@ -324,6 +324,9 @@
         self._response = response
 
     def _end_exchange(self, end: ExchangeEnd, response: RawResponse | None) -> None:
+        if end is ExchangeEnd.ANSWERED and self._hold.is_closed:
+            # Its end came before the step that ends an exchange without memory.
+            end, response = ExchangeEnd.NO_MEMORY, None
         on_end, self._on_end = self._on_end, None
         if response is None or response.closes_connection:
             self._abort_transport()
