Keep no request on a connection after its exchange

Large uploads took processes over their 300 MB; they were killed, and requests on kept connections were cut off.

Cause: a connection to an upstream kept the function that compares a response with its request, and with it the request and its body, until the connection was used again: up to 10 s while idle, and until the next garbage collection after its close. No account counted these bodies.

Change: the function is dropped with the rest of the exchange.

--- a/wagtailrill/gateway/backend_connection.py
+++ b/wagtailrill/gateway/backend_connection.py
@@ -56,6 +56,10 @@
 ResponseMatcher = Callable[[RawResponse], bool]
 
 
+def _match_any(response: RawResponse) -> bool:
+    return True
+
+
 class BackendConnection(asyncio.Protocol):
     """Sends requests and parses their responses.
 
@@ -91,7 +95,7 @@
         self._is_parsing = False
         self._on_idle_close = on_idle_close
         self._on_end: EndCallback | None = None
-        self._matches_request: ResponseMatcher = lambda response: True
+        self._matches_request: ResponseMatcher = _match_any
         self._is_head_request = False
         self._at_eof = False
         self._response: RawResponse | None = None
@@ -142,7 +146,7 @@
         A request that has not arrived yet is lost.
         """
         self._on_end = None
-        self._release_response()
+        self._release_exchange()
         self._abort_transport()
 
     def pause_writing(self) -> None:
@@ -214,7 +218,7 @@
         """End the running exchange, or report the close of an idle connection."""
         self.transport = None
         if self._on_end is None:
-            self._release_response()
+            self._release_exchange()
             self._on_idle_close(self)
         else:
             self._end_exchange(ExchangeEnd.LOST, None)
@@ -331,13 +335,14 @@
         if response is None or response.closes_connection:
             self._abort_transport()
         self.last_used_s = self._loop.time()
-        self._release_response()
+        self._release_exchange()
         if on_end is not None:
             on_end(end, response)
 
-    def _release_response(self) -> None:
-        """Keep nothing of the response, as the connection may be idle for long."""
+    def _release_exchange(self) -> None:
+        """Keep nothing of the exchange, as the connection may be idle for long."""
         self._writer.drop()
+        self._matches_request = _match_any  # the former one refers to the request
         self._response = None
         self._reset_message()
 
