Don't put a resumed retry off when calls of the outage fail late

Cause: calls from before the store's return fail up to a second after its first answer. They look like another outage, and the next answer like the store's return: all waiting calls were scheduled anew, with their whole wait.

Change: a call that waits is only ever brought forward.

Measured: the new test fails before and passes.

--- a/tests/store/test_budget.py
+++ b/tests/store/test_budget.py
@@ -15,6 +15,7 @@
 from wagtailrill.store.models import Committed, StoreError, StoreErrorKind
 
 REFUSED = Error(StoreError(StoreErrorKind.REFUSED))
+ANSWER = Ok(Committed(7))
 CONFLICT = Error(StoreError(StoreErrorKind.CONFLICT))
 
 
@@ -81,13 +82,34 @@
     ctx.store_budget.retry(lambda: calls.append(ctx.now_s))
     advance_time(ctx, RETRY_WAIT_MAX_S / 2)
     assert calls == []
-    ctx.store_budget.record(Ok(Committed(7)))
+    ctx.store_budget.record(ANSWER)
     advance_time(ctx, RESUME_SPREAD_S)
     assert len(calls) == 1
     advance_time(ctx, RETRY_WAIT_MAX_S)
     assert len(calls) == 1
 
 
+def test_late_failures_do_not_put_a_resumed_retry_off(ctx):
+    """Guards against retries that wait anew after each call that an outage has left.
+
+    Calls from before the store's return fail up to a second after the first answer. The
+    next answer then seemed to be the store's return.
+    """
+    budget, calls = ctx.store_budget, []
+    budget.is_probed = True
+    turn_away(ctx)
+    budget.retry(lambda: calls.append(ctx.now_s), resume_after_s=1.0)
+    budget.record(ANSWER)
+    answered_s = ctx.now_s
+    advance_time(ctx, RESUME_SPREAD_S)
+    turn_away(ctx)
+    budget.record(ANSWER)
+    advance_time(ctx, answered_s + 1.0 + RESUME_SPREAD_S - ctx.now_s)
+    assert len(calls) == 1
+    advance_time(ctx, RETRY_WAIT_MAX_S)
+    assert len(calls) == 1
+
+
 def test_long_outage_does_not_overflow_the_delay(ctx):
     """Guards against a process that ends with an error after thousands of failures."""
     for _ in range(5000):
--- a/wagtailrill/store/budget.py
+++ b/wagtailrill/store/budget.py
@@ -39,10 +39,14 @@
 
 @attrs.define(eq=False)
 class PendingRetry:
-    """A call that waits for its turn, and how long it waits once the store answers."""
+    """A call that waits for its turn, and how long it waits once the store answers.
+
+    `due_s` is the monotonic time at which it is made.
+    """
 
     callback: Callable[[], None]
     resume_after_s: float
+    due_s: float = float("inf")
     timer: TimerHandle | None = None
 
 
@@ -147,7 +151,14 @@
         self._schedule(number, delay_s)
 
     def _schedule(self, number: int, delay_s: float) -> None:
+        """Make a call after a delay, unless it is to be made sooner anyway.
+
+        Late failures of calls from before the store's return look like another outage.
+        """
         pending = self._pending[number]
+        due_s = self._get_now_s() + delay_s
+        if due_s >= pending.due_s:
+            return
         if pending.timer is not None:
             pending.timer.cancel()
 
@@ -155,7 +166,8 @@
             del self._pending[number]
             pending.callback()
 
-        pending.timer = self._timers.call_later(delay_s, run)
+        pending.due_s = due_s
+        pending.timer = self._timers.call_at(due_s, run)
 
     def _resume(self) -> None:
         for number, pending in self._pending.items():
