List a change at once that is too large to be relayed

Cause: an instance whose list waits ignored that others know of a later change.

Change: it lists 0.1 s after it has been told, as in a quiet time, once the store answers it again. One that the store still refuses keeps waiting.

--- a/tests/store/test_mirror.py
+++ b/tests/store/test_mirror.py
@@ -16,6 +16,8 @@
     CONFIRMATIONS_TRUSTED_AFTER_S,
     CONFIRMED_WATCH_WAIT_S,
     RETRY_WAIT_MAX_S,
+    TURNED_AWAY_AFTER_S,
+    TURNED_AWAY_FAILURES,
     WATCH_WAIT_MAX_S,
 )
 from wagtailrill.store.mirror import PrefixMirror
@@ -265,3 +267,27 @@
     harness.reply(ListPrefix, NO_ANSWER)
     advance_time(harness.ctx, BACKOFF_MAX_S)
     assert list_store_calls(harness.ctx, ListPrefix)
+
+
+@pytest.mark.parametrize("is_served", [False, True])
+def test_change_that_is_too_large_to_be_relayed_is_listed_after_an_outage(is_served):
+    """Guards against a wait for a relay that passes nothing on.
+
+    An instance that the store still refuses does not ask it with each confirmation.
+    """
+    harness = MirrorHarness()
+    harness.reply(ListPrefix, make_page(make_item("op/a", 9)))
+    harness.mirror.confirm(9, 0.0, is_relaying=True)
+    budget = harness.ctx.store_budget
+    budget.is_probed = True
+    for _ in range(TURNED_AWAY_FAILURES):
+        budget.record(NO_ANSWER)
+    advance_time(harness.ctx, TURNED_AWAY_AFTER_S)
+    harness.reply(WatchPrefix, NO_ANSWER)
+    advance_time(harness.ctx, CONFIRMATION_GAP_MAX_S)
+    assert not list_store_calls(harness.ctx, ListPrefix)
+    if is_served:
+        budget.record(make_page())
+    harness.mirror.confirm(12, 0.0)
+    advance_time(harness.ctx, CHANGE_ARRIVES_WITHIN_S)
+    assert bool(list_store_calls(harness.ctx, ListPrefix)) == is_served
--- a/wagtailrill/store/mirror.py
+++ b/wagtailrill/store/mirror.py
@@ -163,7 +163,7 @@
             self.confirmed_s = max(self.confirmed_s, self._ctx.now_s - age_s)
             if self._is_retrying and is_relaying:
                 self._follow_relay()
-        elif self._state is not MirrorState.LISTING:
+        elif self._state is not MirrorState.LISTING or self._is_retrying:
             self._calls.call_later(
                 CHANGE_ARRIVES_WITHIN_S,
                 lambda: self._list_if_behind(last_change_revision),
@@ -177,11 +177,16 @@
         self._record_regained()
 
     def _list_if_behind(self, last_change_revision: int) -> None:
-        # Between two watches the next one returns the change at once.
-        is_asked_for = self._watch_call_id or self._state is MirrorState.RELAYED
-        if self.revision < last_change_revision and is_asked_for:
+        if self.revision < last_change_revision and self._may_list_at_once():
             self.list_again()
 
+    def _may_list_at_once(self) -> bool:
+        """Return whether to list for a change that others know."""
+        if self._is_retrying:
+            return not self._ctx.store_budget.is_failing
+        # Between two watches the next one returns the change at once.
+        return bool(self._watch_call_id) or self._state is MirrorState.RELAYED
+
     def _on_confirmations_ended(self, were_trusted: bool) -> None:
         """Ask the store itself, as nobody else tells what it has confirmed."""
         is_relayed = self._state is MirrorState.RELAYED
