Move the conversions of key routes into a module of their own

Cause: `keys/component.py` had grown to 408 lines and built messages beside its decisions.

Change: `keys/routes.py` builds, merges, encodes and reads routes. A malformed update no longer counts as a sign of life of the granter; nothing else changes.

Measured: the tests of the package pass.

--- a/wagtailrill/keys/component.py
+++ b/wagtailrill/keys/component.py
@@ -31,12 +31,18 @@
 )
 from .granter import Granter, GranterParts
 from .messages import KeyRoutesNotice, KeyRoutesRequest, KeyRoutesUpdate
-from .models import NO_ROUTES, KeyRoutes, KeyTable, SegmentRow, SegmentState
+from .models import NO_ROUTES, KeyRoutes, KeyTable, SegmentRow
+from .routes import (
+    ROUTED_STATES,
+    build_routes,
+    build_update,
+    merge_segments,
+    read_update,
+)
 from .server_loads import Capacity
 from .usage import UsageTable
 
 DUTY_PREFIX = "keys/"
-ROUTED_STATES = frozenset({SegmentState.SERVING})
 ROUTES_REQUEST_INTERVAL_S = 0.1
 
 
@@ -222,7 +228,7 @@
                 return
             parsed = KeyTable.from_bytes(found.item.value)
             if parsed.is_ok():
-                self._accept_routes(row, _build_routes(parsed.ok))
+                self._accept_routes(row, build_routes(parsed.ok))
 
         self._ctx.call_store(Get(table_key), on_read)
 
@@ -235,16 +241,11 @@
     def _on_routes_update(self, envelope: Envelope) -> None:
         update: KeyRoutesUpdate = envelope.message
         row = self._rows.get(update.service)
-        if row is None or not update.starts or update.starts[0] != 0:
+        routes = read_update(update)
+        if row is None or routes is None:
             return
         row.last_heard_s = self._ctx.now_s
-        names = update.names
-        owners = tuple(names[i] if i < len(names) else "" for i in update.owners)
-        if len(owners) == len(update.starts):
-            routes = KeyRoutes(
-                update.starts, owners, update.duty_fence, update.sequence
-            )
-            self._accept_routes(row, routes)
+        self._accept_routes(row, routes)
 
     def _on_routes_request(self, envelope: Envelope) -> None:
         request: KeyRoutesRequest = envelope.message
@@ -253,7 +254,7 @@
             return
         known = KeyRoutes((0,), ("",), request.duty_fence, request.sequence)
         if row.routes.is_newer_than(known):
-            self._ctx.send(envelope.sender, _build_update(row.name, row.routes))
+            self._ctx.send(envelope.sender, build_update(row.name, row.routes))
 
     def _on_routes_notice(self, envelope: Envelope) -> None:
         notice: KeyRoutesNotice = envelope.message
@@ -355,23 +356,16 @@
         if row.published_sequence == row.sequence:
             return
         row.published_sequence, row.published_s = row.sequence, self._ctx.now_s
-        update = _build_update(row.name, row.routes)
+        update = build_update(row.name, row.routes)
         for name in self._members.get_other_members():
             self._ctx.send(name, update)
 
     def _update_routes(self, row: ServiceRow, segment_rows: list[SegmentRow]) -> None:
         row.sequence += 1
         holder = self._duties.get_holder(DUTY_PREFIX + row.name)
-        starts: list[int] = []
-        owners: list[str] = []
-        for segment_row in segment_rows:
-            routed = segment_row.state in ROUTED_STATES
-            owner = segment_row.segment.owner if routed else ""
-            if not owners or owners[-1] != owner:
-                starts.append(segment_row.segment.first)
-                owners.append(owner)
+        starts, owners = merge_segments(segment_rows)
         fence = holder.fence if holder is not None else 0
-        row.routes = KeyRoutes(tuple(starts), tuple(owners), fence, row.sequence)
+        row.routes = KeyRoutes(starts, owners, fence, row.sequence)
 
     def _announce_routes(self) -> None:
         for row in self._rows.values():
@@ -384,25 +378,3 @@
 
 def _assume_capacity(server: ServerRow) -> Capacity:
     return Capacity(server.name, float(server.entry.slots))
-
-
-def _build_routes(table: KeyTable) -> KeyRoutes:
-    return KeyRoutes(
-        tuple(segment.first for segment in table.segments),
-        tuple(segment.owner for segment in table.segments),
-        table.duty_fence,
-        0,
-    )
-
-
-def _build_update(service: str, routes: KeyRoutes) -> KeyRoutesUpdate:
-    names = sorted(set(routes.owners))
-    indexes = {name: number for number, name in enumerate(names)}
-    return KeyRoutesUpdate(
-        service,
-        routes.duty_fence,
-        routes.sequence,
-        routes.starts,
-        tuple(indexes[owner] for owner in routes.owners),
-        tuple(names),
-    )
