Collect the pages of a list apart from the mirror

Change: `store/listed_pages.py` collects the pages; nothing else changes.

Measured: the tests of the store and of the configuration pass.

--- a/wagtailrill/store/mirror.py
+++ b/wagtailrill/store/mirror.py
@@ -20,6 +20,7 @@
     RELAY_RETURN_S,
     RETRY_WAIT_MAX_S,
 )
+from .listed_pages import ListedPages
 from .mirror_models import MirrorSettings, MirrorState
 from .models import (
     Changes,
@@ -69,8 +70,7 @@
         self._cfg = cfg
         self._notifier = ChangeNotifier(ctx, f"mirror {cfg.prefix}", on_change)
         self._state = MirrorState.LISTING
-        self._listed_items: dict[str, Item] = {}
-        self._list_revision = 0
+        self._pages = ListedPages()
         self._started_s = 0.0
         self._leads = False
         self._is_relay_followed = False
@@ -108,7 +108,7 @@
         self._cancel_watch()
         self._state = MirrorState.LISTING
         self._is_retrying = False
-        self._listed_items, self._list_revision = {}, 0
+        self._pages = ListedPages()
         self._started_s = self._ctx.now_s
         self._request_page("")
 
@@ -244,40 +244,37 @@
             return
         page = result.ok
         assert isinstance(page, Listed)
-        # The pages are read at different revisions: the watch starts at the first
-        # one's, so that no change between the pages is missed.
-        self._list_revision = self._list_revision or page.revision
-        self._listed_items.update((item.key, item) for item in page.items)
-        if page.has_more and page.items:
-            self._request_page(page.items[-1].key)
-            return
-        self._take_list()
+        after_key = self._pages.add(page)
+        if after_key:
+            self._request_page(after_key)
+        else:
+            self._take_list()
 
     def _take_list(self) -> None:
-        is_outdated = self._list_revision < self.revision and self._is_relay_followed
-        if is_outdated and get_era(self._list_revision) == get_era(self.revision):
+        pages, self._pages = self._pages, ListedPages()
+        is_outdated = pages.revision < self.revision and self._is_relay_followed
+        if is_outdated and get_era(pages.revision) == get_era(self.revision):
             # What was relayed since the list was made is newer.
-            self._listed_items = {}
             changed_keys: set[str] = set()
         else:
-            changed_keys = self._replace_items()
+            changed_keys = self._replace_items(pages)
         if changed_keys:
             self.changed_after_s = self.confirmed_s
         self._record_success()
         self._notify(frozenset(changed_keys))
         self._start_watch()
 
-    def _replace_items(self) -> set[str]:
+    def _replace_items(self, pages: ListedPages) -> set[str]:
         """Take the listed items; return the keys that have changed."""
         changed_keys = {
-            k for k, item in self._listed_items.items() if self.items.get(k) != item
+            k for k, item in pages.items.items() if self.items.get(k) != item
         }
-        removed_keys = self.items.keys() - self._listed_items.keys()
+        removed_keys = self.items.keys() - pages.items.keys()
         changed_keys |= removed_keys
-        self.items, self._listed_items = self._listed_items, {}
-        if get_era(self.revision) != get_era(self._list_revision):
-            self._removals.begin(self._list_revision)
-        self.revision = self._list_revision
+        self.items = pages.items
+        if get_era(self.revision) != get_era(pages.revision):
+            self._removals.begin(pages.revision)
+        self.revision = pages.revision
         for key in removed_keys:
             self._removals.record(key, self.revision)
         for key in self.items:
