Have the bare forwarder take only connections that are still open

Cause: `script/bench_forwarding.py`, which README names, ended with a TypeError. Its bare forwarder took idle connections that the server had closed meanwhile, answered 500, and the second loop had no latencies to compare.

Change: connections that are not available any more are closed and left out.

--- a/script/bench_servers.py
+++ b/script/bench_servers.py
@@ -48,11 +48,7 @@
             body += message.get("body", b"")
             if not message.get("more_body"):
                 break
-        conn = (
-            self.idle_connections.pop()
-            if self.idle_connections
-            else httpcore.AsyncHTTPConnection(self.origin)
-        )
+        conn = await self._async_take_connection()
         url = httpcore.URL(
             scheme=b"http",
             host=self.origin.host,
@@ -68,6 +64,15 @@
         self.idle_connections.append(conn)
         await async_send_answer(send, answer)
 
+    async def _async_take_connection(self) -> httpcore.AsyncHTTPConnection:
+        """Return an idle connection that the server has not closed, or a new one."""
+        while self.idle_connections:
+            conn = self.idle_connections.pop()
+            if conn.is_available() and not conn.has_expired():
+                return conn
+            await conn.aclose()
+        return httpcore.AsyncHTTPConnection(self.origin)
+
 
 def main() -> None:
     """Run `backend PORT` or `bare PORT BACKEND_PORT`."""
