Add a random fault that refuses granters amid late writes

Change: `--fault refuse_granters_amid_late_writes`, beside those that are only drawn when they are named.

--- a/tests/runs/faults.py
+++ b/tests/runs/faults.py
@@ -14,7 +14,7 @@
 from wagtailrill.stand_ins.virtual_servers import ENTRY_PREFIX
 
 from .deployment import CLOSED_PREFIX, Deployment
-from .duty_faults import replace_granters_in_turn
+from .duty_faults import refuse_granters_amid_late_writes, replace_granters_in_turn
 
 Fault = Callable[[Deployment], None]
 
@@ -381,5 +381,6 @@
         restart_under_its_id,
         write_odd_entry,
         replace_granters_in_turn,
+        refuse_granters_amid_late_writes,
     )
 }
